--- /dev/null
+++ b/src/persimmonhitch/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' two lists, their changes and their versions."""
--- /dev/null
+++ b/src/persimmonhitch/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/persimmonhitch/settings/load.py
@@ -0,0 +1,169 @@
+"""Read a settings file whole and name every mistake in it."""
+
+import configparser
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import MISSING, Field, dataclass, field, fields
+from pathlib import Path
+from typing import Any, Final, TypeVar, get_type_hints
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+T = TypeVar("T")
+
+EXIT_BAD_SETTINGS: Final = 2
+TRUE_WORDS: Final = frozenset({"yes", "true", "on", "1"})
+FALSE_WORDS: Final = frozenset({"no", "false", "off", "0"})
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """One thing wrong with a settings file."""
+
+    file: str
+    section: str
+    key: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: [{self.section}] {self.key}: {self.expected}"
+
+
+def setting(
+    section: str,
+    key: str,
+    help: str,
+    default: Any = MISSING,
+    low: float | None = None,
+    high: float | None = None,
+) -> Any:
+    """Declare a dataclass field as a setting.
+
+    Parameters
+    ----------
+    section, key : str
+        Where it stands in the file.
+    help : str
+        What it does, with its unit; shown in the operators' table.
+    default : optional
+        Its value when absent; without one the setting must be given.
+    low, high : float, optional
+        Bounds of a number, both allowed.
+    """
+    metadata = {"section": section, "key": key, "help": help, "low": low, "high": high}
+    return field(default=default, metadata=metadata)
+
+
+def _bool(text: str) -> bool:
+    word = text.lower()
+    if word in TRUE_WORDS:
+        return True
+    if word in FALSE_WORDS:
+        return False
+    raise ValueError(text)
+
+
+def _words(text: str) -> tuple[str, ...]:
+    parts = (part.strip() for part in text.replace("\n", ",").split(","))
+    return tuple(part for part in parts if part)
+
+
+PARSERS: Final[dict[Any, tuple[Callable[[str], Any], str]]] = {
+    str: (str, "a text"),
+    int: (int, "a whole number"),
+    float: (float, "a number"),
+    bool: (_bool, "yes or no"),
+    tuple[str, ...]: (_words, "a list separated by commas"),
+}
+
+
+def _bounds(spec: Field[Any]) -> str:
+    low, high = spec.metadata["low"], spec.metadata["high"]
+    if low is None and high is None:
+        return ""
+    return f" from {low} to {high}" if high is not None else f" of at least {low}"
+
+
+def _within(spec: Field[Any], value: Any) -> bool:
+    low, high = spec.metadata["low"], spec.metadata["high"]
+    if low is not None and not value >= low:
+        return False
+    return high is None or bool(value <= high)
+
+
+def _parse(kind: Any, spec: Field[Any], text: str) -> Result[Any, str]:
+    base = kind if kind in PARSERS else getattr(kind, "__supertype__", str)
+    parser, name = PARSERS[base]
+    expected = f"expected {name}{_bounds(spec)}, found {text!r}"
+    try:
+        value = parser(text)
+    except ValueError:
+        return Err(expected)
+    return Success(value) if _within(spec, value) else Err(expected)
+
+
+def _unknown(cls: type, ini: configparser.ConfigParser, file: str) -> Iterator[Mistake]:
+    known = {(f.metadata["section"], f.metadata["key"]) for f in fields(cls)}
+    sections = {section for section, _ in known}
+    for section in ini.sections():
+        if section not in sections:
+            yield Mistake(file, section, "-", f"unknown section; known: {sections}")
+            continue
+        for key in ini[section]:
+            if (section, key) not in known:
+                yield Mistake(file, section, key, "unknown key")
+
+
+def load(cls: type[T], path: Path) -> Result[T, tuple[Mistake, ...]]:
+    """Read a settings file into the dataclass ``cls``.
+
+    Returns
+    -------
+    Result
+        The settings, or every mistake in the file.
+    """
+    ini = configparser.ConfigParser(interpolation=None)
+    file = str(path)
+    try:
+        ini.read_string(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        return Err((Mistake(file, "-", "-", " ".join(str(exc).split())),))
+    mistakes = list(_unknown(cls, ini, file))
+    values: dict[str, Any] = {}
+    hints = get_type_hints(cls)
+    for spec in fields(cls):  # type: ignore[arg-type]
+        section, key = spec.metadata["section"], spec.metadata["key"]
+        text = ini.get(section, key, fallback=None)
+        if text is None:
+            if spec.default is MISSING:
+                mistakes.append(Mistake(file, section, key, "missing, must be given"))
+            continue
+        match _parse(hints[spec.name], spec, text.strip()):
+            case Success(value):
+                values[spec.name] = value
+            case Err(expected):
+                mistakes.append(Mistake(file, section, key, expected))
+    return Err(tuple(mistakes)) if mistakes else Success(cls(**values))
+
+
+def load_or_exit(cls: type[T], path: Path) -> T:
+    """Return the settings, or print every mistake and exit with 2."""
+    result = load(cls, path)
+    if isinstance(result, Success):
+        settings: T = result.unwrap()
+        return settings
+    for mistake in result.failure():
+        print(mistake, file=sys.stderr)
+    sys.exit(EXIT_BAD_SETTINGS)
+
+
+def table(cls: type) -> str:
+    """Return the operators' table of all settings of ``cls`` in Markdown."""
+    rows = ["| section | key | default | meaning |", "| --- | --- | --- | --- |"]
+    for spec in fields(cls):
+        meta = spec.metadata
+        default = "must be given" if spec.default is MISSING else f"`{spec.default}`"
+        help_text = f"{meta['help']}{_bounds(spec)}"
+        rows.append(f"| {meta['section']} | {meta['key']} | {default} | {help_text} |")
+    return "\n".join(rows)
--- /dev/null
+++ b/src/persimmonhitch/standin/store_state.py
@@ -0,0 +1,183 @@
+"""State of the object API's stand-in; also the fake store of tests."""
+
+import json
+import threading
+import time
+from collections import deque
+from collections.abc import Iterator
+from copy import deepcopy
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..platform.objects import (
+    Event,
+    EventType,
+    Kind,
+    Listing,
+    Spec,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    Version,
+)
+
+MAX_VALUE: Final = 1024 * 1024
+"""Bytes of one value, the platform's limit."""
+HISTORY: Final = 4096
+"""Events held for watches; older ones answer ``EXPIRED``."""
+
+
+@dataclass
+class Faults:
+    """Faults that a test can switch on.
+
+    ``lost_answers`` counts writes that take effect and then answer nothing;
+    ``delay`` is seconds before each call.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lost_answers: int = 0
+
+
+class StoreState:
+    """Objects in memory with versions, conditional updates and watches."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls: dict[str, int] = {}
+        self._objects: dict[tuple[Kind, str], StoredObject] = {}
+        self._events: deque[Event] = deque(maxlen=HISTORY)
+        self._version = 0
+        self._changed = threading.Condition()
+
+    def _fault(self, call: str) -> StoreFailure | None:
+        self.calls[call] = self.calls.get(call, 0) + 1
+        if self.faults.delay:
+            time.sleep(self.faults.delay)
+        if self.faults.down:
+            return StoreFailure(StoreError.UNAVAILABLE, "the store is down")
+        return None
+
+    def get(self, kind: Kind, name: str) -> Result[StoredObject, StoreFailure]:
+        """Return one object."""
+        fault = self._fault("get")
+        if fault:
+            return Err(fault)
+        found = self._objects.get((kind, name))
+        if found is None:
+            return Err(StoreFailure(StoreError.NOT_FOUND, name))
+        return Success(deepcopy(found))
+
+    def list_all(self, kind: Kind) -> Result[Listing, StoreFailure]:
+        """Return all objects of a kind."""
+        fault = self._fault("list")
+        if fault:
+            return Err(fault)
+        with self._changed:
+            items = [obj for (k, _), obj in self._objects.items() if k is kind]
+            return Success(Listing(Version(self._version), tuple(deepcopy(items))))
+
+    def create(
+        self, kind: Kind, name: str, spec: Spec
+    ) -> Result[StoredObject, StoreFailure]:
+        """Create an object."""
+        fault = self._fault("create")
+        if fault:
+            return Err(fault)
+        with self._changed:
+            if (kind, name) in self._objects:
+                return Err(StoreFailure(StoreError.EXISTS, name))
+            return self._write(EventType.ADDED, kind, name, spec)
+
+    def update(
+        self, old: StoredObject, spec: Spec
+    ) -> Result[StoredObject, StoreFailure]:
+        """Replace an object at the version given."""
+        fault = self._fault("update")
+        if fault:
+            return Err(fault)
+        with self._changed:
+            refused = self._stale(old)
+            if refused:
+                return Err(refused)
+            return self._write(EventType.MODIFIED, old.kind, old.name, spec)
+
+    def delete(self, old: StoredObject) -> Result[None, StoreFailure]:
+        """Delete an object at the version given."""
+        fault = self._fault("delete")
+        if fault:
+            return Err(fault)
+        with self._changed:
+            refused = self._stale(old)
+            if refused:
+                return Err(refused)
+            result = self._write(EventType.DELETED, old.kind, old.name, old.spec)
+            return result.map(lambda _obj: None)
+
+    def _stale(self, old: StoredObject) -> StoreFailure | None:
+        found = self._objects.get((old.kind, old.name))
+        if found is None:
+            return StoreFailure(StoreError.NOT_FOUND, old.name)
+        if found.version != old.version:
+            return StoreFailure(StoreError.CONFLICT, old.name)
+        return None
+
+    def _write(
+        self, type: EventType, kind: Kind, name: str, spec: Spec
+    ) -> Result[StoredObject, StoreFailure]:
+        if len(json.dumps(spec)) > MAX_VALUE:
+            return Err(StoreFailure(StoreError.INVALID, "value over 1 MB"))
+        self._version += 1
+        obj = StoredObject(kind, name, Version(self._version), deepcopy(spec))
+        if type is EventType.DELETED:
+            del self._objects[kind, name]
+        else:
+            self._objects[kind, name] = obj
+        self._events.append(Event(type, obj))
+        self._changed.notify_all()
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            return Err(StoreFailure(StoreError.UNAVAILABLE, "the answer was lost"))
+        return Success(deepcopy(obj))
+
+    def watch(
+        self, kind: Kind, after: Version, timeout: float
+    ) -> Iterator[Result[Event, StoreFailure]]:
+        """Yield events after a version until ``timeout`` seconds have passed."""
+        fault = self._fault("watch")
+        if fault:
+            yield Err(fault)
+            return
+        end = time.monotonic() + timeout
+        while True:
+            result = self._next_events(kind, after, end)
+            if not isinstance(result, Success):
+                yield Err(result.failure())
+                return
+            batch = result.unwrap()
+            if not batch:
+                return
+            for event in batch:
+                after = event.object.version
+                yield Success(deepcopy(event))
+
+    def _next_events(
+        self, kind: Kind, after: Version, end: float
+    ) -> Result[list[Event], StoreFailure]:
+        with self._changed:
+            while True:
+                if self.faults.down:
+                    return Err(StoreFailure(StoreError.UNAVAILABLE, "store is down"))
+                if self._events and after < self._events[0].object.version - 1:
+                    return Err(StoreFailure(StoreError.EXPIRED, str(after)))
+                batch = [e for e in self._events if e.object.version > after]
+                found = [e for e in batch if e.object.kind is kind]
+                left = end - time.monotonic()
+                if found or left <= 0:
+                    return Success(found)
+                # A short wait, so that an outage switched on meanwhile ends it.
+                self._changed.wait(min(left, 0.1))
--- /dev/null
+++ b/src/persimmonhitch/wire/codec.py
@@ -0,0 +1,155 @@
+"""Typed messages as CBOR arrays: a kind, then the fields in their order."""
+
+import types
+from collections.abc import Callable, Mapping
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from typing import Any, Final, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import cbor2
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+Check = Callable[[Any], Any]
+M = TypeVar("M", bound=type)
+
+MAX_FRAME: Final = 8 * 1024 * 1024
+"""Bytes of one frame: a body of 4 MiB with room for headers and batching."""
+
+_kinds: dict[int, type] = {}
+_numbers: dict[type, int] = {}
+
+
+class BadFrame(ValueError):
+    """A frame does not hold what its kind demands."""
+
+
+def message(number: int) -> Callable[[M], M]:
+    """Return a decorator that enters a dataclass as a message kind."""
+
+    def enter(cls: M) -> M:
+        if number in _kinds:
+            raise ValueError(f"message number {number} is taken")
+        _kinds[number] = cls
+        _numbers[cls] = number
+        return cls
+
+    return enter
+
+
+def _pack(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    if is_dataclass(value):
+        return [_pack(getattr(value, spec.name)) for spec in fields(value)]
+    if isinstance(value, tuple):
+        return [_pack(item) for item in value]
+    if isinstance(value, Mapping):
+        return {key: _pack(item) for key, item in value.items()}
+    return value
+
+
+def encode(msg: Any) -> bytes:
+    """Return the frame for a message."""
+    return cbor2.dumps([_numbers[type(msg)], *_pack(msg)])
+
+
+def _scalar(kind: type) -> Check:
+    def check(value: Any) -> Any:
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise BadFrame(f"expected {kind.__name__}, found {type(value).__name__}")
+        return value
+
+    return check
+
+
+def _enum(kind: type[Enum]) -> Check:
+    def check(value: Any) -> Any:
+        try:
+            return kind(value)
+        except ValueError as exc:
+            raise BadFrame(str(exc)) from exc
+
+    return check
+
+
+def _optional(inner: Check) -> Check:
+    return lambda value: None if value is None else inner(value)
+
+
+def _sequence(inner: Check) -> Check:
+    def check(value: Any) -> Any:
+        if type(value) is not list:
+            raise BadFrame(f"expected a list, found {type(value).__name__}")
+        return tuple(inner(item) for item in value)
+
+    return check
+
+
+def _mapping(of_key: Check, of_value: Check) -> Check:
+    def check(value: Any) -> Any:
+        if type(value) is not dict:
+            raise BadFrame(f"expected a map, found {type(value).__name__}")
+        return {of_key(key): of_value(item) for key, item in value.items()}
+
+    return check
+
+
+def _record(cls: type) -> Check:
+    hints = get_type_hints(cls)
+    checks = [_check_for(hints[spec.name]) for spec in fields(cls)]
+
+    def check(value: Any) -> Any:
+        if type(value) is not list or len(value) != len(checks):
+            raise BadFrame(f"wrong number of fields for {cls.__name__}")
+        parts = (inner(item) for inner, item in zip(checks, value, strict=True))
+        return cls(*parts)
+
+    return check
+
+
+@cache
+def _check_for(hint: Any) -> Check:
+    hint = getattr(hint, "__supertype__", hint)
+    origin, args = get_origin(hint), get_args(hint)
+    if origin in (Union, types.UnionType):
+        (inner,) = (arg for arg in args if arg is not type(None))
+        return _optional(_check_for(inner))
+    if origin is tuple:
+        return _sequence(_check_for(args[0]))
+    if origin is dict:
+        return _mapping(_check_for(args[0]), _check_for(args[1]))
+    if not isinstance(hint, type):
+        raise TypeError(f"no wire form for {hint!r}")
+    if is_dataclass(hint):
+        return _record(hint)
+    if issubclass(hint, Enum):
+        return _enum(hint)
+    return _scalar(hint)
+
+
+def decode(frame: bytes) -> Result[Any, str]:
+    """Return the message of a frame, or what is wrong with it.
+
+    Every field is checked against its declared type, so that a peer of another
+    version or a faulty one yields an error here and not somewhere deep in a
+    state machine.
+    """
+    if len(frame) > MAX_FRAME:
+        return Err(f"frame of {len(frame)} bytes")
+    try:
+        parts = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, RecursionError, MemoryError) as exc:
+        return Err(f"not CBOR: {type(exc).__name__}")
+    if type(parts) is not list or not parts or type(parts[0]) is not int:
+        return Err("not a list that starts with a kind")
+    cls = _kinds.get(parts[0])
+    if cls is None:
+        return Err(f"unknown kind {parts[0]}")
+    try:
+        return Success(_check_for(cls)(parts[1:]))
+    except (BadFrame, TypeError, ValueError) as exc:
+        return Err(f"{cls.__name__}: {exc}")
