--- /dev/null
+++ b/src/persimmonhitch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers reach: keys, limits, routing, answers."""
--- /dev/null
+++ b/src/persimmonhitch/entry/calls.py
@@ -0,0 +1,207 @@
+"""What a caller asks for, read from the HTTP request."""
+
+import json
+import math
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import unquote
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..ids import Model, Service
+from ..verdict import ErrorCode, Failure
+from ..web import Request
+from ..wire.messages import Priority
+
+CHAT_PATH: Final = "/v1/chat/completions"
+SERVICE_PREFIX: Final = "/v1/services/"
+TIMEOUT_HEADER: Final = "x-request-timeout"
+PRIORITY_HEADER: Final = "x-request-priority"
+IDEMPOTENCY_HEADER: Final = "idempotency-key"
+MAX_IDEMPOTENCY_KEY: Final = 255
+DEFAULT_MAX_TOKENS: Final = 256
+MOST_MAX_TOKENS: Final = 32768
+HOP_HEADERS: Final = frozenset(
+    {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te"}
+    | {"trailer", "transfer-encoding", "upgrade", "host", "content-length", "expect"}
+)
+OWN_HEADERS: Final = frozenset(
+    {"authorization", "cookie", "traceparent", "tracestate", "x-request-id"}
+    | {TIMEOUT_HEADER, PRIORITY_HEADER}
+)
+
+
+@dataclass(frozen=True)
+class Call:
+    """One call of a caller, ready to be admitted.
+
+    ``model`` is empty for a service and ``service`` is None for a model.
+    """
+
+    model: Model
+    service: Service | None
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    stream: bool
+    max_tokens: int
+    timeout: float
+    priority: Priority | None
+    idempotency_key: str
+
+
+def bearer_key(req: Request) -> str:
+    """Return the key of a request, or an empty text."""
+    scheme, _, key = req.headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _bad(message: str) -> Err[Failure]:
+    return Err(Failure(ErrorCode.BAD_REQUEST, message))
+
+
+def read_timeout(req: Request, default: float, most: float) -> Result[float, Failure]:
+    """Return the seconds that the caller is willing to wait."""
+    text = req.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return Success(default)
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 < value <= most:
+        return _bad(f"{TIMEOUT_HEADER} is seconds above 0 and at most {most:g}")
+    return Success(value)
+
+
+def _read_priority(req: Request) -> Result[Priority | None, Failure]:
+    text = req.headers.get(PRIORITY_HEADER)
+    if text is None:
+        return Success(None)
+    try:
+        return Success(Priority(text.lower()))
+    except ValueError:
+        return _bad(f"{PRIORITY_HEADER} is interactive or batch")
+
+
+def clean_headers(headers: dict[str, str], key: str) -> dict[str, str]:
+    """Return the headers that go on to the upstream.
+
+    A header that carries the key would show it to the upstream and to its logs,
+    where anyone who reads them could call in the account's name.
+    """
+    named = headers.get("connection", "").lower().replace(" ", "").split(",")
+    dropped = HOP_HEADERS | OWN_HEADERS | frozenset(named)
+    return {
+        name: text
+        for name, text in headers.items()
+        if name not in dropped and not (key and key in text)
+    }
+
+
+def clean_query(query: str, key: str) -> str:
+    """Return the query without the parts that carry the key."""
+    parts = [part for part in query.split("&") if part]
+    return "&".join(p for p in parts if not (key and key in unquote(p)))
+
+
+def read_call(req: Request, default: float, most: float) -> Result[Call, Failure]:
+    """Return the call of a request, or what is wrong with it."""
+    timeout = read_timeout(req, default, most)
+    if not isinstance(timeout, Success):
+        return Err(timeout.failure())
+    priority = _read_priority(req)
+    if not isinstance(priority, Success):
+        return Err(priority.failure())
+    token = req.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(token) > MAX_IDEMPOTENCY_KEY:
+        return _bad(f"{IDEMPOTENCY_HEADER} has at most {MAX_IDEMPOTENCY_KEY} characters")
+    key = bearer_key(req)
+    if key and (key.encode() in req.body or key in unquote(req.path)):
+        return _bad("the key may stand in the Authorization header only")
+    common = _Common(req, key, timeout.unwrap(), priority.unwrap(), token)
+    if req.path == CHAT_PATH:
+        return _read_chat(common)
+    return _read_service(common)
+
+
+@dataclass(frozen=True)
+class _Common:
+    req: Request
+    key: str
+    timeout: float
+    priority: Priority | None
+    idempotency_key: str
+
+
+def _read_service(common: _Common) -> Result[Call, Failure]:
+    req = common.req
+    name, _, path = req.path.removeprefix(SERVICE_PREFIX).partition("/")
+    if not name:
+        return Err(Failure(ErrorCode.NOT_FOUND, "no service is named"))
+    query = clean_query(req.query, common.key)
+    return Success(
+        Call(
+            model=Model(""),
+            service=Service(unquote(name)),
+            method=req.method,
+            path=f"/{path}" + (f"?{query}" if query else ""),
+            headers=clean_headers(req.headers, common.key),
+            body=req.body,
+            stream=False,
+            max_tokens=0,
+            timeout=common.timeout,
+            priority=common.priority,
+            idempotency_key=common.idempotency_key,
+        )
+    )
+
+
+def _chat_mistake(body: Any) -> str | None:
+    if not isinstance(body, dict):
+        return "the body is a JSON object"
+    if not isinstance(body.get("model"), str) or not body["model"]:
+        return "model is a text"
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return "messages is a list with at least one message"
+    if not all(isinstance(m, dict) and "role" in m for m in messages):
+        return "each message is an object with a role"
+    limit = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if type(limit) is not int or not 1 <= limit <= MOST_MAX_TOKENS:
+        return f"max_tokens is a whole number from 1 to {MOST_MAX_TOKENS}"
+    if not isinstance(body.get("stream", False), bool):
+        return "stream is true or false"
+    return None
+
+
+def _read_chat(common: _Common) -> Result[Call, Failure]:
+    req = common.req
+    try:
+        body = json.loads(req.body)
+    except (ValueError, RecursionError):
+        return _bad("the body is not JSON")
+    mistake = _chat_mistake(body)
+    if mistake is not None:
+        return _bad(mistake)
+    limit = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    # The limit goes to the engine in any case: an answer longer than what was
+    # reserved would take the account above its rate.
+    sent = {**body, "max_tokens": limit}
+    return Success(
+        Call(
+            model=Model(body["model"]),
+            service=None,
+            method="POST",
+            path=CHAT_PATH,
+            headers={"content-type": "application/json"},
+            body=json.dumps(sent).encode(),
+            stream=body.get("stream", False),
+            max_tokens=limit,
+            timeout=common.timeout,
+            priority=common.priority,
+            idempotency_key=common.idempotency_key,
+        )
+    )
--- /dev/null
+++ b/src/persimmonhitch/entry/peers.py
@@ -0,0 +1,171 @@
+"""Links between entries, for loans of tokens and pushes of configuration."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+from returns.result import Success
+
+from ..ids import Region, Vm, Zone
+from ..observe.logs import log
+from ..platform.objects import StoredObject
+from ..platform.watcher import View
+from ..wire.link import Link, LinkServer, open_link
+from ..wire.messages import PROTOCOL, Hello, Role
+
+M = TypeVar("M")
+RELINK_EVERY: Final = 0.3
+
+Handler = Callable[[Vm, Any], None]
+
+
+@dataclass(frozen=True)
+class PeerInfo:
+    """Where another entry is."""
+
+    vm: Vm
+    zone: Zone
+    region: Region
+    host: str
+    port: int
+
+    @classmethod
+    def from_object(cls, obj: StoredObject) -> "PeerInfo | None":
+        """Return the entry of a stored object, or None for a broken one."""
+        spec = obj.spec
+        try:
+            return cls(
+                Vm(obj.name),
+                Zone(spec["zone"]),
+                Region(spec["region"]),
+                str(spec["link_host"]),
+                int(spec["link_port"]),
+            )
+        except (KeyError, ValueError, TypeError) as exc:
+            log("entry_object_broken", name=obj.name, error=repr(exc))
+            return None
+
+
+class PeerMesh:
+    """Sends to and hears from the other entries.
+
+    Each entry sends on links that it opened itself and hears on those that it
+    accepted, so that a link has one writer of requests and the two directions
+    fail apart.
+    """
+
+    def __init__(
+        self,
+        vm: Vm,
+        host: str,
+        port: int,
+        secret: bytes,
+        hello: Callable[[], Hello],
+    ) -> None:
+        self.vm = vm
+        self._secret = secret
+        self._hello = hello
+        self._handlers: dict[type, Handler] = {}
+        self._infos: dict[Vm, PeerInfo] = {}
+        self._links: dict[Vm, Link] = {}
+        self._accepted: dict[Link, Vm] = {}
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._server = LinkServer(host, port, secret, self._accept)
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Return the TCP port for links."""
+        return self._server.port
+
+    def on(self, kind: type[M], handler: Callable[[Vm, M], None]) -> None:
+        """Hand every message of a kind to ``handler``, with its sender."""
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Accept links and open our own."""
+        self._server.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End every link."""
+        self._stopping.set()
+        self._server.stop()
+        with self._lock:
+            links = [*self._links.values(), *self._accepted]
+        for link in links:
+            link.close()
+
+    def update(self, view: View) -> None:
+        """Take the store's list of entries."""
+        infos = [PeerInfo.from_object(obj) for obj in view.objects.values()]
+        found = {info.vm: info for info in infos if info and info.vm != self.vm}
+        with self._lock:
+            self._infos = found
+
+    def peers(self) -> tuple[PeerInfo, ...]:
+        """Return the entries to which a link is open."""
+        with self._lock:
+            return tuple(i for vm, i in self._infos.items() if vm in self._links)
+
+    def send(self, vm: Vm, msg: Any) -> bool:
+        """Send a message to one entry; False when no link to it is open."""
+        with self._lock:
+            link = self._links.get(vm)
+        return link is not None and link.send(msg)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(RELINK_EVERY):
+            with self._lock:
+                infos = dict(self._infos)
+                links = dict(self._links)
+            for vm, info in infos.items():
+                if vm not in links:
+                    self._open(info)
+            for vm, link in links.items():
+                if vm not in infos:
+                    link.close()
+
+    def _open(self, info: PeerInfo) -> None:
+        result = open_link(info.host, info.port, self._secret, self, self._hello())
+        if not isinstance(result, Success):
+            return
+        link = result.unwrap()
+        with self._lock:
+            # A link may end before it is entered here; its end would then have
+            # been told already, and a dead link would stand in the table.
+            if not link.ended.is_set():
+                self._links[info.vm] = link
+        log("peer_linked", peer_vm=info.vm)
+
+    def _accept(self, link: Link) -> "PeerMesh":
+        return self
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        """Take one message of a peer; its first must be ``Hello``."""
+        if isinstance(msg, Hello):
+            self._greet(link, msg)
+            return
+        vm = self._accepted.get(link)
+        handler = self._handlers.get(type(msg))
+        if vm is None or handler is None:
+            log("message_unexpected", peer=link.peer, kind=type(msg).__name__)
+            link.close()
+            return
+        handler(vm, msg)
+
+    def _greet(self, link: Link, msg: Hello) -> None:
+        if msg.protocol != PROTOCOL or msg.role is not Role.ENTRY:
+            log("protocol_mismatch", peer=link.peer, theirs=msg.protocol, ours=PROTOCOL)
+            link.close()
+            return
+        with self._lock:
+            self._accepted[link] = msg.vm
+
+    def on_close(self, link: Link) -> None:
+        """Forget a link that has ended."""
+        with self._lock:
+            self._accepted.pop(link, None)
+            self._links = {vm: ln for vm, ln in self._links.items() if ln is not link}
--- /dev/null
+++ b/src/persimmonhitch/entry/pool.py
@@ -0,0 +1,112 @@
+"""Links to the sidecars in reach, kept open and opened again."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Final
+
+from ..ids import Model, Service, Upstream
+from ..observe.logs import log
+from ..platform.watcher import View
+from ..wire.messages import Hello, UpstreamKind
+from .directory import SidecarInfo
+from .sidecar_conn import SidecarConn
+
+RELINK_EVERY: Final = 0.2
+"""Seconds between two tries to open a link that is lost."""
+RELINK_MOST: Final = 2.0
+
+
+class SidecarPool:
+    """All sidecars that this entry sends to."""
+
+    def __init__(self, secret: bytes, hello: Callable[[], Hello]) -> None:
+        self._secret = secret
+        self._hello = hello
+        self._conns: dict[Upstream, SidecarConn] = {}
+        self._opening: set[Upstream] = set()
+        self._next_try: dict[Upstream, tuple[float, float]] = {}
+        self._changed = threading.Condition()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="relink", daemon=True)
+
+    def start(self) -> None:
+        """Open links from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End every link."""
+        self._stopping.set()
+        for conn in self._all():
+            conn.close()
+
+    def update(self, view: View) -> None:
+        """Take the store's list of sidecars."""
+        infos = [SidecarInfo.from_object(obj) for obj in view.objects.values()]
+        wanted = {info.upstream: info for info in infos if info is not None}
+        with self._changed:
+            gone = [name for name in self._conns if name not in wanted]
+            removed = [self._conns.pop(name) for name in gone]
+            for name, info in wanted.items():
+                self._put(name, info)
+        for conn in removed:
+            conn.close()
+
+    def _put(self, name: Upstream, info: SidecarInfo) -> None:
+        conn = self._conns.get(name)
+        if conn is None or (conn.info.host, conn.info.port) != (info.host, info.port):
+            if conn is not None:
+                conn.close()
+            self._conns[name] = SidecarConn(info, self._secret)
+            return
+        conn.info = info
+
+    def serving(self, model: Model, service: Service | None) -> list[SidecarConn]:
+        """Return the sidecars that can take a request now."""
+        return [conn for conn in self._all() if _serves(conn, model, service)]
+
+    def wait_change(self, timeout: float) -> None:
+        """Return when a sidecar may have come, or after ``timeout`` seconds."""
+        with self._changed:
+            self._changed.wait(timeout)
+
+    def _all(self) -> list[SidecarConn]:
+        with self._changed:
+            return list(self._conns.values())
+
+    def _run(self) -> None:
+        while not self._stopping.wait(RELINK_EVERY / 2):
+            now = time.monotonic()
+            for conn in self._all():
+                self._relink(conn, now)
+            with self._changed:
+                self._changed.notify_all()
+
+    def _relink(self, conn: SidecarConn, now: float) -> None:
+        name = conn.info.upstream
+        due, pause = self._next_try.get(name, (0.0, RELINK_EVERY))
+        if conn.link is not None or name in self._opening or now < due:
+            return
+        self._opening.add(name)
+        self._next_try[name] = (now + pause, min(pause * 2, RELINK_MOST))
+        opener = threading.Thread(
+            target=self._open, args=(conn,), name=f"open-{name}", daemon=True
+        )
+        opener.start()
+
+    def _open(self, conn: SidecarConn) -> None:
+        name = conn.info.upstream
+        try:
+            if conn.connect(self._hello()):
+                self._next_try.pop(name, None)
+                log("sidecar_linked", upstream=name)
+        finally:
+            self._opening.discard(name)
+
+
+def _serves(conn: SidecarConn, model: Model, service: Service | None) -> bool:
+    if not conn.usable:
+        return False
+    if service is not None:
+        return conn.info.service == service and conn.info.kind is UpstreamKind.SERVICE
+    return conn.info.kind is UpstreamKind.ENGINE and model in conn.models
--- /dev/null
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -0,0 +1,184 @@
+"""One sidecar as an entry sees it: its link, its load, what is in flight there."""
+
+import threading
+import time
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from returns.result import Success
+
+from ..ids import Incarnation, Model, RequestId
+from ..observe.logs import log
+from ..verdict import Verdict
+from ..wire.link import Link, open_link
+from ..wire.messages import (
+    Buried,
+    Bury,
+    Cancel,
+    Chunk,
+    End,
+    Fail,
+    Head,
+    Hello,
+    Report,
+    Resume,
+    Submit,
+    Welcome,
+)
+from .directory import SidecarInfo
+from .exchange import Exchange
+
+BURY_TIMEOUT: Final = 0.5
+"""Seconds to wait for the answer to ``Bury``; it takes one round trip."""
+
+
+class SidecarConn:
+    """The link to one sidecar and all attempts on it."""
+
+    def __init__(self, info: SidecarInfo, secret: bytes) -> None:
+        self.info = info
+        self.link: Link | None = None
+        self.incarnation: Incarnation | None = None
+        self.models: frozenset[Model] = info.models
+        self.report: Report | None = None
+        self.report_at = 0.0
+        self.welcomed_at = 0.0
+        self.dropped = 0
+        self._draining = False
+        self._secret = secret
+        self._exchanges: dict[RequestId, tuple[Exchange, float]] = {}
+        self._burials: dict[RequestId, threading.Event] = {}
+        self._verdicts: dict[RequestId, Verdict] = {}
+        self._lock = threading.Lock()
+        self.welcomed = threading.Event()
+
+    @property
+    def usable(self) -> bool:
+        """Return whether new work may go there."""
+        return self.welcomed.is_set() and not self._draining and not self.info.draining
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many attempts of this entry are there."""
+        return len(self._exchanges)
+
+    @property
+    def in_flight_tokens(self) -> float:
+        """Return the tokens that this entry's attempts there reserve."""
+        with self._lock:
+            return sum(cost for _, cost in self._exchanges.values())
+
+    def connect(self, hello: Hello) -> bool:
+        """Open the link; return whether it is open."""
+        info = self.info
+        result = open_link(info.host, info.port, self._secret, self, hello)
+        if not isinstance(result, Success):
+            return False
+        link = result.unwrap()
+        with self._lock:
+            # A link may end before it is entered here; its end would then have
+            # been told already, and a dead link would never be opened again.
+            if not link.ended.is_set():
+                self.link = link
+        return True
+
+    def close(self) -> None:
+        """End the link."""
+        if self.link is not None:
+            self.link.close()
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        """Take one message of the sidecar."""
+        self.take(msg)
+
+    def on_close(self, link: Link) -> None:
+        """Tell every attempt that its link is gone."""
+        with self._lock:
+            self.welcomed.clear()
+            self.link = None
+            exchanges = [exchange for exchange, _ in self._exchanges.values()]
+        for exchange in exchanges:
+            exchange.lose()
+
+    @singledispatchmethod
+    def take(self, msg: Any) -> None:
+        """Take a message by its kind; one that has no place here is logged."""
+        log("message_unexpected", upstream=self.info.upstream, kind=type(msg).__name__)
+
+    @take.register
+    def _(self, msg: Welcome) -> None:
+        self.incarnation = msg.incarnation
+        self.models = frozenset(msg.models)
+        self._draining = msg.draining
+        self.welcomed_at = time.monotonic()
+        self.welcomed.set()
+
+    @take.register
+    def _(self, msg: Report) -> None:
+        self.report = msg
+        self.report_at = time.monotonic()
+        self.models = frozenset(msg.models)
+        self._draining = msg.draining
+
+    @take.register(Head)
+    @take.register(Chunk)
+    @take.register(End)
+    @take.register(Fail)
+    def _(self, msg: Head | Chunk | End | Fail) -> None:
+        with self._lock:
+            found = self._exchanges.get(msg.request)
+        if found is None or not found[0].put(msg):
+            self.dropped += 1
+
+    @take.register
+    def _(self, msg: Buried) -> None:
+        with self._lock:
+            waiter = self._burials.get(msg.request)
+            self._verdicts[msg.request] = msg.verdict
+        if waiter is not None:
+            waiter.set()
+
+    def submit(self, sub: Submit) -> Exchange | None:
+        """Send an attempt; None when the link is gone and nothing was sent."""
+        exchange = Exchange(sub.request, sub.attempt)
+        with self._lock:
+            self._exchanges[sub.request] = (exchange, sub.cost)
+        if self.link is None:
+            self.forget(sub.request)
+            return None
+        if not self.link.send(sub):
+            exchange.lose()
+        return exchange
+
+    def resume(self, exchange: Exchange, incarnation: Incarnation) -> bool:
+        """Ask for the rest of an answer over the present link."""
+        msg = Resume(
+            exchange.request,
+            exchange.attempt,
+            incarnation,
+            exchange.have_head,
+            exchange.next_chunk,
+        )
+        return self.link is not None and self.link.send(msg)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Say that nobody waits for the attempt any more."""
+        if self.link is not None:
+            self.link.send(Cancel(exchange.request, exchange.attempt))
+
+    def bury(self, request: RequestId, incarnation: Incarnation) -> Verdict:
+        """Ask that a request never run from now on; return what is true of it."""
+        waiter = threading.Event()
+        with self._lock:
+            self._burials[request] = waiter
+        sent = self.link is not None and self.link.send(Bury(request, incarnation))
+        if sent:
+            waiter.wait(BURY_TIMEOUT)
+        with self._lock:
+            del self._burials[request]
+            return self._verdicts.pop(request, Verdict.MAY_HAVE_RUN)
+
+    def forget(self, request: RequestId) -> None:
+        """Take no more frames for a request."""
+        with self._lock:
+            self._exchanges.pop(request, None)
--- /dev/null
+++ b/src/persimmonhitch/platform/registration.py
@@ -0,0 +1,80 @@
+"""A process's own object in the store, by which others find it."""
+
+import threading
+from typing import Final
+
+from returns.result import Success
+
+from ..observe.logs import log
+from .objects import Kind, ObjectStore, Spec, StoredObject, StoreError
+
+RETRY: Final = 1.0
+
+
+class Registration:
+    """Keeps one object as this process says it should be.
+
+    It is written at the start and on each change, never as a heartbeat: at full
+    size 5,500 heartbeats would take more of the store than all else together.
+    While the store is away the wish is kept and written later.
+    """
+
+    def __init__(self, store: ObjectStore, kind: Kind, name: str) -> None:
+        self._store = store
+        self._kind = kind
+        self._name = name
+        self._wish: Spec | None = None
+        self._changed = threading.Event()
+        self._stopping = threading.Event()
+        self.written = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"register-{kind.value}", daemon=True
+        )
+
+    def start(self, spec: Spec) -> None:
+        """Write the object and keep it."""
+        self.set(spec)
+        self._thread.start()
+
+    def set(self, spec: Spec) -> None:
+        """Change the object."""
+        self._wish = spec
+        self._changed.set()
+
+    def remove(self) -> None:
+        """Delete the object; at a clean stop."""
+        self._stopping.set()
+        self._changed.set()
+        found = self._store.get(self._kind, self._name)
+        if isinstance(found, Success):
+            self._store.delete(found.unwrap())
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._changed.wait()
+            self._changed.clear()
+            wish = self._wish
+            if wish is None or self._stopping.is_set():
+                continue
+            if self._write(wish):
+                self.written.set()
+            else:
+                self._stopping.wait(RETRY)
+                self._changed.set()
+
+    def _write(self, spec: Spec) -> bool:
+        created = self._store.create(self._kind, self._name, spec)
+        if isinstance(created, Success):
+            return True
+        if created.failure().error is not StoreError.EXISTS:
+            log("register_failed", name=self._name, detail=created.failure().detail)
+            return False
+        found = self._store.get(self._kind, self._name)
+        return isinstance(found, Success) and self._replace(found.unwrap(), spec)
+
+    def _replace(self, old: StoredObject, spec: Spec) -> bool:
+        # Keys that others set, such as an operator's drain, stay as they are.
+        merged = {**old.spec, **spec}
+        if merged == old.spec:
+            return True
+        return isinstance(self._store.update(old, merged), Success)
--- /dev/null
+++ b/src/persimmonhitch/sidecar/main.py
@@ -0,0 +1,115 @@
+"""The process beside each upstream.
+
+Usage:
+  persimmonhitch-sidecar --settings=FILE [--check]
+  persimmonhitch-sidecar --help
+
+Options:
+  --settings=FILE  Settings in INI.
+  --check          Check the settings and exit: 0 if good, 2 if not.
+"""
+
+from pathlib import Path
+from typing import Final
+
+import urllib3
+from docopt import docopt
+
+from ..ids import Model, new_incarnation
+from ..kernel import Lifecycle
+from ..observe.logs import log, start_logs
+from ..platform.http_store import HttpObjectStore
+from ..platform.objects import Kind, Spec
+from ..platform.registration import Registration
+from ..settings import load_or_exit
+from ..wire.messages import UpstreamKind
+from .dispatch import Dispatcher
+from .server import SidecarServer
+from .settings import SidecarSettings
+from .upstream import Address, UpstreamCall
+
+NOTICE: Final = 1.0
+"""Seconds between the notice of leaving and the end of the listener."""
+
+
+def _loaded(cfg: SidecarSettings) -> tuple[Model, ...]:
+    if cfg.kind != UpstreamKind.ENGINE.value:
+        return ()
+    answer = urllib3.request("GET", f"{cfg.url}/v1/models", retries=20, timeout=2.0)
+    return tuple(Model(item["id"]) for item in answer.json()["data"])
+
+
+class Sidecar:
+    """All parts of the process."""
+
+    def __init__(self, cfg: SidecarSettings) -> None:
+        self.cfg = cfg
+        call = UpstreamCall(Address.from_url(cfg.url), UpstreamKind(cfg.kind))
+        self.dispatcher = Dispatcher(
+            new_incarnation(), call, cfg.concurrency, cfg.queue_tokens
+        )
+        self.server = SidecarServer(cfg, self.dispatcher, _loaded(cfg))
+        store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        self.registration = Registration(store, Kind.SIDECAR, cfg.upstream)
+
+    @classmethod
+    def from_config(cls, cfg: SidecarSettings) -> "Sidecar":
+        """Build the process from its settings."""
+        return cls(cfg)
+
+    def start(self) -> None:
+        """Serve and register."""
+        self.server.start()
+        self.registration.start(self._spec())
+        log("started", upstream=self.cfg.upstream, port=self.server.port)
+
+    def _spec(self) -> Spec:
+        cfg = self.cfg
+        return {
+            "vm": cfg.vm,
+            "zone": cfg.zone,
+            "region": cfg.region,
+            "host": cfg.host,
+            "port": self.server.port,
+            "kind": cfg.kind,
+            "service": cfg.service,
+            "memory": cfg.memory,
+            "incarnation": self.dispatcher.incarnation,
+            "models": list(self.server.models),
+            "draining": self.dispatcher.draining,
+        }
+
+    def stop(self, life: Lifecycle) -> None:
+        """Leave: tell the entries, finish what runs, then end.
+
+        Entries learn it from the report at once and from the store's object as a
+        second source. A request that crosses the notice is refused as not run
+        and tried elsewhere, so callers see nothing.
+        """
+        self.dispatcher.draining = True
+        self.server.report()
+        self.registration.set(self._spec())
+        life.forced.wait(NOTICE)
+        cut = self.dispatcher.drain(self.cfg.stop_limit, life.forced)
+        if cut:
+            log("stop_cut", requests=cut)
+        self.registration.remove()
+        self.server.stop()
+        self.dispatcher.close()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the sidecar until a signal ends it."""
+    args = docopt(__doc__, argv)
+    cfg = load_or_exit(SidecarSettings, Path(args["--settings"]))
+    if args["--check"]:
+        return 0
+    start_logs("sidecar", cfg.vm)
+    life = Lifecycle()
+    life.install_signals()
+    sidecar = Sidecar.from_config(cfg)
+    sidecar.start()
+    life.on_stop("sidecar", lambda: sidecar.stop(life))
+    life.wait()
+    life.stop()
+    return 0
--- /dev/null
+++ b/src/persimmonhitch/standin/main.py
@@ -0,0 +1,56 @@
+"""Small stand-ins for the platform and the upstreams.
+
+Usage:
+  persimmonhitch-standin store [--host=H] [--port=P]
+  persimmonhitch-standin engine [--host=H] [--port=P] [--models=LIST] [--step=S]
+  persimmonhitch-standin service [--host=H] [--port=P] [--delay=S]
+  persimmonhitch-standin --help
+
+Options:
+  --host=H       Address to listen on [default: 127.0.0.1].
+  --port=P       TCP port; 0 takes a free one [default: 0].
+  --models=LIST  Models loaded at the start, with commas [default: ].
+  --step=S       Seconds between two tokens of one request [default: 0.005].
+  --delay=S      Seconds that each call takes [default: 0].
+"""
+
+import sys
+from typing import Any
+
+from docopt import docopt
+
+from ..kernel import Lifecycle
+from ..web import WebServer
+from ..web.server import App
+from .engine import EngineApp, EngineSpeed
+from .service import ServiceApp
+from .store_server import StoreApp
+from .store_state import StoreState
+
+THREADS = 64
+
+
+def _app(args: dict[str, Any]) -> App:
+    if args["store"]:
+        return StoreApp(StoreState())
+    if args["engine"]:
+        models = tuple(name for name in args["--models"].split(",") if name)
+        return EngineApp(models, EngineSpeed(step=float(args["--step"])))
+    return ServiceApp(float(args["--delay"]))
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one stand-in until a signal ends it."""
+    args = docopt(__doc__, argv)
+    life = Lifecycle()
+    life.install_signals()
+    server = WebServer(_app(args), args["--host"], int(args["--port"]), THREADS)
+    server.start()
+    print(f"listening port={server.port}", flush=True)
+    life.wait()
+    server.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/persimmonhitch/web/__init__.py
@@ -0,0 +1,6 @@
+"""HTTP towards callers: requests, answers and the server that carries them."""
+
+from .http import Answer, Body, Request, json_answer, read_request
+from .server import WebServer
+
+__all__ = ["Answer", "Body", "Request", "WebServer", "json_answer", "read_request"]
--- /dev/null
+++ b/src/persimmonhitch/web/server.py
@@ -0,0 +1,92 @@
+"""The HTTP server: waitress, bounded, with a graceful stop of our own."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import waitress
+from waitress import wasyncore
+
+from .http import MAX_BODY, Body, Environ, StartResponse
+
+App = Callable[[Environ, StartResponse], Body]
+
+INTERNAL_SOCKETS: Final = 2
+"""The listener and the wake-up pipe, which waitress counts as connections."""
+LOOKAHEAD: Final = 1
+"""Requests read ahead on a connection; without it a client's leave goes unseen."""
+POLL: Final = 0.02
+"""Seconds between two looks at whether a stop has finished."""
+
+
+class WebServer:
+    """Serves one WSGI application on a thread of its own.
+
+    waitress takes any number of requests into a queue of its own before the
+    application sees them. No deadline and no bound would apply to what waits
+    there: a caller sees late answers, and nothing shows in any metric. With as
+    many threads as connections that queue is always empty, and the limit on
+    connections is the bound.
+    """
+
+    def __init__(self, app: App, host: str, port: int, threads: int) -> None:
+        self._server: Any = waitress.create_server(
+            app,
+            host=host,
+            port=port,
+            threads=threads,
+            connection_limit=threads + INTERNAL_SOCKETS,
+            channel_request_lookahead=LOOKAHEAD,
+            max_request_body_size=MAX_BODY,
+            send_bytes=1,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+        )
+        self._thread = threading.Thread(
+            target=self._server.run, name="web-server", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the TCP port that it listens on."""
+        return int(self._server.effective_port)
+
+    def start(self) -> None:
+        """Serve from now on."""
+        self._thread.start()
+
+    def stop_listening(self) -> None:
+        """Close the listener; open connections go on.
+
+        It runs on the server's own thread, since that thread walks the table of
+        sockets, and closing from another one would break its walk.
+        """
+        closed = threading.Event()
+
+        def close_listener() -> None:
+            wasyncore.dispatcher.close(self._server)
+            closed.set()
+
+        self._server.trigger.pull_trigger(close_listener)
+        closed.wait(1.0)
+
+    def busy(self) -> int:
+        """Return how many connections have a request or unsent bytes."""
+        channels = list(self._server.active_channels.values())
+        return sum(1 for c in channels if c.requests or c.total_outbufs_len)
+
+    def drain(self, limit: float, forced: threading.Event) -> int:
+        """Wait until no request is left; return how many are cut at the limit."""
+        end = time.monotonic() + limit
+        while self.busy() and time.monotonic() < end and not forced.is_set():
+            forced.wait(POLL)
+        return self.busy()
+
+    def close(self) -> None:
+        """End everything that is left."""
+        self._server.task_dispatcher.shutdown(timeout=0.1)
+        for channel in list(self._server.active_channels.values()):
+            channel.will_close = True
+        self._server.trigger.pull_trigger(lambda: self._server.trigger.close())
+        self._thread.join(1.0)
--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -41,6 +41,7 @@
     def __init__(self, conn: Connection, peer: str) -> None:
         self._conn = conn
         self.peer = peer
+        self.ended = threading.Event()
 
     def send(self, msg: Any) -> bool:
         """Send a message; return False when the link has ended."""
@@ -63,6 +64,7 @@
         except (WebSocketException, OSError) as exc:
             log("link_lost", peer=self.peer, error=repr(exc))
         finally:
+            self.ended.set()
             handler.on_close(self)
 
     def _take(self, handler: LinkHandler, frame: str | bytes) -> bool:
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -232,3 +232,19 @@
     order: str
     epoch: Epoch
     error: str
+
+
+@message(14)
+@dataclass(frozen=True)
+class Resume:
+    """Go on with an attempt whose link was lost, from chunk ``next_chunk``.
+
+    A sidecar that never saw the request buries it and answers with ``Fail`` and
+    the verdict not_run; one that holds the answer sends it again.
+    """
+
+    request: RequestId
+    attempt: int
+    incarnation: Incarnation
+    have_head: bool
+    next_chunk: int
