Add the decisions under load as pure modules

Cause: admission, fairness, routing, outliers, retries, concurrency and warm-up had no code; the processes need them before they can be wired. Ruled out for fairness: a line for all (a flood of 500 stands before everybody) and a plain bound on it (refuses whoever comes next). Ruled out for routing: the report alone (entries herd until the next one) and the reported token rate as speed (an idle upstream looks slow).

--- /dev/null
+++ b/src/persimmonhitch/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure code, without network, clock or threads."""
--- /dev/null
+++ b/src/persimmonhitch/decide/shift.py
@@ -0,0 +1,22 @@
+"""How fast traffic moves to a new or returned copy.
+
+Load pattern: a copy comes up while its model is busy. It has the least work of all, so
+every entry would send it everything at once; its prefix cache is cold, and callers
+would see slow first tokens from the very copy that was to help. Its part of the
+traffic rises in a straight line over ``WARMUP_SECONDS``, the time in which a cache that
+serves a request a second has seen the common prefixes.
+"""
+
+from typing import Final
+
+WARMUP_SECONDS: Final = 10.0
+LEAST_SHARE: Final = 0.2
+
+
+def warmup_weight(
+    age: float, seconds: float = WARMUP_SECONDS, least: float = LEAST_SHARE
+) -> float:
+    """Return the part of its usual traffic that a copy of this age may get."""
+    if age >= seconds:
+        return 1.0
+    return least + (1.0 - least) * max(age, 0.0) / seconds
--- /dev/null
+++ b/tests/test_decide_load.py
@@ -0,0 +1,99 @@
+"""Admission, concurrency, retries and warm-up, each under its load pattern."""
+
+import pytest
+from returns.result import Failure as Err
+from returns.result import Success
+
+from persimmonhitch.decide.admission import LoadView, admit
+from persimmonhitch.decide.concurrency import ConcurrencyLimit
+from persimmonhitch.decide.retries import RetryBudget
+from persimmonhitch.decide.shift import warmup_weight
+from persimmonhitch.verdict import ErrorCode, Verdict
+from persimmonhitch.wire.messages import Priority
+
+
+@pytest.mark.parametrize(
+    ("view", "left", "needs", "expected"),
+    [
+        (LoadView(0, 0), 1.0, 0.0, 0.0),
+        (LoadView(0, 1000, running=3, limit=8), 1.0, 0.0, 0.0),
+        (LoadView(5000, 1000), 10.0, 2.0, 5.0),
+        (LoadView(9000, 1000), 8.0, 0.0, 9.0),
+        (LoadView(20000, 1000), 10.0, 2.0, (ErrorCode.OVERLOADED, 8.0)),
+        (LoadView(0, 1000), 1.0, 2.0, (ErrorCode.DEADLINE, None)),
+        (LoadView(40000, 1000), 300.0, 0.0, (ErrorCode.OVERLOADED, 10.1)),
+    ],
+)
+def test_admission(view, left, needs, expected):
+    """Work arrives faster than it is served; what can't finish hears so at once."""
+    result = admit(view, 100.0, left, Priority.INTERACTIVE, needs)
+    if isinstance(result, Success):
+        assert result.unwrap().wait == pytest.approx(expected)
+        return
+    assert isinstance(result, Err)
+    exc = result.failure()
+    assert (exc.code, exc.retry_after) == expected
+    assert exc.verdict is Verdict.NOT_RUN
+
+
+def test_batch_may_wait_longer_than_interactive_work():
+    view = LoadView(100_000, 1000)
+    assert isinstance(admit(view, 100.0, 3600.0, Priority.BATCH), Success)
+    assert isinstance(admit(view, 100.0, 3600.0, Priority.INTERACTIVE), Err)
+
+
+def settle(limit, gap_of, start=0, seconds=60, demand=200):
+    """Run an upstream whose gap between tokens depends on how many run."""
+    for tick in range(start * 20, (start + seconds) * 20):
+        running = min(limit.limit, demand)
+        limit.on_start(running)
+        for _ in range(8):
+            limit.on_gap(tick / 20, gap_of(running))
+    return limit.limit
+
+
+@pytest.mark.parametrize(
+    ("per_request", "demand", "low", "high"),
+    [(0.001, 200, 40, 48), (0.004, 200, 8, 13), (0.001, 10, 16, 32)],
+)
+def test_limit_settles_where_the_aim_is_kept(per_request, demand, low, high):
+    """More callers come than an engine can stream to at 54 ms a token."""
+    limit = ConcurrencyLimit()
+    assert low <= settle(limit, lambda n: 0.01 + per_request * n, demand=demand) <= high
+
+
+def test_limit_falls_when_the_engine_slows_and_recovers():
+    limit = ConcurrencyLimit()
+    quick = settle(limit, lambda n: 0.01 + 0.001 * n)
+    slow = settle(limit, lambda n: 0.01 + 0.003 * n, start=60)
+    assert slow <= 15 < quick
+    assert settle(limit, lambda n: 0.01 + 0.001 * n, start=120, seconds=90) >= 38
+
+
+def test_limit_falls_at_once_on_an_error():
+    limit = ConcurrencyLimit()
+    limit.on_start(16)
+    limit.on_error(0.0)
+    assert limit.limit == 11
+
+
+def test_retries_stay_a_part_of_the_requests():
+    """All attempts fail; if each were retried, the fleet would get twice the work."""
+    budget = RetryBudget()
+    retried = 0
+    for number in range(1000):
+        budget.on_request(number / 100)
+        retried += budget.take(number / 100)
+    assert 100 <= retried <= 130
+
+
+def test_quiet_entry_may_retry():
+    budget = RetryBudget()
+    assert all(budget.take(float(second)) for second in range(60))
+
+
+@pytest.mark.parametrize(
+    ("age", "share"), [(-1, 0.2), (0, 0.2), (5, 0.6), (10, 1.0), (99, 1.0)]
+)
+def test_new_copy_gets_traffic_by_degrees(age, share):
+    assert warmup_weight(age) == pytest.approx(share)
--- /dev/null
+++ b/tests/test_decide_routing.py
@@ -0,0 +1,163 @@
+"""Where requests go, and which upstreams are kept from them."""
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from persimmonhitch.decide.outliers import OutlierDetector
+from persimmonhitch.decide.routing import (
+    Candidate,
+    RouteRequest,
+    UpstreamLoad,
+    choose,
+)
+from persimmonhitch.wire.messages import Report
+
+REQ = RouteRequest("z1", 300.0)
+IDLE = Candidate("u1", "z1", 0.0)
+
+
+def report(queued=0, running=0, rate=0.0, limit=16):
+    tokens = queued * 100.0
+    return Report(
+        "u", "i", (), False, running, limit, queued, tokens, rate, 0.1, 0.02, 1
+    )
+
+
+def shares(candidates, req=REQ, count=2000):
+    rng = Random(7)
+    counts = Counter(choose(candidates, req, rng).upstream for _ in range(count))
+    return {each.upstream: counts[each.upstream] / count for each in candidates}
+
+
+@pytest.mark.parametrize(
+    ("others", "low", "high"),
+    [
+        ({"zone": "z2"}, 0.99, 1.0),
+        ({"zone": "z2", "warm_prefix": 100.0}, 0.0, 0.01),
+        ({"zone": "z1", "work": 100.0}, 0.99, 1.0),
+        ({"zone": "z1", "work": 100.0, "warm_prefix": 200.0}, 0.0, 0.01),
+        ({"zone": "z1", "work": 400.0, "warm_prefix": 250.0}, 0.99, 1.0),
+        ({"zone": "z1", "share": 0.0, "warm_prefix": 250.0}, 1.0, 1.0),
+    ],
+)
+def test_choice_between_two(others, low, high):
+    got = shares([IDLE, replace(IDLE, upstream="u2", **others)])
+    assert low <= got["u1"] <= high
+
+
+def test_no_choice_and_only_ejected_choices():
+    assert choose([], REQ, Random(1)) is None
+    assert choose([replace(IDLE, share=0.0)], REQ, Random(1)) is not None
+
+
+def test_warming_copy_gets_its_share():
+    got = shares([replace(IDLE, share=0.3), replace(IDLE, upstream="u2", work=500)])
+    assert got["u1"] == pytest.approx(0.3, abs=0.04)
+
+
+def test_adapter_affinity_is_bounded():
+    req = replace(REQ, adapter="x")
+    cold = replace(IDLE, has_adapter=False)
+    near = replace(IDLE, upstream="u2", work=90.0)
+    far = replace(IDLE, upstream="u2", work=500.0)
+    assert shares([cold, near], req)["u2"] > 0.99
+    assert shares([cold, far], req)["u2"] < 0.01
+
+
+def test_same_old_report_does_not_herd_entries():
+    """Eight entries hold the same report for a second while 400 requests come.
+
+    If they trusted it alone, all would send to the upstream it calls idle, whose
+    callers would wait while the other upstreams have room.
+    """
+    rng = Random(3)
+    names = [f"u{number}" for number in range(6)]
+    entries = [{name: UpstreamLoad() for name in names} for _ in range(8)]
+    for view in entries:
+        for name in names:
+            view[name].on_report(report(running=0 if name == "u0" else 2, rate=900))
+    counts = Counter()
+    for number in range(400):
+        view = entries[number % 8]
+        candidates = [Candidate(n, "z", v.work, v.rate) for n, v in view.items()]
+        chosen = choose(candidates, REQ, rng).upstream
+        view[chosen].on_send(300.0)
+        counts[chosen] += 1
+    assert max(counts.values()) <= 1.5 * 400 / 6
+
+
+def test_idle_upstream_does_not_look_slow():
+    """An upstream with nothing to do reports few tokens a second.
+
+    Taken as its speed, this would send a burst to the upstreams that are busy.
+    """
+    load = UpstreamLoad()
+    load.on_report(report(queued=3, running=16, rate=800.0))
+    assert load.rate == pytest.approx(804, abs=1)
+    load.on_report(report(rate=5.0))
+    assert load.rate > 700
+    load.on_send(300.0)
+    assert load.work == 300.0
+    load.on_done(300.0)
+    assert load.work == 0.0
+
+
+COPIES = {"m": ("u0", "u1", "u2", "u3", "u4", "u5")}
+
+
+def play_latency(detector, slow, copies=COPIES, start=0.0, seconds=5):
+    """Feed latencies; ``slow`` maps upstreams to their factor."""
+    for tick in range(int(seconds * 10)):
+        now = start + tick / 10
+        for model, peers in copies.items():
+            for upstream in peers:
+                seconds_seen = 0.1 * slow.get(upstream, 1.0) * (1 + tick % 3 / 10)
+                detector.on_latency(now, upstream, model, seconds_seen)
+        detector.update(now, copies)
+    return [u for u in copies["m"] if detector.share(now, u) < 1.0]
+
+
+@pytest.mark.parametrize(
+    ("slow", "copies", "out"),
+    [
+        ({}, COPIES, []),
+        ({"u1": 1.5}, COPIES, []),
+        ({"u1": 5.0}, COPIES, ["u1"]),
+        ({"u1": 5.0, "u2": 5.0}, COPIES, ["u1", "u2"]),
+        ({f"u{n}": 5.0 for n in range(6)}, COPIES, []),
+        ({f"u{n}": 5.0 for n in range(3)}, COPIES, ["u0", "u1"]),
+        ({"u0": 5.0}, {"m": ("u0", "u1")}, ["u0"]),
+        ({"u0": 5.0}, {"m": ("u0", "u1"), "n": ("u0",)}, []),
+    ],
+)
+def test_slow_against_peers(slow, copies, out):
+    """One upstream slows down, or all do under load, or the only copy does.
+
+    Without ejection callers wait at the slow one; with too much of it the rest drown
+    or a model has no copy left.
+    """
+    assert play_latency(OutlierDetector(), slow, copies) == out
+
+
+def test_failing_upstream_is_ejected_and_returns_by_degrees():
+    """An upstream fails every call for a while, then is well again."""
+    detector = OutlierDetector()
+    play_latency(detector, {}, seconds=1)
+    for _ in range(5):
+        detector.on_failure("u1")
+    detector.update(1.0, COPIES)
+    got = [detector.share(now, "u1") for now in (5.0, 11.0, 16.0, 21.0)]
+    assert got == pytest.approx([0.0, 0.1, 0.55, 1.0])
+
+
+def test_upstream_that_is_still_slow_stays_out_longer():
+    detector = OutlierDetector()
+    play_latency(detector, {"u1": 5.0}, seconds=3)
+    assert detector.share(3.0, "u1") == 0.0
+    play_latency(detector, {"u1": 5.0}, start=14.0, seconds=3)
+    assert detector.share(30.0, "u1") == 0.0
+    detector.forget("u1")
+    assert detector.share(30.0, "u1") == 1.0
