Metrics with OpenTelemetry names and a span per hop in the logs

Ruled out: a batching exporter (a killed process would lose its last spans); following the caller's sampled flag (a caller would decide our log volume); free attribute names (a key could get into a span). After: 17 tests; every instrument is shown in a scrape.

--- /dev/null
+++ b/src/persimmonhitch/observe/metrics.py
@@ -0,0 +1,286 @@
+"""Metrics of one process: typed instruments and their text for a scrape.
+
+Names follow the OpenTelemetry conventions for HTTP and generative models where
+those have one; the rest stand under ``persimmonhitch``. The page
+docs/OPERATIONS.md says what each one means to an operator.
+"""
+
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Counter, Histogram
+from opentelemetry.metrics import _Gauge as Gauge
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+
+from ..ids import Account, ConfigVersion
+from ..verdict import Failure
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+MAX_ACCOUNTS: Final = 200
+"""Accounts with series of their own in one process; the rest share one."""
+OTHER: Final = "other"
+NO_VERDICT: Final = "ran"
+SECONDS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 15.0)
+"""Bucket bounds of waits; 0.75 s is the aim for the first token."""
+GAP_SECONDS: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.054, 0.075, 0.1, 0.25, 1.0)
+"""Bucket bounds of the time between tokens; 54 ms is the aim."""
+
+Labels = Mapping[str, str | int]
+
+
+@dataclass(frozen=True)
+class Instrument:
+    """One metric as operators see it, for the page and for the tests."""
+
+    name: str
+    unit: str
+    help: str
+    labels: tuple[str, ...] = ()
+    bounds: tuple[float, ...] = ()
+
+
+REQUESTS: Final = Instrument(
+    "persimmonhitch.requests",
+    "",
+    "Requests answered, by account, route, HTTP status and verdict.",
+    ("account", "route", "status", "verdict"),
+)
+REFUSALS: Final = Instrument(
+    "persimmonhitch.refusals",
+    "",
+    "Requests that got an error, by its code and verdict.",
+    ("code", "verdict"),
+)
+ACTIVE: Final = Instrument(
+    "http.server.active_requests",
+    "",
+    "Requests accepted and not yet answered in full, by route.",
+    ("route",),
+)
+DURATION: Final = Instrument(
+    "http.server.request.duration",
+    "s",
+    "Time from a request's arrival to the end of its answer.",
+    ("route",),
+    SECONDS,
+)
+QUEUE_TIME: Final = Instrument(
+    "persimmonhitch.queue.duration",
+    "s",
+    "Time that an admitted request waited before it was sent on.",
+    ("account",),
+    SECONDS,
+)
+FIRST_TOKEN: Final = Instrument(
+    "gen_ai.server.time_to_first_token",
+    "s",
+    "Time from a request's arrival to the first part of its answer.",
+    ("account",),
+    SECONDS,
+)
+TOKEN_GAP: Final = Instrument(
+    "gen_ai.server.time_per_output_token",
+    "s",
+    "Time between two parts of a streamed answer.",
+    (),
+    GAP_SECONDS,
+)
+TOKENS: Final = Instrument(
+    "persimmonhitch.tokens",
+    "",
+    "Tokens charged to an account: prompt and generated.",
+    ("account",),
+)
+RETRIES: Final = Instrument(
+    "persimmonhitch.retries",
+    "",
+    "Attempts beyond the first, by the code of the failure before.",
+    ("code",),
+)
+BORROWED: Final = Instrument(
+    "persimmonhitch.limiter.borrowed",
+    "",
+    "Tokens borrowed from other entries' shares.",
+    ("account",),
+)
+CONFIG_VERSION: Final = Instrument(
+    "persimmonhitch.config.version",
+    "",
+    "Number of the newest configuration change in force here.",
+)
+SHARE_GENERATION: Final = Instrument(
+    "persimmonhitch.share.generation",
+    "",
+    "Generation of the share record that this process spends under.",
+    ("account",),
+)
+INSTRUMENTS: Final = (
+    REQUESTS,
+    REFUSALS,
+    ACTIVE,
+    DURATION,
+    QUEUE_TIME,
+    FIRST_TOKEN,
+    TOKEN_GAP,
+    TOKENS,
+    RETRIES,
+    BORROWED,
+    CONFIG_VERSION,
+    SHARE_GENERATION,
+)
+
+
+@dataclass
+class AccountLabels:
+    """Bounds the number of accounts that have series of their own.
+
+    Every label value keeps its series until the process ends. Without a bound
+    a fleet with many accounts would grow each process past its memory, which
+    shows as ``process_resident_memory_bytes`` that climbs by the day.
+    """
+
+    most: int = MAX_ACCOUNTS
+    _known: set[Account] = field(default_factory=set)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def label(self, account: Account | None) -> str:
+        """Return the account's label value."""
+        if account is None:
+            return "-"
+        with self._lock:
+            if account in self._known:
+                return account
+            if len(self._known) >= self.most:
+                return OTHER
+            self._known.add(account)
+            return account
+
+
+class Metrics:
+    """The instruments of one process; every method may be called by any thread.
+
+    Parameters
+    ----------
+    program, vm : str
+        Source of the figures.
+    max_accounts : int
+        Accounts with series of their own.
+    """
+
+    def __init__(self, program: str, vm: str, max_accounts: int = MAX_ACCOUNTS) -> None:
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        reader = PrometheusMetricReader(
+            registry=self._registry, scope_info_enabled=False
+        )
+        self._provider = MeterProvider(
+            [reader],
+            Resource({"service.name": program, "host.name": vm}),
+            exemplar_filter=AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("persimmonhitch")
+        self._accounts = AccountLabels(max_accounts)
+        self._requests = self._counter(REQUESTS)
+        self._refusals = self._counter(REFUSALS)
+        self._tokens = self._counter(TOKENS)
+        self._retries = self._counter(RETRIES)
+        self._borrowed = self._counter(BORROWED)
+        self._duration = self._histogram(DURATION)
+        self._queue_time = self._histogram(QUEUE_TIME)
+        self._first_token = self._histogram(FIRST_TOKEN)
+        self._token_gap = self._histogram(TOKEN_GAP)
+        self._active = self._meter.create_up_down_counter(
+            ACTIVE.name, ACTIVE.unit, ACTIVE.help
+        )
+        self._version = self._gauge(CONFIG_VERSION)
+        self._generation = self._gauge(SHARE_GENERATION)
+
+    def _counter(self, spec: Instrument) -> Counter:
+        return self._meter.create_counter(spec.name, spec.unit, spec.help)
+
+    def _gauge(self, spec: Instrument) -> Gauge:
+        return self._meter.create_gauge(spec.name, spec.unit, spec.help)
+
+    def _histogram(self, spec: Instrument) -> Histogram:
+        return self._meter.create_histogram(
+            spec.name,
+            spec.unit,
+            spec.help,
+            explicit_bucket_boundaries_advisory=spec.bounds,
+        )
+
+    def request_started(self, route: str) -> None:
+        """Count a request in; ``route`` is ``chat``, ``models`` or ``service``."""
+        self._active.add(1, {"route": route})
+
+    def request_done(
+        self,
+        account: Account | None,
+        route: str,
+        status: int,
+        failure: Failure | None,
+        seconds: float,
+    ) -> None:
+        """Count a request out with its outcome."""
+        verdict = NO_VERDICT if failure is None else failure.verdict.value
+        self._active.add(-1, {"route": route})
+        self._duration.record(seconds, {"route": route})
+        labels: Labels = {
+            "account": self._accounts.label(account),
+            "route": route,
+            "status": status,
+            "verdict": verdict,
+        }
+        self._requests.add(1, labels)
+        if failure is not None:
+            code = failure.code.value
+            self._refusals.add(1, {"code": code, "verdict": verdict})
+
+    def queued(self, account: Account, seconds: float) -> None:
+        """Record how long a request waited before it was sent on."""
+        self._queue_time.record(seconds, self._of(account))
+
+    def first_token(self, account: Account, seconds: float) -> None:
+        """Record the time to the first part of an answer."""
+        self._first_token.record(seconds, self._of(account))
+
+    def token_gap(self, seconds: float) -> None:
+        """Record the time between two parts of an answer."""
+        self._token_gap.record(seconds)
+
+    def tokens_used(self, account: Account, tokens: float) -> None:
+        """Count tokens charged to an account."""
+        self._tokens.add(tokens, self._of(account))
+
+    def retried(self, failure: Failure) -> None:
+        """Count an attempt beyond the first, after ``failure``."""
+        self._retries.add(1, {"code": failure.code.value})
+
+    def borrowed(self, account: Account, tokens: float) -> None:
+        """Count tokens that came from another entry's share."""
+        self._borrowed.add(tokens, self._of(account))
+
+    def config_version(self, version: ConfigVersion) -> None:
+        """Show the configuration version in force."""
+        self._version.set(version)
+
+    def share_generation(self, account: Account, generation: int) -> None:
+        """Show the generation of an account's share record."""
+        self._generation.set(generation, self._of(account))
+
+    def _of(self, account: Account) -> Labels:
+        return {"account": self._accounts.label(account)}
+
+    def render(self) -> bytes:
+        """Return all figures in the text form that scrapers read."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """End the collection."""
+        self._provider.shutdown()
--- /dev/null
+++ b/src/persimmonhitch/observe/traces.py
@@ -0,0 +1,198 @@
+"""Traces: one span for each hop, under the caller's ``traceparent``.
+
+Ended spans go to the logs, one line each, so that no collector has to run. The
+line's event is ``span`` with the hop's name, and the ids join the hops of
+one request over all processes.
+"""
+
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from enum import Enum
+from typing import Final
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanLimits, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import Decision, ParentBased, TraceIdRatioBased
+from opentelemetry.trace import (
+    NonRecordingSpan,
+    Span,
+    SpanContext,
+    TraceFlags,
+    format_span_id,
+    format_trace_id,
+    get_current_span,
+    set_span_in_context,
+)
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from ..verdict import Failure
+from .logs import log
+
+HEADER: Final = "traceparent"
+NANOSECONDS: Final = 1e9
+MAX_TEXT: Final = 120
+ATTRIBUTES: Final = frozenset(
+    {
+        "account",
+        "attempt",
+        "chunks",
+        "code",
+        "model",
+        "request",
+        "route",
+        "service",
+        "status",
+        "tokens",
+        "upstream",
+        "verdict",
+    }
+)
+"""Names that a span may carry; whatever else is given is dropped.
+
+A span that took any name could one day be handed a header or a body, and the
+caller's key or prompt would stand in the logs for all to read.
+"""
+
+Value = str | int | float
+
+_propagator: Final = TraceContextTextMapPropagator()
+
+
+class HopName(Enum):
+    """The hops of a request, each with a span of its own."""
+
+    ENTRY = "entry"
+    QUEUE = "queue"
+    SIDECAR = "sidecar"
+    UPSTREAM = "upstream"
+
+
+class LogExporter(SpanExporter):
+    """Writes each ended span as one line to the logs."""
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Log the spans."""
+        for span in spans:
+            _log_span(span)
+        return SpanExportResult.SUCCESS
+
+
+def _log_span(span: ReadableSpan) -> None:
+    context, parent = span.get_span_context(), span.parent
+    duration = (span.end_time or 0) - (span.start_time or 0)
+    log(
+        "span",
+        name=span.name,
+        trace_id=format_trace_id(context.trace_id) if context else "-",
+        span_id=format_span_id(context.span_id) if context else "-",
+        parent=format_span_id(parent.span_id) if parent else "-",
+        duration_s=duration / NANOSECONDS,
+        **(span.attributes or {}),
+    )
+
+
+def _context(traceparent: str) -> Context:
+    return _propagator.extract({HEADER: traceparent})
+
+
+def _traceparent(context: Context) -> str:
+    carrier: dict[str, str] = {}
+    _propagator.inject(carrier, context)
+    return carrier.get(HEADER, "")
+
+
+def _permitted(attributes: dict[str, Value]) -> dict[str, Value]:
+    return {
+        name: value[:MAX_TEXT] if isinstance(value, str) else value
+        for name, value in attributes.items()
+        if name in ATTRIBUTES
+    }
+
+
+class Hop:
+    """An open span; ``traceparent`` is what the next hop continues."""
+
+    def __init__(self, span: Span) -> None:
+        self._span = span
+        self.traceparent = _traceparent(set_span_in_context(span))
+
+    def set(self, **attributes: Value) -> None:
+        """Add attributes; see ``ATTRIBUTES`` for those that are kept."""
+        self._span.set_attributes(_permitted(attributes))
+
+    def fail(self, failure: Failure) -> None:
+        """Add the code and the verdict of a failure."""
+        self.set(code=failure.code.value, verdict=failure.verdict.value)
+
+    def end(self) -> None:
+        """End the span; only the first call counts."""
+        if self._span.is_recording():
+            self._span.end()
+
+
+class Traces:
+    """Spans of one process.
+
+    Parameters
+    ----------
+    ratio : float
+        Part of all traces that is kept, from 0 to 1.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        # Spans end on the thread that did the work and are written at once: a
+        # batching exporter would lose the last spans of a killed process, just
+        # those that one looks for.
+        self._ratio = TraceIdRatioBased(ratio)
+        self._provider = TracerProvider(
+            ParentBased(self._ratio),
+            Resource({}),
+            shutdown_on_exit=False,
+            span_limits=SpanLimits(max_span_attributes=len(ATTRIBUTES)),
+        )
+        self._provider.add_span_processor(SimpleSpanProcessor(LogExporter()))
+        self._tracer = self._provider.get_tracer("persimmonhitch")
+
+    def from_caller(self, traceparent: str) -> str:
+        """Return the caller's ``traceparent`` with our own sampling decision.
+
+        The trace id stays. The caller's sampled flag does not: a caller who
+        sets it on each request would otherwise decide how much we log, seen as
+        log volume that grows with no change of ours. A value that cannot be
+        read yields an empty text, and with it a new trace.
+        """
+        context = get_current_span(_context(traceparent)).get_span_context()
+        if not context.is_valid:
+            return ""
+        result = self._ratio.should_sample(None, context.trace_id, HopName.ENTRY.value)
+        keep = result.decision is Decision.RECORD_AND_SAMPLE
+        flags = TraceFlags(TraceFlags.SAMPLED if keep else TraceFlags.DEFAULT)
+        own = SpanContext(context.trace_id, context.span_id, True, flags)
+        return _traceparent(set_span_in_context(NonRecordingSpan(own)))
+
+    def begin(self, name: HopName, traceparent: str, **attributes: Value) -> Hop:
+        """Open a span that one thread may begin and another end."""
+        span = self._tracer.start_span(
+            name.value, _context(traceparent), attributes=_permitted(attributes)
+        )
+        return Hop(span)
+
+    @contextmanager
+    def hop(
+        self, name: HopName, traceparent: str, **attributes: Value
+    ) -> Iterator[Hop]:
+        """Open a span for the time of a ``with`` block."""
+        opened = self.begin(name, traceparent, **attributes)
+        try:
+            yield opened
+        finally:
+            opened.end()
+
+
+__all__ = ["Hop", "HopName", "Traces"]
--- /dev/null
+++ b/tests/test_observe.py
@@ -0,0 +1,129 @@
+"""Metrics and traces: names, bounds, and nothing secret in them."""
+
+import re
+
+import pytest
+
+from persimmonhitch.ids import Account, ConfigVersion
+from persimmonhitch.observe import traces as traces_module
+from persimmonhitch.observe.metrics import INSTRUMENTS, OTHER, Metrics
+from persimmonhitch.observe.traces import HopName, Traces
+from persimmonhitch.verdict import ErrorCode, Failure, Verdict
+
+CALLER = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+TRACE_ID = CALLER.split("-")[1]
+REFUSED = Failure(ErrorCode.RATE_LIMITED, "rate", Verdict.NOT_RUN, 1.0)
+
+
+@pytest.fixture
+def metrics():
+    made = Metrics("entry", "vm1", max_accounts=2)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def spans(monkeypatch):
+    seen = []
+    monkeypatch.setattr(traces_module, "log", lambda event, **kv: seen.append(kv))
+    return seen
+
+
+def use_all(metrics, account="a1"):
+    account = Account(account)
+    metrics.request_started("chat")
+    metrics.request_done(account, "chat", 429, REFUSED, 0.2)
+    metrics.queued(account, 0.1)
+    metrics.first_token(account, 0.3)
+    metrics.token_gap(0.02)
+    metrics.tokens_used(account, 12.0)
+    metrics.retried(REFUSED)
+    metrics.borrowed(account, 5.0)
+    metrics.config_version(ConfigVersion(7))
+    metrics.share_generation(account, 3)
+
+
+def test_every_instrument_is_shown(metrics):
+    use_all(metrics)
+    text = metrics.render().decode()
+    for spec in INSTRUMENTS:
+        name = spec.name.replace(".", "_")
+        found = re.search(rf"^{name}\S*{{(.*?)}} ", text, re.M)
+        assert found or (not spec.labels and f"\n{name}" in text), spec.name
+        for label in spec.labels:
+            assert f'{label}="' in found.group(1)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        'persimmonhitch_requests_total{account="a1",route="chat",status="429",'
+        'verdict="not_run"} 1.0',
+        'persimmonhitch_refusals_total{code="rate_limited",verdict="not_run"} 1.0',
+        'http_server_active_requests{route="chat"} 0.0',
+        "persimmonhitch_config_version 7.0",
+        'persimmonhitch_share_generation{account="a1"} 3.0',
+        'gen_ai_server_time_to_first_token_seconds_bucket{account="a1",le="0.5"} 1.0',
+    ],
+)
+def test_lines_of_a_scrape(metrics, line):
+    use_all(metrics)
+    assert line in metrics.render().decode().splitlines()
+
+
+def test_many_accounts_share_one_series(metrics):
+    for number in range(50):
+        metrics.tokens_used(Account(f"a{number}"), 1.0)
+    lines = metrics.render().decode().splitlines()
+    series = [x for x in lines if x.startswith("persimmonhitch_tokens_total")]
+    assert len(series) == 3
+    assert f'persimmonhitch_tokens_total{{account="{OTHER}"}} 48.0' in series
+
+
+def test_hops_join_under_the_callers_trace(spans):
+    traces = Traces(1.0)
+    parent = traces.from_caller(CALLER)
+    with traces.hop(HopName.ENTRY, parent, request="r1") as entry:
+        with traces.hop(HopName.SIDECAR, entry.traceparent) as sidecar:
+            sidecar.fail(REFUSED)
+    inner, outer = spans
+    assert [inner["name"], outer["name"]] == ["sidecar", "entry"]
+    assert inner["trace_id"] == outer["trace_id"] == TRACE_ID
+    assert inner["parent"] == outer["span_id"]
+    assert outer["parent"] == CALLER.split("-")[2]
+    assert (inner["code"], inner["verdict"]) == ("rate_limited", "not_run")
+
+
+def test_a_key_or_prompt_never_stands_in_a_span(spans):
+    with Traces(1.0).hop(HopName.ENTRY, "", authorization="Bearer k", model="m" * 999):
+        pass
+    assert "authorization" not in spans[0]
+    assert len(spans[0]["model"]) == traces_module.MAX_TEXT
+
+
+@pytest.mark.parametrize(
+    ("ratio", "traceparent", "kept", "same_trace"),
+    [
+        (1.0, CALLER, 1, True),
+        (1.0, CALLER[:-1] + "0", 1, True),
+        (0.0, CALLER, 0, False),
+        (0.0, "", 0, False),
+        (1.0, "no traceparent", 1, False),
+        (1.0, "00-" + "0" * 32 + "-b7ad6b7169203331-01", 1, False),
+    ],
+)
+def test_our_ratio_decides_and_not_the_caller(
+    spans, ratio, traceparent, kept, same_trace
+):
+    traces = Traces(ratio)
+    with traces.hop(HopName.ENTRY, traces.from_caller(traceparent)) as hop:
+        assert hop.traceparent
+    assert len(spans) == kept
+    assert (kept and spans[0]["trace_id"] == TRACE_ID) == same_trace
+
+
+def test_a_span_ends_once(spans):
+    hop = Traces(1.0).begin(HopName.UPSTREAM, CALLER)
+    hop.end()
+    hop.end()
+    assert len(spans) == 1
