--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,59 @@
+"""The demo: stand-ins, two entries, three sidecars, a planner, and two calls."""
+
+import signal
+import sys
+import threading
+
+from fleet import Fleet, small_fleet
+
+
+def play(fleet: Fleet) -> bool:
+    """Send a streamed chat and a plain call; return whether both were right."""
+    chat = fleet.chat("entry-1", "fretes", "barge slot confirmed", 6, stream=True)
+    print("streamed chat through entry-1:")
+    print(chat.body.decode())
+    path = "/v1/services/ledger/manifests/7"
+    call = fleet.request("entry-2", "GET", path, "fretes")
+    print(f"plain call through entry-2: {call.status} {call.body.decode()}")
+    good = chat.status == 200 and chat.body.endswith(b"data: [DONE]\n\n")
+    return good and call.status == 200 and call.json()["path"] == "/manifests/7"
+
+
+def hints(fleet: Fleet) -> None:
+    """Print where logs, traces and metrics are."""
+    print(f"logs, one key=value line an event: {fleet.folder}/*.log")
+    print(f"traces, a span for each hop: grep event=span {fleet.folder}/*.log")
+    print(f"metrics: {fleet.urls['entry-1']}/metrics")
+
+
+def stay(fleet: Fleet) -> None:
+    """Keep the fleet up until a signal."""
+    urls = ",".join(fleet.urls[name] for name in ("entry-1", "entry-2"))
+    key = fleet.keys["fretes"]
+    print(f"entries={urls} key={key} model=tiny-chat service=ledger", flush=True)
+    stop = threading.Event()
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(signum, lambda *_: stop.set())
+    stop.wait()
+
+
+def main(args: list[str]) -> int:
+    """Run the demo; return 0 only if all was right and nothing is left."""
+    fleet = Fleet()
+    good = False
+    try:
+        small_fleet(fleet)
+        good = play(fleet)
+        hints(fleet)
+        if "--stay" in args:
+            stay(fleet)
+    finally:
+        killed = fleet.stop_all()
+    if killed:
+        print(f"had to be killed: {', '.join(killed)}")
+    print("all was right" if good and not killed else "something was wrong")
+    return 0 if good and not killed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,306 @@
+"""Starts a small fleet of real processes on loopback, for the demo and the tests."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+from persimmonhitch.catalog import keys
+from persimmonhitch.catalog.changes import Delta, diff_lists
+from persimmonhitch.catalog.lists import parse_lists
+from persimmonhitch.catalog.log import ChangeWriter, read_head
+from persimmonhitch.catalog.model import Catalog
+from persimmonhitch.ids import Account
+from persimmonhitch.platform.http_store import HttpObjectStore
+
+ROOT = Path(__file__).resolve().parent.parent
+SECRET = "demo-secret"
+START_LIMIT = 20.0
+STOP_LIMIT = 15.0
+
+ACCOUNTS = """
+[account fretes]
+plan = desk
+[account chapters]
+plan = news
+"""
+PLANS = """
+[plan desk]
+rate = 5000
+burst = 20000
+weight = 1
+priority = interactive
+models = tiny-chat
+services = ledger
+[plan news]
+rate = 2000
+burst = 8000
+weight = 1
+priority = interactive
+models = tiny-chat
+services =
+[model tiny-chat]
+memory = 8
+kv_memory = 2
+revision = r1
+[service ledger]
+cost = 10
+[route ledger GET /manifests/*]
+repeatable = yes
+[route ledger * /*]
+repeatable = no
+"""
+
+
+def wait_for(condition: Callable[[], object], what: str, limit: float = START_LIMIT):
+    """Return the first true value of ``condition``, or raise after the limit."""
+    end = time.monotonic() + limit
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise TimeoutError(f"{what} did not come about in {limit:g} s")
+
+
+@dataclass
+class Process:
+    """One process of the fleet."""
+
+    name: str
+    popen: subprocess.Popen
+    log: Path
+    out: Path
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports that the process printed."""
+
+        def line() -> str:
+            if self.popen.poll() is not None:
+                raise RuntimeError(f"{self.name} ended:\n{self.log.read_text()}")
+            text = self.out.read_text()
+            return text if text.endswith("\n") else ""
+
+        words = wait_for(line, f"the port of {self.name}").split()[1:]
+        return {key: int(port) for key, port in (word.split("=") for word in words)}
+
+    def signal(self, signum: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(signum)
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self, limit: float = STOP_LIMIT) -> int:
+        """End it gracefully; return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(limit)
+
+
+@dataclass
+class Reply:
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    body: bytes
+
+    def json(self):
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+@dataclass
+class Fleet:
+    """Processes with their settings and logs in one folder."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    processes: dict[str, Process] = field(default_factory=dict)
+    urls: dict[str, str] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=32)
+    )
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.stop_all()
+
+    def spawn(self, name: str, module: str, *args: str) -> Process:
+        """Start a module of the package as a process."""
+        log, out = self.folder / f"{name}.log", self.folder / f"{name}.out"
+        env = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        popen = subprocess.Popen(
+            [sys.executable, "-m", f"persimmonhitch.{module}", *args],
+            stdout=out.open("w"),
+            stderr=log.open("a"),
+            env=env,
+        )
+        process = Process(name, popen, log, out)
+        self.processes[name] = process
+        return process
+
+    def standin(self, name: str, kind: str, *args: str) -> Process:
+        """Start a stand-in; its address is known once ``addresses`` has run."""
+        return self.spawn(name, "standin", kind, *args)
+
+    def addresses(self, port: str, *names: str) -> None:
+        """Note where processes listen, as they print it."""
+        for name in names:
+            number = self.processes[name].ports()[port]
+            self.urls[name] = f"http://127.0.0.1:{number}"
+
+    def settings(self, name: str, text: str) -> str:
+        """Write a settings file; return its path."""
+        path = self.folder / f"{name}.ini"
+        path.write_text(text)
+        return str(path)
+
+    def sidecar(self, name: str, upstream: str, kind: str, service: str = "", **more):
+        """Start the sidecar of an upstream."""
+        extra = "\n".join(f"{key} = {value}" for key, value in more.items())
+        path = self.settings(
+            f"sidecar-{name}",
+            f"[vm]\nname = vm-{name}\nzone = z1\nregion = r1\n"
+            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\n"
+            f"[upstream]\nname = {name}\nkind = {kind}\nservice = {service}\n"
+            f"url = {self.urls[upstream]}\n{extra}\n"
+            f"[store]\nurl = {self.urls['store']}\n",
+        )
+        return self.spawn(f"sidecar-{name}", "sidecar", f"--settings={path}")
+
+    def entry(self, name: str, stop_notice: float = 0.2) -> Process:
+        """Start an entry."""
+        path = self.settings(
+            name,
+            f"[vm]\nname = {name}\nzone = z1\nregion = r1\n"
+            f"[http]\nhost = 127.0.0.1\n"
+            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\n"
+            f"[stop]\nnotice = {stop_notice}\n"
+            f"[store]\nurl = {self.urls['store']}\n",
+        )
+        return self.spawn(name, "entry", f"--settings={path}")
+
+    def store(self) -> HttpObjectStore:
+        """Return a client of the fleet's object API."""
+        return HttpObjectStore(self.urls["store"], 2.0)
+
+    def faults(self, **values: object) -> None:
+        """Set the faults of the store's stand-in; none are left without values."""
+        self.http.request("POST", self.urls["store"] + "/faults", json=values)
+
+    def runs(self, service: str) -> list[int]:
+        """Return how often the service ran each request id that it saw."""
+        answer = self.http.request("GET", self.urls[service] + "/_runs")
+        return list(answer.json()["runs"].values())
+
+    def commit(self, edit: Callable[[Catalog], Delta]) -> Catalog:
+        """Commit what ``edit`` makes of the configuration in force."""
+        store = self.store()
+        catalog = read_head(store).unwrap().catalog
+        return ChangeWriter(store, "fleet").commit(catalog, edit(catalog)).unwrap()
+
+    def apply(self, accounts: str = ACCOUNTS, plans: str = PLANS) -> None:
+        """Put the two lists in force."""
+        lists = parse_lists(accounts, plans).unwrap()
+        self.commit(lambda catalog: diff_lists(catalog, lists))
+
+    def issue(self, account: str) -> str:
+        """Issue a key."""
+
+        def edit(catalog: Catalog) -> Delta:
+            self.keys[account], delta = keys.issue(catalog, Account(account)).unwrap()
+            return delta
+
+        self.commit(edit)
+        return self.keys[account]
+
+    def withdraw(self, account: str) -> None:
+        """Withdraw the account's key."""
+        prefix = keys.hash_key(self.keys[account])
+        self.commit(lambda catalog: keys.withdraw(catalog, prefix).unwrap())
+
+    def request(self, entry: str, method: str, path: str, account: str, **more):
+        """Send a request as an account; return its answer."""
+        headers = {"Authorization": f"Bearer {self.keys.get(account, account)}"}
+        headers.update(more.pop("headers", {}))
+        answer = self.http.request(
+            method, self.urls[entry] + path, headers=headers, timeout=30.0, **more
+        )
+        return Reply(answer.status, answer.headers, answer.data)
+
+    def chat(self, entry: str, account: str, words: str, count: int = 4, **body):
+        """Send a chat call; return its answer."""
+        headers = body.pop("headers", {})
+        content = {
+            "model": "tiny-chat",
+            "messages": [{"role": "user", "content": words}],
+            "max_tokens": count,
+            **body,
+        }
+        return self.request(
+            entry,
+            "POST",
+            "/v1/chat/completions",
+            account,
+            json=content,
+            headers=headers,
+        )
+
+    def ready(self, entry: str, upstreams: int) -> None:
+        """Wait until an entry is ready and linked to its sidecars."""
+        log = self.processes[entry].log
+
+        def linked() -> bool:
+            return log.read_text().count("event=sidecar_linked") >= upstreams
+
+        wait_for(linked, f"the links of {entry}")
+        url = self.urls[entry] + "/readyz"
+        wait_for(lambda: self.http.request("GET", url).status == 200, f"{entry} ready")
+
+    def stop_all(self) -> list[str]:
+        """Stop every process; return the names of those that had to be killed."""
+        killed = []
+        running = [p for p in self.processes.values() if p.popen.poll() is None]
+        for process in running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        for process in running:
+            try:
+                process.popen.wait(STOP_LIMIT)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                killed.append(process.name)
+        return killed
+
+
+def small_fleet(fleet: Fleet, service_delay: float = 0.0) -> None:
+    """Start stand-ins, three sidecars and two entries, and wait until they serve."""
+    fleet.standin("store", "store")
+    fleet.standin("engine-1", "engine", "--models=tiny-chat")
+    fleet.standin("engine-2", "engine", "--models=tiny-chat")
+    fleet.standin("service-1", "service", f"--delay={service_delay}")
+    fleet.addresses("port", "store", "engine-1", "engine-2", "service-1")
+    for name in ("entry-1", "entry-2"):
+        fleet.entry(name)
+    fleet.sidecar("e1", "engine-1", "engine")
+    fleet.sidecar("e2", "engine-2", "engine")
+    fleet.sidecar("s1", "service-1", "service", "ledger")
+    fleet.apply()
+    fleet.issue("fretes")
+    fleet.issue("chapters")
+    fleet.addresses("http", "entry-1", "entry-2")
+    for name in ("entry-1", "entry-2"):
+        fleet.ready(name, 3)
--- a/src/persimmonhitch/decide/retries.py
+++ b/src/persimmonhitch/decide/retries.py
@@ -8,6 +8,21 @@
 
 from typing import Final
 
+from ..verdict import ErrorCode, Failure, Verdict
+
+ELSEWHERE: Final = frozenset(
+    {
+        ErrorCode.STALE_INCARNATION,
+        ErrorCode.STALE_CONFIG,
+        ErrorCode.SHUTTING_DOWN,
+        ErrorCode.NO_UPSTREAM,
+        ErrorCode.UPSTREAM_LOST,
+        ErrorCode.OVERLOADED,
+    }
+)
+"""Failures of one upstream that say nothing about the others."""
+LOST: Final = frozenset({ErrorCode.UPSTREAM_LOST, ErrorCode.INTERNAL})
+"""Failures after which a request may have run."""
 RETRY_SHARE: Final = 0.1
 LEAST_RATE: Final = 1.0
 MOST_SAVED: Final = 20.0
@@ -40,3 +55,14 @@
         self._seen_at = max(now, last)
         gained = (self._seen_at - last) * LEAST_RATE
         self._saved = min(self._saved + gained, self._most)
+
+
+def may_retry(failure: Failure, repeatable: bool) -> bool:
+    """Return whether another upstream may be tried after a failure.
+
+    A request that may have run is sent again only if the operators' list says
+    that it may be repeated; else a booking would be made twice.
+    """
+    if failure.verdict is Verdict.NOT_RUN:
+        return failure.code in ELSEWHERE
+    return repeatable and failure.code in LOST
--- /dev/null
+++ b/src/persimmonhitch/entry/admitted.py
@@ -0,0 +1,34 @@
+"""A request that passed keys, plan and rate."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from ..ids import Account, ConfigVersion, RequestId, Tokens
+from ..verdict import ErrorCode, Failure
+from ..wire.messages import Priority
+from .calls import Call
+
+WITHDRAWN: Final = Failure(ErrorCode.UNAUTHENTICATED, "the key was withdrawn")
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """What the rest of a request's way needs to know of it.
+
+    ``deadline_at`` is monotonic seconds. ``disconnected`` says whether the caller
+    has left, ``withdrawn`` whether its key has been withdrawn since.
+    """
+
+    request: RequestId
+    account: Account
+    call: Call
+    version: ConfigVersion
+    weight: float
+    priority: Priority
+    cost: Tokens
+    repeatable: bool
+    deadline_at: float
+    traceparent: str
+    disconnected: Callable[[], bool]
+    withdrawn: Callable[[], bool]
--- /dev/null
+++ b/src/persimmonhitch/entry/answers.py
@@ -0,0 +1,49 @@
+"""Answers to callers, failures among them."""
+
+import json
+import math
+from typing import Any, Final
+
+from ..ids import RequestId
+from ..verdict import Failure
+from ..web import Answer, json_answer
+
+STREAM_HEADERS: Final = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-store",
+}
+FRAMING: Final = frozenset({"content-length", "transfer-encoding", "connection"})
+
+
+def error_body(exc: Failure, request: RequestId) -> dict[str, Any]:
+    """Return the JSON object that describes a failure."""
+    error = {
+        "code": exc.code.value,
+        "message": exc.message,
+        "verdict": exc.verdict.value,
+        "request_id": request,
+        "retry_after_s": exc.retry_after,
+    }
+    return {"error": error}
+
+
+def failure_answer(exc: Failure, request: RequestId) -> Answer:
+    """Return the answer for a failure."""
+    extra = {"X_Request_Id": str(request)}
+    if exc.retry_after is not None:
+        extra["Retry_After"] = str(max(1, math.ceil(exc.retry_after)))
+    return json_answer(exc.http_status, error_body(exc, request), **extra)
+
+
+def failure_event(exc: Failure, request: RequestId) -> bytes:
+    """Return the last event of a stream that was cut short."""
+    return b"data: " + json.dumps(error_body(exc, request)).encode() + b"\n\n"
+
+
+def passed_answer(
+    status: int, headers: dict[str, str], body: bytes, request: RequestId
+) -> Answer:
+    """Return an upstream's whole answer."""
+    kept = {name: text for name, text in headers.items() if name not in FRAMING}
+    own = {"Content-Length": str(len(body)), "X-Request-Id": str(request)}
+    return Answer(status, {**kept, **own}, [body])
--- /dev/null
+++ b/src/persimmonhitch/entry/app.py
@@ -0,0 +1,97 @@
+"""The WSGI application of an entry: its paths."""
+
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from returns.result import Success
+
+from ..ids import RequestId, new_request_id
+from ..observe.logs import log
+from ..observe.metrics import CONTENT_TYPE, Metrics
+from ..verdict import ErrorCode, Failure, Verdict
+from ..web import Answer, Body, Request, json_answer, read_request
+from ..web.http import Environ, StartResponse
+from .answers import failure_answer
+from .calls import CHAT_PATH, SERVICE_PREFIX
+from .gateway import Gateway
+
+MODELS_PATH: Final = "/v1/models"
+
+
+class EntryApp:
+    """Routes requests; counts those under way.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Answers calls.
+    metrics : Metrics
+        Shown at ``/metrics``.
+    ready : callable
+        Whether the balancer may send requests here.
+    """
+
+    def __init__(
+        self, gateway: Gateway, metrics: Metrics, ready: Callable[[], bool]
+    ) -> None:
+        self._gateway = gateway
+        self._metrics = metrics
+        self._ready = ready
+        self.leaving = threading.Event()
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Body:
+        """Answer one request."""
+        request = new_request_id()
+        return self._guarded(environ, request).send(start_response)
+
+    def _guarded(self, environ: Environ, request: RequestId) -> Answer:
+        try:
+            result = read_request(environ)
+            if not isinstance(result, Success):
+                return failure_answer(result.failure(), request)
+            return self._route(result.unwrap(), request)
+        except Exception as exc:
+            log("request_failed", request=request, error=repr(exc))
+            reason = "the entry failed"
+            failure = Failure(ErrorCode.INTERNAL, reason, Verdict.MAY_HAVE_RUN)
+            return failure_answer(failure, request)
+
+    def _route(self, req: Request, request: RequestId) -> Answer:
+        match req.method, req.path:
+            case "GET", "/healthz":
+                return json_answer(200, {"status": "ok"})
+            case "GET", "/readyz":
+                return self._readiness()
+            case "GET", "/metrics":
+                data = self._metrics.render()
+                return Answer(200, {"Content-Type": CONTENT_TYPE}, [data])
+            case "GET", str(path) if path == MODELS_PATH:
+                return self._models(req, request)
+            case "POST", str(path) if path == CHAT_PATH:
+                return self._call(req, request)
+        if req.path.startswith(SERVICE_PREFIX):
+            return self._call(req, request)
+        failure = Failure(ErrorCode.NOT_FOUND, f"no {req.method} {req.path} here")
+        return failure_answer(failure, request)
+
+    def _readiness(self) -> Answer:
+        if self._ready() and not self.leaving.is_set():
+            return json_answer(200, {"status": "ready"})
+        return json_answer(503, {"status": "not ready"})
+
+    def _call(self, req: Request, request: RequestId) -> Answer:
+        if not self._ready():
+            reason = "no configuration is in force here yet"
+            failure = Failure(ErrorCode.STORE_UNAVAILABLE, reason, retry_after=1.0)
+            return failure_answer(failure, request)
+        return self._gateway.handle(req, request)
+
+    def _models(self, req: Request, request: RequestId) -> Answer:
+        result = self._gateway.account_of(req)
+        if not isinstance(result, Success):
+            return failure_answer(result.failure(), request)
+        names = self._gateway.models_of(result.unwrap())
+        data = [{"id": name, "object": "model"} for name in names]
+        body = {"object": "list", "data": data}
+        return json_answer(200, body, X_Request_Id=str(request))
--- a/src/persimmonhitch/entry/calls.py
+++ b/src/persimmonhitch/entry/calls.py
@@ -117,7 +117,9 @@
         return Err(priority.failure())
     token = req.headers.get(IDEMPOTENCY_HEADER, "")
     if len(token) > MAX_IDEMPOTENCY_KEY:
-        return _bad(f"{IDEMPOTENCY_HEADER} has at most {MAX_IDEMPOTENCY_KEY} characters")
+        return _bad(
+            f"{IDEMPOTENCY_HEADER} has at most {MAX_IDEMPOTENCY_KEY} characters"
+        )
     key = bearer_key(req)
     if key and (key.encode() in req.body or key in unquote(req.path)):
         return _bad("the key may stand in the Authorization header only")
--- /dev/null
+++ b/src/persimmonhitch/entry/forward.py
@@ -0,0 +1,170 @@
+"""From an admitted request to its reply: attempts, retries, whole or streamed."""
+
+import time
+from collections.abc import Callable, Generator, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..decide.retries import RetryBudget, may_retry
+from ..ids import Tokens, Upstream
+from ..observe.logs import log
+from ..observe.metrics import Metrics
+from ..verdict import ErrorCode, Failure, Verdict
+from ..wire.messages import Chunk, End, Fail, Head, Submit
+from .admitted import WITHDRAWN, Admitted
+from .attempt import Attempt, Frame
+from .router import Router
+from .sidecar_conn import SidecarConn
+
+MAX_WHOLE: Final = 8 * 1024 * 1024
+"""Bytes of an answer that is not a stream; it is held until it is whole."""
+MODEL_RETRY: Final = 2.0
+WAIT_STEP: Final = 0.1
+
+
+@dataclass(frozen=True)
+class Whole:
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    used: Tokens
+
+
+@dataclass(frozen=True)
+class Streaming:
+    """An answer whose parts still come; the last frame is ``End`` or ``Fail``."""
+
+    status: int
+    headers: dict[str, str]
+    frames: Generator[Frame, None, None]
+
+
+Reply = Whole | Streaming
+
+
+class Forwarder:
+    """Sends requests to sidecars until one answers or none may be tried."""
+
+    def __init__(
+        self, router: Router, wait_change: Callable[[float], None], metrics: Metrics
+    ) -> None:
+        self._router = router
+        self._wait_change = wait_change
+        self._metrics = metrics
+        self._budget = RetryBudget()
+
+    def run(self, req: Admitted) -> Result[Reply, Failure]:
+        """Return the reply; its failure is final."""
+        self._budget.on_request(time.monotonic())
+        tried: frozenset[Upstream] = frozenset()
+        attempt = 0
+        while True:
+            attempt += 1
+            conn = self._target(req, tried)
+            if req.withdrawn():
+                return Err(WITHDRAWN)
+            if conn is None:
+                return Err(self._no_target(req))
+            result = self._try(req, conn, attempt)
+            if isinstance(result, Success):
+                return result
+            exc = result.failure()
+            tried |= {conn.info.upstream}
+            if not self._try_again(req, exc):
+                return Err(exc)
+            log("retry", request=req.request, attempt=attempt, code=exc.code.value)
+            self._metrics.retried(exc)
+
+    def _try_again(self, req: Admitted, exc: Failure) -> bool:
+        now = time.monotonic()
+        if now >= req.deadline_at or not may_retry(exc, req.repeatable):
+            return False
+        return self._budget.take(now)
+
+    def _target(self, req: Admitted, tried: frozenset[Upstream]) -> SidecarConn | None:
+        call = req.call
+        while True:
+            conn = self._router.pick(call.model, call.service, req.cost, tried)
+            left = req.deadline_at - time.monotonic()
+            if conn is not None or left <= 0 or req.disconnected():
+                return conn
+            self._wait_change(min(left, WAIT_STEP))
+
+    def _no_target(self, req: Admitted) -> Failure:
+        if req.call.service is not None:
+            reason = f"no upstream of {req.call.service} is in reach"
+            return Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=MODEL_RETRY)
+        reason = f"model {req.call.model} is not loaded yet"
+        return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=MODEL_RETRY)
+
+    def _try(
+        self, req: Admitted, conn: SidecarConn, attempt: int
+    ) -> Result[Reply, Failure]:
+        if conn.incarnation is None:
+            return Err(Failure(ErrorCode.NO_UPSTREAM, "not linked", retry_after=1.0))
+        began = time.monotonic()
+        sub = _submit(req, conn, attempt, began)
+        frames = Attempt(conn, sub, req).frames()
+        head = next(frames)
+        if isinstance(head, Fail):
+            return self._refused(conn, head)
+        upstream = conn.info.upstream
+        self._router.first_token(upstream, req.call.model, time.monotonic() - began)
+        assert isinstance(head, Head)
+        if req.call.stream and head.status == 200:
+            return Success(Streaming(head.status, head.headers, frames))
+        return self._whole(conn, head, frames)
+
+    def _refused(self, conn: SidecarConn, fail: Fail) -> Err[Failure]:
+        exc = fail.failure()
+        if exc.verdict is not Verdict.NOT_RUN:
+            self._router.failed(conn.info.upstream)
+        return Err(exc)
+
+    def _whole(
+        self, conn: SidecarConn, head: Head, frames: Iterator[Frame]
+    ) -> Result[Reply, Failure]:
+        parts: list[bytes] = []
+        size = 0
+        for frame in frames:
+            if isinstance(frame, Fail):
+                return self._refused(conn, frame)
+            if isinstance(frame, Chunk):
+                parts.append(frame.data)
+                size += len(frame.data)
+            if size > MAX_WHOLE:
+                reason = f"the answer is longer than {MAX_WHOLE} bytes"
+                return Err(Failure(ErrorCode.UPSTREAM_ERROR, reason, Verdict.RAN))
+            if isinstance(frame, End):
+                body = b"".join(parts)
+                return Success(Whole(head.status, head.headers, body, frame.used))
+        raise AssertionError("an attempt ended without End or Fail")
+
+
+def _submit(req: Admitted, conn: SidecarConn, attempt: int, now: float) -> Submit:
+    call = req.call
+    assert conn.incarnation is not None
+    return Submit(
+        request=req.request,
+        attempt=attempt,
+        incarnation=conn.incarnation,
+        account=req.account,
+        model=call.model,
+        adapter=None,
+        version=req.version,
+        priority=req.priority,
+        deadline=max(0.0, req.deadline_at - now),
+        repeatable=req.repeatable,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+        cost=req.cost,
+        traceparent=req.traceparent,
+        weight=req.weight,
+    )
--- /dev/null
+++ b/src/persimmonhitch/entry/main.py
@@ -0,0 +1,163 @@
+"""The process that callers reach, behind the balancer.
+
+Usage:
+  persimmonhitch-entry --settings=FILE [--check]
+  persimmonhitch-entry --help
+
+Options:
+  --settings=FILE  Settings in INI.
+  --check          Check the settings and exit: 0 if good, 2 if not.
+"""
+
+import random
+from pathlib import Path
+from typing import Final
+
+from docopt import docopt
+
+from ..catalog.model import EMPTY, Catalog
+from ..ids import Vm, Zone, new_incarnation
+from ..kernel import Lifecycle
+from ..observe.logs import log, start_logs
+from ..observe.metrics import Metrics
+from ..observe.traces import Traces
+from ..platform.http_store import HttpObjectStore
+from ..platform.objects import Kind, Spec
+from ..platform.registration import Registration
+from ..platform.watcher import Watcher
+from ..settings import load_or_exit
+from ..web import WebServer
+from ..wire.messages import PROTOCOL, Hello, Role
+from .app import EntryApp
+from .catalog_source import CatalogSource
+from .forward import Forwarder
+from .gateway import Gateway, Limits
+from .local_limiter import LocalLimiter
+from .once import CallRecords
+from .peers import PeerMesh
+from .pool import SidecarPool
+from .router import Router
+from .settings import EntrySettings
+
+TRACE_RATIO: Final = 1.0
+
+
+class Entry:
+    """All parts of the process."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self.cfg = cfg
+        self.incarnation = new_incarnation()
+        self.metrics = Metrics("entry", cfg.vm)
+        store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        secret = cfg.secret.encode()
+        self.limiter = LocalLimiter(EMPTY)
+        self.source = CatalogSource(store, self._on_catalog)
+        self.pool = SidecarPool(secret, self.hello)
+        self.mesh = PeerMesh(
+            Vm(cfg.vm), cfg.link_host, cfg.link_port, secret, self.hello
+        )
+        self.sidecars = Watcher(store, Kind.SIDECAR, self.pool.update)
+        self.entries = Watcher(store, Kind.ENTRY, self.mesh.update)
+        self.records = CallRecords(store)
+        self.registration = Registration(store, Kind.ENTRY, cfg.vm)
+        self.app = self._app()
+        self.server = WebServer(self.app, cfg.host, cfg.port, cfg.threads)
+
+    @classmethod
+    def from_config(cls, cfg: EntrySettings) -> "Entry":
+        """Build the process from its settings."""
+        return cls(cfg)
+
+    def _app(self) -> EntryApp:
+        cfg = self.cfg
+        router = Router(self.pool, Zone(cfg.zone), random.Random())
+        forwarder = Forwarder(router, self.pool.wait_change, self.metrics)
+        gateway = Gateway(
+            Limits(cfg.default_timeout, cfg.most_timeout),
+            lambda: self.source.catalog,
+            self.limiter,
+            forwarder,
+            self.records,
+            self.metrics,
+            Traces(TRACE_RATIO),
+        )
+        return EntryApp(gateway, self.metrics, self.source.ready.is_set)
+
+    def _on_catalog(self, catalog: Catalog) -> None:
+        self.limiter.update(catalog)
+        self.metrics.config_version(catalog.version)
+
+    def hello(self) -> Hello:
+        """Return the first message of each link."""
+        return Hello(
+            PROTOCOL,
+            Role.ENTRY,
+            Vm(self.cfg.vm),
+            Zone(self.cfg.zone),
+            self.incarnation,
+            self.source.catalog.version,
+        )
+
+    def start(self) -> None:
+        """Serve and register."""
+        for part in (self.source, self.sidecars, self.entries, self.pool):
+            part.start()
+        self.mesh.start()
+        self.records.start()
+        self.server.start()
+        self.registration.start(self._spec())
+        log("started", port=self.server.port, link_port=self.mesh.port)
+        print(f"listening http={self.server.port} link={self.mesh.port}", flush=True)
+
+    def _spec(self) -> Spec:
+        cfg = self.cfg
+        return {
+            "zone": cfg.zone,
+            "region": cfg.region,
+            "link_host": cfg.link_host,
+            "link_port": self.mesh.port,
+            "http_host": cfg.host,
+            "http_port": self.server.port,
+            "incarnation": self.incarnation,
+        }
+
+    def stop(self, life: Lifecycle) -> None:
+        """Leave without cutting a request.
+
+        Readiness goes first and the listener stays open for a while, since the
+        balancer sends new requests until it has seen the change; closing at once
+        would show to callers as refused connections.
+        """
+        self.app.leaving.set()
+        self.server.leave()
+        life.forced.wait(self.cfg.stop_notice)
+        self.server.stop_listening()
+        cut = self.server.drain(self.cfg.stop_limit, life.forced)
+        if cut:
+            log("stop_cut", requests=cut)
+        self.limiter.close()
+        self.registration.remove()
+        for part in (self.source, self.sidecars, self.entries, self.records):
+            part.stop()
+        self.mesh.stop()
+        self.pool.stop()
+        self.server.close()
+        self.metrics.close()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the entry until a signal ends it."""
+    args = docopt(__doc__, argv)
+    cfg = load_or_exit(EntrySettings, Path(args["--settings"]))
+    if args["--check"]:
+        return 0
+    start_logs("entry", cfg.vm)
+    life = Lifecycle()
+    life.install_signals()
+    entry = Entry.from_config(cfg)
+    entry.start()
+    life.on_stop("entry", lambda: entry.stop(life))
+    life.wait()
+    life.stop()
+    return 0
--- /dev/null
+++ b/src/persimmonhitch/entry/router.py
@@ -0,0 +1,72 @@
+"""Choice of a sidecar for each attempt, by the decisions under load."""
+
+import random
+import threading
+import time
+from typing import Final
+
+from ..decide.outliers import OutlierDetector
+from ..decide.routing import Candidate, RouteRequest, choose
+from ..decide.shift import warmup_weight
+from ..ids import Model, Service, Upstream, Zone
+from .pool import SidecarPool
+from .sidecar_conn import SidecarConn
+
+OUTLIERS_EVERY: Final = 1.0
+
+
+class Router:
+    """Feeds the routing decision with what this entry sees."""
+
+    def __init__(self, pool: SidecarPool, zone: Zone, rng: random.Random) -> None:
+        self._pool = pool
+        self._zone = zone
+        self._rng = rng
+        self._outliers = OutlierDetector()
+        self._updated_at = 0.0
+        self._lock = threading.Lock()
+
+    def pick(
+        self,
+        model: Model,
+        service: Service | None,
+        cost: float,
+        tried: frozenset[Upstream],
+    ) -> SidecarConn | None:
+        """Return the sidecar for an attempt, or None when there is none."""
+        conns = self._pool.serving(model, service)
+        fresh = [conn for conn in conns if conn.info.upstream not in tried]
+        by_name = {conn.info.upstream: conn for conn in fresh or conns}
+        now = time.monotonic()
+        with self._lock:
+            self._update_outliers(now, model, tuple(by_name))
+            candidates = [self._candidate(conn, now) for conn in by_name.values()]
+            chosen = choose(candidates, RouteRequest(self._zone, cost), self._rng)
+        return None if chosen is None else by_name[chosen.upstream]
+
+    def _candidate(self, conn: SidecarConn, now: float) -> Candidate:
+        share = self._outliers.share(now, conn.info.upstream)
+        return Candidate(
+            upstream=conn.info.upstream,
+            zone=conn.info.zone,
+            work=conn.load.work,
+            rate=conn.load.rate,
+            share=share * warmup_weight(now - conn.welcomed_at),
+        )
+
+    def _update_outliers(
+        self, now: float, model: Model, copies: tuple[Upstream, ...]
+    ) -> None:
+        if now - self._updated_at >= OUTLIERS_EVERY:
+            self._updated_at = now
+            self._outliers.update(now, {model: copies})
+
+    def first_token(self, upstream: Upstream, model: Model, seconds: float) -> None:
+        """Note the time to an answer's first part."""
+        with self._lock:
+            self._outliers.on_latency(time.monotonic(), upstream, model, seconds)
+
+    def failed(self, upstream: Upstream) -> None:
+        """Note an attempt that the upstream failed."""
+        with self._lock:
+            self._outliers.on_failure(upstream)
--- a/src/persimmonhitch/entry/sidecar_conn.py
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -7,6 +7,7 @@
 
 from returns.result import Success
 
+from ..decide.routing import UpstreamLoad
 from ..ids import Incarnation, Model, RequestId
 from ..observe.logs import log
 from ..verdict import Verdict
@@ -47,6 +48,8 @@
         self._draining = False
         self._secret = secret
         self._exchanges: dict[RequestId, tuple[Exchange, float]] = {}
+        self.load = UpstreamLoad()
+        self.retired = threading.Event()
         self._burials: dict[RequestId, threading.Event] = {}
         self._verdicts: dict[RequestId, Verdict] = {}
         self._lock = threading.Lock()
@@ -57,17 +60,6 @@
         """Return whether new work may go there."""
         return self.welcomed.is_set() and not self._draining and not self.info.draining
 
-    @property
-    def in_flight(self) -> int:
-        """Return how many attempts of this entry are there."""
-        return len(self._exchanges)
-
-    @property
-    def in_flight_tokens(self) -> float:
-        """Return the tokens that this entry's attempts there reserve."""
-        with self._lock:
-            return sum(cost for _, cost in self._exchanges.values())
-
     def connect(self, hello: Hello) -> bool:
         """Open the link; return whether it is open."""
         info = self.info
@@ -83,7 +75,8 @@
         return True
 
     def close(self) -> None:
-        """End the link."""
+        """End the link; the sidecar is no longer in reach."""
+        self.retired.set()
         if self.link is not None:
             self.link.close()
 
@@ -116,6 +109,8 @@
     @take.register
     def _(self, msg: Report) -> None:
         self.report = msg
+        with self._lock:
+            self.load.on_report(msg)
         self.report_at = time.monotonic()
         self.models = frozenset(msg.models)
         self._draining = msg.draining
@@ -143,6 +138,7 @@
         exchange = Exchange(sub.request, sub.attempt)
         with self._lock:
             self._exchanges[sub.request] = (exchange, sub.cost)
+            self.load.on_send(sub.cost)
         if self.link is None:
             self.forget(sub.request)
             return None
@@ -181,4 +177,6 @@
     def forget(self, request: RequestId) -> None:
         """Take no more frames for a request."""
         with self._lock:
-            self._exchanges.pop(request, None)
+            found = self._exchanges.pop(request, None)
+            if found is not None:
+                self.load.on_done(found[1])
--- /dev/null
+++ b/src/persimmonhitch/entry/stream.py
@@ -0,0 +1,61 @@
+"""Body of a streamed answer."""
+
+from collections.abc import Callable, Generator, Iterator
+from typing import Final
+
+from ..ids import RequestId, Tokens
+from ..verdict import ErrorCode, Failure, Verdict
+from ..wire.messages import Chunk, End, Fail
+from .answers import failure_event
+from .attempt import Frame
+
+CALLER_LEFT: Final = Failure(
+    ErrorCode.DEADLINE, "the caller has gone", Verdict.MAY_HAVE_RUN
+)
+
+OnEnd = Callable[[Failure | None, Tokens | None], None]
+
+
+class StreamBody:
+    """Passes chunks on and tells its end once.
+
+    The server calls ``close`` in every case, also when the caller left before the
+    first part was taken. A bare generator that never ran would skip its cleanup
+    then, and the caller's tokens would stay reserved for good.
+    """
+
+    def __init__(
+        self,
+        frames: Generator[Frame, None, None],
+        request: RequestId,
+        on_part: Callable[[], None],
+        on_end: OnEnd,
+    ) -> None:
+        self._frames = frames
+        self._request = request
+        self._on_part = on_part
+        self._on_end = on_end
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        for frame in self._frames:
+            if isinstance(frame, Chunk):
+                self._on_part()
+                yield frame.data
+            elif isinstance(frame, End):
+                self._end(None, frame.used)
+            elif isinstance(frame, Fail):
+                # A stream that just stopped would pass for a whole answer.
+                exc = frame.failure()
+                self._end(exc, None)
+                yield failure_event(exc, self._request)
+
+    def close(self) -> None:
+        """Cancel what has not come yet."""
+        self._frames.close()
+        self._end(CALLER_LEFT, None)
+
+    def _end(self, exc: Failure | None, used: Tokens | None) -> None:
+        if not self._ended:
+            self._ended = True
+            self._on_end(exc, used)
--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -7,13 +7,16 @@
 
 from returns.result import Success
 
+from ..decide.admission import LoadView, admit, retry_after
+from ..decide.fairness import FairQueue, Waiting
 from ..ids import Incarnation, RequestId
 from ..observe.logs import log
+from ..observe.traces import Traces
 from ..verdict import ErrorCode, Failure, Verdict
 from ..wire.link import Link
 from ..wire.messages import Buried, Bury, Cancel, Fail, Resume, Submit
-from .backlog import Backlog, Waiting
-from .job import Job
+from .job import Job, JobSpans
+from .load import LoadMeter
 from .seen import SeenRequests
 from .upstream import UpstreamCall
 
@@ -37,8 +40,10 @@
     ----------
     call : UpstreamCall
         How the upstream is reached.
-    concurrency : int
-        Most requests at the upstream at once.
+    meter : LoadMeter
+        Says how many requests may be at the upstream at once.
+    most_running : int
+        Threads, the upper bound of that.
     queue_tokens : float
         Most tokens that wait.
     """
@@ -47,20 +52,23 @@
         self,
         incarnation: Incarnation,
         call: UpstreamCall,
-        concurrency: int,
+        meter: LoadMeter,
+        most_running: int,
         queue_tokens: float,
+        traces: Traces,
     ) -> None:
         self.incarnation = incarnation
         self.draining = False
         self._call = call
-        self._limit = concurrency
+        self.meter = meter
+        self._traces = traces
         self._queue_tokens = queue_tokens
         self._seen = SeenRequests()
-        self._queue = Backlog()
+        self._queue = FairQueue()
         self._jobs: dict[RequestId, Job] = {}
-        self._running: set[RequestId] = set()
+        self._running: set[tuple[RequestId, int]] = set()
         self._lock = threading.RLock()
-        self._pool = ThreadPoolExecutor(concurrency, thread_name_prefix="upstream")
+        self._pool = ThreadPoolExecutor(most_running, thread_name_prefix="upstream")
         self._stopping = threading.Event()
         self._ticker = threading.Thread(target=self._tick, name="tick", daemon=True)
         self._ticker.start()
@@ -68,17 +76,28 @@
     def submit(self, sub: Submit, link: Link) -> None:
         """Take one attempt; refusals are answered at once."""
         now = time.monotonic()
-        job = Job(sub, link, now)
+        job = Job(sub, link, now, JobSpans(self._traces, sub))
         with self._lock:
             refusal = self._refusal(sub, now)
             if refusal is None:
-                self._jobs[sub.request] = job
+                self._replace(job)
                 self._queue.push(_waiting(job))
+            overflow = self._overflow(now)
+        for late in overflow:
+            late.fail(self._full())
         if refusal is not None:
             job.fail(refusal)
             return
         self._start_next()
 
+    def _replace(self, job: Job) -> None:
+        request = job.submit.request
+        old = self._jobs.get(request)
+        if old is not None:
+            old.cancelled.set()
+            self._queue.remove(request)
+        self._jobs[request] = job
+
     def _refusal(self, sub: Submit, now: float) -> Failure | None:
         if sub.incarnation != self.incarnation:
             # Another incarnation may have run this very request before a crash.
@@ -87,24 +106,49 @@
             return Failure(ErrorCode.STALE_INCARNATION, reason, retry_after=0.1)
         if self.draining:
             return Failure(ErrorCode.SHUTTING_DOWN, "leaving", retry_after=0.1)
-        if self._queue.tokens + sub.cost > self._queue_tokens and len(self._queue):
-            return Failure(ErrorCode.OVERLOADED, "the queue is full", retry_after=1.0)
+        admission = admit(self._view(sub), sub.cost, sub.deadline, sub.priority)
+        if not isinstance(admission, Success):
+            return admission.failure()
         admitted = self._seen.admit(sub.request, sub.attempt, sub.repeatable, now)
         return None if isinstance(admitted, Success) else admitted.failure()
 
+    def _view(self, sub: Submit) -> LoadView:
+        return LoadView(
+            ahead=self._queue.ahead(sub.account, sub.weight, sub.priority),
+            rate=self.meter.token_rate(),
+            first_token=self.meter.first_token_p95,
+            running=len(self._running),
+            limit=self.meter.limit,
+        )
+
+    def _overflow(self, now: float) -> list[Job]:
+        """Take out what the queue can't hold, from the account that fills it."""
+        gone = self._queue.overflow(self._queue_tokens)
+        jobs = [self._jobs.pop(item.request) for item in gone]
+        for job in jobs:
+            self._seen.bury(job.submit.request, now)
+        return jobs
+
+    def _full(self) -> Failure:
+        rate = max(1.0, self.meter.token_rate())
+        back = retry_after(self._queue_tokens / rate)
+        return Failure(ErrorCode.OVERLOADED, "the queue is full", retry_after=back)
+
     def _start_next(self) -> None:
         with self._lock:
-            while len(self._running) < self._limit:
+            while len(self._running) < self.meter.limit:
                 item = self._queue.pop(time.monotonic())
                 if item is None:
                     return
-                self._running.add(item.request)
-                self._pool.submit(self._run, self._jobs[item.request])
+                job = self._jobs[item.request]
+                self._running.add((item.request, job.submit.attempt))
+                self.meter.started(len(self._running))
+                self._pool.submit(self._run, job)
 
     def _run(self, job: Job) -> None:
         sub = job.submit
         try:
-            self._call.run(job, lambda: self._started(job), self)
+            self._call.run(job, lambda: self._started(job), self.meter)
         except Exception as exc:
             log("job_failed", request=sub.request, error=repr(exc))
             reason = "the sidecar failed"
@@ -125,8 +169,10 @@
         with self._lock:
             now = time.monotonic()
             job.ended_at = now
-            self._running.discard(sub.request)
+            self._running.discard((sub.request, sub.attempt))
+            self.meter.ended(len(self._running))
             self._seen.finish(sub.request, sub.attempt, now)
+            self._queue.charge(sub.account, job.used - sub.cost, sub.priority)
         self._start_next()
 
     def cancel(self, msg: Cancel) -> None:
@@ -135,7 +181,7 @@
             job = self._jobs.get(msg.request)
             if job is None or job.submit.attempt != msg.attempt:
                 return
-            if self._queue.remove(msg.request):
+            if self._queue.remove(msg.request) is not None:
                 self._seen.bury(msg.request, time.monotonic())
                 del self._jobs[msg.request]
                 return
@@ -197,21 +243,15 @@
                     del self._jobs[request]
                 elif _abandoned(job, now):
                     job.cancelled.set()
-                    if self._queue.remove(request):
+                    if self._queue.remove(request) is not None:
                         self._seen.bury(request, now)
                         del self._jobs[request]
 
-    def first_token(self, seconds: float) -> None:
-        """Take the time from a call to its first token."""
-
-    def token_gap(self, seconds: float) -> None:
-        """Take the time between two tokens."""
-
     def load(self) -> tuple[int, int, int, float]:
         """Return running, limit, waiting requests and waiting tokens."""
         with self._lock:
             queue = self._queue
-            return len(self._running), self._limit, len(queue), queue.tokens
+            return len(self._running), self.meter.limit, len(queue), queue.tokens
 
     def drain(self, limit: float, forced: threading.Event) -> int:
         """Take nothing new, finish what is here; return how many are cut."""
--- a/src/persimmonhitch/sidecar/job.py
+++ b/src/persimmonhitch/sidecar/job.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..ids import Tokens
+from ..observe.traces import Hop, HopName, Traces
 from ..verdict import Failure
 from ..wire.link import Link
 from ..wire.messages import Chunk, End, Fail, Head, Resume, Submit
@@ -15,6 +16,33 @@
 Frame = Head | Chunk | End | Fail
 
 
+class JobSpans:
+    """The spans of one attempt: all of it, its wait, its call to the upstream."""
+
+    def __init__(self, traces: Traces, sub: Submit) -> None:
+        self._traces = traces
+        self._all = traces.begin(
+            HopName.SIDECAR, sub.traceparent, request=sub.request, attempt=sub.attempt
+        )
+        self._wait = traces.begin(HopName.QUEUE, self._all.traceparent)
+        self._call: Hop | None = None
+
+    def call(self) -> str:
+        """Note the start of the call; return the ``traceparent`` to send on."""
+        self._wait.end()
+        self._call = self._traces.begin(HopName.UPSTREAM, self._all.traceparent)
+        return self._call.traceparent
+
+    def end(self, exc: Failure | None) -> None:
+        """Note the end."""
+        for hop in (self._wait, self._call, self._all):
+            if hop is None:
+                continue
+            if exc is not None:
+                hop.fail(exc)
+            hop.end()
+
+
 @dataclass
 class Job:
     """An attempt and its answer.
@@ -26,9 +54,11 @@
     submit: Submit
     link: Link | None
     arrived_at: float
+    spans: JobSpans
     cancelled: threading.Event = field(default_factory=threading.Event)
     orphaned_at: float | None = None
     ended_at: float | None = None
+    used: float = 0.0
     _frames: list[Frame] = field(default_factory=list)
     _held: int = 0
     _next_chunk: int = 0
@@ -54,10 +84,13 @@
     def end(self, used: Tokens) -> None:
         """Say that the answer is whole."""
         sub = self.submit
+        self.used = used
+        self.spans.end(None)
         self._emit(End(sub.request, sub.attempt, self._next_chunk, used))
 
     def fail(self, exc: Failure) -> None:
         """Say that there will be no whole answer."""
+        self.spans.end(exc)
         self._emit(Fail.from_failure(self.submit.request, self.submit.attempt, exc))
 
     def _emit(self, frame: Frame) -> None:
--- a/src/persimmonhitch/sidecar/main.py
+++ b/src/persimmonhitch/sidecar/main.py
@@ -18,16 +18,19 @@
 from ..ids import Model, new_incarnation
 from ..kernel import Lifecycle
 from ..observe.logs import log, start_logs
+from ..observe.traces import Traces
 from ..platform.http_store import HttpObjectStore
 from ..platform.objects import Kind, Spec
 from ..platform.registration import Registration
 from ..settings import load_or_exit
 from ..wire.messages import UpstreamKind
 from .dispatch import Dispatcher
+from .load import LoadMeter
 from .server import SidecarServer
 from .settings import SidecarSettings
 from .upstream import Address, UpstreamCall
 
+TRACE_RATIO: Final = 1.0
 NOTICE: Final = 1.0
 """Seconds between the notice of leaving and the end of the listener."""
 
@@ -44,9 +47,16 @@
 
     def __init__(self, cfg: SidecarSettings) -> None:
         self.cfg = cfg
-        call = UpstreamCall(Address.from_url(cfg.url), UpstreamKind(cfg.kind))
+        kind = UpstreamKind(cfg.kind)
+        call = UpstreamCall(Address.from_url(cfg.url), kind)
+        meter = LoadMeter(cfg.concurrency, kind is UpstreamKind.ENGINE)
         self.dispatcher = Dispatcher(
-            new_incarnation(), call, cfg.concurrency, cfg.queue_tokens
+            new_incarnation(),
+            call,
+            meter,
+            cfg.concurrency,
+            cfg.queue_tokens,
+            Traces(TRACE_RATIO),
         )
         self.server = SidecarServer(cfg, self.dispatcher, _loaded(cfg))
         store = HttpObjectStore(cfg.store, cfg.store_timeout)
@@ -62,6 +72,7 @@
         self.server.start()
         self.registration.start(self._spec())
         log("started", upstream=self.cfg.upstream, port=self.server.port)
+        print(f"listening link={self.server.port}", flush=True)
 
     def _spec(self) -> Spec:
         cfg = self.cfg
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -127,6 +127,7 @@
     def report(self) -> None:
         """Send a load report on every link now."""
         running, limit, queued, tokens = self._dispatcher.load()
+        meter = self._dispatcher.meter
         msg = Report(
             upstream=Upstream(self._cfg.upstream),
             incarnation=self._dispatcher.incarnation,
@@ -136,9 +137,9 @@
             limit=limit,
             queued=queued,
             queued_tokens=tokens,
-            token_rate=0.0,
-            first_token=0.0,
-            token_gap=0.0,
+            token_rate=meter.token_rate(),
+            first_token=meter.first_token_p95,
+            token_gap=meter.gap_p95,
             version=self.version,
         )
         for link in self._all_links():
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -40,6 +40,12 @@
     def token_gap(self, seconds: float) -> None:
         """Take the time between two tokens."""
 
+    def tokens(self, count: float) -> None:
+        """Count tokens that were served."""
+
+    def refused(self) -> None:
+        """Note that the upstream took no connection."""
+
 
 @dataclass(frozen=True)
 class Address:
@@ -77,6 +83,7 @@
         """
         conn = self._open(job)
         if conn is None:
+            timing.refused()
             reason = "the upstream takes no connection"
             job.fail(
                 Failure(ErrorCode.NO_UPSTREAM, reason, Verdict.NOT_RUN, RETRY_SOON)
@@ -112,7 +119,7 @@
             sub.method,
             sub.path,
             body=sub.body,
-            headers=_request_headers(sub),
+            headers=_request_headers(sub, job.spans.call()),
             preload_content=False,
             decode_content=False,
         )
@@ -129,7 +136,9 @@
             job.chunk(part)
         if stream and not meter.finished:
             raise OSError("the stream ended without its last event")
-        job.end(meter.used(sub))
+        used = meter.used(sub)
+        timing.tokens(max(0.0, used - meter.events))
+        job.end(used)
 
     def _lost(self, job: Job, exc: Exception) -> Failure:
         if time.monotonic() >= job.deadline_at:
@@ -141,10 +150,10 @@
         )
 
 
-def _request_headers(sub: Submit) -> dict[str, str]:
+def _request_headers(sub: Submit, traceparent: str) -> dict[str, str]:
     extra: dict[str, str] = {"X-Request-Id": sub.request}
-    if sub.traceparent:
-        extra["traceparent"] = sub.traceparent
+    if traceparent:
+        extra["traceparent"] = traceparent
     return {**sub.headers, **extra}
 
 
@@ -166,7 +175,7 @@
         self._last = began
         self._timing = timing
         self._kind = kind
-        self._events = 0
+        self.events = 0
         self._tail = b""
         self.finished = False
 
@@ -185,11 +194,12 @@
     def _note(self, events: int) -> None:
         now = time.monotonic()
         elapsed, self._last = now - self._last, now
-        if self._events == 0:
+        if self.events == 0:
             self._timing.first_token(elapsed)
         else:
             self._timing.token_gap(elapsed / events)
-        self._events += events
+        self.events += events
+        self._timing.tokens(events)
 
     def used(self, sub: Submit) -> Tokens:
         """Return the tokens used: the engine's own count, else what was reserved."""
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -7,6 +7,8 @@
 
 import waitress
 from waitress import wasyncore
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
 from .http import MAX_BODY, Body, Environ, StartResponse
 
@@ -20,6 +22,24 @@
 """Seconds between two looks at whether a stop has finished."""
 
 
+class _Task(WSGITask):  # type: ignore[misc]
+    """Closes its connection after the answer while the server leaves.
+
+    A kept connection would go on bringing requests to a process that waits for
+    its last one to end. The server alone may set the header ``Connection``, and
+    it does so when the request carries it.
+    """
+
+    def build_response_header(self) -> Any:
+        if self.channel.server.leaving:
+            self.request.headers["CONNECTION"] = "close"
+        return super().build_response_header()
+
+
+class _Channel(HTTPChannel):  # type: ignore[misc]
+    task_class = _Task
+
+
 class WebServer:
     """Serves one WSGI application on a thread of its own.
 
@@ -39,10 +59,11 @@
             connection_limit=threads + INTERNAL_SOCKETS,
             channel_request_lookahead=LOOKAHEAD,
             max_request_body_size=MAX_BODY,
-            send_bytes=1,
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
+        self._server.channel_class = _Channel
+        self._server.leaving = False
         self._thread = threading.Thread(
             target=self._server.run, name="web-server", daemon=True
         )
@@ -56,6 +77,10 @@
         """Serve from now on."""
         self._thread.start()
 
+    def leave(self) -> None:
+        """Close each connection after its present request from now on."""
+        self._server.leaving = True
+
     def stop_listening(self) -> None:
         """Close the listener; open connections go on.
 
--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -94,6 +94,7 @@
         max_size=MAX_FRAME,
         compression=None,
         proxy=None,
+        legacy=True,
     )
 
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,296 @@
+"""One sidecar and an entry's side of its link in this process, cut in many ways."""
+
+import json
+import threading
+import time
+from dataclasses import dataclass, replace
+
+import pytest
+from fleet import wait_for
+
+from persimmonhitch.decide.routing import UpstreamLoad
+from persimmonhitch.entry.admitted import Admitted
+from persimmonhitch.entry.attempt import Attempt
+from persimmonhitch.entry.calls import Call
+from persimmonhitch.entry.directory import SidecarInfo
+from persimmonhitch.entry.forward import _submit
+from persimmonhitch.entry.sidecar_conn import SidecarConn
+from persimmonhitch.ids import new_incarnation, new_request_id
+from persimmonhitch.observe.traces import Traces
+from persimmonhitch.sidecar.dispatch import Dispatcher
+from persimmonhitch.sidecar.load import LoadMeter
+from persimmonhitch.sidecar.server import SidecarServer
+from persimmonhitch.sidecar.settings import SidecarSettings
+from persimmonhitch.sidecar.upstream import Address, UpstreamCall
+from persimmonhitch.standin.engine import EngineApp, EngineSpeed
+from persimmonhitch.standin.service import ServiceApp
+from persimmonhitch.verdict import ErrorCode, Verdict
+from persimmonhitch.web import WebServer
+from persimmonhitch.wire.messages import (
+    PROTOCOL,
+    Chunk,
+    End,
+    Fail,
+    Head,
+    Hello,
+    Priority,
+    Role,
+    UpstreamKind,
+)
+
+SECRET = "s"
+HELLO = Hello(PROTOCOL, Role.ENTRY, "vm", "z1", "i", 1)
+
+
+@dataclass
+class Rig:
+    """A stand-in, its sidecar and a connection to it."""
+
+    app: object
+    web: WebServer
+    dispatcher: Dispatcher
+    server: SidecarServer
+    conn: SidecarConn
+
+    def cut(self):
+        """Cut the link and open it again, as the pool does."""
+        self.conn.link._conn.socket.shutdown(2)
+        wait_for(lambda: self.conn.link is None, "the end of the link")
+
+    def relink(self):
+        assert self.conn.connect(HELLO)
+        wait_for(self.conn.welcomed.is_set, "the welcome")
+
+    def close(self):
+        self.conn.close()
+        self.server.stop()
+        self.dispatcher.close()
+        self.web.close()
+
+
+def rig(app, kind, port=0):
+    web = WebServer(app, "127.0.0.1", 0, 8)
+    web.start()
+    cfg = SidecarSettings(
+        vm="v",
+        zone="z1",
+        region="r1",
+        host="127.0.0.1",
+        secret=SECRET,
+        upstream="u",
+        kind=kind.value,
+        url="",
+        store="",
+        port=port,
+    )
+    call = UpstreamCall(Address("127.0.0.1", web.port), kind)
+    meter = LoadMeter(8, adaptive=False)
+    dispatcher = Dispatcher(new_incarnation(), call, meter, 8, 1e6, Traces(0.0))
+    server = SidecarServer(cfg, dispatcher, ())
+    server.start()
+    info = SidecarInfo(
+        "u",
+        "v",
+        "z1",
+        "r1",
+        "127.0.0.1",
+        server.port,
+        kind,
+        "ledger",
+        dispatcher.incarnation,
+        frozenset(),
+        False,
+    )
+    made = Rig(app, web, dispatcher, server, SidecarConn(info, SECRET.encode()))
+    made.relink()
+    return made
+
+
+@pytest.fixture
+def ledger():
+    made = rig(ServiceApp(delay=0.3), UpstreamKind.SERVICE)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def engine():
+    app = EngineApp(("m",), EngineSpeed(prefill=0.0, step=0.02))
+    made = rig(app, UpstreamKind.ENGINE)
+    yield made
+    made.close()
+
+
+def admitted(service=None, body=b"", repeatable=False, timeout=5.0):
+    path = "/slots" if service else "/v1/chat/completions"
+    call = Call("m", service, "POST", path, {}, body, True, 0, timeout, None, "")
+    return Admitted(
+        request=new_request_id(),
+        account="fretes",
+        call=call,
+        version=1,
+        weight=1.0,
+        priority=Priority.INTERACTIVE,
+        cost=10.0,
+        repeatable=repeatable,
+        deadline_at=time.monotonic() + timeout,
+        traceparent="",
+        disconnected=lambda: False,
+        withdrawn=lambda: False,
+    )
+
+
+def start(made, req):
+    """Run an attempt on a thread; return a call that waits for its frames."""
+    frames = []
+    sub = _submit(req, made.conn, 1, time.monotonic())
+    attempt = Attempt(made.conn, sub, req)
+    thread = threading.Thread(target=lambda: frames.extend(attempt.frames()))
+    thread.start()
+
+    def joined():
+        thread.join(10)
+        return frames
+
+    return joined, frames
+
+
+def test_booking_goes_on_over_a_new_link(ledger):
+    """The link is cut while the ledger books a slot. The booking is made once and
+    the skipper gets its confirmation, late but whole.
+    """
+    req = admitted("ledger")
+    joined, _ = start(ledger, req)
+    wait_for(lambda: ledger.app.runs, "the booking")
+    ledger.cut()
+    ledger.relink()
+    frames = joined()
+    assert isinstance(frames[-1], End)
+    assert ledger.app.runs == {req.request: 1}
+
+
+def test_stream_goes_on_without_a_gap(engine):
+    """The link is cut in the middle of a stream. The secretary's summary comes to
+    its end with no word lost or doubled.
+    """
+    words = [f"w{number}" for number in range(20)]
+    message = {"role": "user", "content": " ".join(words)}
+    chat = {"model": "m", "messages": [message], "stream": True, "max_tokens": 20}
+    req = admitted(body=json.dumps(chat).encode(), repeatable=True)
+    joined, frames = start(engine, req)
+    wait_for(lambda: len(frames) > 5, "a few words")
+    engine.cut()
+    engine.relink()
+    got = joined()
+    assert isinstance(got[-1], End)
+    text = b"".join(f.data for f in got if isinstance(f, Chunk)).decode()
+    spoken = [word for word in words if f'"{word} "' in text]
+    assert spoken == words
+    assert text.count('"content"') == 20
+
+
+def test_sidecar_that_restarted_cannot_say_not_run(ledger):
+    """The sidecar dies while the ledger books and another takes its place. The
+    newcomer never saw the booking, yet it may have been made: saying not_run would
+    have the caller book a second barge.
+    """
+    req = admitted("ledger")
+    joined, _ = start(ledger, req)
+    wait_for(lambda: ledger.app.runs, "the booking")
+    ledger.cut()
+    ledger.dispatcher.incarnation = new_incarnation()
+    ledger.relink()
+    last = joined()[-1]
+    assert isinstance(last, Fail)
+    assert (last.code, last.verdict) == (
+        ErrorCode.UPSTREAM_LOST,
+        Verdict.MAY_HAVE_RUN,
+    )
+    assert ledger.app.runs == {req.request: 1}
+
+
+def test_request_lost_on_the_way_is_buried(ledger):
+    """The link breaks just as a booking is sent and swallows it. Once the sidecar
+    has buried the id the caller hears not_run; the frame that turns up late after
+    all must not book.
+    """
+    req = admitted("ledger")
+    sub = _submit(req, ledger.conn, 1, time.monotonic())
+    link, real = ledger.conn.link, ledger.conn.link.send
+    link.send = lambda msg: True
+    joined, _ = start(ledger, req)
+    wait_for(lambda: ledger.conn._exchanges, "the attempt")
+    link.send = real
+    ledger.cut()
+    ledger.relink()
+    last = joined()[-1]
+    assert isinstance(last, Fail)
+    assert last.verdict is Verdict.NOT_RUN
+    late = ledger.conn.submit(sub)
+    answer = late.get(2.0)
+    assert isinstance(answer, Fail)
+    assert answer.verdict is Verdict.NOT_RUN
+    assert ledger.app.runs == {}
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"incarnation": "earlier"}, ErrorCode.STALE_INCARNATION),
+        ({"deadline": 0.0}, ErrorCode.DEADLINE),
+    ],
+)
+def test_refused_before_it_ran(ledger, change, code):
+    """An attempt meant for an earlier life of the sidecar, or one that came too
+    late, is refused and says truthfully that it did not run.
+    """
+    sub = replace(_submit(admitted("ledger"), ledger.conn, 1, 0.0), **change)
+    answer = ledger.conn.submit(sub).get(2.0)
+    assert isinstance(answer, Fail)
+    assert (answer.code, answer.verdict) == (code, Verdict.NOT_RUN)
+    assert ledger.app.runs == {}
+
+
+def test_same_attempt_twice_runs_once(ledger):
+    """A frame is delivered twice. The second one is refused with what is true of
+    the first, and the ledger sees one booking.
+    """
+    sub = _submit(admitted("ledger"), ledger.conn, 1, time.monotonic())
+    first = ledger.conn.submit(sub)
+    wait_for(lambda: ledger.app.runs, "the booking")
+    second = ledger.conn.submit(sub)
+    answer = second.get(2.0)
+    assert isinstance(answer, Fail)
+    assert answer.verdict is Verdict.MAY_HAVE_RUN
+    del first
+    assert list(ledger.app.runs.values()) == [1]
+
+
+def test_late_and_crossed_frames_are_dropped(ledger):
+    """Frames of an earlier attempt, or out of place, arrive among those of the
+    present one. The caller must not get a part of another answer.
+    """
+    conn = SidecarConn(ledger.conn.info, b"")
+    conn.load = UpstreamLoad()
+    conn.link = type("Sink", (), {"send": lambda self, msg: True})()
+    sub = _submit(admitted("ledger"), ledger.conn, 2, time.monotonic())
+    exchange = conn.submit(sub)
+
+    conn.take(Head(sub.request, 1, 200, {}))
+    conn.take(Chunk(sub.request, 2, 0, b"before its head"))
+    conn.take(Head(sub.request, 2, 200, {}))
+    conn.take(Chunk(sub.request, 2, 1, b"out of place"))
+    conn.take(Chunk("another", 2, 0, b"of another"))
+    conn.take(Chunk(sub.request, 2, 0, b"mine"))
+    conn.take(End(sub.request, 2, 2, 1.0))
+    conn.take(End(sub.request, 2, 1, 1.0))
+    kinds = [exchange.get(0.1) for _ in range(3)]
+    assert [type(kind) for kind in kinds] == [Head, Chunk, End]
+    assert kinds[1].data == b"mine"
+    assert conn.dropped == 5
+
+
+def test_wrong_secret_opens_no_link(ledger):
+    """A process without the fleet's secret asks for a link and gets none."""
+    conn = SidecarConn(ledger.conn.info, b"wrong")
+    assert not conn.connect(HELLO)
--- /dev/null
+++ b/tests/test_once_golden.py
@@ -0,0 +1,108 @@
+"""Bookings that may not be repeated, through real processes under failure."""
+
+import signal
+import threading
+
+import pytest
+from fleet import Fleet, small_fleet, wait_for
+from golden_session import Session
+
+SLOTS = "/v1/services/ledger/slots"
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with Fleet(tmp_path) as running:
+        small_fleet(running, service_delay=0.4)
+        yield running
+
+
+def book(fleet, entry, token=None, **more):
+    headers = {"Idempotency-Key": token} if token else {}
+    return fleet.request(entry, "POST", SLOTS, "fretes", headers=headers, **more)
+
+
+def book_meanwhile(fleet, entry, token=None):
+    """Start a booking on a thread; return a call that waits for its reply."""
+    replies = []
+    thread = threading.Thread(
+        target=lambda: replies.append(book(fleet, entry, token, body=b"slot 7"))
+    )
+    before = len(fleet.runs("service-1"))
+    thread.start()
+    wait_for(lambda: len(fleet.runs("service-1")) > before, "the booking to run")
+
+    def reply():
+        thread.join()
+        return replies[0]
+
+    return reply
+
+
+def test_booking_session(fleet):
+    """A skipper's booking meets a dead sidecar, a repeat by the caller through the
+    other entry, and a store that is away. Were any of it sent again without proof,
+    two barges would be booked and a farmer billed twice.
+    """
+    session = Session("booking")
+    first = book(fleet, "entry-1", "voyage-1", body=b"slot 7")
+    session.reply("booking through entry-1", first)
+    again = book(fleet, "entry-2", "voyage-1", body=b"slot 7")
+    session.reply("the same again through entry-2", again)
+    assert again.body == first.body
+    assert again.headers["idempotency-replayed"] == "true"
+    session.note("runs", fleet.runs("service-1"))
+
+    other = book(fleet, "entry-2", "voyage-1", body=b"slot 8")
+    session.reply("another booking under the same key", other)
+
+    fleet.faults(down=True)
+    session.reply("store down, with a key", book(fleet, "entry-1", "voyage-2"))
+    session.reply("store down, without one", book(fleet, "entry-1"))
+    fleet.faults()
+    wait_for(
+        lambda: book(fleet, "entry-2", "voyage-2").status == 200,
+        "the refused booking to be taken once the store is back",
+    )
+    session.note("store back, with the same key: 200")
+    session.note("runs", fleet.runs("service-1"))
+
+    fleet.faults(lost_answers=1)
+    lost = book(fleet, "entry-1", "voyage-3", body=b"slot 9")
+    session.reply("the store's answer is lost after the write", lost)
+    fleet.faults()
+    session.note("runs", fleet.runs("service-1"))
+
+    waiting = book_meanwhile(fleet, "entry-1", "voyage-4")
+    fleet.processes["sidecar-s1"].kill()
+    session.reply("sidecar killed while the service books", waiting())
+    session.reply(
+        "the caller asks again", book(fleet, "entry-2", "voyage-4", body=b"slot 7")
+    )
+    session.note("runs", fleet.runs("service-1"))
+    session.check()
+
+
+def test_entry_killed_while_a_booking_runs(fleet):
+    """The entry dies while the ledger books. The caller sees its connection break
+    and asks again through the other entry, which must not book a second time.
+    """
+    session = Session("booking_entry_killed")
+    with pytest.raises(Exception, match="onnection"):
+        before = len(fleet.runs("service-1"))
+        killer = threading.Thread(
+            target=lambda: (
+                wait_for(lambda: len(fleet.runs("service-1")) > before, "the run"),
+                fleet.processes["entry-1"].signal(signal.SIGKILL),
+            )
+        )
+        killer.start()
+        try:
+            book(fleet, "entry-1", "voyage-5", body=b"slot 7")
+        finally:
+            killer.join()
+    session.note("entry-1 killed while the service books: connection broken")
+    again = book(fleet, "entry-2", "voyage-5", body=b"slot 7")
+    session.reply("the same again through entry-2", again)
+    session.note("runs", fleet.runs("service-1"))
+    session.check()
