--- /dev/null
+++ b/src/persimmonhitch/catalog/changes.py
@@ -0,0 +1,178 @@
+"""Numbered changes of the configuration, the only way in which it moves."""
+
+import secrets
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Final, NewType, TypeVar
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..ids import ConfigVersion
+from .model import (
+    AccountEntry,
+    Catalog,
+    Entry,
+    KeyEntry,
+    KeyState,
+    ModelEntry,
+    PlanEntry,
+    ServiceEntry,
+)
+
+ChangeId = NewType("ChangeId", str)
+"""Random id of one change; tells one's own write from another's."""
+
+ID_BYTES: Final = 12
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class EntryKind(Enum):
+    """The parts of the configuration."""
+
+    PLAN = "plan"
+    ACCOUNT = "account"
+    MODEL = "model"
+    SERVICE = "service"
+    KEY = "key"
+
+
+@dataclass(frozen=True)
+class Ref:
+    """Names one entry, whether or not it exists."""
+
+    kind: EntryKind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value} {self.name}"
+
+
+@dataclass(frozen=True)
+class Delta:
+    """Entries put in place, new or in place of an old one, and entries deleted."""
+
+    plans: tuple[PlanEntry, ...] = ()
+    accounts: tuple[AccountEntry, ...] = ()
+    models: tuple[ModelEntry, ...] = ()
+    services: tuple[ServiceEntry, ...] = ()
+    keys: tuple[KeyEntry, ...] = ()
+    deleted: tuple[Ref, ...] = ()
+
+    def puts(self) -> Iterator[tuple[Ref, Entry]]:
+        """Yield every entry put, with its name."""
+        for plan in self.plans:
+            yield Ref(EntryKind.PLAN, plan.name), plan
+        for account in self.accounts:
+            yield Ref(EntryKind.ACCOUNT, account.name), account
+        for model in self.models:
+            yield Ref(EntryKind.MODEL, model.name), model
+        for service in self.services:
+            yield Ref(EntryKind.SERVICE, service.name), service
+        for key in self.keys:
+            yield Ref(EntryKind.KEY, key.hash), key
+
+    def touched(self) -> frozenset[Ref]:
+        """Return every entry that it puts or deletes."""
+        return frozenset(ref for ref, _ in self.puts()) | frozenset(self.deleted)
+
+    def __bool__(self) -> bool:
+        return bool(self.touched())
+
+
+@dataclass(frozen=True)
+class Change:
+    """One step from version ``number - 1`` to ``number``.
+
+    ``time`` is the operator's wall clock, for people only: order comes from the
+    number alone.
+    """
+
+    number: ConfigVersion
+    id: ChangeId
+    operator: str
+    time: float
+    delta: Delta
+
+
+def new_change_id() -> ChangeId:
+    """Return a fresh change id."""
+    return ChangeId(secrets.token_hex(ID_BYTES))
+
+
+def _merged(old: dict[K, V], puts: dict[K, V], deleted: set[str]) -> dict[K, V]:
+    kept = {key: entry for key, entry in old.items() if key not in deleted}
+    return {**kept, **puts}
+
+
+def merged(catalog: Catalog, delta: Delta, version: ConfigVersion) -> Catalog:
+    """Return the catalog at ``version`` that a delta makes of an older one."""
+    gone: dict[EntryKind, set[str]] = {kind: set() for kind in EntryKind}
+    for ref in delta.deleted:
+        gone[ref.kind].add(ref.name)
+    plans = {entry.name: entry for entry in delta.plans}
+    accounts = {entry.name: entry for entry in delta.accounts}
+    models = {entry.name: entry for entry in delta.models}
+    services = {entry.name: entry for entry in delta.services}
+    keys = {entry.hash: entry for entry in delta.keys}
+    return Catalog(
+        version=version,
+        plans=_merged(catalog.plans, plans, gone[EntryKind.PLAN]),
+        accounts=_merged(catalog.accounts, accounts, gone[EntryKind.ACCOUNT]),
+        models=_merged(catalog.models, models, gone[EntryKind.MODEL]),
+        services=_merged(catalog.services, services, gone[EntryKind.SERVICE]),
+        keys=_merged(catalog.keys, keys, gone[EntryKind.KEY]),
+    )
+
+
+def apply(catalog: Catalog, change: Change) -> Result[Catalog, str]:
+    """Return the next catalog; only the strictly next number is taken.
+
+    A change that is skipped or taken twice would leave two processes at one
+    version with different content, which no later change would mend.
+    """
+    if change.number != catalog.version + 1:
+        return Err(f"change {change.number} does not follow {catalog.version}")
+    return Success(merged(catalog, change.delta, change.number))
+
+
+def _changed(old: dict[K, V], new: dict[K, V]) -> tuple[V, ...]:
+    return tuple(entry for key, entry in new.items() if old.get(key) != entry)
+
+
+def _gone(kind: EntryKind, old: dict[K, V], new: dict[K, V]) -> tuple[Ref, ...]:
+    return tuple(Ref(kind, str(key)) for key in old if key not in new)
+
+
+def diff(old: Catalog, new: Catalog) -> Delta:
+    """Return what leads from one catalog to the other."""
+    return Delta(
+        plans=_changed(old.plans, new.plans),
+        accounts=_changed(old.accounts, new.accounts),
+        models=_changed(old.models, new.models),
+        services=_changed(old.services, new.services),
+        keys=_changed(old.keys, new.keys),
+        deleted=_gone(EntryKind.PLAN, old.plans, new.plans)
+        + _gone(EntryKind.ACCOUNT, old.accounts, new.accounts)
+        + _gone(EntryKind.MODEL, old.models, new.models)
+        + _gone(EntryKind.SERVICE, old.services, new.services)
+        + _gone(EntryKind.KEY, old.keys, new.keys),
+    )
+
+
+def diff_lists(old: Catalog, lists: Catalog) -> Delta:
+    """Return what leads from a catalog to the operators' lists, which hold no keys.
+
+    The keys of an account that goes are withdrawn with it. Otherwise an account
+    of the same name, entered later for another customer, would be open to them.
+    """
+    keys = {
+        key.hash: key
+        if key.account in lists.accounts
+        else replace(key, state=KeyState.WITHDRAWN)
+        for key in old.keys.values()
+    }
+    return diff(old, replace(lists, keys=keys))
--- /dev/null
+++ b/src/persimmonhitch/catalog/keys.py
@@ -0,0 +1,94 @@
+"""Keys of client accounts: issue, withdraw, authenticate."""
+
+import hashlib
+import hmac
+import secrets
+from dataclasses import replace
+from typing import Final
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..ids import Account, KeyHash
+from ..verdict import ErrorCode, Failure
+from .changes import Delta
+from .model import Catalog, KeyEntry, KeyState
+
+PREFIX: Final = "phk_"
+"""Lets scanners of repositories and logs recognise a key that leaked."""
+KEY_BYTES: Final = 32
+SHORTEST_PREFIX: Final = 8
+"""Characters of a hash that must be given to name a key: 1 in 4 thousand million."""
+SCHEME: Final = "bearer"
+
+
+def hash_key(key: str) -> KeyHash:
+    """Return the hash under which a key is kept.
+
+    A plain digest is enough: a key is 256 random bits, so there is nothing to
+    guess that a slow password hash would protect, and the hash is worked out on
+    every request.
+    """
+    return KeyHash(hashlib.sha256(key.encode(errors="replace")).hexdigest())
+
+
+def issue(catalog: Catalog, account: Account) -> Result[tuple[str, Delta], str]:
+    """Return a new key, to be shown once, and the delta that lets it in."""
+    if account not in catalog.accounts:
+        return Err(f"no account named {account!r}")
+    key = PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    entry = KeyEntry(hash_key(key), account, KeyState.ACTIVE)
+    return Success((key, Delta(keys=(entry,))))
+
+
+def find(catalog: Catalog, prefix: str) -> Result[KeyEntry, str]:
+    """Return the one key whose hash starts with ``prefix``."""
+    if len(prefix) < SHORTEST_PREFIX:
+        return Err(f"give at least {SHORTEST_PREFIX} characters of the hash")
+    found = [key for key in catalog.keys.values() if key.hash.startswith(prefix)]
+    if len(found) != 1:
+        return Err(f"{len(found)} keys have a hash that starts with {prefix!r}")
+    return Success(found[0])
+
+
+def withdraw(catalog: Catalog, prefix: str) -> Result[Delta, str]:
+    """Return the delta that withdraws a key; an empty one if it is withdrawn."""
+    return find(catalog, prefix).map(_withdrawal)
+
+
+def _withdrawal(key: KeyEntry) -> Delta:
+    if key.state is KeyState.WITHDRAWN:
+        return Delta()
+    return Delta(keys=(replace(key, state=KeyState.WITHDRAWN),))
+
+
+def bearer(header: str | None) -> str | None:
+    """Return the key in an ``Authorization`` header, or None without one."""
+    scheme, _, key = (header or "").strip().partition(" ")
+    if scheme.lower() != SCHEME or not key.strip():
+        return None
+    return key.strip()
+
+
+def _refusal(message: str) -> Err[Failure]:
+    return Err(Failure(ErrorCode.UNAUTHENTICATED, message))
+
+
+def authenticate(catalog: Catalog, presented: str | None) -> Result[Account, Failure]:
+    """Return the account whose key was presented.
+
+    The key is looked up by its digest: how long that takes depends on the digest
+    of the guess, from which nothing follows for the next guess. The comparison
+    itself takes the same time for every content.
+    """
+    if not presented:
+        return _refusal("a key is needed: Authorization: Bearer KEY")
+    digest = hash_key(presented)
+    entry = catalog.keys.get(digest)
+    if entry is None or not hmac.compare_digest(entry.hash, digest):
+        return _refusal("the key is not known")
+    if entry.state is not KeyState.ACTIVE:
+        return _refusal("the key was withdrawn")
+    if catalog.plan_of(entry.account) is None:
+        return _refusal("the account of this key was removed")
+    return Success(entry.account)
--- /dev/null
+++ b/src/persimmonhitch/catalog/log.py
@@ -0,0 +1,284 @@
+"""The log of changes in the object API: its readers and its writers.
+
+Change N is the object of that number. Whoever writes change N + 1 creates it
+conditionally, so of two operators exactly one gets it and there is one order.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..ids import ConfigVersion
+from ..platform.objects import (
+    Kind,
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+)
+from .changes import Change, ChangeId, Delta, apply, diff, merged, new_change_id
+from .model import EMPTY, Catalog
+from .references import dangling
+from .snapshots import read_snapshot
+from .spec import from_spec, to_spec
+
+DIGITS: Final = 12
+"""Digits of a change's name: 26,000 changes a day for 100,000 years."""
+NO_CHANGE: Final = ChangeId("")
+COMPACTED: Final = ChangeId("compacted")
+ATTEMPTS: Final = 5
+RETRY_PAUSE: Final = 0.4
+"""Seconds; five attempts span the restart of one of the store's servers."""
+MAX_REBASES: Final = 16
+"""At 26,000 changes a day a writer loses 16 races in a row only by a fault."""
+
+
+@dataclass(frozen=True)
+class Head:
+    """The newest state of the log as one read saw it.
+
+    ``last`` is the id of the change at ``catalog.version``; a writer checks with
+    it that its own change follows the one that it has seen.
+    """
+
+    catalog: Catalog
+    last: ChangeId
+
+
+class CommitError(Enum):
+    """Why a delta is not known to be in force."""
+
+    CONFLICT = "conflict"
+    """Another change touched the same entries; nothing was written."""
+    INVALID = "invalid"
+    """After another change it would leave names that lead nowhere."""
+    UNAVAILABLE = "unavailable"
+    """The store did not answer a read; nothing was written."""
+    UNKNOWN = "unknown"
+    """The store did not answer the write; it may or may not be in force."""
+
+
+@dataclass(frozen=True)
+class CommitFailure:
+    """Why a commit failed, for the operator."""
+
+    error: CommitError
+    detail: str
+
+
+def change_name(number: int) -> str:
+    """Return the name of the object that holds a change."""
+    return f"{number:0{DIGITS}d}"
+
+
+def parse_change(obj: StoredObject) -> Result[Change, str]:
+    """Return the change that an object holds, or what is wrong with it."""
+    result = from_spec(Change, obj.spec)
+    if isinstance(result, Success):
+        number = result.unwrap().number
+        if obj.name != change_name(number):
+            return Err(f"object {obj.name} holds change {number}")
+    return result
+
+
+def read_changes(store: ObjectStore) -> Result[tuple[Change, ...], StoreFailure]:
+    """Return the changes that the store holds, in order."""
+    result = store.list_all(Kind.CHANGE)
+    if not isinstance(result, Success):
+        return Err(result.failure())
+    items = sorted(result.unwrap().items, key=lambda obj: obj.name)
+    parsed = [parse_change(obj) for obj in items]
+    for each in parsed:
+        if not isinstance(each, Success):
+            return Err(StoreFailure(StoreError.INVALID, each.failure()))
+    return Success(tuple(each.unwrap() for each in parsed))
+
+
+def read_head(store: ObjectStore) -> Result[Head, StoreFailure]:
+    """Return the newest catalog that the store holds.
+
+    Changes are read before snapshots. The other way round, a snapshot written
+    between the two reads could take with it changes that the older snapshot
+    needs, and the catalog would seem to have a gap.
+    """
+    changes = read_changes(store)
+    if not isinstance(changes, Success):
+        return Err(changes.failure())
+    snapshot = read_snapshot(store)
+    if not isinstance(snapshot, Success):
+        return Err(snapshot.failure())
+    return _replayed(snapshot.unwrap() or EMPTY, changes.unwrap())
+
+
+def _replayed(
+    catalog: Catalog, changes: tuple[Change, ...]
+) -> Result[Head, StoreFailure]:
+    last = NO_CHANGE
+    for change in changes:
+        if change.number == catalog.version:
+            last = change.id
+        if change.number <= catalog.version:
+            continue
+        result = apply(catalog, change)
+        if not isinstance(result, Success):
+            return Err(StoreFailure(StoreError.INVALID, result.failure()))
+        catalog, last = result.unwrap(), change.id
+    return Success(Head(catalog, last))
+
+
+class _Written(Enum):
+    """What became of a conditional create."""
+
+    OURS = "ours"
+    OTHERS = "others"
+    UNANSWERED = "unanswered"
+
+
+class ChangeWriter:
+    """Commits deltas of one operator.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The object API.
+    operator : str
+        Who makes the changes, for the log.
+    wall : callable
+        Wall clock in seconds.
+    pause : callable
+        Waits a number of seconds between two attempts.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        operator: str,
+        wall: Callable[[], float] = time.time,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._store = store
+        self._operator = operator
+        self._wall = wall
+        self._pause = pause
+
+    def commit(self, base: Catalog, delta: Delta) -> Result[Catalog, CommitFailure]:
+        """Write a delta that was worked out against ``base``.
+
+        Changes that came after ``base`` and touch other entries are built upon;
+        one that touches the same entries is a conflict.
+
+        Returns
+        -------
+        Result
+            The catalog with the delta in force, or why it is not known to be.
+        """
+        for _ in range(MAX_REBASES):
+            read = read_head(self._store)
+            if not isinstance(read, Success):
+                return _failed(CommitError.UNAVAILABLE, read.failure().detail)
+            head = read.unwrap()
+            if _holds(head.catalog, delta):
+                return Success(head.catalog)
+            refused = _obstacle(base, head.catalog, delta)
+            if refused:
+                return Err(refused)
+            written = self._append(head, delta)
+            if written is _Written.UNANSWERED:
+                return _failed(CommitError.UNKNOWN, "the store did not answer")
+            if written is _Written.OURS:
+                version = ConfigVersion(head.catalog.version + 1)
+                return Success(merged(head.catalog, delta, version))
+        return _failed(CommitError.CONFLICT, "lost every race against other writers")
+
+    def _append(self, head: Head, delta: Delta) -> _Written:
+        number = ConfigVersion(head.catalog.version + 1)
+        change = Change(number, new_change_id(), self._operator, self._wall(), delta)
+        written = self._create(change)
+        if written is not _Written.OURS:
+            return written
+        return self._follows(change, head.last)
+
+    def _create(self, change: Change) -> _Written:
+        """Create the object of a change, again while the answer is lost.
+
+        A lost answer may stand for a write that took effect, or that takes
+        effect later. Sending the same change to the same number again is safe,
+        since one create at most succeeds; the id then tells whose it was.
+        """
+        name, spec = change_name(change.number), to_spec(change)
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                self._pause(RETRY_PAUSE)
+            result = self._store.create(Kind.CHANGE, name, spec)
+            if isinstance(result, Success):
+                return _Written.OURS
+            if result.failure().error is StoreError.EXISTS:
+                owner = self._owner(change.number)
+                if owner is not None:
+                    return _Written.OURS if owner == change.id else _Written.OTHERS
+        return _Written.UNANSWERED
+
+    def _owner(self, number: int) -> ChangeId | None:
+        """Return the id of the change of that number, None if it is not known."""
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                self._pause(RETRY_PAUSE)
+            found = self._store.get(Kind.CHANGE, change_name(number))
+            if isinstance(found, Success):
+                return ChangeId(str(found.unwrap().spec.get("id")))
+            if found.failure().error is StoreError.NOT_FOUND:
+                return NO_CHANGE
+        return None
+
+    def _predecessor(self, number: int) -> ChangeId | None:
+        if number > 1:
+            return self._owner(number - 1)
+        snapshot = read_snapshot(self._store)
+        if not isinstance(snapshot, Success):
+            return None
+        return NO_CHANGE if snapshot.unwrap() is None else COMPACTED
+
+    def _follows(self, change: Change, last: ChangeId) -> _Written:
+        """Return whether a created change is part of the log.
+
+        A writer that was frozen between its read and its create may find the
+        number free only because that change was compacted since; its operator
+        would be told of success while no process ever applies the change. Then
+        the predecessor is gone too, since compaction deletes upwards and leaves
+        the newest hundreds. Change 1 has none; before it there is no snapshot.
+        """
+        before = self._predecessor(change.number)
+        if before is None:
+            return _Written.UNANSWERED
+        if before == last:
+            return _Written.OURS
+        found = self._store.get(Kind.CHANGE, change_name(change.number))
+        if isinstance(found, Success) and found.unwrap().spec.get("id") == change.id:
+            self._store.delete(found.unwrap())
+        return _Written.OTHERS
+
+
+def _failed(error: CommitError, detail: str) -> Err[CommitFailure]:
+    return Err(CommitFailure(error, detail))
+
+
+def _holds(head: Catalog, delta: Delta) -> bool:
+    return not diff(head, merged(head, delta, head.version))
+
+
+def _obstacle(base: Catalog, head: Catalog, delta: Delta) -> CommitFailure | None:
+    """Return what keeps a delta made against ``base`` from following ``head``."""
+    mine = delta.touched()
+    both = sorted(str(ref) for ref in mine & diff(base, head).touched())
+    if both:
+        detail = f"changed by another since version {base.version}: {', '.join(both)}"
+        return CommitFailure(CommitError.CONFLICT, detail)
+    loose = dangling(merged(head, delta, head.version))
+    if loose:
+        return CommitFailure(CommitError.INVALID, "; ".join(map(str, loose)))
+    return None
--- a/src/persimmonhitch/catalog/model.py
+++ b/src/persimmonhitch/catalog/model.py
@@ -30,7 +30,17 @@
     weight: float
     priority: Priority
     models: tuple[Model, ...]
+    """Names or patterns such as ``desk-*``."""
     services: tuple[Service, ...]
+    """Names or patterns."""
+
+    def may_use_model(self, model: Model) -> bool:
+        """Return whether the plan's accounts may call a model or adapter."""
+        return any(fnmatchcase(model, pattern) for pattern in self.models)
+
+    def may_use_service(self, service: Service) -> bool:
+        """Return whether the plan's accounts may call a service."""
+        return any(fnmatchcase(service, pattern) for pattern in self.services)
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/persimmonhitch/catalog/spec.py
@@ -0,0 +1,81 @@
+"""Dataclasses as JSON objects of the store, checked field by field when read."""
+
+import types
+from collections.abc import Mapping
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+T = TypeVar("T")
+
+
+class BadSpec(ValueError):
+    """An object of the store does not hold what its type demands."""
+
+
+def to_spec(value: Any) -> Any:
+    """Return the JSON form of a dataclass and what it holds."""
+    if isinstance(value, Enum):
+        return value.value
+    if is_dataclass(value):
+        return {f.name: to_spec(getattr(value, f.name)) for f in fields(value)}
+    if isinstance(value, tuple):
+        return [to_spec(item) for item in value]
+    return value
+
+
+@cache
+def _hints(cls: type) -> dict[str, Any]:
+    return get_type_hints(cls)
+
+
+def _record(cls: type, value: Any) -> Any:
+    hints = _hints(cls)
+    if not isinstance(value, Mapping) or value.keys() != hints.keys():
+        raise BadSpec(f"{cls.__name__} needs the fields {sorted(hints)}")
+    return cls(**{name: _value(hint, value[name]) for name, hint in hints.items()})
+
+
+def _enum(cls: type[Enum], value: Any) -> Enum:
+    try:
+        return cls(value)
+    except ValueError as exc:
+        raise BadSpec(str(exc)) from exc
+
+
+def _optional(args: tuple[Any, ...], value: Any) -> Any:
+    if value is None:
+        return None
+    (inner,) = (arg for arg in args if arg is not type(None))
+    return _value(inner, value)
+
+
+def _value(hint: Any, value: Any) -> Any:
+    hint = getattr(hint, "__supertype__", hint)
+    if get_origin(hint) in (Union, types.UnionType):
+        return _optional(get_args(hint), value)
+    if get_origin(hint) is tuple:
+        if not isinstance(value, list):
+            raise BadSpec(f"expected a list, found {type(value).__name__}")
+        return tuple(_value(get_args(hint)[0], item) for item in value)
+    if is_dataclass(hint):
+        return _record(hint, value)  # type: ignore[arg-type]
+    if issubclass(hint, Enum):
+        return _enum(hint, value)
+    if hint is float and type(value) is int:
+        return float(value)
+    if type(value) is not hint:
+        raise BadSpec(f"expected {hint.__name__}, found {type(value).__name__}")
+    return value
+
+
+def from_spec(cls: type[T], value: Any) -> Result[T, str]:
+    """Return the dataclass that a JSON object holds, or what is wrong with it."""
+    try:
+        return Success(_record(cls, value))
+    except BadSpec as exc:
+        return Err(str(exc))
--- /dev/null
+++ b/tests/test_catalog_log.py
@@ -0,0 +1,180 @@
+"""The log of changes: one order, and no success that is not one."""
+
+import threading
+
+import pytest
+from catalog_help import fill, lists, model, put, writer
+from returns.result import Success
+
+from persimmonhitch.catalog.changes import Delta, EntryKind, Ref, apply
+from persimmonhitch.catalog.log import CommitError, change_name, parse_change, read_head
+from persimmonhitch.catalog.model import EMPTY
+from persimmonhitch.catalog.snapshots import EVERY, KEPT, compact, make_parts
+from persimmonhitch.platform.objects import Kind
+from persimmonhitch.standin.store_state import StoreState
+
+
+def test_changes_are_replayed_in_order():
+    store = StoreState()
+    fill(store, 12)
+    gone = Delta(deleted=(Ref(EntryKind.MODEL, "m3"),))
+    head = read_head(store).unwrap().catalog
+    assert writer(store).commit(head, gone).unwrap().version == 13
+    catalog = read_head(store).unwrap().catalog
+    assert catalog.version == 13
+    assert len(catalog.models) == 11 and "m3" not in catalog.models
+    assert not isinstance(apply(catalog, read_change(store, 13)), Success)
+
+
+def read_change(store, number):
+    return parse_change(store.get(Kind.CHANGE, change_name(number)).unwrap()).unwrap()
+
+
+def test_two_operators_at_once_get_one_winner_and_one_conflict():
+    """Two operators change one model at the same moment.
+
+    If both were told of success, one of them would find the other's revision
+    serving and nobody would know since when.
+    """
+    store = StoreState()
+    base = fill(store, 1)
+    start = threading.Barrier(2)
+    results = {}
+
+    def race(operator):
+        start.wait()
+        delta = put("m1", operator)
+        results[operator] = writer(store, operator).commit(base, delta)
+
+    threads = [threading.Thread(target=race, args=(name,)) for name in ("a", "b")]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    won = [name for name, result in results.items() if isinstance(result, Success)]
+    lost = ({"a", "b"} - set(won)).pop()
+    assert len(won) == 1
+    assert results[lost].failure().error is CommitError.CONFLICT
+    assert "model m1" in results[lost].failure().detail
+    assert read_head(store).unwrap().catalog.models["m1"].revision == won[0]
+
+
+def test_changes_to_other_entries_are_built_upon():
+    store = StoreState()
+    base = fill(store, 1)
+    for name in ("x", "y", "x"):
+        assert isinstance(writer(store).commit(base, put(name)), Success)
+    assert read_head(store).unwrap().catalog.version == 3
+
+
+def test_a_change_that_loses_its_base_to_another_is_refused():
+    """One operator deletes a model while another enters an adapter of it.
+
+    The two touch different entries, yet together they leave an adapter whose
+    base no engine could ever load.
+    """
+    store = StoreState()
+    base = fill(store, 2)
+    gone = Delta(deleted=(Ref(EntryKind.MODEL, "m1"),))
+    assert isinstance(writer(store).commit(base, gone), Success)
+    adapter = Delta(models=(model("tide", base="m1"),))
+    failure = writer(store, "bo").commit(base, adapter).failure()
+    assert failure.error is CommitError.INVALID
+    assert "no model named 'm1'" in failure.detail
+
+
+def test_a_lost_answer_is_recognised_as_success():
+    """The store takes the change, and its answer is lost on the way.
+
+    The operator must not be told of a conflict with the own change, nor may the
+    change stand in the log twice.
+    """
+    store = StoreState()
+    base = fill(store, 1)
+    store.faults.lost_answers = 1
+    assert writer(store).commit(base, put("x")).unwrap().version == 2
+    assert read_head(store).unwrap().catalog.version == 2
+
+
+def test_an_outage_is_never_reported_as_success():
+    """The store goes down before an operator's change, or in the middle of it.
+
+    Nothing may be called accepted then: before the write it is known to have
+    failed, after it the operator is told that it is not known.
+    """
+    store = StoreState()
+    base = fill(store, 1)
+    store.faults.down = True
+    failure = writer(store).commit(base, put("x")).failure()
+    assert failure.error is CommitError.UNAVAILABLE
+    store.faults.down = False
+
+    def go_down(*_args):
+        store.faults.down = True
+        return StoreState.create(store, *_args)
+
+    store.create = go_down
+    assert writer(store).commit(base, put("x")).failure().error is CommitError.UNKNOWN
+
+
+def test_snapshots_replace_old_changes_and_nothing_is_lost():
+    store = StoreState()
+    catalog = fill(store, EVERY)
+    assert compact(store, catalog).unwrap()
+    assert not compact(store, catalog).unwrap()
+    catalog = fill(store, EVERY, "n")
+    assert compact(store, catalog).unwrap()
+    left = [obj.name for obj in store.list_all(Kind.CHANGE).unwrap().items]
+    assert len(left) == KEPT + 1 and change_name(EVERY) in left
+    assert read_head(store).unwrap().catalog == catalog
+    assert writer(store).commit(catalog, put("x")).unwrap().version == 2 * EVERY + 1
+
+
+def test_a_snapshot_with_a_part_missing_is_not_used():
+    """The process that writes a snapshot in parts is killed after the first.
+
+    A newcomer that took the part for the whole would not know most models.
+    """
+    store = StoreState()
+    catalog = fill(store, EVERY)
+    assert len(make_parts(catalog)) == 1
+    first = make_parts(catalog)[0]
+    spec = {"version": EVERY, "digest": "d", "part": 0, "parts": 2}
+    delta = {name: [] for name in first.delta.__dataclass_fields__}
+    store.create(Kind.SNAPSHOT, "0-d-0", {**spec, "delta": delta}).unwrap()
+    assert read_head(store).unwrap().catalog == catalog
+
+
+def test_a_large_catalog_is_split_below_the_limit_of_a_value():
+    models = {f"m{n}": model(f"m{n}", "r" * 150) for n in range(6000)}
+    catalog = EMPTY.__class__(version=EVERY, models=models, plans=lists().plans)
+    store = StoreState()
+    assert compact(store, catalog).unwrap()
+    assert len(store.list_all(Kind.SNAPSHOT).unwrap().items) > 1
+    assert read_head(store).unwrap().catalog == catalog
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_a_writer_frozen_past_a_compaction_writes_no_ghost(number):
+    """An operator's command is frozen between its read and its write.
+
+    Meanwhile its number was taken, compacted and deleted, so that the create
+    succeeds; the operator would be told of a change that no process applies.
+    """
+    store = StoreState()
+    base = fill(store, number - 1, "k")
+    create = store.create
+    frozen = []
+
+    def thaw(kind, name, spec):
+        if not frozen:
+            frozen.append(name)
+            catalog = fill(store, EVERY + KEPT)
+            compact(store, catalog).unwrap()
+        return create(kind, name, spec)
+
+    store.create = thaw
+    catalog = writer(store).commit(base, put("x")).unwrap()
+    assert frozen == [change_name(number)]
+    assert catalog.version == number + EVERY + KEPT
+    assert read_head(store).unwrap().catalog == catalog
