Memory ledger: reserve before an order leaves, free once it can't arrive

Cause: orders to load are lost, late and doubled, sidecars restart, and some engines ignore fencing numbers; each can overcommit the accelerator.

--- /dev/null
+++ b/src/persimmonhitch/planner/__init__.py
@@ -0,0 +1,1 @@
+"""The planner: places models on upstreams, one active at a time."""
--- /dev/null
+++ b/src/persimmonhitch/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each upstream."""
--- /dev/null
+++ b/src/persimmonhitch/sidecar/ledger.py
@@ -0,0 +1,256 @@
+"""Ledger of accelerator memory: what is held, and what may yet be taken.
+
+The accelerator is overcommitted when the engine takes memory that was given to
+another copy: a load that arrives late, a load whose answer was lost, an unload
+that was sent but not done. One would notice it as an engine that dies for lack of
+memory with all its requests. The ledger prevents it with three rules:
+
+- memory is reserved before an order to load leaves, and the KV cache counts;
+- it is freed only once the engine has confirmed that the copy is gone, at a time
+  when no order to load it can arrive any more: ``order_limit`` seconds after the
+  last one left;
+- a new ledger lends nothing for ``order_limit`` seconds, so that every order of a
+  previous process has arrived or never will, and then only after the engine has
+  listed what it holds.
+
+This holds for engines that ignore fencing numbers too. No network, no clock.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..ids import Epoch
+from ..wire.placement import NO_EPOCH, Copy, CopyState, OrderError
+
+NEVER: Final = -math.inf
+ROUNDING: Final = 1e-6
+"""GiB; sums of floats may miss the capacity by less."""
+IN_LEDGER: Final = (CopyState.LOADING, CopyState.LOADED, CopyState.UNLOADING)
+
+
+class Answer(Enum):
+    """How an order to the engine ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """No answer; the engine may carry it out yet."""
+
+
+class Begin(Enum):
+    """What to do about an order that the ledger allows."""
+
+    SEND = "send"
+    ALREADY = "already"
+    """The copy is there, or gone, as the order wants it."""
+
+
+@dataclass(frozen=True)
+class Listed:
+    """One copy in the engine's own list."""
+
+    copy: Copy
+    memory: float
+    loaded: bool
+
+
+@dataclass
+class Reservation:
+    """Memory of one copy."""
+
+    memory: float
+    state: CopyState
+    load_until: float = NEVER
+    """Until then an order to load it may arrive."""
+    unload_sent: float = NEVER
+    unload_until: float = NEVER
+    pending: bool = False
+    """An order is out and its answer still awaited."""
+    changed: float = NEVER
+
+
+class Ledger:
+    """Reservations of one accelerator.
+
+    Parameters
+    ----------
+    capacity : float
+        GiB of accelerator memory.
+    order_limit : float
+        Seconds after which an order that left can no longer reach the engine.
+    now : float
+        Time of the start.
+    """
+
+    def __init__(self, capacity: float, order_limit: float, now: float) -> None:
+        self.capacity = capacity
+        self.epoch = NO_EPOCH
+        self._limit = order_limit
+        self._ready_at = now + order_limit
+        self._listed = False
+        self._copies: dict[Copy, Reservation] = {}
+
+    def ready(self) -> bool:
+        """Return whether loads are allowed."""
+        return self._listed
+
+    def used(self) -> float:
+        """Return the GiB reserved."""
+        return sum(entry.memory for entry in self._copies.values())
+
+    def free(self) -> float:
+        """Return the GiB that an order to load may take."""
+        return max(0.0, self.capacity - self.used()) if self._listed else 0.0
+
+    def serving(self) -> tuple[Copy, ...]:
+        """Return the copies that may take requests."""
+        return tuple(c for c, entry in self._copies.items() if _serves(entry))
+
+    def entries(self) -> tuple[tuple[Copy, CopyState, float], ...]:
+        """Return each copy with its state and memory."""
+        return tuple((c, e.state, e.memory) for c, e in self._copies.items())
+
+    def see_epoch(self, epoch: Epoch) -> bool:
+        """Take an epoch; return False when a newer one was seen."""
+        # A planner that was paused past its lease would otherwise undo what its
+        # successor ordered; it shows as orders refused with stale_epoch.
+        if epoch < self.epoch:
+            return False
+        self.epoch = epoch
+        return True
+
+    def begin_load(
+        self, copy: Copy, memory: float, epoch: Epoch, now: float
+    ) -> Result[Begin, OrderError]:
+        """Reserve memory for an order to load that is about to leave."""
+        if not self.see_epoch(epoch):
+            return Err(OrderError.STALE_EPOCH)
+        if not self._listed:
+            return Err(OrderError.STARTING)
+        entry = self._copies.get(copy)
+        if entry is not None and entry.pending:
+            return Err(OrderError.BUSY)
+        if entry is not None and entry.state is CopyState.LOADED:
+            return Success(Begin.ALREADY)
+        if not self._base_loaded(copy):
+            return Err(OrderError.NO_BASE)
+        held = 0.0 if entry is None else entry.memory
+        if self.used() - held + max(memory, held) > self.capacity + ROUNDING:
+            return Err(OrderError.NO_MEMORY)
+        entry = self._copies.setdefault(copy, Reservation(memory, CopyState.LOADING))
+        entry.memory = max(memory, held)
+        entry.state = CopyState.LOADING
+        entry.load_until = now + self._limit
+        self._mark(entry, now, pending=True)
+        return Success(Begin.SEND)
+
+    def end_load(self, copy: Copy, answer: Answer, now: float) -> None:
+        """Take the answer to an order to load."""
+        entry = self._copies[copy]
+        self._mark(entry, now, pending=False)
+        if answer is Answer.DONE:
+            entry.state = CopyState.LOADED
+        if answer is Answer.REFUSED:
+            entry.state = CopyState.LINGERING
+
+    def begin_unload(
+        self, copy: Copy, epoch: Epoch, now: float
+    ) -> Result[Begin, OrderError]:
+        """Take a copy out of service before the order to unload it leaves."""
+        if not self.see_epoch(epoch):
+            return Err(OrderError.STALE_EPOCH)
+        if not self._listed:
+            return Err(OrderError.STARTING)
+        entry = self._copies.get(copy)
+        if entry is None or entry.state is CopyState.LINGERING:
+            return Success(Begin.ALREADY)
+        if entry.pending:
+            return Err(OrderError.BUSY)
+        if copy.adapter is None and self._carries_adapters(copy):
+            return Err(OrderError.BASE_IN_USE)
+        entry.state = CopyState.UNLOADING
+        entry.unload_sent = now
+        entry.unload_until = now + self._limit
+        self._mark(entry, now, pending=True)
+        return Success(Begin.SEND)
+
+    def end_unload(self, copy: Copy, answer: Answer, now: float) -> None:
+        """Take the answer to an order to unload."""
+        entry = self._copies[copy]
+        self._mark(entry, now, pending=False)
+        if answer is Answer.DONE:
+            entry.state = CopyState.LINGERING
+            if entry.unload_sent >= entry.load_until:
+                del self._copies[copy]
+        if answer is Answer.REFUSED:
+            entry.state = CopyState.LOADED
+
+    def take_listing(
+        self, listed: Iterable[Listed], asked_at: float, now: float
+    ) -> None:
+        """Take the engine's own list, which was asked for at ``asked_at``.
+
+        It is the truth on what the engine holds, save for what changed after it
+        was asked for and for orders that may yet arrive.
+        """
+        found = {item.copy: item for item in listed}
+        for item in found.values():
+            self._take_listed(item, asked_at, now)
+        for copy, entry in list(self._copies.items()):
+            if copy not in found and not entry.pending and entry.changed < asked_at:
+                self._take_absent(copy, entry, asked_at)
+        if asked_at >= self._ready_at:
+            self._listed = True
+
+    def _take_listed(self, item: Listed, asked_at: float, now: float) -> None:
+        state = CopyState.LOADED if item.loaded else CopyState.LOADING
+        entry = self._copies.get(item.copy)
+        if entry is None:
+            self._copies[item.copy] = Reservation(item.memory, state, changed=now)
+            return
+        entry.memory = max(entry.memory, item.memory)
+        if entry.pending or entry.changed >= asked_at:
+            return
+        # An order to unload without an answer may arrive yet: the copy gets no
+        # requests until it can't, or they would meet an engine without the model.
+        if entry.state is CopyState.UNLOADING and asked_at < entry.unload_until:
+            return
+        entry.state = state
+
+    def _take_absent(self, copy: Copy, entry: Reservation, asked_at: float) -> None:
+        # Only a list asked for when no load can arrive any more frees memory: an
+        # earlier one, or the passing of time alone, misses a load that came between.
+        if asked_at >= entry.load_until:
+            del self._copies[copy]
+            return
+        if entry.state is not CopyState.LOADING:
+            entry.state = CopyState.LINGERING
+
+    def _mark(self, entry: Reservation, now: float, pending: bool) -> None:
+        entry.pending = pending
+        entry.changed = now
+
+    def _base_loaded(self, copy: Copy) -> bool:
+        if copy.adapter is None:
+            return True
+        return any(c.model == copy.model for c in self.serving() if c.adapter is None)
+
+    def _carries_adapters(self, base: Copy) -> bool:
+        others = [
+            c
+            for c, entry in self._copies.items()
+            if c.model == base.model and entry.state in IN_LEDGER
+        ]
+        adapters = sum(c.adapter is not None for c in others)
+        # Another revision of the base can carry the adapters on.
+        return adapters > 0 and len(others) - adapters < 2
+
+
+def _serves(entry: Reservation) -> bool:
+    return entry.state is CopyState.LOADED
