--- a/src/persimmonhitch/sidecar/ledger.py
+++ b/src/persimmonhitch/sidecar/ledger.py
@@ -154,6 +154,9 @@
         """Take the answer to an order to load."""
         entry = self._copies[copy]
         self._mark(entry, now, pending=False)
+        # Counted anew: a process that was frozen between the reservation and the
+        # sending would else see the limit pass before its order has even left.
+        entry.load_until = now + self._limit
         if answer is Answer.DONE:
             entry.state = CopyState.LOADED
         if answer is Answer.REFUSED:
@@ -184,6 +187,7 @@
         """Take the answer to an order to unload."""
         entry = self._copies[copy]
         self._mark(entry, now, pending=False)
+        entry.unload_until = now + self._limit
         if answer is Answer.DONE:
             entry.state = CopyState.LINGERING
             if entry.unload_sent >= entry.load_until:
