Engine stand-in: orders, memory count, faults

Cause: the sidecar's order desk had no engine to order. Before: models fixed at the start. Conclusion: the ledger can be proved against a process.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -289,8 +289,8 @@
 def small_fleet(fleet: Fleet, service_delay: float = 0.0) -> None:
     """Start stand-ins, three sidecars and two entries, and wait until they serve."""
     fleet.standin("store", "store")
-    fleet.standin("engine-1", "engine", "--models=tiny-chat")
-    fleet.standin("engine-2", "engine", "--models=tiny-chat")
+    fleet.standin("engine-1", "engine", "--models=tiny-chat:10:r1")
+    fleet.standin("engine-2", "engine", "--models=tiny-chat:10:r1")
     fleet.standin("service-1", "service", f"--delay={service_delay}")
     fleet.addresses("port", "store", "engine-1", "engine-2", "service-1")
     for name in ("entry-1", "entry-2"):
--- a/src/persimmonhitch/standin/engine.py
+++ b/src/persimmonhitch/standin/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in of a model engine: batching, prefix cache, load report, cancel."""
+"""Stand-in of a model engine: batching, prefix cache, orders, load report."""
 
 import hashlib
 import itertools
@@ -14,6 +14,7 @@
 
 from ..web import Answer, Body, Request, json_answer, read_request
 from ..web.http import Environ, StartResponse
+from .engine_orders import ORDER_PATHS, EngineOrders, OrderFaults
 
 PREFIX_CHARS: Final = 256
 """Characters of a prompt that count as its prefix in the cache."""
@@ -41,8 +42,8 @@
     sees whether a caller got the answer to its own prompt.
     """
 
-    def __init__(self, models: tuple[str, ...], speed: EngineSpeed) -> None:
-        self.loaded: set[str] = set(models)
+    def __init__(self, orders: EngineOrders, speed: EngineSpeed) -> None:
+        self.orders = orders
         self.speed = speed
         self.started: list[str] = []
         self.seen_headers: list[dict[str, str]] = []
@@ -62,9 +63,16 @@
         match req.method, req.path:
             case "POST", "/v1/chat/completions":
                 return self._chat(req)
+            case "POST", str(path) if path in ORDER_PATHS:
+                return self.orders.take(path, json.loads(req.body))
             case "GET", "/v1/models":
-                data = [{"id": name, "object": "model"} for name in sorted(self.loaded)]
+                data = self.orders.listing()
                 return json_answer(200, {"object": "list", "data": data})
+            case "POST", "/faults":
+                self.orders.faults = OrderFaults(**json.loads(req.body))
+                return json_answer(200, {})
+            case "GET", "/memory":
+                return json_answer(200, self.orders.memory_state())
             case "GET", "/load":
                 load = {"running": self._running, "generated": self._generated}
                 return json_answer(200, load)
@@ -78,7 +86,7 @@
         with self._lock:
             self.started.append(req.headers.get("x-request-id", ""))
             self.seen_headers.append(req.headers)
-        if body["model"] not in self.loaded:
+        if not self.orders.serves(body["model"]):
             return json_answer(404, {"error": f"model {body['model']} is not loaded"})
         words = str(body["messages"][-1]["content"]).split() or ["(empty)"]
         count = int(body.get("max_tokens", DEFAULT_MAX_TOKENS))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -23,6 +23,7 @@
 from persimmonhitch.sidecar.settings import SidecarSettings
 from persimmonhitch.sidecar.upstream import Address, UpstreamCall
 from persimmonhitch.standin.engine import EngineApp, EngineSpeed
+from persimmonhitch.standin.engine_orders import EngineOrders
 from persimmonhitch.standin.service import ServiceApp
 from persimmonhitch.verdict import ErrorCode, Verdict
 from persimmonhitch.web import WebServer
@@ -115,7 +116,9 @@
 
 @pytest.fixture
 def engine():
-    app = EngineApp(("m",), EngineSpeed(prefill=0.0, step=0.02))
+    orders = EngineOrders(80.0, 0.0, fenced=True)
+    orders.preload("m:10:r1")
+    app = EngineApp(orders, EngineSpeed(prefill=0.0, step=0.02))
     made = rig(app, UpstreamKind.ENGINE)
     yield made
     made.close()
