Links on one event loop instead of threads

Cause: the threaded side of websockets runs three threads a link end and our reader; 200 links (both ends in one process) took 142 KB each, 1,200 threads and 12.6% of a core while idle, and a sender waited on a frozen peer's full socket. Ruled out: a writer thread for each link (more threads still); longer pings alone (a frozen peer would be noticed later).

--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
@@ -72,6 +73,7 @@
         self._accepted: dict[Link, Vm] = {}
         self._lock = threading.Lock()
         self._stopping = threading.Event()
+        self._handling = ThreadPoolExecutor(1, thread_name_prefix="peer-messages")
         self._server = LinkServer(host, port, secret, self._accept)
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
@@ -81,7 +83,10 @@
         return self._server.port
 
     def on(self, kind: type[M], handler: Callable[[Vm, M], None]) -> None:
-        """Hand every message of a kind to ``handler``, with its sender."""
+        """Hand every message of a kind to ``handler``, with its sender.
+
+        Handlers run one at a time, in order of arrival, on a thread of their own.
+        """
         self._handlers[kind] = handler
 
     def start(self) -> None:
@@ -97,6 +102,7 @@
             links = [*self._links.values(), *self._accepted]
         for link in links:
             link.close()
+        self._handling.shutdown(wait=False, cancel_futures=True)
 
     def update(self, view: View) -> None:
         """Take the store's list of entries."""
@@ -154,7 +160,13 @@
             log("message_unexpected", peer=link.peer, kind=type(msg).__name__)
             link.close()
             return
-        handler(vm, msg)
+        self._handling.submit(self._handle, handler, vm, msg)
+
+    def _handle(self, handler: Handler, vm: Vm, msg: Any) -> None:
+        try:
+            handler(vm, msg)
+        except Exception as exc:
+            log("peer_message_failed", peer_vm=vm, error=repr(exc))
 
     def _greet(self, link: Link, msg: Hello) -> None:
         if msg.protocol != PROTOCOL or msg.role is not Role.ENTRY:
--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -1,21 +1,30 @@
-"""Links: one websocket between two processes that carries typed messages."""
+"""Links: one websocket between two processes that carries typed messages.
 
+All links of a process share one thread. With a thread or more for each, as the
+library's threaded side has it, 200 links took 1,200 threads and an eighth of a
+core while idle.
+"""
+
+import asyncio
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
-from returns.result import Result, Success, safe
+from returns.result import Failure as Err
+from returns.result import Result, Success
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 from websockets.http11 import Request, Response
-from websockets.sync.client import connect
-from websockets.sync.connection import Connection
-from websockets.sync.server import Server, ServerConnection, serve
 
 from ..observe.logs import log
 from . import auth
 from .codec import MAX_FRAME, decode, encode
+from .loop import call, link_loop
 
 PING_INTERVAL: Final = 2.0
 PING_TIMEOUT: Final = 4.0
@@ -23,49 +32,101 @@
 OPEN_TIMEOUT: Final = 2.0
 CLOSE_TIMEOUT: Final = 1.0
 POLICY_VIOLATION: Final = 1008
+MOST_UNSENT: Final = 16 * 1024 * 1024
+"""Bytes that wait for a slow peer; two frames of the largest size."""
 
 
 class LinkHandler(Protocol):
-    """What a program does with a link's messages and its end."""
+    """What a program does with a link's messages and its end.
+
+    Both methods are called on the links' thread and must not block: while one
+    waits, no message of any link is taken.
+    """
 
     def on_message(self, link: "Link", msg: Any) -> None:
-        """Take one message; called in order, from one thread."""
+        """Take one message; called in order."""
 
     def on_close(self, link: "Link") -> None:
         """Take the link's end; called once, after the last message."""
 
 
 class Link:
-    """One end of an open link; ``send`` may be called from any thread."""
+    """One end of an open link; every method may be called from any thread."""
 
     def __init__(self, conn: Connection, peer: str) -> None:
         self._conn = conn
         self.peer = peer
         self.ended = threading.Event()
+        self._unsent: deque[bytes] = deque()
+        self._unsent_bytes = 0
+        self._wake = asyncio.Event()
+        self._lock = threading.Lock()
 
     def send(self, msg: Any) -> bool:
-        """Send a message; return False when the link has ended."""
-        try:
-            self._conn.send(encode(msg))
-        except (WebSocketException, OSError):
+        """Queue a message; return False when the link has ended.
+
+        It never waits. A peer that is frozen but not yet known to be would
+        otherwise hold up whoever sends to it, and with it every other caller.
+        """
+        if self.ended.is_set():
             return False
+        frame = encode(msg)
+        with self._lock:
+            idle = not self._unsent
+            self._unsent.append(frame)
+            self._unsent_bytes += len(frame)
+            full = self._unsent_bytes > MOST_UNSENT
+        if full:
+            log("link_full", peer=self.peer, limit=MOST_UNSENT)
+            self.abort()
+            return False
+        if idle:
+            link_loop().call_soon_threadsafe(self._wake.set)
         return True
 
     def close(self) -> None:
-        """End the link."""
-        self._conn.close()
-
-    def run(self, handler: LinkHandler) -> None:
+        """End the link after what is queued has gone out."""
+        asyncio.run_coroutine_threadsafe(self._close(), link_loop())
+
+    def abort(self) -> None:
+        """End the link at once."""
+        link_loop().call_soon_threadsafe(self._conn.transport.abort)
+
+    async def _close(self) -> None:
+        for frame in self._take_unsent():
+            await self._conn.send(frame)
+        await self._conn.close()
+
+    def _take_unsent(self) -> list[bytes]:
+        with self._lock:
+            frames = list(self._unsent)
+            self._unsent.clear()
+            self._unsent_bytes = 0
+        return frames
+
+    async def run(self, handler: LinkHandler) -> None:
         """Hand over every message until the link ends."""
+        writer = asyncio.create_task(self._write())
         try:
-            for frame in self._conn:
+            async for frame in self._conn:
                 if not self._take(handler, frame):
                     break
         except (WebSocketException, OSError) as exc:
             log("link_lost", peer=self.peer, error=repr(exc))
         finally:
+            writer.cancel()
             self.ended.set()
-            handler.on_close(self)
+            self._tell_end(handler)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                for frame in self._take_unsent():
+                    await self._conn.send(frame)
+        except (WebSocketException, OSError):
+            self._conn.transport.abort()
 
     def _take(self, handler: LinkHandler, frame: str | bytes) -> bool:
         # A frame that cannot be read means that the two sides disagree on the
@@ -74,17 +135,43 @@
         text = isinstance(frame, str)
         result = decode(frame.encode() if isinstance(frame, str) else frame)
         if text or not isinstance(result, Success):
-            reason = "text frame" if text else result.failure()
-            log("link_refused", peer=self.peer, error=reason)
-            self._conn.close(POLICY_VIOLATION, reason[:100])
+            self._refuse("text frame" if text else result.failure())
+            return False
+        try:
+            handler.on_message(self, result.unwrap())
+        except Exception as exc:
+            # The handler's state may be half changed; its peer learns of it by
+            # the end of the link instead of waiting for an answer.
+            self._refuse(f"handler failed: {exc!r}")
             return False
-        handler.on_message(self, result.unwrap())
         return True
 
+    def _refuse(self, reason: str) -> None:
+        log("link_refused", peer=self.peer, error=reason)
+        closing = self._conn.close(POLICY_VIOLATION, reason[:100])
+        asyncio.run_coroutine_threadsafe(closing, link_loop())
+
+    def _tell_end(self, handler: LinkHandler) -> None:
+        try:
+            handler.on_close(self)
+        except Exception as exc:
+            log("handler_failed", peer=self.peer, error=repr(exc))
+
 
-@safe(exceptions=(WebSocketException, OSError, TimeoutError))
-def _connect(host: str, port: int, secret: bytes) -> Connection:
-    return connect(
+def open_link(
+    host: str, port: int, secret: bytes, handler: LinkHandler, first: Any
+) -> Result[Link, Exception]:
+    """Open a link, send ``first`` on it and read it from then on."""
+    try:
+        link = call(_open(host, port, secret, handler))
+    except (WebSocketException, OSError, TimeoutError) as exc:
+        return Err(exc)
+    link.send(first)
+    return Success(link)
+
+
+async def _open(host: str, port: int, secret: bytes, handler: LinkHandler) -> Link:
+    conn = await connect(
         f"ws://{host}:{port}/link",
         additional_headers={auth.HEADER: auth.sign(secret, time.time())},
         open_timeout=OPEN_TIMEOUT,
@@ -94,22 +181,20 @@
         max_size=MAX_FRAME,
         compression=None,
         proxy=None,
-        legacy=True,
     )
+    link = Link(conn, f"{host}:{port}")
+    _keep(asyncio.create_task(link.run(handler)))
+    return link
 
 
-def open_link(
-    host: str, port: int, secret: bytes, handler: LinkHandler, first: Any
-) -> Result[Link, Exception]:
-    """Open a link, send ``first`` on it and read it on a thread of its own."""
-    result = _connect(host, port, secret)
-    if not isinstance(result, Success):
-        return result  # type: ignore[return-value]
-    link = Link(result.unwrap(), f"{host}:{port}")
-    link.send(first)
-    name = f"link-{link.peer}"
-    threading.Thread(target=link.run, args=(handler,), name=name, daemon=True).start()
-    return Success(link)
+_tasks: Final[set[asyncio.Task[None]]] = set()
+
+
+def _keep(task: asyncio.Task[None]) -> None:
+    # The loop itself holds tasks weakly; without this a link's reader could be
+    # collected in the middle, seen as a link that goes silent.
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
 
 
 class LinkServer:
@@ -120,7 +205,10 @@
     ) -> None:
         self._secret = secret
         self._accept = accept
-        self._server: Server = serve(
+        self._server: Server = call(self._listen(host, port))
+
+    async def _listen(self, host: str, port: int) -> Server:
+        return await serve(
             self._serve,
             host,
             port,
@@ -131,24 +219,22 @@
             ping_timeout=PING_TIMEOUT,
             max_size=MAX_FRAME,
             compression=None,
-        )
-        self._thread = threading.Thread(
-            target=self._server.serve_forever, name="link-server", daemon=True
+            start_serving=False,
         )
 
     @property
     def port(self) -> int:
         """Return the TCP port that it listens on."""
-        port: int = self._server.socket.getsockname()[1]
+        port: int = next(iter(self._server.sockets)).getsockname()[1]
         return port
 
     def start(self) -> None:
         """Accept links from now on."""
-        self._thread.start()
+        call(self._server.start_serving())
 
     def stop(self) -> None:
-        """Accept no more links."""
-        self._server.shutdown()
+        """Accept no more links; open ones go on."""
+        link_loop().call_soon_threadsafe(self._server.close, False)
 
     def _authenticate(self, conn: ServerConnection, req: Request) -> Response | None:
         if auth.verify(self._secret, req.headers.get(auth.HEADER, ""), time.time()):
@@ -156,6 +242,6 @@
         log("link_unauthenticated", peer=str(conn.remote_address))
         return conn.respond(HTTPStatus.UNAUTHORIZED, "the fleet's secret is needed\n")
 
-    def _serve(self, conn: ServerConnection) -> None:
+    async def _serve(self, conn: ServerConnection) -> None:
         link = Link(conn, str(conn.remote_address))
-        link.run(self._accept(link))
+        await link.run(self._accept(link))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -55,7 +55,7 @@
 
     def cut(self):
         """Cut the link and open it again, as the pool does."""
-        self.conn.link._conn.socket.shutdown(2)
+        self.conn.link.abort()
         wait_for(lambda: self.conn.link is None, "the end of the link")
 
     def relink(self):
