--- /dev/null
+++ b/src/persimmonhitch/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
