Outliers by time between tokens, per model, in the entry

Conclusion: the entry feeds mean gaps of whole streams, and for services the time to the head of the answer.

--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -2,21 +2,22 @@
 
 import time
 from collections.abc import Callable, Generator, Iterator
+from contextlib import closing
 from dataclasses import dataclass
 from typing import Final
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..decide.retries import RetryBudget, may_retry
-from ..ids import Tokens, Upstream
+from ..decide.retries import LOST, RetryBudget, may_retry
+from ..ids import Model, Tokens, Upstream
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..verdict import ErrorCode, Failure, Verdict
 from ..wire.messages import Chunk, End, Fail, Head, Submit
 from .admitted import WITHDRAWN, Admitted
 from .attempt import Attempt, Frame
-from .router import Router
+from .router import Router, group_of
 from .sidecar_conn import SidecarConn
 
 MAX_WHOLE: Final = 8 * 1024 * 1024
@@ -113,18 +114,40 @@
         head = next(frames)
         if isinstance(head, Fail):
             return self._refused(conn, head)
-        upstream = conn.info.upstream
-        self._router.first_token(upstream, req.call.model, time.monotonic() - began)
         assert isinstance(head, Head)
-        if req.call.stream and head.status == 200:
-            return Success(Streaming(head.status, head.headers, frames))
+        upstream, call = conn.info.upstream, req.call
+        if call.service is not None:
+            group = group_of(call.model, call.service)
+            self._router.latency(upstream, group, time.monotonic() - began)
+        if call.stream and head.status == 200:
+            timed = self._timed(upstream, call.model, frames)
+            return Success(Streaming(head.status, head.headers, timed))
         return self._whole(conn, head, frames)
 
+    def _timed(
+        self, upstream: Upstream, model: Model, frames: Generator[Frame, None, None]
+    ) -> Generator[Frame, None, None]:
+        """Pass frames on and note the mean time between the parts of the body."""
+        first, parts = 0.0, 0
+        with closing(frames):
+            for frame in frames:
+                if isinstance(frame, Chunk):
+                    first = first or time.monotonic()
+                    parts += 1
+                if isinstance(frame, End) and parts > 1:
+                    gap = (time.monotonic() - first) / (parts - 1)
+                    self._router.latency(upstream, model, gap)
+                if isinstance(frame, Fail):
+                    self._refused_by(upstream, frame)
+                yield frame
+
     def _refused(self, conn: SidecarConn, fail: Fail) -> Err[Failure]:
-        exc = fail.failure()
-        if exc.verdict is not Verdict.NOT_RUN:
-            self._router.failed(conn.info.upstream)
-        return Err(exc)
+        self._refused_by(conn.info.upstream, fail)
+        return Err(fail.failure())
+
+    def _refused_by(self, upstream: Upstream, fail: Fail) -> None:
+        if fail.verdict is not Verdict.NOT_RUN and fail.code in LOST:
+            self._router.failed(upstream)
 
     def _whole(
         self, conn: SidecarConn, head: Head, frames: Iterator[Frame]
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -65,6 +65,19 @@
         """Return the sidecars that can take a request now."""
         return [conn for conn in self._all() if _serves(conn, model, service)]
 
+    def copies(self) -> dict[Model, tuple[Upstream, ...]]:
+        """Return the usable upstreams of each model and service."""
+        found: dict[Model, tuple[Upstream, ...]] = {}
+        for conn in self._all():
+            if not conn.usable:
+                continue
+            names = [Model(f"service:{conn.info.service}")]
+            if conn.info.kind is UpstreamKind.ENGINE:
+                names = list(conn.models)
+            for name in names:
+                found[name] = (*found.get(name, ()), conn.info.upstream)
+        return found
+
     def wait_change(self, timeout: float) -> None:
         """Return when a sidecar may have come, or after ``timeout`` seconds."""
         with self._changed:
--- a/src/persimmonhitch/entry/router.py
+++ b/src/persimmonhitch/entry/router.py
@@ -38,14 +38,15 @@
         fresh = [conn for conn in conns if conn.info.upstream not in tried]
         by_name = {conn.info.upstream: conn for conn in fresh or conns}
         now = time.monotonic()
+        group = group_of(model, service)
         with self._lock:
-            self._update_outliers(now, model, tuple(by_name))
-            candidates = [self._candidate(conn, now) for conn in by_name.values()]
+            self._update_outliers(now)
+            candidates = [self._candidate(c, group, now) for c in by_name.values()]
             chosen = choose(candidates, RouteRequest(self._zone, cost), self._rng)
         return None if chosen is None else by_name[chosen.upstream]
 
-    def _candidate(self, conn: SidecarConn, now: float) -> Candidate:
-        share = self._outliers.share(now, conn.info.upstream)
+    def _candidate(self, conn: SidecarConn, group: Model, now: float) -> Candidate:
+        share = self._outliers.share(now, conn.info.upstream, group)
         return Candidate(
             upstream=conn.info.upstream,
             zone=conn.info.zone,
@@ -54,19 +55,26 @@
             share=share * warmup_weight(now - conn.welcomed_at),
         )
 
-    def _update_outliers(
-        self, now: float, model: Model, copies: tuple[Upstream, ...]
-    ) -> None:
+    def _update_outliers(self, now: float) -> None:
         if now - self._updated_at >= OUTLIERS_EVERY:
             self._updated_at = now
-            self._outliers.update(now, {model: copies})
+            self._outliers.update(now, self._pool.copies())
 
-    def first_token(self, upstream: Upstream, model: Model, seconds: float) -> None:
-        """Note the time to an answer's first part."""
+    def latency(self, upstream: Upstream, group: Model, seconds: float) -> None:
+        """Note a latency that does not depend on a request's length.
+
+        For a model it is the mean time between tokens, for a service the time to
+        the head of its answer.
+        """
         with self._lock:
-            self._outliers.on_latency(time.monotonic(), upstream, model, seconds)
+            self._outliers.on_latency(time.monotonic(), upstream, group, seconds)
 
     def failed(self, upstream: Upstream) -> None:
         """Note an attempt that the upstream failed."""
         with self._lock:
             self._outliers.on_failure(upstream)
+
+
+def group_of(model: Model, service: Service | None) -> Model:
+    """Return the name under which upstreams of one sort are compared."""
+    return model if service is None else Model(f"service:{service}")
