Placement, pacing and their plays

Cause: copies have to follow demand that moves tenfold in an hour with few loads, and the unreachable have to come first.

--- /dev/null
+++ b/src/persimmonhitch/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure code over typed inputs, with the time passed in."""
--- /dev/null
+++ b/src/persimmonhitch/play/__init__.py
@@ -0,0 +1,1 @@
+"""Plays of load against the decisions, without a network."""
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,227 @@
+"""Placement: reachable models first, few moves, never the last copy."""
+
+from dataclasses import replace
+
+import pytest
+
+from persimmonhitch.decide.board import Need
+from persimmonhitch.decide.copy_count import HOLD, CopyCount, DemandTrack
+from persimmonhitch.decide.pacing import LoadPacer, RetryDelay
+from persimmonhitch.decide.placement import Move, Reason, plan
+from persimmonhitch.ids import Model, Upstream
+from persimmonhitch.play.placement_fleet import Fleet
+from persimmonhitch.standin.weights import WeightStore
+
+SPEED = 400.0
+
+
+def need(name, memory=40.0, wanted=1, demand=1.0, base=None, revision="1"):
+    return Need(Model(name), memory, revision, base, demand, wanted)
+
+
+def needs_of(*needs):
+    return {item.model: item for item in needs}
+
+
+def fleet_of(count, zones=2, capacity=100.0):
+    fleet = Fleet(WeightStore(100.0, 100, 100, model_time=1.0, adapter_time=1.0))
+    fleet.add(count, zones, capacity)
+    return fleet
+
+
+def settle(fleet, needs, rounds=30):
+    """Plan and carry out until nothing changes; check each unload on the way."""
+    for _ in range(rounds):
+        moves = plan(needs, fleet.sites(needs), SPEED)
+        for move in moves:
+            if not move.load and move.reason is not Reason.RETIRED:
+                fleet_copies = len(fleet.serving(move.model))
+                assert fleet_copies > 1, f"{move} takes the last copy"
+        fleet.apply(moves, needs)
+        fleet.now += 2.0
+        if not moves:
+            return
+    raise AssertionError("placement does not come to rest")
+
+
+def test_every_model_and_adapter_gets_a_copy_and_rest_follows():
+    needs = needs_of(
+        *(need(f"m{i}", 30.0) for i in range(6)),
+        *(need(f"m0-x{i}", 2.0, base=Model("m0")) for i in range(5)),
+    )
+    fleet = fleet_of(3)
+    settle(fleet, needs)
+    assert fleet.unreachable(needs) == []
+    assert fleet.loads == 11
+    assert fleet.unloads == 0
+
+
+@pytest.mark.parametrize("zones", [2, 3])
+def test_copies_spread_over_zones(zones):
+    fleet = fleet_of(6, zones)
+    settle(fleet, needs_of(need("m", wanted=zones)))
+    held = {fleet.upstreams[u].zone for u in fleet.serving(Model("m"))}
+    assert len(held) == zones
+
+
+def test_surplus_copies_stay_until_their_memory_is_needed():
+    fleet = fleet_of(2)
+    settle(fleet, needs_of(need("a", wanted=2)))
+    needs = needs_of(need("a"), need("b"), need("c"))
+    settle(fleet, needs)
+    assert fleet.unloads == 0
+    needs = needs_of(need("a"), need("b"), need("c"), need("d"))
+    settle(fleet, needs)
+    assert (fleet.unloads, fleet.unreachable(needs)) == (1, [])
+
+
+def test_a_dead_upstream_makes_its_models_come_first():
+    """An upstream dies with the only copy of a model, while others want more copies.
+
+    Callers of that model get nothing until it is loaded again, so it goes first.
+    """
+    needs = needs_of(need("a", wanted=1), need("b", wanted=3, demand=900.0))
+    fleet = fleet_of(3)
+    sites = fleet.sites(needs)
+    moves = plan(needs, sites, SPEED)
+    assert [m.reason for m in moves if m.load][:2] == [Reason.UNREACHABLE] * 2
+    settle(fleet, needs)
+    (home,) = fleet.serving(Model("a"))
+    del fleet.upstreams[home]
+    first = plan(needs, fleet.sites(needs), SPEED)[0]
+    assert (first.model, first.reason) == (Model("a"), Reason.UNREACHABLE)
+
+
+def test_a_draining_upstream_keeps_its_last_copies_until_they_serve_elsewhere():
+    """An upstream is about to leave and holds the only copy of a model.
+
+    The copy goes on serving there until another one serves.
+    """
+    needs = needs_of(need("a"))
+    fleet = fleet_of(2)
+    settle(fleet, needs)
+    (home,) = fleet.serving(Model("a"))
+    fleet.upstreams[home].draining = True
+    (move,) = plan(needs, fleet.sites(needs), SPEED)
+    assert move.load and move.upstream != home
+
+
+def test_scattered_memory_is_joined_for_a_model_nobody_can_reach():
+    """Two upstreams have half of the memory free that a new model needs.
+
+    Without moving a sole copy the model could never be loaded.
+    """
+    needs = needs_of(need("a", 50.0), need("b", 50.0))
+    fleet = fleet_of(2)
+    sites = fleet.sites(needs)
+    fleet.apply(
+        [
+            Move(True, Model("a"), sites[0].upstream, "1", Reason.SPARE),
+            Move(True, Model("b"), sites[1].upstream, "1", Reason.SPARE),
+        ],
+        needs,
+    )
+    fleet.now = 10.0
+    needs = {**needs, **needs_of(need("big", 100.0))}
+    settle(fleet, needs)
+    assert fleet.unreachable(needs) == []
+    assert fleet.loads == 4
+
+
+def test_a_new_revision_serves_before_the_old_one_goes():
+    """Operators change a model's revision while callers use it.
+
+    There is no moment in which neither revision serves.
+    """
+    fleet = fleet_of(2, capacity=50.0)
+    settle(fleet, needs_of(need("a")))
+    needs = needs_of(need("a", revision="2"))
+    for _ in range(6):
+        fleet.apply(plan(needs, fleet.sites(needs), SPEED), needs)
+        fleet.now += 1.0
+        assert fleet.serving(Model("a"))
+    (held,) = [key for acc in fleet.upstreams.values() for key in acc.copies]
+    assert held == (Model("a"), "2")
+
+
+def test_adapters_get_another_base_when_the_first_has_no_room():
+    base = Model("b")
+    adapters = [need(f"b-x{i}", 20.0, base=base) for i in range(5)]
+    needs = needs_of(need("b", 40.0), *adapters)
+    fleet = fleet_of(2)
+    settle(fleet, needs)
+    assert fleet.unreachable(needs) == []
+    assert len(fleet.serving(base)) == 2
+
+
+def test_a_hot_upstream_gets_help_and_no_new_hot_one_arises():
+    needs = needs_of(need("a", demand=300.0), need("b", demand=300.0))
+    fleet = fleet_of(1)
+    settle(fleet, needs)
+    fleet.add(1, 2, 100.0)
+    settle(fleet, needs)
+    held = [sorted(acc.copies) for acc in fleet.upstreams.values()]
+    assert held == [[(Model("a"), "1"), (Model("b"), "1")]] * 2
+
+
+def test_demand_rises_fast_and_falls_slowly():
+    track = DemandTrack()
+    track.update(100.0, 0.0)
+    assert track.update(1000.0, 35.0) > 900.0
+    assert track.update(0.0, 95.0) > 800.0
+
+
+@pytest.mark.parametrize(
+    ("demands", "wanted"),
+    [
+        ([(0, 0.0)], 1),
+        ([(0, 100.0)], 1),
+        ([(0, 120.0)], 2),
+        ([(0, 1000.0), (1, 10.0)], 5),
+        ([(0, 1000.0), (HOLD, 10.0), (2 * HOLD, 10.0)], 3),
+        ([(0, 1000.0), (HOLD, 700.0), (2 * HOLD, 700.0)], 5),
+    ],
+)
+def test_copies_wanted(demands, wanted):
+    count = CopyCount()
+    for now, demand in demands:
+        count.update(demand, SPEED, now)
+    assert count.wanted == wanted
+
+
+def load_of(name, reason=Reason.DEMAND):
+    return Move(True, Model(name), Upstream("u"), "1", reason)
+
+
+@pytest.mark.parametrize(
+    ("rate", "under_way", "started"),
+    [
+        (100.0, (0, 0), ["m1", "m2", "x1", "x2"]),
+        (100.0, (2, 0), ["x1", "x2"]),
+        (100.0, (0, 3), ["m1", "m2"]),
+        (0.5, (0, 0), ["m1"]),
+    ],
+)
+def test_loads_start_at_the_pace_of_the_weight_store(rate, under_way, started):
+    """A zone is lost and every model on it is wanted at once.
+
+    More loads than the store carries slow each other down, the urgent ones too.
+    """
+    pacer = LoadPacer(rate, 2, 3)
+    adapters = frozenset(Model(f"x{i}") for i in range(9))
+    list(pacer.admit([], adapters, 0, 0, 0.0))
+    moves = [load_of(name) for name in ("m1", "m2", "m3", "x1", "x2")]
+    admitted = pacer.admit(moves, adapters, *under_way, 1.0)
+    assert [move.model for move in admitted] == started
+
+
+def test_unloads_are_not_paced_and_failures_back_off():
+    pacer = LoadPacer(0.1, 1, 1)
+    unload = replace(load_of("m"), load=False)
+    assert list(pacer.admit([unload] * 3, frozenset(), 9, 9, 0.0)) == [unload] * 3
+    delay, place = RetryDelay(), (Model("m"), Upstream("u"))
+    delay.failed(place, 0.0)
+    delay.failed(place, 5.0)
+    assert (delay.blocked(14.0), delay.blocked(15.0)) == ({place}, set())
+    delay.succeeded(place)
+    assert delay.blocked(0.0) == set()
