--- a/src/persimmonhitch/decide/__init__.py
+++ b/src/persimmonhitch/decide/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions under load: pure code over typed inputs, with the time passed in."""
+"""Decisions under load: pure code, without network, clock or threads."""
--- a/src/persimmonhitch/play/__init__.py
+++ b/src/persimmonhitch/play/__init__.py
@@ -1,1 +1,1 @@
-"""Plays of load against the decisions, without a network."""
+"""Load player: the decisions under seeded load, measured against baselines."""
--- a/src/persimmonhitch/play/placement_play.py
+++ b/src/persimmonhitch/play/placement_play.py
@@ -19,6 +19,7 @@
     profiles,
 )
 from .placement_planners import PLANNERS, Asked, Planner, Steady
+from .registry import PLAYS
 
 PERIOD: Final = 5.0
 ZONES: Final = 4
@@ -138,6 +139,7 @@
     return run.play(hours * 3600.0)
 
 
+@PLAYS.register("placement")
 def play_placement(args: list[str]) -> int:
     """Print the table of all planners; ``args`` are seeds."""
     seeds = [int(arg) for arg in args] or [1, 2, 3]
@@ -168,6 +170,7 @@
     return time.perf_counter() - start
 
 
+@PLAYS.register("planning-time")
 def play_planning_time(args: list[str]) -> int:
     """Print how long one round takes at several sizes of the fleet."""
     sizes = [(59, 550), (147, 1375), (295, 2750), (590, 5500)]
