Sidecar dispatch as one actor

Cause: queue, record and jobs were shared under a lock by links, upstream threads and a ticker; each new path had to take it in the right order. Ruled out: an actor for each request (a thread each, and the queue is shared by nature). Before: 29 link, path, booking and leaving tests pass. After: the same 29 pass; a fault inside the actor now ends the process instead of leaving a half-kept record.

--- a/src/persimmonhitch/sidecar/main.py
+++ b/src/persimmonhitch/sidecar/main.py
@@ -24,7 +24,7 @@
 from ..platform.registration import Registration
 from ..settings import load_or_exit
 from ..wire.messages import UpstreamKind
-from .dispatch import Dispatcher
+from .dispatch import Dispatcher, drain
 from .load import LoadMeter
 from .server import SidecarServer
 from .settings import SidecarSettings
@@ -45,27 +45,31 @@
 class Sidecar:
     """All parts of the process."""
 
-    def __init__(self, cfg: SidecarSettings) -> None:
+    def __init__(self, cfg: SidecarSettings, life: Lifecycle) -> None:
         self.cfg = cfg
         kind = UpstreamKind(cfg.kind)
         call = UpstreamCall(Address.from_url(cfg.url), kind)
         meter = LoadMeter(cfg.concurrency, kind is UpstreamKind.ENGINE)
-        self.dispatcher = Dispatcher(
-            new_incarnation(),
+        self.incarnation = new_incarnation()
+        self.dispatcher = Dispatcher.launch(
+            self.incarnation,
             call,
             meter,
             cfg.concurrency,
             cfg.queue_tokens,
             Traces(TRACE_RATIO),
+            life.stopping.set,
+        )
+        self.server = SidecarServer(
+            cfg, self.incarnation, self.dispatcher, meter, _loaded(cfg)
         )
-        self.server = SidecarServer(cfg, self.dispatcher, _loaded(cfg))
         store = HttpObjectStore(cfg.store, cfg.store_timeout)
         self.registration = Registration(store, Kind.SIDECAR, cfg.upstream)
 
     @classmethod
-    def from_config(cls, cfg: SidecarSettings) -> "Sidecar":
+    def from_config(cls, cfg: SidecarSettings, life: Lifecycle) -> "Sidecar":
         """Build the process from its settings."""
-        return cls(cfg)
+        return cls(cfg, life)
 
     def start(self) -> None:
         """Serve and register."""
@@ -85,9 +89,9 @@
             "kind": cfg.kind,
             "service": cfg.service,
             "memory": cfg.memory,
-            "incarnation": self.dispatcher.incarnation,
+            "incarnation": self.incarnation,
             "models": list(self.server.models),
-            "draining": self.dispatcher.draining,
+            "draining": self.server.draining,
         }
 
     def stop(self, life: Lifecycle) -> None:
@@ -97,16 +101,17 @@
         second source. A request that crosses the notice is refused as not run
         and tried elsewhere, so callers see nothing.
         """
-        self.dispatcher.draining = True
+        self.server.draining = True
+        self.dispatcher.leave().get()
         self.server.report()
         self.registration.set(self._spec())
         life.forced.wait(NOTICE)
-        cut = self.dispatcher.drain(self.cfg.stop_limit, life.forced)
+        cut = drain(self.dispatcher, self.cfg.stop_limit, life.forced)
         if cut:
             log("stop_cut", requests=cut)
         self.registration.remove()
         self.server.stop()
-        self.dispatcher.close()
+        self.dispatcher.stop()
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -118,7 +123,7 @@
     start_logs("sidecar", cfg.vm)
     life = Lifecycle()
     life.install_signals()
-    sidecar = Sidecar.from_config(cfg)
+    sidecar = Sidecar.from_config(cfg, life)
     sidecar.start()
     life.on_stop("sidecar", lambda: sidecar.stop(life))
     life.wait()
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 from typing import Any, Final
 
-from ..ids import ConfigVersion, Model, Upstream, Vm, Zone
+from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
 from ..wire.messages import (
@@ -18,7 +18,8 @@
     UpstreamKind,
     Welcome,
 )
-from .dispatch import Dispatcher
+from .dispatch import DispatcherProxy
+from .load import LoadMeter
 from .settings import SidecarSettings
 
 REPORT_EVERY: Final = 1.0
@@ -29,9 +30,17 @@
     """Serves every link of this sidecar."""
 
     def __init__(
-        self, cfg: SidecarSettings, dispatcher: Dispatcher, models: tuple[Model, ...]
+        self,
+        cfg: SidecarSettings,
+        incarnation: Incarnation,
+        dispatcher: DispatcherProxy,
+        meter: LoadMeter,
+        models: tuple[Model, ...],
     ) -> None:
         self._cfg = cfg
+        self._incarnation = incarnation
+        self._meter = meter
+        self.draining = False
         self._dispatcher = dispatcher
         self._links: set[Link] = set()
         self._lock = threading.Lock()
@@ -71,7 +80,7 @@
         """Hold the link's answers for a resume."""
         with self._lock:
             self._links.discard(link)
-        self._dispatcher.link_lost(link)
+        self._dispatcher.link_lost.defer(link)
 
     @singledispatchmethod
     def take(self, msg: Any, link: Link) -> None:
@@ -93,19 +102,19 @@
     @take.register
     def _(self, msg: Submit, link: Link) -> None:
         self._note_version(msg.version)
-        self._dispatcher.submit(msg, link)
+        self._dispatcher.submit.defer(msg, link)
 
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
-        self._dispatcher.cancel(msg)
+        self._dispatcher.cancel.defer(msg)
 
     @take.register
     def _(self, msg: Bury, link: Link) -> None:
-        self._dispatcher.bury(msg, link)
+        self._dispatcher.bury.defer(msg, link)
 
     @take.register
     def _(self, msg: Resume, link: Link) -> None:
-        self._dispatcher.resume(msg, link)
+        self._dispatcher.resume.defer(msg, link)
 
     def _note_version(self, version: ConfigVersion) -> None:
         self.version = max(self.version, version)
@@ -118,25 +127,24 @@
             kind=UpstreamKind(cfg.kind),
             vm=Vm(cfg.vm),
             zone=Zone(cfg.zone),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             version=self.version,
             models=self.models,
-            draining=self._dispatcher.draining,
+            draining=self.draining,
         )
 
     def report(self) -> None:
         """Send a load report on every link now."""
-        running, limit, queued, tokens = self._dispatcher.load()
-        meter = self._dispatcher.meter
+        load, meter = self._dispatcher.load().get(), self._meter
         msg = Report(
             upstream=Upstream(self._cfg.upstream),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             models=self.models,
-            draining=self._dispatcher.draining,
-            running=running,
-            limit=limit,
-            queued=queued,
-            queued_tokens=tokens,
+            draining=self.draining,
+            running=load.running,
+            limit=load.limit,
+            queued=load.queued,
+            queued_tokens=load.queued_tokens,
             token_rate=meter.token_rate(),
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass, replace
 
+import pykka
 import pytest
 from fleet import wait_for
 
@@ -17,7 +18,7 @@
 from persimmonhitch.entry.sidecar_conn import SidecarConn
 from persimmonhitch.ids import new_incarnation, new_request_id
 from persimmonhitch.observe.traces import Traces
-from persimmonhitch.sidecar.dispatch import Dispatcher
+from persimmonhitch.sidecar.dispatch import Dispatcher, DispatcherProxy
 from persimmonhitch.sidecar.load import LoadMeter
 from persimmonhitch.sidecar.server import SidecarServer
 from persimmonhitch.sidecar.settings import SidecarSettings
@@ -49,7 +50,7 @@
 
     app: object
     web: WebServer
-    dispatcher: Dispatcher
+    dispatcher: DispatcherProxy
     server: SidecarServer
     conn: SidecarConn
 
@@ -62,10 +63,20 @@
         assert self.conn.connect(HELLO)
         wait_for(self.conn.welcomed.is_set, "the welcome")
 
+    def restart(self):
+        """Put a new life of the sidecar in the place of this one."""
+        incarnation = new_incarnation()
+        call = UpstreamCall(Address("127.0.0.1", self.web.port), UpstreamKind.SERVICE)
+        meter = LoadMeter(8, adaptive=False)
+        self.server._incarnation = incarnation
+        self.server._dispatcher = Dispatcher.launch(
+            incarnation, call, meter, 8, 1e6, Traces(0.0)
+        )
+
     def close(self):
         self.conn.close()
         self.server.stop()
-        self.dispatcher.close()
+        pykka.ActorRegistry.stop_all()
         self.web.close()
 
 
@@ -86,8 +97,9 @@
     )
     call = UpstreamCall(Address("127.0.0.1", web.port), kind)
     meter = LoadMeter(8, adaptive=False)
-    dispatcher = Dispatcher(new_incarnation(), call, meter, 8, 1e6, Traces(0.0))
-    server = SidecarServer(cfg, dispatcher, ())
+    incarnation = new_incarnation()
+    dispatcher = Dispatcher.launch(incarnation, call, meter, 8, 1e6, Traces(0.0))
+    server = SidecarServer(cfg, incarnation, dispatcher, meter, ())
     server.start()
     info = SidecarInfo(
         "u",
@@ -98,7 +110,7 @@
         server.port,
         kind,
         "ledger",
-        dispatcher.incarnation,
+        incarnation,
         frozenset(),
         False,
     )
@@ -201,7 +213,7 @@
     joined, _ = start(ledger, req)
     wait_for(lambda: ledger.app.runs, "the booking")
     ledger.cut()
-    ledger.dispatcher.incarnation = new_incarnation()
+    ledger.restart()
     ledger.relink()
     last = joined()[-1]
     assert isinstance(last, Fail)
