Hear a signal that comes right after a freeze

Cause: after SIGCONT the kernel may hand SIGTERM to any thread, since the main one still counts as stopped; the main thread slept in a lock and never looked. Found by the verdict test: a sidecar frozen, thawed and told to leave ran on for 17 s. Ruled out: the store's time limit (a silent server times out in 2.0 s), the drain (it starts only with the signal, and no log line of it was there). Conclusion: the main thread looks up every 0.25 s; the test plays it.

--- a/src/persimmonhitch/kernel/lifecycle.py
+++ b/src/persimmonhitch/kernel/lifecycle.py
@@ -9,6 +9,8 @@
 from ..observe.logs import log
 
 SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+LOOK_UP: Final = 0.25
+"""Seconds between two looks at whether a signal came."""
 
 
 class Lifecycle:
@@ -38,8 +40,14 @@
         self.stopping.set()
 
     def wait(self) -> None:
-        """Return once a stop is asked for."""
-        self.stopping.wait()
+        """Return once a stop is asked for.
+
+        The main thread looks up now and then. A signal that reaches a process
+        just thawed may be taken by another thread, which does not wake the main
+        one: the process would seem to ignore SIGTERM until a second one came.
+        """
+        while not self.stopping.wait(LOOK_UP):
+            continue
 
     def stop(self) -> None:
         """Run all steps; one that fails is logged and the rest still run."""
--- a/tests/test_leaving_golden.py
+++ b/tests/test_leaving_golden.py
@@ -108,3 +108,23 @@
         entry.popen.wait(10)
         assert "event=stop_cut" in entry.log.read_text()
         assert cut.wait(10)
+
+
+def test_signal_after_a_freeze_is_heard(tmp_path):
+    """A VM is paused by its host and told to leave the moment it goes on. A process
+    that missed the signal would run on until the platform kills it, and cut every
+    request it has.
+    """
+    with Fleet(tmp_path) as fleet:
+        process = fleet.standin("service-1", "service")
+        fleet.addresses("port", "service-1")
+        process.signal(signal.SIGSTOP)
+        wait_for(lambda: state_of(process.popen.pid) == "T", "the freeze")
+        process.signal(signal.SIGCONT)
+        process.signal(signal.SIGTERM)
+        assert process.popen.wait(5) == 0
+
+
+def state_of(pid):
+    with open(f"/proc/{pid}/stat") as stat:
+        return stat.read().rsplit(")", 1)[1].split()[0]
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,82 @@
+"""Every verdict handed out, held against what the ledger really ran."""
+
+import random
+import signal
+import threading
+from collections import Counter
+
+from fleet import Fleet, small_fleet
+
+SEED = 20261202
+CALLERS = 6
+CALLS = 20
+SLOTS = "/v1/services/ledger/slots"
+
+
+def caller(fleet, number, seen):
+    """Book over and over through both entries and note what was answered."""
+    rng = random.Random(SEED + number)
+    for _ in range(CALLS):
+        entry = rng.choice(["entry-1", "entry-2"])
+        try:
+            reply = fleet.request(
+                entry, "POST", SLOTS, "fretes", headers={"X-Request-Timeout": "3"}
+            )
+        except Exception:
+            continue
+        error = reply.json().get("error")
+        verdict = error["verdict"] if error else "ran"
+        seen.append((reply.headers["X-Request-Id"], verdict))
+
+
+def faults(fleet, done):
+    """Kill, freeze and restart the ledger's sidecar until all callers are done."""
+    rng = random.Random(SEED)
+    while not done.is_set():
+        sidecar = fleet.processes["sidecar-s1"]
+        if rng.random() < 0.5:
+            sidecar.kill()
+        else:
+            sidecar.signal(signal.SIGSTOP)
+            done.wait(rng.uniform(0.1, 0.5))
+            sidecar.signal(signal.SIGCONT)
+            sidecar.signal(signal.SIGTERM)
+            sidecar.popen.wait(15)
+        fleet.sidecar("s1", "service-1", "service", "ledger")
+        done.wait(rng.uniform(0.3, 1.0))
+
+
+def test_verdicts_are_true(tmp_path):
+    """The ledger's sidecar is killed, frozen and replaced while six desks book. A
+    desk that hears not_run books again, so a single false one doubles a booking; one
+    that hears a confirmation sends the barge, so it must have been made.
+    """
+    with Fleet(tmp_path) as fleet:
+        small_fleet(fleet, service_delay=0.05)
+        seen, done = [], threading.Event()
+        breaker = threading.Thread(target=faults, args=(fleet, done))
+        breaker.start()
+        callers = [
+            threading.Thread(target=caller, args=(fleet, number, seen))
+            for number in range(CALLERS)
+        ]
+        for thread in callers:
+            thread.start()
+        for thread in callers:
+            thread.join()
+        done.set()
+        breaker.join()
+        fleet.processes["sidecar-s1"].stop()
+        answer = fleet.http.request("GET", fleet.urls["service-1"] + "/_runs")
+        runs = answer.json()["runs"]
+    wrong = {
+        (request, verdict): runs.get(request, 0)
+        for request, verdict in seen
+        if runs.get(request, 0) not in {"ran": {1}, "not_run": {0}}.get(verdict, {0, 1})
+    }
+    assert wrong == {}
+    assert max(runs.values()) == 1
+    counts = Counter(verdict for _, verdict in seen)
+    print(f"verdicts: {dict(counts)}, runs: {sum(runs.values())}")
+    assert len(seen) == CALLERS * CALLS
+    assert counts["ran"] > 0
