--- a/src/persimmonhitch/decide/concurrency.py
+++ b/src/persimmonhitch/decide/concurrency.py
@@ -40,7 +40,7 @@
     """Bounds and step sizes of a concurrency limit."""
 
     least: int = 8
-    start: int = 16
+    start: int = 24
     most: int = 256
     window: float = 0.5
     fall: float = 0.9
