Planner process, its lease, and the order desk inside the sidecar

Cause: somebody has to place models, one at a time, and sidecars have to carry out orders and refuse requests for copies that are not there. An Order now carries its memory, so that 5,500 sidecars need not read the catalog. Found by test_an_overtaken_holder_goes_above_the_epoch_it_saw: the keeper took its own overtaken lease back as a write with a lost answer; it now never goes below an epoch that it saw.

--- /dev/null
+++ b/src/persimmonhitch/planner/__main__.py
@@ -0,0 +1,7 @@
+"""Run the planner as ``python -m persimmonhitch.sidecar``."""
+
+import sys
+
+from .main import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/persimmonhitch/planner/lease.py
@@ -0,0 +1,220 @@
+"""The planner's lease in the object API: one holder, and an epoch that only rises.
+
+Two planners at once would each unload the copy that the other counts on. The lease
+keeps it to one: a holder counts its time from before it sent the write that gave it
+the lease, a standby from when it first saw that write, so the holder stops first
+whatever their clocks say. A holder that was paused finds its time over when it looks
+before it acts. What it sent just before still arrives; sidecars refuse it by the
+epoch, which each new holding raises.
+"""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Success
+
+from ..ids import Epoch, Incarnation, Vm
+from ..observe.logs import log
+from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError, Version
+
+MARGIN: Final = 0.05
+"""Part of the duration by which the holder stops early: clocks run unevenly."""
+RENEWALS_PER_LEASE: Final = 3
+NOBODY: Final = ""
+
+
+def boot_clock() -> float:
+    """Return seconds that go on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclass(frozen=True)
+class LeaseSpec:
+    """What the store's object says."""
+
+    holder: str
+    incarnation: str
+    epoch: int
+    renewals: int
+    duration: float
+
+    @classmethod
+    def from_object(cls, obj: StoredObject) -> "LeaseSpec":
+        """Return the lease of a stored object."""
+        spec = obj.spec
+        return cls(
+            str(spec["holder"]),
+            str(spec["incarnation"]),
+            int(spec["epoch"]),
+            int(spec["renewals"]),
+            float(spec["duration"]),
+        )
+
+    def spec(self) -> dict[str, Any]:
+        """Return it as the store keeps it."""
+        return dict(vars(self))
+
+
+class LeaseKeeper:
+    """Takes, renews and releases the lease; ``epoch`` may be called by any thread.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the lease is.
+    name : str
+        Name of the lease's object.
+    vm, incarnation
+        Who holds it.
+    duration : float
+        Seconds that one renewal lasts.
+    clock : callable
+        Seconds that never go back.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        name: str,
+        vm: Vm,
+        incarnation: Incarnation,
+        duration: float,
+        clock: Callable[[], float] = boot_clock,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._vm = vm
+        self._incarnation = incarnation
+        self._duration = duration
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._held: StoredObject | None = None
+        self._valid_until = 0.0
+        self._seen: Version | None = None
+        self._seen_at = 0.0
+        self._least_epoch = 0
+        self._sent: tuple[int, int, float] | None = None
+
+    def epoch(self) -> Epoch | None:
+        """Return the epoch held at this moment, or None."""
+        with self._lock:
+            if self._held is None or self._clock() >= self._valid_until:
+                return None
+            return Epoch(LeaseSpec.from_object(self._held).epoch)
+
+    def saw_epoch(self, epoch: Epoch) -> None:
+        """Give up a lease that somebody overtook; the next one goes higher."""
+        with self._lock:
+            self._least_epoch = max(self._least_epoch, epoch)
+            held = self._held
+            if held is not None and LeaseSpec.from_object(held).epoch < epoch:
+                log("lease_overtaken", epoch=epoch)
+                self._held = None
+
+    def step(self) -> None:
+        """Renew the lease, or take it where it is free; call a few times a lease."""
+        epoch = self.epoch()
+        held = self._held
+        if epoch is not None and held is not None:
+            self._renew(held)
+            return
+        if held is not None:
+            log("lease_lapsed", epoch=LeaseSpec.from_object(held).epoch)
+            self._held = None
+        self._try_to_take()
+
+    def release(self) -> None:
+        """Let the next holder in at once."""
+        held, self._held, self._sent = self._held, None, None
+        if held is None:
+            return
+        spec = LeaseSpec.from_object(held)
+        freed = LeaseSpec(NOBODY, NOBODY, spec.epoch, spec.renewals + 1, spec.duration)
+        self._store.update(held, freed.spec())
+
+    def _renew(self, held: StoredObject) -> None:
+        old = LeaseSpec.from_object(held)
+        self._write(held, old.epoch, old.renewals + 1)
+
+    def _try_to_take(self) -> None:
+        result = self._store.get(Kind.LEASE, self._name)
+        if isinstance(result, Success):
+            self._take_over(result.unwrap())
+        elif result.failure().error is StoreError.NOT_FOUND:
+            self._write(None, self._least_epoch + 1, 0)
+
+    def _take_over(self, obj: StoredObject) -> None:
+        old = LeaseSpec.from_object(obj)
+        if self._is_lost_answer(obj, old):
+            return
+        if self._free(obj, old):
+            self._write(obj, max(old.epoch, self._least_epoch) + 1, 0)
+
+    def _free(self, obj: StoredObject, old: LeaseSpec) -> bool:
+        now = self._clock()
+        if old.holder == NOBODY or old.incarnation == self._incarnation:
+            return True
+        if self._seen != obj.version:
+            self._seen, self._seen_at = obj.version, now
+        return now - self._seen_at >= old.duration
+
+    def _write(self, old: StoredObject | None, epoch: int, renewals: int) -> None:
+        sent_at = self._clock()
+        lease = LeaseSpec(
+            self._vm, self._incarnation, epoch, renewals, self._duration
+        ).spec()
+        self._sent = (epoch, renewals, sent_at)
+        if old is None:
+            result = self._store.create(Kind.LEASE, self._name, lease)
+        else:
+            result = self._store.update(old, lease)
+        if isinstance(result, Success):
+            self._hold(result.unwrap(), sent_at)
+            return
+        failure = result.failure()
+        log("lease_not_written", error=failure.error.value, detail=failure.detail)
+        if old is not None and self._held is old:
+            self._after_failed_renewal(failure.error)
+
+    def _after_failed_renewal(self, error: StoreError) -> None:
+        # A renewal whose answer was lost has a newer version than the one held:
+        # all later renewals would conflict and a healthy holder lose its lease.
+        if error not in (StoreError.UNAVAILABLE, StoreError.CONFLICT):
+            self._held = None
+            return
+        result = self._store.get(Kind.LEASE, self._name)
+        if not isinstance(result, Success):
+            return
+        obj = result.unwrap()
+        own = self._is_lost_answer(obj, LeaseSpec.from_object(obj))
+        if not own and obj.version != (self._held and self._held.version):
+            self._held = None
+
+    def _is_lost_answer(self, obj: StoredObject, spec: LeaseSpec) -> bool:
+        """Hold a lease whose write took effect without an answer."""
+        if spec.incarnation != self._incarnation or self._sent is None:
+            return False
+        epoch, renewals, sent_at = self._sent
+        if (spec.epoch, spec.renewals) != (epoch, renewals):
+            return False
+        if epoch < self._least_epoch:
+            return False
+        if self._clock() >= self._end(sent_at):
+            return False
+        self._hold(obj, sent_at)
+        return True
+
+    def _hold(self, obj: StoredObject, sent_at: float) -> None:
+        with self._lock:
+            if obj.spec["epoch"] < self._least_epoch:
+                return
+            if self._held is None:
+                log("lease_taken", epoch=obj.spec["epoch"])
+            self._held = obj
+            self._valid_until = self._end(sent_at)
+
+    def _end(self, sent_at: float) -> float:
+        return sent_at + self._duration * (1.0 - MARGIN)
--- /dev/null
+++ b/src/persimmonhitch/planner/main.py
@@ -0,0 +1,149 @@
+"""Model placement; one planner at a time holds the lease.
+
+Usage:
+  persimmonhitch-planner --settings=FILE [--check]
+  persimmonhitch-planner --help
+
+Options:
+  --settings=FILE  Settings in INI.
+  --check          Check the settings and exit: 0 if good, 2 if not.
+"""
+
+import threading
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import pykka
+from docopt import docopt
+from returns.result import Success
+
+from ..catalog.log import read_head
+from ..decide.pacing import LoadPacer
+from ..entry.directory import SidecarInfo
+from ..ids import ConfigVersion, Vm, Zone, new_incarnation
+from ..kernel import Lifecycle
+from ..observe.logs import log, start_logs
+from ..platform.http_store import HttpObjectStore
+from ..platform.objects import Kind
+from ..platform.watcher import View, Watcher
+from ..settings import load_or_exit
+from ..wire.messages import PROTOCOL, Hello, Role, UpstreamKind
+from .lease import RENEWALS_PER_LEASE, LeaseKeeper
+from .links import Dialer
+from .planning import CatalogRead, PlanningActor, PlanningLimits, SidecarsListed, Tick
+from .round import Rounds
+from .settings import PlannerSettings
+
+CATALOG_EVERY: Final = 2.0
+
+
+class PlannerProcess:
+    """All parts of the process."""
+
+    def __init__(self, cfg: PlannerSettings) -> None:
+        self.cfg = cfg
+        self._stopping = threading.Event()
+        self._incarnation = new_incarnation()
+        self._store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        self._lease = LeaseKeeper(
+            self._store, cfg.lease, Vm(cfg.vm), self._incarnation, cfg.lease_duration
+        )
+        pacer = LoadPacer(
+            cfg.load_rate, cfg.load_at_once, cfg.adapters_at_once, cfg.period
+        )
+        self._actor: pykka.ActorRef[Any] = PlanningActor.start(
+            self._lease,
+            Rounds(cfg.upstream_tokens, pacer),
+            PlanningLimits(cfg.settle),
+            self._incarnation,
+            time.monotonic,
+        )
+        self._dialer = Dialer(cfg.secret.encode(), self._hello, self._tell)
+        self._watcher: Watcher | None = None
+
+    @classmethod
+    def from_config(cls, cfg: PlannerSettings) -> "PlannerProcess":
+        """Build the process from its settings."""
+        return cls(cfg)
+
+    def start(self) -> None:
+        """Try for the lease and plan while it is held."""
+        self._tell(self._dialer)
+        self._every(self.cfg.lease_duration / RENEWALS_PER_LEASE, self._keep_lease)
+        self._every(self.cfg.period, lambda: self._tell(Tick()))
+        self._every(CATALOG_EVERY, self._read_catalog)
+        log("started", lease=self.cfg.lease, incarnation=self._incarnation)
+
+    def stop(self) -> None:
+        """Give no more orders, then let the next holder in."""
+        self._stopping.set()
+        pykka.ActorRegistry.stop_all()
+        self._dialer.stop()
+        self._lease.release()
+
+    def _every(self, seconds: float, step: Any) -> None:
+        def run() -> None:
+            while not self._stopping.is_set():
+                step()
+                self._stopping.wait(seconds)
+
+        threading.Thread(target=run, daemon=True).start()
+
+    def _keep_lease(self) -> None:
+        self._lease.step()
+        held = self._lease.epoch() is not None
+        if held and self._watcher is None:
+            self._watcher = Watcher(self._store, Kind.SIDECAR, self._listed)
+            self._watcher.start()
+        if not held and self._watcher is not None:
+            self._watcher.stop()
+            self._watcher = None
+
+    def _read_catalog(self) -> None:
+        if self._lease.epoch() is None:
+            return
+        result = read_head(self._store)
+        if isinstance(result, Success):
+            self._tell(CatalogRead(result.unwrap().catalog))
+
+    def _listed(self, view: View) -> None:
+        found = (SidecarInfo.from_object(obj) for obj in view.objects.values())
+        engines = (
+            info
+            for info in found
+            if info is not None and info.kind is UpstreamKind.ENGINE
+        )
+        regions = frozenset(self.cfg.regions)
+        mine = (info for info in engines if not regions or info.region in regions)
+        self._tell(SidecarsListed({info.upstream: info for info in mine}))
+
+    def _hello(self) -> Hello:
+        cfg = self.cfg
+        version = ConfigVersion(0)
+        vm, zone = Vm(cfg.vm), Zone(cfg.zone)
+        return Hello(PROTOCOL, Role.PLANNER, vm, zone, self._incarnation, version)
+
+    def _tell(self, message: Any) -> None:
+        try:
+            self._actor.tell(message)
+        except pykka.ActorDeadError:
+            log("planning_ended", dropped=type(message).__name__)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the planner until a signal ends it."""
+    args = docopt(__doc__, argv)
+    cfg = load_or_exit(PlannerSettings, Path(args["--settings"]))
+    if args["--check"]:
+        return 0
+    start_logs("planner", cfg.vm)
+    life = Lifecycle()
+    life.install_signals()
+    planner = PlannerProcess.from_config(cfg)
+    planner.start()
+    print("started", flush=True)
+    life.on_stop("planner", planner.stop)
+    life.wait()
+    life.stop()
+    return 0
--- /dev/null
+++ b/src/persimmonhitch/planner/planning.py
@@ -0,0 +1,234 @@
+"""The planner's actor: owns the view of the fleet and gives the orders."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, Final
+
+import pykka
+
+from ..catalog.model import EMPTY, Catalog
+from ..decide.placement import Move
+from ..entry.directory import SidecarInfo
+from ..ids import Adapter, Epoch, Incarnation, Model, Upstream
+from ..observe.logs import log
+from ..wire.link import Link
+from ..wire.messages import Order, OrderDone, Welcome
+from ..wire.placement import Action, Holdings, OrderError
+from .fleet import FleetView, OpenOrder
+from .lease import LeaseKeeper
+from .links import Dialer, FromSidecar, LinkLost, LinkOpened
+from .round import Rounds
+
+IGNORED_ERRORS: Final = frozenset({OrderError.STARTING.value, OrderError.BUSY.value})
+"""Errors that pass by themselves."""
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time for a round."""
+
+
+@dataclass(frozen=True)
+class SidecarsListed:
+    """The store's list of engines' sidecars."""
+
+    infos: dict[Upstream, SidecarInfo]
+
+
+@dataclass(frozen=True)
+class CatalogRead:
+    """A newer catalog."""
+
+    catalog: Catalog
+
+
+@dataclass(frozen=True)
+class PlanningLimits:
+    """What the actor needs of the settings."""
+
+    settle: float
+
+
+class PlanningActor(pykka.ThreadingActor):
+    """Plans while the lease is held, and does nothing else."""
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        rounds: Rounds,
+        limits: PlanningLimits,
+        incarnation: Incarnation,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self._lease = lease
+        self._rounds = rounds
+        self._limits = limits
+        self._incarnation = incarnation
+        self._clock = clock
+        self._dialer: Dialer | None = None
+        self._catalog = EMPTY
+        self._epoch: Epoch | None = None
+        self._since = 0.0
+        self._fleet = FleetView()
+        self._numbers = itertools.count(1)
+
+    def on_receive(self, message: Any) -> None:
+        """Take one message."""
+        self.take(message)
+
+    @singledispatchmethod
+    def take(self, message: Any) -> None:
+        """Take a message by its kind."""
+        log("message_unexpected", kind=type(message).__name__)
+
+    @take.register
+    def _(self, dialer: Dialer) -> None:
+        self._dialer = dialer
+
+    @take.register
+    def _(self, msg: CatalogRead) -> None:
+        if msg.catalog.version > self._catalog.version:
+            self._catalog = msg.catalog
+
+    @take.register
+    def _(self, msg: SidecarsListed) -> None:
+        for link in self._fleet.set_sidecars(msg.infos):
+            link.close()
+
+    @take.register
+    def _(self, msg: LinkOpened) -> None:
+        held = self._lease.epoch() is not None
+        if not held or not self._fleet.opened(msg.upstream, msg.link):
+            msg.link.close()
+            return
+        if self._epoch is not None:
+            self._fence(msg.link, self._epoch)
+
+    @take.register
+    def _(self, msg: LinkLost) -> None:
+        self._fleet.lost(msg.upstream, msg.link)
+
+    @take.register
+    def _(self, msg: FromSidecar) -> None:
+        self._from_sidecar(msg.msg, msg.upstream)
+
+    @take.register
+    def _(self, _msg: Tick) -> None:
+        epoch = self._lease.epoch()
+        if epoch != self._epoch:
+            self._change_epoch(epoch)
+        if epoch is None:
+            return
+        self._dial()
+        self._plan(epoch)
+
+    @singledispatchmethod
+    def _from_sidecar(self, msg: Any, upstream: Upstream) -> None:
+        log("message_unexpected", upstream=upstream, kind=type(msg).__name__)
+
+    @_from_sidecar.register
+    def _(self, msg: Welcome, upstream: Upstream) -> None:
+        log("sidecar_reached", upstream=upstream)
+
+    @_from_sidecar.register
+    def _(self, msg: Holdings, upstream: Upstream) -> None:
+        if msg.upstream != upstream:
+            log("holdings_of_another", upstream=upstream, named=msg.upstream)
+            return
+        if self._epoch is not None and msg.epoch > self._epoch:
+            self._lease.saw_epoch(msg.epoch)
+        self._fleet.heard(msg, self._clock())
+
+    @_from_sidecar.register
+    def _(self, msg: OrderDone, upstream: Upstream) -> None:
+        order = self._fleet.done(upstream, msg)
+        if order is None:
+            return
+        place = (order.move.model, upstream)
+        if not msg.error:
+            self._rounds.retry.succeeded(place)
+        elif msg.error not in IGNORED_ERRORS:
+            self._rounds.retry.failed(place, self._clock())
+        log("order_ended", order=msg.order, upstream=upstream, error=msg.error or "-")
+
+    def _change_epoch(self, epoch: Epoch | None) -> None:
+        log("epoch_changed", old=self._epoch, new=epoch)
+        self._epoch = epoch
+        self._since = self._clock()
+        for member in self._fleet.members.values():
+            member.orders.clear()
+            if member.link is None:
+                continue
+            if epoch is None:
+                member.link.close()
+            else:
+                self._fence(member.link, epoch)
+
+    def _dial(self) -> None:
+        if self._dialer is None:
+            return
+        for member in self._fleet.members.values():
+            if member.link is None:
+                self._dialer.dial(member.info)
+
+    def _fence(self, link: Link, epoch: Epoch) -> None:
+        # Until a sidecar has refused older epochs, an order of the last holder may
+        # change what it holds; its holdings count from then on only.
+        name = self._order_name(epoch)
+        link.send(Order(name, epoch, Action.FENCE.value, Model(""), None, "", 0.0))
+
+    def _plan(self, epoch: Epoch) -> None:
+        now = self._clock()
+        waited = now - self._since >= self._limits.settle
+        if self._catalog.version == 0 or not self._fleet.members:
+            return
+        if not (waited or self._fleet.heard_from_all(epoch)):
+            return
+        needs = self._rounds.needs(self._catalog, self._fleet.demand(epoch), now)
+        sites = self._fleet.sites(epoch, needs, now)
+        for move in self._rounds.moves(needs, sites, self._fleet.ordered(), now):
+            self._order(move, epoch)
+
+    def _order(self, move: Move, epoch: Epoch) -> None:
+        member = self._fleet.members[move.upstream]
+        entry = self._catalog.models.get(move.model)
+        memory = 0.0 if entry is None else entry.memory + entry.kv_memory
+        base, adapter = self._base(move, entry is None)
+        if member.link is None or base is None:
+            return
+        # A process that was frozen since the round began must not act on it: its
+        # orders would reach sidecars that another planner counts on.
+        if self._lease.epoch() != epoch:
+            return
+        action = Action.LOAD if move.load else Action.UNLOAD
+        name = self._order_name(epoch)
+        order = Order(name, epoch, action.value, base, adapter, move.revision, memory)
+        member.orders[name] = OpenOrder(move, memory)
+        member.link.send(order)
+        log(
+            "order_sent",
+            order=name,
+            action=action.value,
+            model=move.model,
+            upstream=move.upstream,
+            reason=move.reason.value,
+        )
+
+    def _base(self, move: Move, retired: bool) -> tuple[Model | None, Adapter | None]:
+        """Return the base and adapter by which the sidecar knows the copy."""
+        if not retired:
+            base = self._catalog.models[move.model].base
+            if base is None:
+                return move.model, None
+            return base, Adapter(move.model)
+        holdings = self._fleet.members[move.upstream].holdings
+        for held in () if holdings is None else holdings.holdings:
+            if held.copy.name == move.model:
+                return held.copy.model, held.copy.adapter
+        return None, None
+
+    def _order_name(self, epoch: Epoch) -> str:
+        return f"{self._incarnation}-{epoch}-{next(self._numbers)}"
--- /dev/null
+++ b/src/persimmonhitch/planner/round.py
@@ -0,0 +1,91 @@
+"""One round of the planner: from the fleet's state to the moves that may start."""
+
+from dataclasses import dataclass, field
+
+from ..catalog.model import Catalog
+from ..decide.board import Need, PlacedState, Site
+from ..decide.copy_count import CopyCounts
+from ..decide.pacing import LoadPacer, Place, RetryDelay
+from ..decide.placement import Move, Reason, plan
+from ..ids import Model
+
+
+@dataclass
+class Rounds:
+    """Keeps what the decisions need from one round to the next.
+
+    Parameters
+    ----------
+    speed : float
+        Tokens a second that one upstream gives.
+    pacer : LoadPacer
+        The weight store's pace.
+    """
+
+    speed: float
+    pacer: LoadPacer
+    retry: RetryDelay = field(default_factory=RetryDelay)
+
+    def __post_init__(self) -> None:
+        self.counts = CopyCounts(self.speed)
+
+    def needs(
+        self, catalog: Catalog, asked: dict[Model, float], now: float
+    ) -> dict[Model, Need]:
+        """Return every model of the catalog with its demand and copies wanted."""
+        entries = catalog.models
+        bases = {m: e.base for m, e in entries.items() if e.base is not None}
+        demand = self.counts.demand({m: asked.get(m, 0.0) for m in entries}, now)
+        wanted = self.counts.wanted(demand, bases, now)
+        return {
+            model: Need(
+                model=model,
+                memory=entry.memory + entry.kv_memory,
+                revision=entry.revision,
+                base=entry.base,
+                demand=demand[model],
+                wanted=wanted[model].wanted,
+                least=wanted[model].least,
+            )
+            for model, entry in entries.items()
+        }
+
+    def moves(
+        self,
+        needs: dict[Model, Need],
+        sites: list[Site],
+        ordered: set[Place],
+        now: float,
+    ) -> list[Move]:
+        """Return the moves to order now; places with an open order are left out."""
+        blocked = self.retry.blocked(now) | ordered
+        chosen = [
+            move
+            for move in (*plan(needs, sites, self.speed), *_unfinished(needs, sites))
+            if (move.model, move.upstream) not in blocked
+        ]
+        adapters = frozenset(m for m, need in needs.items() if need.base is not None)
+        models, lora = _under_way(sites, adapters)
+        return list(self.pacer.admit(chosen, adapters, models, lora, now))
+
+
+def _unfinished(needs: dict[Model, Need], sites: list[Site]) -> list[Move]:
+    """Return loads that a sidecar has reserved for; they may have been lost."""
+    return [
+        Move(True, model, site.upstream, placed.revision, Reason.UNREACHABLE)
+        for site in sites
+        if site.open
+        for model, placed in site.copies.items()
+        if placed.state is PlacedState.LOADING and model in needs
+    ]
+
+
+def _under_way(sites: list[Site], adapters: frozenset[Model]) -> tuple[int, int]:
+    loading = [
+        model
+        for site in sites
+        for model, placed in site.copies.items()
+        if placed.state is PlacedState.LOADING
+    ]
+    lora = sum(model in adapters for model in loading)
+    return len(loading) - lora, lora
--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -9,7 +9,7 @@
 
 from ..decide.admission import LoadView, admit, retry_after
 from ..decide.fairness import FairQueue, Waiting
-from ..ids import Incarnation, RequestId
+from ..ids import Incarnation, Model, RequestId
 from ..observe.logs import log
 from ..observe.traces import Traces
 from ..verdict import ErrorCode, Failure, Verdict
@@ -253,6 +253,12 @@
             queue = self._queue
             return len(self._running), self.meter.limit, len(queue), queue.tokens
 
+    def open_on(self, model: Model) -> int:
+        """Return how many requests for a model wait or run."""
+        with self._lock:
+            jobs = self._jobs.values()
+            return sum(j.submit.model == model and j.ended_at is None for j in jobs)
+
     def drain(self, limit: float, forced: threading.Event) -> int:
         """Take nothing new, finish what is here; return how many are cut."""
         self.draining = True
--- a/src/persimmonhitch/sidecar/settings.py
+++ b/src/persimmonhitch/sidecar/settings.py
@@ -25,6 +25,19 @@
     memory: float = setting(
         "upstream", "memory", "GiB of accelerator memory", default=80.0, low=0
     )
+    order_limit: float = setting(
+        "orders",
+        "limit",
+        "seconds after which an order that was sent can no longer reach the engine",
+        default=30.0,
+        low=0.1,
+    )
+    order_timeout: float = setting(
+        "orders", "timeout", "seconds for one load or unload", 300.0, low=0.1
+    )
+    list_period: float = setting(
+        "orders", "list_period", "seconds between two looks at the engine", 1.0, 0.05
+    )
     store_timeout: float = setting(
         "store", "timeout", "seconds for one call", default=2.0, low=0.05, high=30
     )
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -214,7 +214,10 @@
 @message(12)
 @dataclass(frozen=True)
 class Order:
-    """Order of the planner to a sidecar, fenced by the lease's epoch."""
+    """Order of the planner to a sidecar, fenced by the lease's epoch.
+
+    ``memory`` is the GiB of a load, with its KV cache.
+    """
 
     order: str
     epoch: Epoch
@@ -222,6 +225,7 @@
     model: Model
     adapter: Adapter | None
     revision: str
+    memory: float
 
 
 @message(13)
--- a/src/persimmonhitch/wire/placement.py
+++ b/src/persimmonhitch/wire/placement.py
@@ -60,7 +60,7 @@
     NO_BASE = "no_base"
     BASE_IN_USE = "base_in_use"
     NOT_HELD = "not_held"
-    UNKNOWN_MODEL = "unknown_model"
+    BAD_MEMORY = "bad_memory"
     BAD_ACTION = "bad_action"
     REFUSED = "refused"
     """The engine refused it."""
