--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -16,7 +16,7 @@
 
 from ..decide.admission import LoadView, admit, retry_after
 from ..decide.fairness import FairQueue, Waiting
-from ..ids import Incarnation, RequestId
+from ..ids import Incarnation, Model, RequestId
 from ..kernel.actors import proxied
 from ..observe.logs import log
 from ..observe.traces import Traces
@@ -299,6 +299,11 @@
         queue = self._queue
         return Load(len(self._running), self._meter.limit, len(queue), queue.tokens)
 
+    def open_on(self, model: Model) -> int:
+        """Return how many requests for a model wait or run."""
+        jobs = self._jobs.values()
+        return sum(j.submit.model == model and j.ended_at is None for j in jobs)
+
     def leave(self) -> None:
         """Take nothing new from now on."""
         self._draining = True
@@ -316,6 +321,7 @@
     finish = proxied(Dispatcher.finish)
     tick = proxied(Dispatcher.tick)
     load = proxied(Dispatcher.load)
+    open_on = proxied(Dispatcher.open_on)
     leave = proxied(Dispatcher.leave)
 
 
