Predict waits from the rate served while busy, in the sidecar too

Cause: the sidecar took the tokens of the last 5 s for its upstream's speed. After one short chat in a while that is a few a second, so a burst was predicted to wait for an hour: of 24 chats with 8 s each, the tenth and others were refused by an engine that serves them in half a second. Now the rate counts only while work waits (ServiceRate), in admission, in refusals' retry times and in the reports that entries route by. Refusals for a full queue and for time run out in it moved into the decide package with a retry time from the tokens that wait (was: 1 s). A test proves that entry and sidecar neither rank, draw lots nor refuse for load by themselves, and that each decision has one call site.

--- a/src/persimmonhitch/decide/admission.py
+++ b/src/persimmonhitch/decide/admission.py
@@ -85,6 +85,18 @@
     return min(max(excess, LEAST_RETRY), MOST_RETRY)
 
 
+def queue_full(tokens: float, rate: float) -> Failure:
+    """Return the refusal of a request that the full queue can't hold."""
+    back = retry_after(tokens / max(rate, LEAST_RATE))
+    return _refusal(ErrorCode.OVERLOADED, "the queue is full", back)
+
+
+def expired(tokens: float, rate: float) -> Failure:
+    """Return the refusal of a request whose time ran out in the queue."""
+    back = retry_after(tokens / max(rate, LEAST_RATE))
+    return _refusal(ErrorCode.DEADLINE, "the deadline passed in the queue", back)
+
+
 def admit(
     view: LoadView,
     cost: float,
--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from ..decide.admission import LoadView, admit, retry_after
+from ..decide.admission import LoadView, admit, expired, queue_full
 from ..decide.fairness import FairQueue, Waiting
 from ..ids import Incarnation, RequestId
 from ..observe.logs import log
@@ -84,7 +84,7 @@
                 self._queue.push(_waiting(job))
             overflow = self._overflow(now)
         for late in overflow:
-            late.fail(self._full())
+            late.fail(queue_full(self._queue_tokens, self.meter.service_rate))
         if refusal is not None:
             job.fail(refusal)
             return
@@ -115,7 +115,7 @@
     def _view(self, sub: Submit) -> LoadView:
         return LoadView(
             ahead=self._queue.ahead(sub.account, sub.weight, sub.priority),
-            rate=self.meter.token_rate(),
+            rate=self.meter.service_rate,
             first_token=self.meter.first_token_p95,
             running=len(self._running),
             limit=self.meter.limit,
@@ -129,17 +129,13 @@
             self._seen.bury(job.submit.request, now)
         return jobs
 
-    def _full(self) -> Failure:
-        rate = max(1.0, self.meter.token_rate())
-        back = retry_after(self._queue_tokens / rate)
-        return Failure(ErrorCode.OVERLOADED, "the queue is full", retry_after=back)
-
     def _start_next(self) -> None:
         with self._lock:
             while len(self._running) < self.meter.limit:
                 item = self._queue.pop(time.monotonic())
                 if item is None:
                     return
+                self.meter.left_queue(item.cost, len(self._queue))
                 job = self._jobs[item.request]
                 self._running.add((item.request, job.submit.attempt))
                 self.meter.started(len(self._running))
@@ -232,9 +228,9 @@
             for job in late:
                 self._seen.bury(job.submit.request, now)
                 job.ended_at = now
+            waiting = self._queue.tokens
         for job in late:
-            reason = "the deadline passed in the queue"
-            job.fail(Failure(ErrorCode.DEADLINE, reason, Verdict.NOT_RUN, 1.0))
+            job.fail(expired(waiting, self.meter.service_rate))
 
     def _forget(self, now: float) -> None:
         with self._lock:
--- a/src/persimmonhitch/sidecar/load.py
+++ b/src/persimmonhitch/sidecar/load.py
@@ -1,26 +1,20 @@
-"""What the sidecar measures of its upstream: token rate and latency."""
+"""What the sidecar measures of its upstream: service rate and latency."""
 
 import threading
 import time
-from collections import deque
-from typing import Final
 
+from ..decide.admission import ServiceRate
 from ..decide.concurrency import ConcurrencyLimit
 
-WINDOW: Final = 5.0
-"""Seconds over which the token rate is taken: several steps of a batch, and short
-enough that a report of each second follows a change of load."""
-
 
 class LoadMeter:
-    """Counts served tokens and feeds the concurrency limit with latencies."""
+    """Feeds the service rate and the concurrency limit with what is measured."""
 
     def __init__(self, most: int, adaptive: bool) -> None:
         self._most = most
         self._adaptive = adaptive
         self._concurrency = ConcurrencyLimit()
-        self._served: deque[tuple[float, float]] = deque()
-        self._total = 0.0
+        self._service = ServiceRate()
         self._lock = threading.Lock()
 
     @property
@@ -65,22 +59,12 @@
         with self._lock:
             self._concurrency.on_gap(time.monotonic(), seconds)
 
-    def tokens(self, count: float) -> None:
-        """Count tokens that were served."""
-        now = time.monotonic()
-        with self._lock:
-            self._served.append((now, count))
-            self._total += count
-            self._drop_old(now)
-
-    def token_rate(self) -> float:
-        """Return tokens a second over the last window."""
+    def left_queue(self, cost: float, waiting: int) -> None:
+        """Note a request that leaves the queue, and how many wait behind it."""
         with self._lock:
-            self._drop_old(time.monotonic())
-            return self._total / WINDOW
+            self._service.on_start(time.monotonic(), cost, waiting)
 
-    def _drop_old(self, now: float) -> None:
-        while self._served and now - self._served[0][0] > WINDOW:
-            self._total -= self._served.popleft()[1]
-        if not self._served:
-            self._total = 0.0
+    @property
+    def service_rate(self) -> float:
+        """Return tokens a second served when busy; 0 until it was seen busy."""
+        return self._service.rate
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -137,7 +137,7 @@
             limit=limit,
             queued=queued,
             queued_tokens=tokens,
-            token_rate=meter.token_rate(),
+            token_rate=meter.service_rate,
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
             version=self.version,
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -40,9 +40,6 @@
     def token_gap(self, seconds: float) -> None:
         """Take the time between two tokens."""
 
-    def tokens(self, count: float) -> None:
-        """Count tokens that were served."""
-
     def refused(self) -> None:
         """Note that the upstream took no connection."""
 
@@ -137,7 +134,6 @@
         if stream and not meter.finished:
             raise OSError("the stream ended without its last event")
         used = meter.used(sub)
-        timing.tokens(max(0.0, used - meter.events))
         job.end(used)
 
     def _lost(self, job: Job, exc: Exception) -> Failure:
@@ -199,7 +195,6 @@
         else:
             self._timing.token_gap(elapsed / events)
         self.events += events
-        self._timing.tokens(events)
 
     def used(self, sub: Submit) -> Tokens:
         """Return the tokens used: the engine's own count, else what was reserved."""
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -192,9 +192,9 @@
 class Report:
     """Load of one upstream as its sidecar sees it.
 
-    ``queued_tokens`` wait at the sidecar; ``token_rate`` is generated tokens a
-    second over all requests; times are seconds, ``first_token`` and
-    ``token_gap`` at the 95th percentile of the last window.
+    ``queued_tokens`` wait at the sidecar; ``token_rate`` is reserved tokens a
+    second that it serves when busy, 0 until it was seen busy; times are seconds,
+    ``first_token`` and ``token_gap`` at the 95th percentile of the last window.
     """
 
     upstream: Upstream
--- /dev/null
+++ b/tests/test_decide_processes.py
@@ -0,0 +1,91 @@
+"""The entry and the sidecar take every decision from the decide package."""
+
+import ast
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import test_links
+from test_links import admitted, start
+
+import persimmonhitch
+from persimmonhitch.wire.messages import End
+
+ROOT = Path(persimmonhitch.__file__).parent
+engine = test_links.engine
+
+CALL_SITES = {
+    "admission.admit": "sidecar/dispatch.py",
+    "admission.queue_full": "sidecar/dispatch.py",
+    "admission.expired": "sidecar/dispatch.py",
+    "admission.ServiceRate": "sidecar/load.py",
+    "fairness.FairQueue": "sidecar/dispatch.py",
+    "concurrency.ConcurrencyLimit": "sidecar/load.py",
+    "routing.choose": "entry/router.py",
+    "routing.UpstreamLoad": "entry/sidecar_conn.py",
+    "outliers.OutlierDetector": "entry/router.py",
+    "shift.warmup_weight": "entry/router.py",
+    "retries.RetryBudget": "entry/forward.py",
+    "retries.may_retry": "entry/forward.py",
+}
+
+
+def trees():
+    for package in ("entry", "sidecar"):
+        for path in sorted((ROOT / package).glob("*.py")):
+            yield str(path.relative_to(ROOT)), ast.parse(path.read_text())
+
+
+def called(tree):
+    """Return the names of all functions that are called."""
+    calls = [node for node in ast.walk(tree) if isinstance(node, ast.Call)]
+    return [ast.unparse(call.func).rpartition(".")[2] for call in calls]
+
+
+@pytest.mark.parametrize(("decision", "site"), CALL_SITES.items())
+def test_each_decision_has_its_one_call_site(decision, site):
+    module, _, name = decision.partition(".")
+    sites = [path for path, tree in trees() if name in called(tree)]
+    assert sites == [site]
+    assert f"from ..decide.{module} import" in (ROOT / site).read_text()
+
+
+def test_nothing_else_in_entry_or_sidecar_decides():
+    """Code beside the decisions ranks upstreams, draws lots or refuses for load.
+
+    It would not be played or measured, and callers would get what nobody tested.
+    """
+    found = []
+    for path, tree in trees():
+        for node in ast.walk(tree):
+            if isinstance(node, ast.Attribute) and node.attr == "OVERLOADED":
+                found.append(f"{path}:{node.lineno} refuses for load")
+            if not isinstance(node, ast.Call):
+                continue
+            name = ast.unparse(node.func)
+            keyed = any(keyword.arg == "key" for keyword in node.keywords)
+            if name in ("sorted", "min", "max") and keyed:
+                found.append(f"{path}:{node.lineno} ranks")
+            if name.startswith("random.") and name != "random.Random":
+                found.append(f"{path}:{node.lineno} draws lots")
+    assert found == []
+
+
+def chat(tokens):
+    message = {"role": "user", "content": "urea"}
+    body = {"model": "m", "messages": [message], "stream": True, "max_tokens": tokens}
+    req = admitted(body=json.dumps(body).encode(), repeatable=True, timeout=8.0)
+    return replace(req, cost=400.0)
+
+
+def test_burst_after_a_quiet_hour_is_not_refused(engine):
+    """An engine answers one short chat in a while, then a burst comes.
+
+    Where the few tokens it served were taken for its speed, the sidecar predicted
+    waits of an hour and refused bookings that the engine had room for.
+    """
+    joined, _ = start(engine, chat(5))
+    assert isinstance(joined()[-1], End)
+    burst = [start(engine, chat(5))[0] for _ in range(24)]
+    assert [type(joined()[-1]) for joined in burst] == [End] * 24
