Let a copy's traffic rise by the copy's age, not the link's

Cause: the router took the age of the link for that of each copy, so a copy loaded on an old link got all traffic at once with cold caches, and a link that was lost for a moment made its warm copies look new. Before: no test; the new one fails on the old code for want of an age per model.

--- a/src/persimmonhitch/entry/router.py
+++ b/src/persimmonhitch/entry/router.py
@@ -52,7 +52,7 @@
             zone=conn.info.zone,
             work=conn.load.work,
             rate=conn.load.rate,
-            share=share * warmup_weight(now - conn.welcomed_at),
+            share=share * warmup_weight(conn.age_of(group, now)),
         )
 
     def _update_outliers(self, now: float) -> None:
--- a/src/persimmonhitch/entry/sidecar_conn.py
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -1,5 +1,6 @@
 """One sidecar as an entry sees it: its link, its load, what is in flight there."""
 
+import math
 import threading
 import time
 from functools import singledispatchmethod
@@ -43,7 +44,7 @@
         self.models: frozenset[Model] = info.models
         self.report: Report | None = None
         self.report_at = 0.0
-        self.welcomed_at = 0.0
+        self._since: dict[Model, float] = {}
         self.dropped = 0
         self._draining = False
         self._secret = secret
@@ -101,9 +102,8 @@
     @take.register
     def _(self, msg: Welcome) -> None:
         self.incarnation = msg.incarnation
-        self.models = frozenset(msg.models)
+        self._now_serves(msg.models)
         self._draining = msg.draining
-        self.welcomed_at = time.monotonic()
         self.welcomed.set()
 
     @take.register
@@ -112,7 +112,7 @@
         with self._lock:
             self.load.on_report(msg)
         self.report_at = time.monotonic()
-        self.models = frozenset(msg.models)
+        self._now_serves(msg.models)
         self._draining = msg.draining
 
     @take.register(Head)
@@ -133,6 +133,17 @@
         if waiter is not None:
             waiter.set()
 
+    def _now_serves(self, models: tuple[Model, ...]) -> None:
+        now = time.monotonic()
+        self.models = frozenset(models)
+        # A copy that stays through a lost link keeps its age: its caches are warm,
+        # and taking it for new would send its callers to busier copies.
+        self._since = {model: self._since.get(model, now) for model in models}
+
+    def age_of(self, model: Model, now: float) -> float:
+        """Return for how long this entry has seen a model served here."""
+        return now - self._since[model] if model in self._since else math.inf
+
     def submit(self, sub: Submit) -> Exchange | None:
         """Send an attempt; None when the link is gone and nothing was sent."""
         exchange = Exchange(sub.request, sub.attempt)
--- a/tests/test_decide_processes.py
+++ b/tests/test_decide_processes.py
@@ -2,11 +2,13 @@
 
 import ast
 import json
+import time
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 import test_links
+from fleet import wait_for
 from test_links import admitted, start
 
 import persimmonhitch
@@ -72,6 +74,22 @@
     assert found == []
 
 
+def test_copy_keeps_its_age_over_a_lost_link_and_a_new_one_starts_cold(engine):
+    """A copy is loaded beside a warm one, and the link to their sidecar breaks.
+
+    If the whole link counted as new, callers of the warm copy would be sent to
+    busier ones; if none did, all would be sent to a copy with cold caches.
+    """
+    conn = engine.conn
+    welcome = engine.server._welcome()
+    conn.take(replace(welcome, models=("old",)))
+    born = time.monotonic()
+    wait_for(lambda: time.monotonic() > born, "the clock")
+    conn.take(replace(welcome, models=("old", "new")))
+    later = born + 10.0
+    assert conn.age_of("old", later) >= 10.0 > conn.age_of("new", later)
+
+
 def chat(tokens):
     message = {"role": "user", "content": "urea"}
     body = {"model": "m", "messages": [message], "stream": True, "max_tokens": tokens}
