--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -176,7 +176,7 @@
             limit=load.limit,
             queued=load.queued,
             queued_tokens=load.queued_tokens,
-            token_rate=meter.token_rate(),
+            token_rate=meter.service_rate,
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
             version=self.version,
