Feed of the configuration: few watchers, pushes and pulls between entries

Cause: changes must be in force everywhere within 6 s, also on an entry cut off from the store or just thawed, while each waiting watch counts as a call. Three entries of a region watch, chosen by rendezvous hashing; each tells the peers that rely on it, and every entry asks two others every second, so that a lost push costs a second and the cost to an entry doesn't grow with the fleet.

Failed try: a watcher passed on only what it had asked for. When another watcher's push was faster than its own watch, its followers got nothing until their next question (one entry of 12 behind in the test). It now passes on all that is new to it; the second copy of a change is never passed on.

Seen failing first: with answers counted from their receipt instead of from their question, answers that lay in the sockets of a frozen entry confirmed its old configuration (both cases of the thaw test failed); without the look at the predecessor a frozen writer reported a change that no process applies (both cases of the ghost test failed).

--- a/src/persimmonhitch/catalog/log.py
+++ b/src/persimmonhitch/catalog/log.py
@@ -16,10 +16,12 @@
 from ..ids import ConfigVersion
 from ..platform.objects import (
     Kind,
+    Listing,
     ObjectStore,
     StoredObject,
     StoreError,
     StoreFailure,
+    Version,
 )
 from .changes import Change, ChangeId, Delta, apply, diff, merged, new_change_id
 from .model import EMPTY, Catalog
@@ -86,40 +88,63 @@
     return result
 
 
-def read_changes(store: ObjectStore) -> Result[tuple[Change, ...], StoreFailure]:
-    """Return the changes that the store holds, in order."""
-    result = store.list_all(Kind.CHANGE)
-    if not isinstance(result, Success):
-        return Err(result.failure())
-    items = sorted(result.unwrap().items, key=lambda obj: obj.name)
-    parsed = [parse_change(obj) for obj in items]
-    for each in parsed:
-        if not isinstance(each, Success):
-            return Err(StoreFailure(StoreError.INVALID, each.failure()))
-    return Success(tuple(each.unwrap() for each in parsed))
+@dataclass(frozen=True)
+class Tail:
+    """What one read of the log adds to a catalog that a process holds.
 
+    ``snapshot`` is None where the changes follow on that catalog by themselves;
+    a watch goes on from ``listed``.
+    """
 
-def read_head(store: ObjectStore) -> Result[Head, StoreFailure]:
-    """Return the newest catalog that the store holds.
+    snapshot: Catalog | None
+    changes: tuple[Change, ...]
+    listed: Version
+
+
+def read_tail(store: ObjectStore, version: ConfigVersion) -> Result[Tail, StoreFailure]:
+    """Return what the store holds beyond a version.
 
     Changes are read before snapshots. The other way round, a snapshot written
     between the two reads could take with it changes that the older snapshot
     needs, and the catalog would seem to have a gap.
     """
-    changes = read_changes(store)
-    if not isinstance(changes, Success):
-        return Err(changes.failure())
+    listing = store.list_all(Kind.CHANGE)
+    if not isinstance(listing, Success):
+        return Err(listing.failure())
+    parsed = _parse_all(listing.unwrap(), version)
+    if not isinstance(parsed, Success):
+        return Err(parsed.failure())
+    changes = parsed.unwrap()
+    listed = listing.unwrap().version
+    # Changes up to the version itself follow on it; if none of those is there
+    # they were compacted, and a snapshot that is newer has taken their place.
+    if version and changes and changes[0].number <= version + 1:
+        return Success(Tail(None, changes, listed))
     snapshot = read_snapshot(store)
-    if not isinstance(snapshot, Success):
-        return Err(snapshot.failure())
-    return _replayed(snapshot.unwrap() or EMPTY, changes.unwrap())
+    return snapshot.map(lambda found: Tail(found, changes, listed))
+
+
+def _parse_all(
+    listing: Listing, version: ConfigVersion
+) -> Result[tuple[Change, ...], StoreFailure]:
+    """Return the changes from ``version`` on, in order."""
+    items = sorted(listing.items, key=lambda obj: obj.name)
+    parsed = [parse_change(obj) for obj in items if obj.name >= change_name(version)]
+    for each in parsed:
+        if not isinstance(each, Success):
+            return Err(StoreFailure(StoreError.INVALID, each.failure()))
+    return Success(tuple(each.unwrap() for each in parsed))
+
+
+def read_head(store: ObjectStore) -> Result[Head, StoreFailure]:
+    """Return the newest catalog that the store holds."""
+    return read_tail(store, ConfigVersion(0)).bind(_replayed)
 
 
-def _replayed(
-    catalog: Catalog, changes: tuple[Change, ...]
-) -> Result[Head, StoreFailure]:
+def _replayed(tail: Tail) -> Result[Head, StoreFailure]:
+    catalog = tail.snapshot or EMPTY
     last = NO_CHANGE
-    for change in changes:
+    for change in tail.changes:
         if change.number == catalog.version:
             last = change.id
         if change.number <= catalog.version:
--- /dev/null
+++ b/src/persimmonhitch/catalog/store_source.py
@@ -0,0 +1,146 @@
+"""Read changes from the store and follow them by a watch."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from returns.result import Success
+
+from ..observe.logs import log
+from ..platform.objects import (
+    Event,
+    EventType,
+    Kind,
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    Version,
+)
+from .changes import Change
+from .exchange import PeerExchange
+from .feed import CatalogFeed
+from .log import Tail, parse_change, read_tail
+from .snapshots import EVERY, compact
+
+WATCH_SECONDS: Final = 1.0
+"""Of one watch. A watch is an answered question only once it has ended, and a
+cut connection stays silent; longer ones would notice a cut later."""
+RETRY: Final = 0.5
+IDLE: Final = 0.25
+"""Seconds between two looks of an entry that need not watch."""
+
+
+class StoreSource:
+    """Follows the log while this entry is one of its region's watchers.
+
+    It also does so as long as the configuration is not confirmed: after the
+    start, and after a freeze.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        feed: CatalogFeed,
+        exchange: PeerExchange,
+        elected: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._store = store
+        self._feed = feed
+        self._exchange = exchange
+        self._elected = elected
+        self._clock = clock
+        self._compact_at = EVERY
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="config", daemon=True)
+
+    def start(self) -> None:
+        """Follow the log from now on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Follow it no more."""
+        self._stopping.set()
+
+    def _needed(self) -> bool:
+        confirmed = self._feed.gate.confirmed(self._clock())
+        return not confirmed or not self._feed.ready.is_set() or self._elected()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            if not self._needed():
+                self._exchange.watching = True
+                self._stopping.wait(IDLE)
+                continue
+            after = self.load()
+            if after is None:
+                self._stopping.wait(RETRY)
+                continue
+            self._compact()
+            while after is not None and self._needed() and not self._stopping.is_set():
+                after = self.follow(after)
+
+    def load(self) -> Version | None:
+        """Take all that is new; return where a watch goes on, None on failure."""
+        asked_at = self._clock()
+        result = read_tail(self._store, self._feed.version)
+        if not isinstance(result, Success):
+            self._failed(result.failure())
+            return None
+        tail: Tail = result.unwrap()
+        if tail.snapshot is not None:
+            self._feed.take_whole(tail.snapshot)
+        self._take(tail.changes)
+        self._answered(asked_at)
+        return tail.listed
+
+    def follow(self, after: Version) -> Version | None:
+        """Watch once; return where the next watch goes on, None on failure."""
+        asked_at = self._clock()
+        for outcome in self._store.watch(Kind.CHANGE, after, WATCH_SECONDS):
+            if not isinstance(outcome, Success):
+                self._failed(outcome.failure())
+                return None
+            event: Event = outcome.unwrap()
+            after = event.object.version
+            if event.type is EventType.ADDED and not self._added(event.object):
+                return None
+        self._answered(asked_at)
+        return after
+
+    def _added(self, obj: StoredObject) -> bool:
+        """Take one new change; return whether nothing before it is missing."""
+        change = parse_change(obj)
+        if not isinstance(change, Success):
+            # A newer release wrote what this one can't read. The version stays
+            # where it is; skipping one would let this entry and the others
+            # diverge under one version number.
+            log("change_unreadable", name=obj.name, error=change.failure())
+            return False
+        found: Change = change.unwrap()
+        self._take([found])
+        return self._feed.version >= found.number
+
+    def _take(self, changes: Iterable[Change]) -> None:
+        taken = self._feed.take(changes)
+        if taken:
+            self._exchange.push(taken)
+
+    def _answered(self, asked_at: float) -> None:
+        self._exchange.watching = True
+        self._feed.heard(asked_at)
+
+    def _failed(self, exc: StoreFailure) -> None:
+        log("config_unread", error=exc.error.value, detail=exc.detail)
+        if exc.error is StoreError.UNAVAILABLE:
+            self._exchange.watching = False
+
+    def _compact(self) -> None:
+        """Write a snapshot when one is due; every watcher may, see ``compact``."""
+        if self._feed.version < self._compact_at:
+            return
+        result = compact(self._store, self._feed.catalog)
+        if isinstance(result, Success):
+            self._compact_at = self._feed.version + EVERY
--- /dev/null
+++ b/tests/fake_mesh.py
@@ -0,0 +1,109 @@
+"""Entries in one process whose messages arrive at once, unless they are cut."""
+
+import random
+from dataclasses import dataclass
+
+from persimmonhitch.catalog.sync import CatalogSync
+from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.wire.codec import decode, encode
+
+
+@dataclass(frozen=True)
+class FakePeer:
+    vm: str
+    region: str
+
+
+class FakeMesh:
+    def __init__(self, fleet, vm):
+        self.fleet = fleet
+        self.vm = vm
+        self.handlers = {}
+
+    def peers(self):
+        cut = self.fleet.cut
+        vms = [vm for vm in self.fleet.entries if vm != self.vm]
+        return tuple(FakePeer(vm, "r") for vm in vms if not cut & {vm, self.vm})
+
+    def send(self, vm, msg):
+        if vm not in [peer.vm for peer in self.peers()]:
+            return False
+        self.fleet.sent += 1
+        frame = encode(msg)
+        if vm in self.fleet.frozen:
+            self.fleet.frozen[vm].append((self.vm, frame))
+        else:
+            self.fleet.deliver(vm, self.vm, frame)
+        return True
+
+    def on(self, kind, handler):
+        self.handlers[kind] = handler
+
+
+class Entry:
+    """One entry, driven by ``Fleet.step``; its way to the store may be cut."""
+
+    def __init__(self, fleet, vm):
+        self.store = CutStore(fleet.store)
+        self.mesh = FakeMesh(fleet, vm)
+        rng = random.Random(vm)
+        self.sync = CatalogSync(self.store, self.mesh, vm, "r", rng, lambda: fleet.now)
+        self.feed = self.sync.feed
+        self.after = None
+
+
+class CutStore:
+    """The shared store, seen over a way that can be cut."""
+
+    def __init__(self, store):
+        self.store = store
+        self.cut = False
+
+    def __getattr__(self, name):
+        return getattr(DOWN if self.cut else self.store, name)
+
+
+DOWN = StoreState()
+DOWN.faults.down = True
+
+
+class Fleet:
+    def __init__(self, vms=()):
+        self.store = StoreState()
+        self.now = 1000.0
+        self.cut = set()
+        self.frozen = {}
+        self.sent = 0
+        self.entries = {}
+        for vm in vms:
+            self.add(vm)
+
+    def add(self, vm):
+        self.entries[vm] = Entry(self, vm)
+        return self.entries[vm]
+
+    def deliver(self, vm, sender, frame):
+        msg = decode(frame).unwrap()
+        self.entries[vm].mesh.handlers[type(msg)](sender, msg)
+
+    def thaw(self, vm):
+        """Let an entry run again; it first reads what lay in its sockets."""
+        for sender, frame in self.frozen.pop(vm):
+            self.deliver(vm, sender, frame)
+
+    def step(self, seconds=1.0):
+        """Let each entry that is not frozen do what its threads do in a second."""
+        self.now += seconds
+        for vm, entry in self.entries.items():
+            if vm in self.frozen:
+                continue
+            source = entry.sync.source
+            if source._needed():
+                load = entry.after is None
+                entry.after = source.load() if load else source.follow(entry.after)
+            else:
+                entry.after, entry.sync.exchange.watching = None, True
+            entry.sync.exchange.ask()
+
+    def versions(self):
+        return [entry.feed.version for entry in self.entries.values()]
