Entries follow the configuration by peers and few watchers

Cause: the thin loader read the whole log every second on every entry, knew nothing without the store, and an entry that thawed went on with its old keys.

A request sent the version of its admission; after a long wait an up-to-date entry would have been refused as stale. It now sends the version read just before the last look at the key.

Tests changed: test_links passes the new arguments; test_settings covers the new host:port lists.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -181,15 +181,17 @@
         )
         return self.spawn(f"sidecar-{name}", "sidecar", f"--settings={path}")
 
-    def entry(self, name: str, stop_notice: float = 0.2) -> Process:
-        """Start an entry."""
+    def entry(
+        self, name: str, stop_notice: float = 0.2, store: str = "store", seeds: str = ""
+    ) -> Process:
+        """Start an entry; ``store`` names the address by which it gets there."""
         path = self.settings(
             name,
             f"[vm]\nname = {name}\nzone = z1\nregion = r1\n"
             f"[http]\nhost = 127.0.0.1\n"
-            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\n"
+            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\nseeds = {seeds}\n"
             f"[stop]\nnotice = {stop_notice}\n"
-            f"[store]\nurl = {self.urls['store']}\n",
+            f"[store]\nurl = {self.urls[store]}\n",
         )
         return self.spawn(name, "entry", f"--settings={path}")
 
--- a/src/persimmonhitch/catalog/sync.py
+++ b/src/persimmonhitch/catalog/sync.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..ids import Region, Vm
+from ..ids import ConfigVersion, Region, Vm
 from ..platform.objects import ObjectStore
 from .exchange import Mesh, PeerExchange
 from .feed import CatalogFeed
@@ -40,6 +40,11 @@
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="ask", daemon=True)
 
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the newest version known here."""
+        return self.feed.version
+
     def elected(self) -> bool:
         """Return whether this entry watches the store for its region."""
         return self._vm in self.exchange.watchers()
@@ -55,8 +60,8 @@
         self._wake.set()
         self.source.stop()
 
-    def hint(self, version: int) -> None:
-        """Ask at once if somebody, such as a sidecar, knows a newer version."""
+    def hint(self, version: ConfigVersion) -> None:
+        """Ask at once if a sidecar knows a newer version."""
         if version > self.feed.version:
             self._wake.set()
 
--- a/src/persimmonhitch/entry/admitted.py
+++ b/src/persimmonhitch/entry/admitted.py
@@ -17,13 +17,14 @@
     """What the rest of a request's way needs to know of it.
 
     ``deadline_at`` is monotonic seconds. ``disconnected`` says whether the caller
-    has left, ``withdrawn`` whether its key has been withdrawn since.
+    has left, ``withdrawn`` whether its key has been withdrawn since, ``version``
+    the configuration's version now, which moves on while a request waits.
     """
 
     request: RequestId
     account: Account
     call: Call
-    version: ConfigVersion
+    version: Callable[[], ConfigVersion]
     weight: float
     priority: Priority
     cost: Tokens
--- a/src/persimmonhitch/entry/app.py
+++ b/src/persimmonhitch/entry/app.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from ..ids import RequestId, new_request_id
+from ..ids import ConfigVersion, RequestId, new_request_id
 from ..observe.logs import log
 from ..observe.metrics import CONTENT_TYPE, Metrics
 from ..verdict import ErrorCode, Failure, Verdict
@@ -30,14 +30,21 @@
         Shown at ``/metrics``.
     ready : callable
         Whether the balancer may send requests here.
+    version : callable
+        Version of the configuration, shown at ``/readyz``.
     """
 
     def __init__(
-        self, gateway: Gateway, metrics: Metrics, ready: Callable[[], bool]
+        self,
+        gateway: Gateway,
+        metrics: Metrics,
+        ready: Callable[[], bool],
+        version: Callable[[], ConfigVersion],
     ) -> None:
         self._gateway = gateway
         self._metrics = metrics
         self._ready = ready
+        self._version = version
         self.leaving = threading.Event()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Body:
@@ -76,9 +83,10 @@
         return failure_answer(failure, request)
 
     def _readiness(self) -> Answer:
-        if self._ready() and not self.leaving.is_set():
-            return json_answer(200, {"status": "ready"})
-        return json_answer(503, {"status": "not ready"})
+        ready = self._ready() and not self.leaving.is_set()
+        status = "ready" if ready else "not ready"
+        body = {"status": status, "version": self._version()}
+        return json_answer(200 if ready else 503, body)
 
     def _call(self, req: Request, request: RequestId) -> Answer:
         if not self._ready():
--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from ..decide.retries import RetryBudget, may_retry
-from ..ids import Tokens, Upstream
+from ..ids import ConfigVersion, Tokens, Upstream
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..verdict import ErrorCode, Failure, Verdict
@@ -66,11 +66,14 @@
         while True:
             attempt += 1
             conn = self._target(req, tried)
+            # Read before the look at the key: the version that is sent must not
+            # be newer than the one under which the key was good.
+            version = req.version()
             if req.withdrawn():
                 return Err(WITHDRAWN)
             if conn is None:
                 return Err(self._no_target(req))
-            result = self._try(req, conn, attempt)
+            result = self._try(req, conn, attempt, version)
             if isinstance(result, Success):
                 return result
             exc = result.failure()
@@ -103,12 +106,12 @@
         return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=MODEL_RETRY)
 
     def _try(
-        self, req: Admitted, conn: SidecarConn, attempt: int
+        self, req: Admitted, conn: SidecarConn, attempt: int, version: ConfigVersion
     ) -> Result[Reply, Failure]:
         if conn.incarnation is None:
             return Err(Failure(ErrorCode.NO_UPSTREAM, "not linked", retry_after=1.0))
         began = time.monotonic()
-        sub = _submit(req, conn, attempt, began)
+        sub = _submit(req, conn, attempt, began, version)
         frames = Attempt(conn, sub, req).frames()
         head = next(frames)
         if isinstance(head, Fail):
@@ -146,7 +149,13 @@
         raise AssertionError("an attempt ended without End or Fail")
 
 
-def _submit(req: Admitted, conn: SidecarConn, attempt: int, now: float) -> Submit:
+def _submit(
+    req: Admitted,
+    conn: SidecarConn,
+    attempt: int,
+    now: float,
+    version: ConfigVersion,
+) -> Submit:
     call = req.call
     assert conn.incarnation is not None
     return Submit(
@@ -156,7 +165,7 @@
         account=req.account,
         model=call.model,
         adapter=None,
-        version=req.version,
+        version=version,
         priority=req.priority,
         deadline=max(0.0, req.deadline_at - now),
         repeatable=req.repeatable,
--- a/src/persimmonhitch/entry/gateway.py
+++ b/src/persimmonhitch/entry/gateway.py
@@ -127,7 +127,7 @@
                 request=request,
                 account=account.unwrap(),
                 call=call,
-                version=catalog.version,
+                version=lambda: self._catalog().version,
                 weight=plan.weight,
                 priority=_priority(plan, call),
                 cost=_cost(catalog, call),
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -16,7 +16,8 @@
 from docopt import docopt
 
 from ..catalog.model import EMPTY, Catalog
-from ..ids import Vm, Zone, new_incarnation
+from ..catalog.sync import CatalogSync
+from ..ids import Region, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..observe.logs import log, start_logs
 from ..observe.metrics import Metrics
@@ -29,7 +30,7 @@
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
 from .app import EntryApp
-from .catalog_source import CatalogSource
+from .borrowed import BorrowedSidecars
 from .forward import Forwarder
 from .gateway import Gateway, Limits
 from .local_limiter import LocalLimiter
@@ -52,13 +53,21 @@
         store = HttpObjectStore(cfg.store, cfg.store_timeout)
         secret = cfg.secret.encode()
         self.limiter = LocalLimiter(EMPTY)
-        self.source = CatalogSource(store, self._on_catalog)
-        self.pool = SidecarPool(secret, self.hello)
         self.mesh = PeerMesh(
-            Vm(cfg.vm), cfg.link_host, cfg.link_port, secret, self.hello
+            Vm(cfg.vm), cfg.link_host, cfg.link_port, secret, self.hello, cfg.seeds
         )
+        rng = random.Random()
+        self.sync = CatalogSync(store, self.mesh, Vm(cfg.vm), Region(cfg.region), rng)
+        self.sync.feed.listen(self._on_catalog)
+        self.pool = SidecarPool(secret, self.hello, self.sync)
         self.sidecars = Watcher(store, Kind.SIDECAR, self.pool.update)
         self.entries = Watcher(store, Kind.ENTRY, self.mesh.update)
+        self.borrowed = BorrowedSidecars(
+            self.mesh,
+            lambda: self.sidecars.view,
+            self.sidecars.ready,
+            self.pool.update,
+        )
         self.records = CallRecords(store)
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self.app = self._app()
@@ -75,14 +84,21 @@
         forwarder = Forwarder(router, self.pool.wait_change, self.metrics)
         gateway = Gateway(
             Limits(cfg.default_timeout, cfg.most_timeout),
-            lambda: self.source.catalog,
+            self.sync.feed.in_force,
             self.limiter,
             forwarder,
             self.records,
             self.metrics,
             Traces(TRACE_RATIO),
         )
-        return EntryApp(gateway, self.metrics, self.source.ready.is_set)
+        feed = self.sync.feed
+        return EntryApp(gateway, self.metrics, self._ready, lambda: feed.version)
+
+    def _ready(self) -> bool:
+        # Without the sidecars every request would be refused here, while another
+        # entry would have answered it.
+        listed = self.sidecars.ready.is_set() or self.borrowed.ready.is_set()
+        return listed and self.sync.feed.ready.is_set()
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.limiter.update(catalog)
@@ -96,13 +112,14 @@
             Vm(self.cfg.vm),
             Zone(self.cfg.zone),
             self.incarnation,
-            self.source.catalog.version,
+            self.sync.version,
         )
 
     def start(self) -> None:
         """Serve and register."""
-        for part in (self.source, self.sidecars, self.entries, self.pool):
+        for part in (self.sync, self.sidecars, self.entries, self.pool):
             part.start()
+        self.borrowed.start()
         self.mesh.start()
         self.records.start()
         self.server.start()
@@ -138,8 +155,9 @@
             log("stop_cut", requests=cut)
         self.limiter.close()
         self.registration.remove()
-        for part in (self.source, self.sidecars, self.entries, self.records):
+        for part in (self.sync, self.sidecars, self.entries, self.borrowed):
             part.stop()
+        self.records.stop()
         self.mesh.stop()
         self.pool.stop()
         self.server.close()
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
@@ -18,6 +19,7 @@
 RELINK_EVERY: Final = 0.3
 
 Handler = Callable[[Vm, Any], None]
+Address = tuple[str, int]
 
 
 @dataclass(frozen=True)
@@ -46,13 +48,19 @@
             log("entry_object_broken", name=obj.name, error=repr(exc))
             return None
 
+    @classmethod
+    def from_hello(cls, msg: Hello) -> "PeerInfo":
+        """Return an entry that the store does not list."""
+        return cls(msg.vm, msg.zone, Region(""), "", 0)
+
 
 class PeerMesh:
     """Sends to and hears from the other entries.
 
     Each entry sends on links that it opened itself and hears on those that it
     accepted, so that a link has one writer of requests and the two directions
-    fail apart.
+    fail apart. One that is not in the store's list is answered on its own link:
+    it started while the store was away, and found the others by its seeds.
     """
 
     def __init__(
@@ -62,16 +70,21 @@
         port: int,
         secret: bytes,
         hello: Callable[[], Hello],
+        seeds: tuple[Address, ...] = (),
     ) -> None:
         self.vm = vm
+        self._seeds = seeds
+        self._seed_links: dict[Address, Link] = {}
+        self._own: set[Address] = set()
         self._secret = secret
         self._hello = hello
         self._handlers: dict[type, Handler] = {}
         self._infos: dict[Vm, PeerInfo] = {}
         self._links: dict[Vm, Link] = {}
-        self._accepted: dict[Link, Vm] = {}
+        self._greeted: dict[Link, Hello] = {}
         self._lock = threading.Lock()
         self._stopping = threading.Event()
+        self._handling = ThreadPoolExecutor(1, thread_name_prefix="peer-messages")
         self._server = LinkServer(host, port, secret, self._accept)
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
@@ -81,7 +94,10 @@
         return self._server.port
 
     def on(self, kind: type[M], handler: Callable[[Vm, M], None]) -> None:
-        """Hand every message of a kind to ``handler``, with its sender."""
+        """Hand every message of a kind to ``handler``, with its sender.
+
+        Handlers run one at a time, in order of arrival, on a thread of their own.
+        """
         self._handlers[kind] = handler
 
     def start(self) -> None:
@@ -94,9 +110,10 @@
         self._stopping.set()
         self._server.stop()
         with self._lock:
-            links = [*self._links.values(), *self._accepted]
+            links = [*self._links.values(), *self._greeted]
         for link in links:
             link.close()
+        self._handling.shutdown(wait=False, cancel_futures=True)
 
     def update(self, view: View) -> None:
         """Take the store's list of entries."""
@@ -108,14 +125,21 @@
     def peers(self) -> tuple[PeerInfo, ...]:
         """Return the entries to which a link is open."""
         with self._lock:
-            return tuple(i for vm, i in self._infos.items() if vm in self._links)
+            linked = tuple(i for vm, i in self._infos.items() if vm in self._links)
+            others = {msg.vm: msg for msg in self._greeted.values()}
+            unlisted = others.keys() - self._infos.keys() - {self.vm}
+            return (*linked, *(PeerInfo.from_hello(others[vm]) for vm in unlisted))
 
     def send(self, vm: Vm, msg: Any) -> bool:
         """Send a message to one entry; False when no link to it is open."""
         with self._lock:
-            link = self._links.get(vm)
+            link = self._links.get(vm) or self._greeted_by(vm)
         return link is not None and link.send(msg)
 
+    def _greeted_by(self, vm: Vm) -> Link | None:
+        found = (link for link, msg in self._greeted.items() if msg.vm == vm)
+        return next(found, None)
+
     def _run(self) -> None:
         while not self._stopping.wait(RELINK_EVERY):
             with self._lock:
@@ -127,9 +151,30 @@
             for vm, link in links.items():
                 if vm not in infos:
                     link.close()
+            self._ask_seeds(bool(infos))
+
+    def _ask_seeds(self, listed: bool) -> None:
+        """Keep links to the seeds, only while the store lists no other entry."""
+        with self._lock:
+            links = dict(self._seed_links)
+        if listed:
+            for link in links.values():
+                link.close()
+            return
+        for address in self._seeds:
+            if address in links or address in self._own:
+                continue
+            opened = _Opened(self)
+            result = open_link(*address, self._secret, opened, self._hello())
+            if isinstance(result, Success):
+                with self._lock:
+                    if not result.unwrap().ended.is_set():
+                        self._seed_links[address] = result.unwrap()
 
     def _open(self, info: PeerInfo) -> None:
-        result = open_link(info.host, info.port, self._secret, self, self._hello())
+        result = open_link(
+            info.host, info.port, self._secret, _Opened(self), self._hello()
+        )
         if not isinstance(result, Success):
             return
         link = result.unwrap()
@@ -146,26 +191,60 @@
     def on_message(self, link: Link, msg: Any) -> None:
         """Take one message of a peer; its first must be ``Hello``."""
         if isinstance(msg, Hello):
-            self._greet(link, msg)
+            if self.greet(link, msg):
+                link.send(self._hello())
             return
-        vm = self._accepted.get(link)
+        hello = self._greeted.get(link)
         handler = self._handlers.get(type(msg))
-        if vm is None or handler is None:
+        if hello is None or handler is None:
             log("message_unexpected", peer=link.peer, kind=type(msg).__name__)
             link.close()
             return
-        handler(vm, msg)
+        self._handling.submit(self._handle, handler, hello.vm, msg)
+
+    def _handle(self, handler: Handler, vm: Vm, msg: Any) -> None:
+        try:
+            handler(vm, msg)
+        except Exception as exc:
+            log("peer_message_failed", peer_vm=vm, error=repr(exc))
 
-    def _greet(self, link: Link, msg: Hello) -> None:
+    def greet(self, link: Link, msg: Hello) -> bool:
+        """Note who is at the other end; return whether it is another entry."""
         if msg.protocol != PROTOCOL or msg.role is not Role.ENTRY:
             log("protocol_mismatch", peer=link.peer, theirs=msg.protocol, ours=PROTOCOL)
             link.close()
-            return
+            return False
+        if msg.vm == self.vm:
+            with self._lock:
+                own = [a for a, ln in self._seed_links.items() if ln is link]
+                self._own.update(own)
+            link.close()
+            return False
         with self._lock:
-            self._accepted[link] = msg.vm
+            if not link.ended.is_set():
+                self._greeted[link] = msg
+        return True
 
     def on_close(self, link: Link) -> None:
         """Forget a link that has ended."""
         with self._lock:
-            self._accepted.pop(link, None)
+            self._greeted.pop(link, None)
             self._links = {vm: ln for vm, ln in self._links.items() if ln is not link}
+            seeds = self._seed_links.items()
+            self._seed_links = {a: ln for a, ln in seeds if ln is not link}
+
+
+class _Opened:
+    """Handler of a link that this entry opened: its greeting gets no answer."""
+
+    def __init__(self, mesh: PeerMesh) -> None:
+        self._mesh = mesh
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        if isinstance(msg, Hello):
+            self._mesh.greet(link, msg)
+            return
+        self._mesh.on_message(link, msg)
+
+    def on_close(self, link: Link) -> None:
+        self._mesh.on_close(link)
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -10,7 +10,7 @@
 from ..platform.watcher import View
 from ..wire.messages import Hello, UpstreamKind
 from .directory import SidecarInfo
-from .sidecar_conn import SidecarConn
+from .sidecar_conn import SidecarConn, Versions
 
 RELINK_EVERY: Final = 0.2
 """Seconds between two tries to open a link that is lost."""
@@ -20,8 +20,11 @@
 class SidecarPool:
     """All sidecars that this entry sends to."""
 
-    def __init__(self, secret: bytes, hello: Callable[[], Hello]) -> None:
+    def __init__(
+        self, secret: bytes, hello: Callable[[], Hello], versions: Versions
+    ) -> None:
         self._secret = secret
+        self._versions = versions
         self._hello = hello
         self._conns: dict[Upstream, SidecarConn] = {}
         self._opening: set[Upstream] = set()
@@ -57,7 +60,7 @@
         if conn is None or (conn.info.host, conn.info.port) != (info.host, info.port):
             if conn is not None:
                 conn.close()
-            self._conns[name] = SidecarConn(info, self._secret)
+            self._conns[name] = SidecarConn(info, self._secret, self._versions)
             return
         conn.info = info
 
--- a/src/persimmonhitch/entry/settings.py
+++ b/src/persimmonhitch/entry/settings.py
@@ -30,6 +30,9 @@
     most_timeout: float = setting(
         "requests", "most_timeout", "seconds a caller may ask for", 600.0, 1, 600
     )
+    seeds: tuple[tuple[str, int], ...] = setting(
+        "link", "seeds", "entries to ask while the store is down", ()
+    )
     stop_notice: float = setting(
         "stop", "notice", "seconds not ready before the listener closes", 2.0, low=0
     )
--- a/src/persimmonhitch/entry/sidecar_conn.py
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -3,12 +3,13 @@
 import threading
 import time
 from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from returns.result import Success
 
+from ..catalog.messages import ConfigNote
 from ..decide.routing import UpstreamLoad
-from ..ids import Incarnation, Model, RequestId
+from ..ids import ConfigVersion, Incarnation, Model, RequestId
 from ..observe.logs import log
 from ..verdict import Verdict
 from ..wire.link import Link, open_link
@@ -33,11 +34,23 @@
 """Seconds to wait for the answer to ``Bury``; it takes one round trip."""
 
 
+class Versions(Protocol):
+    """What the configuration's source is asked for on reports."""
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the newest version known here."""
+
+    def hint(self, version: ConfigVersion) -> None:
+        """Say that a sidecar knows a version."""
+
+
 class SidecarConn:
     """The link to one sidecar and all attempts on it."""
 
-    def __init__(self, info: SidecarInfo, secret: bytes) -> None:
+    def __init__(self, info: SidecarInfo, secret: bytes, versions: Versions) -> None:
         self.info = info
+        self._versions = versions
         self.link: Link | None = None
         self.incarnation: Incarnation | None = None
         self.models: frozenset[Model] = info.models
@@ -105,9 +118,22 @@
         self._draining = msg.draining
         self.welcomed_at = time.monotonic()
         self.welcomed.set()
+        self._compare(msg.version)
+
+    def _compare(self, theirs: ConfigVersion) -> None:
+        """Tell the sidecar of a newer version, or learn from it of one.
+
+        An entry with no requests would otherwise keep the news from the sidecar,
+        which then could not refuse the requests of one that lags.
+        """
+        ours = self._versions.version
+        if theirs < ours and self.link is not None:
+            self.link.send(ConfigNote(ours))
+        self._versions.hint(theirs)
 
     @take.register
     def _(self, msg: Report) -> None:
+        self._compare(msg.version)
         self.report = msg
         with self._lock:
             self.load.on_report(msg)
--- a/src/persimmonhitch/settings/load.py
+++ b/src/persimmonhitch/settings/load.py
@@ -69,12 +69,20 @@
     return tuple(part for part in parts if part)
 
 
+def _addresses(text: str) -> tuple[tuple[str, int], ...]:
+    pairs = [word.rpartition(":") for word in _words(text)]
+    if not all(host and 0 < int(port) < 65536 for host, _, port in pairs):
+        raise ValueError(text)
+    return tuple((host, int(port)) for host, _, port in pairs)
+
+
 PARSERS: Final[dict[Any, tuple[Callable[[str], Any], str]]] = {
     str: (str, "a text"),
     int: (int, "a whole number"),
     float: (float, "a number"),
     bool: (_bool, "yes or no"),
     tuple[str, ...]: (_words, "a list separated by commas"),
+    tuple[tuple[str, int], ...]: (_addresses, "a list of host:port with commas"),
 }
 
 
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -1,9 +1,12 @@
 """Links of entries and the planner: their messages and the reports to them."""
 
 import threading
+import time
 from functools import singledispatchmethod
 from typing import Any, Final
 
+from ..catalog.messages import ConfigNote
+from ..catalog.staleness import HeardVersions
 from ..ids import ConfigVersion, Model, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
@@ -11,6 +14,7 @@
     PROTOCOL,
     Bury,
     Cancel,
+    Fail,
     Hello,
     Report,
     Resume,
@@ -37,7 +41,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self.models = models
-        self.version = ConfigVersion(0)
+        self._heard = HeardVersions()
         self._server = LinkServer(cfg.host, cfg.port, cfg.secret.encode(), self._accept)
         self._reporter = threading.Thread(
             target=self._report_loop, name="report", daemon=True
@@ -93,8 +97,17 @@
     @take.register
     def _(self, msg: Submit, link: Link) -> None:
         self._note_version(msg.version)
+        with self._lock:
+            refusal = self._heard.refusal(msg.version, time.monotonic())
+        if refusal is not None:
+            link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
+            return
         self._dispatcher.submit(msg, link)
 
+    @take.register
+    def _(self, msg: ConfigNote, link: Link) -> None:
+        self._note_version(msg.version)
+
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
         self._dispatcher.cancel(msg)
@@ -108,7 +121,13 @@
         self._dispatcher.resume(msg, link)
 
     def _note_version(self, version: ConfigVersion) -> None:
-        self.version = max(self.version, version)
+        with self._lock:
+            self._heard.note(version, time.monotonic())
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the newest version that an entry has told of."""
+        return self._heard.newest
 
     def _welcome(self) -> Welcome:
         cfg = self._cfg
--- /dev/null
+++ b/tests/test_config_golden.py
@@ -0,0 +1,143 @@
+"""Keys and configuration while entries are cut off, frozen and replaced."""
+
+import signal
+import time
+from http.client import HTTPConnection
+
+import pytest
+from fleet import ACCOUNTS, PLANS, Fleet, wait_for
+from golden_session import Session
+from relay import Relay
+
+from persimmonhitch.catalog.gate import GAP
+
+LIMIT = 6.0
+"""Seconds within which a change is in force everywhere."""
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+SLOT = "/v1/services/ledger/slots"
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("config")) as running:
+        running.standin("store", "store")
+        running.standin("service-1", "service")
+        running.addresses("port", "store", "service-1")
+        running.relay = Relay(int(running.urls["store"].rpartition(":")[2]))
+        running.urls["relay"] = f"http://127.0.0.1:{running.relay.port}"
+        running.entry("entry-1")
+        running.entry("entry-2", store="relay")
+        running.entry("entry-3")
+        running.sidecar("s1", "service-1", "service", "ledger")
+        running.apply()
+        running.issue("fretes")
+        running.addresses("http", *ENTRIES)
+        for name in ENTRIES:
+            running.ready(name, 1)
+        for name in ENTRIES:
+            linked = running.processes[name].log
+            wait_for(
+                lambda log=linked: log.read_text().count("event=peer_linked") >= 2,
+                "links between entries",
+            )
+        yield running
+        running.relay.close()
+
+
+def version(fleet, entry):
+    return fleet.http.request("GET", fleet.urls[entry] + "/readyz").json()["version"]
+
+
+def book(fleet, entry, account="fretes", path=SLOT):
+    return fleet.request(entry, "POST", path, account)
+
+
+def in_force(fleet, wanted, entries=ENTRIES):
+    """Wait until a version is in force; return how long it took."""
+    began = time.monotonic()
+    for entry in entries:
+        wait_for(lambda e=entry: version(fleet, e) >= wanted, f"{wanted} at {entry}")
+    return time.monotonic() - began
+
+
+def sent(fleet, entry):
+    """Send a booking that lies in the entry's socket; return its connection."""
+    conn = HTTPConnection(fleet.urls[entry].removeprefix("http://"), timeout=30)
+    headers = {"Authorization": f"Bearer {fleet.keys['fretes']}"}
+    conn.request("POST", SLOT, headers=headers)
+    return conn
+
+
+def test_withdrawn_keys_session(fleet):
+    """A key is withdrawn while one entry is cut from the store and another is
+    frozen. Its holder must get in nowhere after a few seconds, and not at the
+    first instant in which the frozen entry runs again.
+    """
+    session = Session("withdrawn_keys")
+    in_force(fleet, 2)
+    for name in ENTRIES:
+        session.reply(f"{name} with a good key", book(fleet, name))
+    session.note("entry-2 is cut from the store, then the key is withdrawn")
+    fleet.relay.set_cut(True)
+    old = fleet.keys["fretes"]
+    fleet.withdraw("fretes")
+    seconds = in_force(fleet, 3)
+    session.note("in force on all three within 6 s:", seconds < LIMIT)
+    for name in ENTRIES:
+        session.reply(f"{name} with the withdrawn key", book(fleet, name))
+    session.note("a new key is issued")
+    fleet.issue("fretes")
+    in_force(fleet, 4)
+    session.reply("entry-2 with the new key", book(fleet, "entry-2"))
+    session.reply("entry-2 with the old key", book(fleet, "entry-2", old))
+    session.note("entry-3 is frozen, the new key withdrawn, then entry-3 runs again")
+    fleet.processes["entry-3"].signal(signal.SIGSTOP)
+    end = time.monotonic() + GAP + 1.0
+    fleet.withdraw("fretes")
+    in_force(fleet, 5, ENTRIES[:2])
+    conns = [sent(fleet, "entry-3") for _ in range(8)]
+    wait_for(lambda: time.monotonic() > end, "a freeze that shows")
+    fleet.processes["entry-3"].signal(signal.SIGCONT)
+    statuses = {conn.getresponse().status for conn in conns}
+    session.note("eight calls that arrived while it was frozen:", *statuses)
+    session.note("calls that the service has run:", sum(fleet.runs("service-1")))
+    fleet.relay.set_cut(False)
+    session.check()
+
+
+def test_outage_session(fleet):
+    """The store goes down just after an operator's change. Whatever became of the
+    change, every entry must say the same and none may go back; an entry that is
+    replaced meanwhile serves nobody until it has learnt from the others.
+    """
+    session = Session("config_outage")
+    fleet.issue("fretes")
+    fleet.apply(ACCOUNTS, PLANS.replace("rate = 5000", "rate = 6000"))
+    fleet.faults(down=True)
+    session.note("the store is down since just after a change")
+    newest = max(version(fleet, name) for name in ENTRIES)
+    seconds = in_force(fleet, newest)
+    session.note("one version on all entries within 6 s:", seconds < LIMIT)
+    for name in ENTRIES:
+        session.reply(f"{name} in the outage", book(fleet, name))
+    session.note("entry-4 starts and knows nobody")
+    fleet.entry("entry-4")
+    fleet.addresses("http", "entry-4")
+    session.reply("entry-4", book(fleet, "entry-4"))
+    session.note("entry-5 starts with entry-1 as its seed")
+    link = fleet.processes["entry-1"].ports()["link"]
+    fleet.entry("entry-5", seeds=f"127.0.0.1:{link}")
+    fleet.addresses("http", "entry-5")
+    in_force(fleet, newest, ["entry-5"])
+    fleet.ready("entry-5", 1)
+    session.reply("entry-5", book(fleet, "entry-5"))
+    session.note("the store is back, and a key is withdrawn")
+    fleet.faults()
+    fleet.withdraw("fretes")
+    every = (*ENTRIES, "entry-4", "entry-5")
+    seconds = in_force(fleet, newest + 1, every)
+    session.note("in force on all five within 6 s:", seconds < LIMIT)
+    fleet.ready("entry-4", 1)
+    for name in every:
+        session.reply(f"{name} with the withdrawn key", book(fleet, name))
+    session.check()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from dataclasses import dataclass, replace
+from types import SimpleNamespace
 
 import pytest
 from fleet import wait_for
@@ -40,6 +41,7 @@
 )
 
 SECRET = "s"
+STILL = SimpleNamespace(version=1, hint=lambda _version: None)
 HELLO = Hello(PROTOCOL, Role.ENTRY, "vm", "z1", "i", 1)
 
 
@@ -102,7 +104,7 @@
         frozenset(),
         False,
     )
-    made = Rig(app, web, dispatcher, server, SidecarConn(info, SECRET.encode()))
+    made = Rig(app, web, dispatcher, server, SidecarConn(info, SECRET.encode(), STILL))
     made.relink()
     return made
 
@@ -131,7 +133,7 @@
         request=new_request_id(),
         account="fretes",
         call=call,
-        version=1,
+        version=lambda: 1,
         weight=1.0,
         priority=Priority.INTERACTIVE,
         cost=10.0,
@@ -146,7 +148,7 @@
 def start(made, req):
     """Run an attempt on a thread; return a call that waits for its frames."""
     frames = []
-    sub = _submit(req, made.conn, 1, time.monotonic())
+    sub = _submit(req, made.conn, 1, time.monotonic(), 1)
     attempt = Attempt(made.conn, sub, req)
     thread = threading.Thread(target=lambda: frames.extend(attempt.frames()))
     thread.start()
@@ -218,7 +220,7 @@
     all must not book.
     """
     req = admitted("ledger")
-    sub = _submit(req, ledger.conn, 1, time.monotonic())
+    sub = _submit(req, ledger.conn, 1, time.monotonic(), 1)
     link, real = ledger.conn.link, ledger.conn.link.send
     link.send = lambda msg: True
     joined, _ = start(ledger, req)
@@ -247,7 +249,7 @@
     """An attempt meant for an earlier life of the sidecar, or one that came too
     late, is refused and says truthfully that it did not run.
     """
-    sub = replace(_submit(admitted("ledger"), ledger.conn, 1, 0.0), **change)
+    sub = replace(_submit(admitted("ledger"), ledger.conn, 1, 0.0, 1), **change)
     answer = ledger.conn.submit(sub).get(2.0)
     assert isinstance(answer, Fail)
     assert (answer.code, answer.verdict) == (code, Verdict.NOT_RUN)
@@ -258,7 +260,7 @@
     """A frame is delivered twice. The second one is refused with what is true of
     the first, and the ledger sees one booking.
     """
-    sub = _submit(admitted("ledger"), ledger.conn, 1, time.monotonic())
+    sub = _submit(admitted("ledger"), ledger.conn, 1, time.monotonic(), 1)
     first = ledger.conn.submit(sub)
     wait_for(lambda: ledger.app.runs, "the booking")
     second = ledger.conn.submit(sub)
@@ -273,10 +275,10 @@
     """Frames of an earlier attempt, or out of place, arrive among those of the
     present one. The caller must not get a part of another answer.
     """
-    conn = SidecarConn(ledger.conn.info, b"")
+    conn = SidecarConn(ledger.conn.info, b"", STILL)
     conn.load = UpstreamLoad()
     conn.link = type("Sink", (), {"send": lambda self, msg: True})()
-    sub = _submit(admitted("ledger"), ledger.conn, 2, time.monotonic())
+    sub = _submit(admitted("ledger"), ledger.conn, 2, time.monotonic(), 1)
     exchange = conn.submit(sub)
 
     conn.take(Head(sub.request, 1, 200, {}))
@@ -295,5 +297,5 @@
 
 def test_wrong_secret_opens_no_link(ledger):
     """A process without the fleet's secret asks for a link and gets none."""
-    conn = SidecarConn(ledger.conn.info, b"wrong")
+    conn = SidecarConn(ledger.conn.info, b"wrong", STILL)
     assert not conn.connect(HELLO)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,9 +14,11 @@
     port: int = setting("listen", "port", "TCP port", low=1, high=65535)
     peers: tuple[str, ...] = setting("mesh", "peers", "peers", default=())
     loud: bool = setting("log", "loud", "log all", default=False)
+    seeds: tuple[tuple[str, int], ...] = setting("mesh", "seeds", "seeds", ())
 
 
-GOOD = "[listen]\nport=80\n[mesh]\npeers=a:1, b:2\n[log]\nloud=yes\n"
+MESH = "[mesh]\npeers=a:1, b:2\nseeds=10.0.0.5:70, h:7\n"
+GOOD = f"[listen]\nport=80\n{MESH}[log]\nloud=yes\n"
 
 
 def read(tmp_path, text):
@@ -26,7 +28,9 @@
 
 
 def test_good_file(tmp_path):
-    assert read(tmp_path, GOOD) == Success(Sample(80, ("a:1", "b:2"), True))
+    assert read(tmp_path, GOOD) == Success(
+        Sample(80, ("a:1", "b:2"), True, (("10.0.0.5", 70), ("h", 7)))
+    )
 
 
 @pytest.mark.parametrize(
@@ -38,6 +42,8 @@
         ("[listen]\nport=1\nprot=2\n", ["prot: unknown key"]),
         ("[listn]\nport=1\n", ["[listn] -: unknown section", "missing"]),
         ("[listen]\nport=x\n[log]\nloud=perhaps\n", ["port:", "yes or no"]),
+        ("[listen]\nport=1\n[mesh]\nseeds=a\n", ["seeds: expected a list of host"]),
+        ("[listen]\nport=1\n[mesh]\nseeds=a:0\n", ["found 'a:0'"]),
         ("no section", ["no section headers"]),
     ],
 )
