--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -208,6 +208,19 @@
         answer = self.http.request("GET", self.urls[service] + "/_runs")
         return list(answer.json()["runs"].values())
 
+    def ctl(self, operator: str, *args: str) -> subprocess.Popen:
+        """Start the operators' command line."""
+        text = f"[store]\nurl = {self.urls['store']}\n[operator]\nname = {operator}\n"
+        path = self.settings(f"ctl-{operator}", text)
+        env = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        return subprocess.Popen(
+            [sys.executable, "-m", "persimmonhitch.ctl", f"--settings={path}", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env=env,
+        )
+
     def commit(self, edit: Callable[[Catalog], Delta]) -> Catalog:
         """Commit what ``edit`` makes of the configuration in force."""
         store = self.store()
--- a/src/persimmonhitch/ctl/commands.py
+++ b/src/persimmonhitch/ctl/commands.py
@@ -1,5 +1,6 @@
 """The commands, each a function of the store and its arguments."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -15,11 +16,12 @@
 from ..catalog.render import render_accounts, render_plans
 from ..ids import Account, ConfigVersion, Upstream
 from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError
+from .fleet_status import Ask, ask, with_answers
 from .outcome import ExitCode, Outcome, commit_failed, unread
 from .report import render_delta, render_keys, render_objects, shown_hash
 
 STATUS_TABLES: Final = (
-    (Kind.ENTRY, "ENTRY", ("zone", "version")),
+    (Kind.ENTRY, "ENTRY", ("zone", "status", "version")),
     (Kind.SIDECAR, "SIDECAR", ("zone", "kind", "models", "draining", "drain")),
     (Kind.SHARE, "SHARE", ("shares",)),
 )
@@ -171,7 +173,7 @@
     return Outcome(ExitCode.OK, render_keys(read.unwrap()))
 
 
-def status(store: ObjectStore) -> Outcome:
+def status(store: ObjectStore, asked: Ask = ask) -> Outcome:
     """Show the newest version, the entries, the sidecars and the shares."""
     read = in_force(store)
     if not isinstance(read, Success):
@@ -181,7 +183,10 @@
         listing = store.list_all(kind)
         if not isinstance(listing, Success):
             return unread(listing.failure())
-        parts.append(render_objects(title, fields, listing.unwrap().items))
+        items: Iterable[StoredObject] = listing.unwrap().items
+        if kind is Kind.ENTRY:
+            items = with_answers(items, asked)
+        parts.append(render_objects(title, fields, items))
     return Outcome(ExitCode.OK, "\n\n".join(parts))
 
 
--- /dev/null
+++ b/src/persimmonhitch/ctl/fleet_status.py
@@ -0,0 +1,44 @@
+"""What each entry says of itself, for ``status``."""
+
+import json
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from typing import Any, Final
+
+import urllib3
+
+from ..platform.objects import StoredObject
+
+TIMEOUT: Final = 1.0
+AT_ONCE: Final = 32
+
+Ask = Callable[[str], dict[str, Any] | None]
+
+
+def ask(url: str) -> dict[str, Any] | None:
+    """Return the JSON object at an address, None if there is none."""
+    try:
+        answer = urllib3.request("GET", url, timeout=TIMEOUT, retries=False)
+        body = json.loads(answer.data)
+    except (urllib3.exceptions.HTTPError, ValueError, OSError):
+        return None
+    return body if isinstance(body, dict) else None
+
+
+def with_answers(entries: Iterable[StoredObject], asked: Ask) -> list[StoredObject]:
+    """Return entries with the status and version that each gives itself.
+
+    Entries are asked, not the store: if each wrote its version there on every
+    change, 360 entries would write a hundred times a second.
+    """
+    found = list(entries)
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        return list(pool.map(lambda obj: _with_answer(obj, asked), found))
+
+
+def _with_answer(obj: StoredObject, asked: Ask) -> StoredObject:
+    host, port = obj.spec.get("http_host"), obj.spec.get("http_port")
+    answer = asked(f"http://{host}:{port}/readyz") or {"status": "no answer"}
+    kept = {key: answer.get(key) for key in ("status", "version")}
+    return replace(obj, spec={**obj.spec, **kept})
--- a/tests/test_config_golden.py
+++ b/tests/test_config_golden.py
@@ -141,3 +141,38 @@
     for name in every:
         session.reply(f"{name} with the withdrawn key", book(fleet, name))
     session.check()
+
+
+def lists(fleet, name, rate):
+    """Write the two lists with a rate of the first plan; return their paths."""
+    accounts, plans = fleet.folder / "accounts.ini", fleet.folder / f"{name}.ini"
+    accounts.write_text(ACCOUNTS)
+    plans.write_text(PLANS.replace("rate = 5000", f"rate = {rate}"))
+    return str(accounts), str(plans)
+
+
+def test_two_operators_race_over_http(fleet):
+    """Two operators apply different lists in the same second, many times over.
+
+    Two successes would leave one of them with a rate that is not in force, two
+    conflicts both without a way on.
+    """
+    for turn in range(3):
+        rates = {name: 7000 + 100 * turn + i for i, name in enumerate(("ana", "bo"))}
+        runs = {
+            name: fleet.ctl(name, "apply", *lists(fleet, f"{name}{turn}", rate))
+            for name, rate in rates.items()
+        }
+        texts = {name: run.communicate(timeout=30)[0] for name, run in runs.items()}
+        codes = {name: run.returncode for name, run in runs.items()}
+        # One that starts late reads the other's change and builds upon it.
+        assert 0 in codes.values() and set(codes.values()) <= {0, 3}, texts
+        if 3 in codes.values():
+            loser = next(name for name, code in codes.items() if code == 3)
+            assert "changed by another" in texts[loser]
+    run = fleet.ctl("ana", "status")
+    rows = run.communicate(timeout=30)[0].splitlines()
+    ready = [row.split() for row in rows if row.startswith("entry-")]
+    started = [name for name in fleet.urls if name.startswith("entry-")]
+    assert len(ready) == len(started) and all(row[2] == "ready" for row in ready), rows
+    assert {row[3] for row in ready} == {str(version(fleet, "entry-1"))}
--- a/tests/test_config_lists.py
+++ b/tests/test_config_lists.py
@@ -1,7 +1,7 @@
 """Both lists are checked whole, and ``get`` gives back what ``apply`` took."""
 
 import pytest
-from catalog_help import ACCOUNTS, PLANS, lists
+from catalog_help import ACCOUNTS, LISTS, PLANS, lists
 from returns.result import Failure as Err
 
 from persimmonhitch.catalog.changes import diff
@@ -63,3 +63,16 @@
     assert [str(each) for each in result.failure()] == [
         "accounts.ini: [account agent] plan: no plan named 'smal'"
     ]
+
+
+@pytest.mark.parametrize(
+    ("folder", "models", "adapters", "accounts"),
+    [(".", 1, 1, 2), ("cavalcante", 20, 65, 5), ("kringnieuws", 25, 100, 5)],
+)
+def test_examples_are_good_and_of_the_stated_size(folder, models, adapters, accounts):
+    path = LISTS.parent.parent / "examples" / folder
+    texts = [(path / name).read_text() for name in ("accounts.ini", "plans.ini")]
+    catalog = parse_lists(*texts).unwrap()
+    bases = [model.base for model in catalog.models.values()]
+    assert (bases.count(None), len(bases) - bases.count(None)) == (models, adapters)
+    assert len(catalog.accounts) == accounts
