Session of orders under failure; a reopened link waits for fresh holdings

Cause: the planner sent orders to a restarted sidecar on the word of its predecessor's holdings (seen in the log of the golden session: eight orders refused as starting in 1.2 s). A member is open only once holdings came over its present link. Seen failing: test_a_successor_waits_out_the_orders_of_a_killed_sidecar, when a new ledger lends at once, ends with violated = True.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -193,6 +193,19 @@
         )
         return self.spawn(name, "entry", f"--settings={path}")
 
+    def planner(self, name: str, lease: float = 1.0) -> Process:
+        """Start a planner."""
+        path = self.settings(
+            name,
+            f"[vm]\nname = {name}\nzone = z1\n"
+            f"[link]\nsecret = {SECRET}\n"
+            f"[lease]\nduration = {lease}\n"
+            f"[placement]\nperiod = 0.2\nsettle = 1.5\n"
+            f"[weights]\nrate = 20\n"
+            f"[store]\nurl = {self.urls['store']}\n",
+        )
+        return self.spawn(name, "planner", f"--settings={path}")
+
     def store(self) -> HttpObjectStore:
         """Return a client of the fleet's object API."""
         return HttpObjectStore(self.urls["store"], 2.0)
--- a/src/persimmonhitch/decide/placement.py
+++ b/src/persimmonhitch/decide/placement.py
@@ -159,7 +159,7 @@
             if free + ROUNDING < need.memory or site.upstream in self.board.claimed:
                 continue
             heat = 0.0 if cold else self._heat_step(site)
-            score = (site.zone in zones, heat, free)
+            score = (site.zone in zones, heat, -free)
             if best_score is None or score < best_score:
                 best, best_score = site, score
         return best
--- a/src/persimmonhitch/planner/fleet.py
+++ b/src/persimmonhitch/planner/fleet.py
@@ -40,6 +40,8 @@
     link: Link | None = None
     holdings: Holdings | None = None
     heard_at: float = 0.0
+    fresh: bool = False
+    """Holdings came over the link that is open now, not from an earlier life."""
     orders: dict[str, OpenOrder] = field(default_factory=dict)
 
     def current(self, epoch: Epoch) -> bool:
@@ -70,6 +72,7 @@
         if member is None:
             return False
         member.link = link
+        member.fresh = False
         return True
 
     def lost(self, upstream: Upstream, link: Link) -> None:
@@ -86,6 +89,7 @@
             return
         member.holdings = msg
         member.heard_at = now
+        member.fresh = True
         member.orders = {k: o for k, o in member.orders.items() if not o.done}
 
     def done(self, upstream: Upstream, msg: OrderDone) -> OpenOrder | None:
@@ -118,7 +122,7 @@
             holdings = member.holdings
             if holdings is None or not member.current(epoch):
                 continue
-            silent = member.link is None
+            silent = member.link is None or not member.fresh
             if silent and now - member.heard_at > SILENCE:
                 continue
             found.append(_site(upstream, member, holdings, needs, silent))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,9 +1,11 @@
 """The memory ledger against an engine whose orders are lost, late and doubled."""
 
 import threading
+import time
 from random import Random
 
 import pytest
+from fleet import wait_for
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -11,9 +13,13 @@
 from returns.result import Success
 
 from persimmonhitch.ids import Adapter, Epoch, Model
+from persimmonhitch.sidecar.engine_api import HttpEngine
 from persimmonhitch.sidecar.ledger import Answer, Begin, Ledger, Listed
 from persimmonhitch.sidecar.orders import OrderDesk
+from persimmonhitch.standin.engine import EngineApp, EngineSpeed
 from persimmonhitch.standin.engine_memory import EngineMemory, EngineOrder, Outcome
+from persimmonhitch.standin.engine_orders import EngineOrders, OrderFaults
+from persimmonhitch.web import WebServer
 from persimmonhitch.wire.messages import Order
 from persimmonhitch.wire.placement import Copy, CopyState, OrderError
 
@@ -344,3 +350,32 @@
     assert desk.memory()[1] == 40.0
     assert desk.serving() == ()
     desk.stop()
+
+
+@pytest.fixture
+def engine_over_http():
+    orders = EngineOrders(CAPACITY, load_time=0.0, fenced=False)
+    web = WebServer(EngineApp(orders, EngineSpeed()), "127.0.0.1", 0, 4)
+    web.start()
+    yield orders, HttpEngine(f"http://127.0.0.1:{web.port}", 2.0)
+    web.close()
+
+
+def test_a_successor_waits_out_the_orders_of_a_killed_sidecar(engine_over_http):
+    """A sidecar is killed while its order is on the way to an engine that takes any
+    fencing number, and its successor is asked for another model at once.
+
+    Given out too early, the memory would be taken twice when the old order arrives.
+    """
+    orders, engine = engine_over_http
+    late, limit = 0.3, 0.5
+    orders.faults = OrderFaults(late=1, late_by=late)
+    assert engine.load(A1, SIZES[A1], Epoch(1)) is Answer.UNKNOWN
+    ledger = Ledger(CAPACITY, limit, time.monotonic())
+    desk = OrderDesk(ledger, engine, lambda: None)
+    desk.start(0.02)
+    wait_for(lambda: ordered(desk, "load", A2) != "starting", "a ready successor")
+    wait_for(lambda: A1 in desk.serving(), "the late copy")
+    assert orders.memory_state()["violated"] is False
+    assert ordered(desk, "load", A2) == "no_memory"
+    desk.stop()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -196,8 +196,12 @@
     """
     fleet = view(holdings(held=[(COPY, CopyState.LOADED, 0.0)]))
     fleet.lost(UP, fleet.members[UP].link)
-    (site,) = fleet.sites(Epoch(1), {}, SILENCE)
-    assert (site.open, site.copies[MODEL].state) == (False, PlacedState.LOADING)
+    for link in (None, FakeLink()):
+        # The new life has not said yet what it holds and whether it takes orders.
+        if link:
+            fleet.opened(UP, link)
+        (site,) = fleet.sites(Epoch(1), {}, SILENCE)
+        assert (site.open, site.copies[MODEL].state) == (False, PlacedState.LOADING)
     assert fleet.sites(Epoch(1), {}, SILENCE + 0.1) == []
 
 
--- /dev/null
+++ b/tests/test_planner_golden.py
@@ -0,0 +1,161 @@
+"""Planners, sidecars and engines as processes, through all that befalls orders."""
+
+import signal
+
+import pytest
+from fleet import Fleet, wait_for
+from golden_session import Session
+
+ACCOUNTS = "[account fretes]\nplan = desk\n"
+SIZE = 6
+ENGINE = ("--memory=34", "--load-time=0.2", "--unfenced")
+ORDERS = "34\n[orders]\nlimit = 1\nlist_period = 0.1\ntimeout = 5"
+"""Memory of the accelerator, and orders that are settled within a second."""
+
+
+def plans(models):
+    """Return the list of plans with these models; a copy takes 8 GiB."""
+    sections = [
+        f"[model {name}]\nmemory = {SIZE}\nkv_memory = 2\nrevision = {revision}\n"
+        for name, revision in models.items()
+    ]
+    desk = "rate = 5000\nburst = 20000\nweight = 1\npriority = interactive\n"
+    names = ", ".join(models)
+    return f"[plan desk]\n{desk}models = {names}\nservices =\n" + "".join(sections)
+
+
+class Placed:
+    """A fleet with models that nobody has loaded yet."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.models = dict.fromkeys(["m-a", "m-b", "m-c"], "r1")
+        fleet.standin("store", "store")
+        for name in ("engine-1", "engine-2"):
+            fleet.standin(name, "engine", *ENGINE)
+        fleet.addresses("port", "store", "engine-1", "engine-2")
+        fleet.entry("entry")
+        self.sidecars()
+        fleet.apply(ACCOUNTS, plans(self.models))
+        fleet.issue("fretes")
+        fleet.addresses("http", "entry")
+        fleet.planner("planner-1")
+        self.holder("planner-1")
+        fleet.planner("planner-2")
+
+    def sidecars(self, *names):
+        for name in names or ("e1", "e2"):
+            self.fleet.sidecar(name, f"engine-{name[1]}", "engine", memory=ORDERS)
+
+    def add(self, name, revision="r1"):
+        self.models[name] = revision
+        self.fleet.apply(ACCOUNTS, plans(self.models))
+
+    def log(self, name):
+        return self.fleet.processes[name].log.read_text()
+
+    def holder(self, name):
+        wait_for(lambda: "event=lease_taken" in self.log(name), f"lease of {name}")
+
+    def engine(self, name, path):
+        return self.fleet.http.request("GET", self.fleet.urls[name] + path).json()
+
+    def faults(self, **faults):
+        for name in ("engine-1", "engine-2"):
+            self.fleet.http.request(
+                "POST", self.fleet.urls[name] + "/faults", json=faults
+            )
+
+    def held(self):
+        return [
+            (item["id"], item["revision"])
+            for name in ("engine-1", "engine-2")
+            for item in self.engine(name, "/v1/models")["data"]
+        ]
+
+    def replies(self):
+        return [
+            self.fleet.chat("entry", "fretes", "a", 1, model=model).status
+            for model in self.models
+        ]
+
+    def all_answer(self):
+        wait_for(lambda: set(self.replies()) == {200}, "an answer of every model")
+        return "yes"
+
+    def restart_engine(self, name):
+        port = self.fleet.urls[name].rsplit(":", 1)[1]
+        self.fleet.processes[name].kill()
+        self.fleet.standin(name, "engine", *ENGINE, f"--port={port}")
+        self.fleet.processes[name].ports()
+
+    def memory(self):
+        states = [self.engine(name, "/memory") for name in ("engine-1", "engine-2")]
+        return any(state["violated"] for state in states)
+
+    def epoch(self):
+        return self.engine_lease()["spec"]["epoch"]
+
+    def engine_lease(self):
+        path = "/apis/persimmonhitch/v1/leases/planner"
+        return self.fleet.http.request("GET", self.fleet.urls["store"] + path).json()
+
+
+@pytest.fixture
+def placed(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        yield Placed(fleet)
+
+
+def test_session_of_orders_under_failure(placed):
+    """Engines, sidecars and planners die or freeze amid orders, and orders are lost,
+    late and doubled by their repetition. The engines take orders with any fencing
+    number. Callers find every model again each time, and no engine is ever given
+    more than its memory.
+    """
+    session = Session("placement")
+    session.note("three models on two empty engines, all answer:", placed.all_answer())
+
+    for name in ("engine-1", "engine-2"):
+        placed.restart_engine(name)
+    session.note("both engines killed and replaced, all answer:", placed.all_answer())
+
+    placed.faults(late=1, late_by=0.8)
+    placed.add("m-d")
+    wait_for(lambda: "m-d" in placed.log("planner-1"), "the order for m-d")
+    for name in ("e1", "e2"):
+        placed.fleet.processes[f"sidecar-{name}"].kill()
+    placed.sidecars()
+    session.note("sidecars killed amid a late load, all answer:", placed.all_answer())
+    session.note("an engine had more than its memory:", placed.memory())
+
+    placed.faults(lost=1, answers_lost=1)
+    for name in ("m-e", "m-f", "m-g"):
+        placed.add(name)
+    session.note("loads and answers to loads lost, all answer:", placed.all_answer())
+
+    placed.add("m-a", "r2")
+    old = ("m-a", "r1")
+    wait_for(lambda: old not in placed.held(), "the old revision to go")
+    session.note("revision changed, all answer:", placed.all_answer())
+
+    frozen = placed.fleet.processes["planner-1"]
+    frozen.signal(signal.SIGSTOP)
+    placed.holder("planner-2")
+    session.note("holder frozen past its lease, epoch:", placed.epoch())
+    sent = placed.log("planner-1").count("event=order_sent")
+    frozen.signal(signal.SIGCONT)
+    wait_for(lambda: "event=lease_lapsed" in placed.log("planner-1"), "the lapse")
+    session.note("an engine had more than its memory:", placed.memory())
+    for name in ("engine-1", "engine-2"):
+        placed.restart_engine(name)
+    session.note("both engines replaced after it, all answer:", placed.all_answer())
+    more = placed.log("planner-1").count("event=order_sent") - sent
+    session.note("orders of the thawed planner:", more)
+
+    leaver = placed.fleet.processes["planner-2"]
+    session.note("holder asked to stop, exits with", leaver.stop())
+    wait_for(lambda: placed.epoch() == 3, "the next holder")
+    session.note("next holder at once, epoch:", placed.epoch())
+    session.note("an engine had more than its memory:", placed.memory())
+    session.check()
