Last holder loads what nobody serves while the store is away

Cause: no lease can be renewed while the store is down, and an engine that died then left its models without a copy for the whole outage. Ruled out: going on as holder (a planner cut off from the store alone could unload copies that a new holder counts on). A caretaker only loads unreachable models, under its old epoch, and only if it was not paused itself.

--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -6,6 +6,12 @@
 whatever their clocks say. A holder that was paused finds its time over when it looks
 before it acts. What it sent just before still arrives; sidecars refuse it by the
 epoch, which each new holding raises.
+
+While the store is away nobody can take or renew the lease, for hours if need be. An
+upstream that dies then would leave its models without a copy. The last holder stays
+as caretaker: it may load what nobody serves, and nothing else. Should another have
+taken the lease unseen, sidecars refuse the caretaker's epoch, and where they don't yet
+know the newer one a load at worst adds a copy.
 """
 
 import threading
@@ -97,6 +103,9 @@
         self._seen_at = 0.0
         self._least_epoch = 0
         self._sent: tuple[int, int, float] | None = None
+        self._care: Epoch | None = None
+        self._away = False
+        self._stepped_at = 0.0
 
     def epoch(self) -> Epoch | None:
         """Return the epoch held at this moment, or None."""
@@ -105,10 +114,19 @@
                 return None
             return Epoch(LeaseSpec.from_object(self._held).epoch)
 
+    def caretaker(self) -> Epoch | None:
+        """Return the last epoch held, if only the store's absence ended it."""
+        with self._lock:
+            if self._clock() - self._stepped_at > self._duration:
+                return None
+            return self._care
+
     def saw_epoch(self, epoch: Epoch) -> None:
         """Give up a lease that somebody overtook; the next one goes higher."""
         with self._lock:
             self._least_epoch = max(self._least_epoch, epoch)
+            if self._care is not None and self._care < epoch:
+                self._care = None
             held = self._held
             if held is not None and LeaseSpec.from_object(held).epoch < epoch:
                 log("lease_overtaken", epoch=epoch)
@@ -116,25 +134,36 @@
 
     def step(self) -> None:
         """Renew the lease, or take it where it is free; call a few times a lease."""
+        now = self._clock()
+        paused = now - self._stepped_at > self._duration
+        self._stepped_at = now
+        if paused:
+            self._care = None
         epoch = self.epoch()
         held = self._held
         if epoch is not None and held is not None:
             self._renew(held)
             return
         if held is not None:
-            log("lease_lapsed", epoch=LeaseSpec.from_object(held).epoch)
-            self._held = None
+            self._lapse(held, paused)
         self._try_to_take()
 
     def release(self) -> None:
         """Let the next holder in at once."""
-        held, self._held, self._sent = self._held, None, None
+        held, self._held, self._sent, self._care = self._held, None, None, None
         if held is None:
             return
         spec = LeaseSpec.from_object(held)
         freed = LeaseSpec(NOBODY, NOBODY, spec.epoch, spec.renewals + 1, spec.duration)
         self._store.update(held, freed.spec())
 
+    def _lapse(self, held: StoredObject, paused: bool) -> None:
+        last = LeaseSpec.from_object(held).epoch
+        self._held = None
+        if self._away and not paused:
+            self._care = Epoch(last)
+        log("lease_lapsed", epoch=last, caretaker=self._care is not None)
+
     def _renew(self, held: StoredObject) -> None:
         old = LeaseSpec.from_object(held)
         self._write(held, old.epoch, old.renewals + 1)
@@ -142,6 +171,7 @@
     def _try_to_take(self) -> None:
         result = self._store.get(Kind.LEASE, self._name)
         if isinstance(result, Success):
+            self._care = None
             self._take_over(result.unwrap())
         elif result.failure().error is StoreError.NOT_FOUND:
             self._write(None, self._least_epoch + 1, 0)
@@ -172,9 +202,11 @@
         else:
             result = self._store.update(old, lease)
         if isinstance(result, Success):
+            self._away = False
             self._hold(result.unwrap(), sent_at)
             return
         failure = result.failure()
+        self._away = failure.error is StoreError.UNAVAILABLE
         log("lease_not_written", error=failure.error.value, detail=failure.detail)
         if old is not None and self._held is old:
             self._after_failed_renewal(failure.error)
--- a/src/persimmonhitch/planner/main.py
+++ b/src/persimmonhitch/planner/main.py
@@ -92,7 +92,7 @@
 
     def _keep_lease(self) -> None:
         self._lease.step()
-        held = self._lease.epoch() is not None
+        held = (self._lease.epoch() or self._lease.caretaker()) is not None
         if held and self._watcher is None:
             self._watcher = Watcher(self._store, Kind.SIDECAR, self._listed)
             self._watcher.start()
--- a/src/persimmonhitch/planner/planning.py
+++ b/src/persimmonhitch/planner/planning.py
@@ -9,7 +9,7 @@
 import pykka
 
 from ..catalog.model import EMPTY, Catalog
-from ..decide.placement import Move
+from ..decide.placement import Move, Reason
 from ..entry.directory import SidecarInfo
 from ..ids import Adapter, Epoch, Incarnation, Model, Upstream
 from ..observe.logs import log
@@ -100,8 +100,7 @@
 
     @take.register
     def _(self, msg: LinkOpened) -> None:
-        held = self._lease.epoch() is not None
-        if not held or not self._fleet.opened(msg.upstream, msg.link):
+        if self._acting() is None or not self._fleet.opened(msg.upstream, msg.link):
             msg.link.close()
             return
         if self._epoch is not None:
@@ -117,7 +116,7 @@
 
     @take.register
     def _(self, _msg: Tick) -> None:
-        epoch = self._lease.epoch()
+        epoch = self._acting()
         if epoch != self._epoch:
             self._change_epoch(epoch)
         if epoch is None:
@@ -154,6 +153,15 @@
             self._rounds.retry.failed(place, self._clock())
         log("order_ended", order=msg.order, upstream=upstream, error=msg.error or "-")
 
+    def _acting(self) -> Epoch | None:
+        return self._lease.epoch() or self._lease.caretaker()
+
+    def _may_send(self, move: Move, epoch: Epoch) -> bool:
+        if self._lease.epoch() == epoch:
+            return True
+        rescue = move.load and move.reason is Reason.UNREACHABLE
+        return rescue and self._lease.caretaker() == epoch
+
     def _change_epoch(self, epoch: Epoch | None) -> None:
         log("epoch_changed", old=self._epoch, new=epoch)
         self._epoch = epoch
@@ -201,7 +209,7 @@
             return
         # A process that was frozen since the round began must not act on it: its
         # orders would reach sidecars that another planner counts on.
-        if self._lease.epoch() != epoch:
+        if not self._may_send(move, epoch):
             return
         action = Action.LOAD if move.load else Action.UNLOAD
         name = self._order_name(epoch)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -119,10 +119,12 @@
     a.step()
     store.faults.down = True
     wait(clock, 60, a)
-    assert a.epoch() is None
+    assert (a.epoch(), a.caretaker()) == (None, 1)
+    clock.now += 60
+    assert a.caretaker() is None
     store.faults.down = False
     a.step()
-    assert a.epoch() == 2
+    assert (a.epoch(), a.caretaker()) == (2, None)
 
 
 def test_an_overtaken_holder_goes_above_the_epoch_it_saw(store, clock):
@@ -255,6 +257,23 @@
     assert link.sent[-1].memory == 10.0
 
 
+def test_while_the_store_is_away_only_the_unreachable_are_loaded(store, clock):
+    """The store is down for long, and an engine dies with the only copy of a model.
+
+    Without anyone who may order its load, its callers would wait out the outage.
+    """
+    lease, actor, link = planning(store, clock)
+    store.faults.down = True
+    wait(clock, 30, lease)
+    busy = Copy(Model("gone"), None, "1")
+    actor.take(FromSidecar(UP, holdings(held=[(busy, CopyState.LOADED, 0.0)])))
+    actor.take(Tick())
+    assert orders(link)[1:] == [("load", MODEL)]
+    lease.saw_epoch(Epoch(2))
+    actor.take(Tick())
+    assert link.closed
+
+
 def test_a_new_holder_waits_to_hear_from_everybody(store, clock):
     """A planner takes the lease and has heard from one sidecar out of two.
 
--- a/tests/test_planner_golden.py
+++ b/tests/test_planner_golden.py
@@ -29,6 +29,7 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
+        self.violated = False
         self.models = dict.fromkeys(["m-a", "m-b", "m-c"], "r1")
         fleet.standin("store", "store")
         for name in ("engine-1", "engine-2"):
@@ -40,7 +41,7 @@
         fleet.issue("fretes")
         fleet.addresses("http", "entry")
         fleet.planner("planner-1")
-        self.holder("planner-1")
+        wait_for(lambda: "event=lease_taken" in self.log("planner-1"), "the lease")
         fleet.planner("planner-2")
 
     def sidecars(self, *names):
@@ -54,9 +55,6 @@
     def log(self, name):
         return self.fleet.processes[name].log.read_text()
 
-    def holder(self, name):
-        wait_for(lambda: "event=lease_taken" in self.log(name), f"lease of {name}")
-
     def engine(self, name, path):
         return self.fleet.http.request("GET", self.fleet.urls[name] + path).json()
 
@@ -84,6 +82,7 @@
         return "yes"
 
     def restart_engine(self, name):
+        self.memory()
         port = self.fleet.urls[name].rsplit(":", 1)[1]
         self.fleet.processes[name].kill()
         self.fleet.standin(name, "engine", *ENGINE, f"--port={port}")
@@ -91,14 +90,13 @@
 
     def memory(self):
         states = [self.engine(name, "/memory") for name in ("engine-1", "engine-2")]
-        return any(state["violated"] for state in states)
-
-    def epoch(self):
-        return self.engine_lease()["spec"]["epoch"]
+        self.violated = self.violated or any(state["violated"] for state in states)
+        return self.violated
 
-    def engine_lease(self):
+    def lease(self):
         path = "/apis/persimmonhitch/v1/leases/planner"
-        return self.fleet.http.request("GET", self.fleet.urls["store"] + path).json()
+        answer = self.fleet.http.request("GET", self.fleet.urls["store"] + path)
+        return answer.json()["spec"]
 
 
 @pytest.fixture
@@ -139,23 +137,34 @@
     wait_for(lambda: old not in placed.held(), "the old revision to go")
     session.note("revision changed, all answer:", placed.all_answer())
 
-    frozen = placed.fleet.processes["planner-1"]
+    placed.fleet.faults(down=True)
+    wait_for(lambda: "caretaker=True" in placed.log("planner-1"), "the lapse")
+    for name in ("engine-1", "engine-2"):
+        placed.restart_engine(name)
+    session.note("store down, both engines replaced, all answer:", placed.all_answer())
+    placed.fleet.faults()
+    wait_for(lambda: placed.lease()["epoch"] == 2, "a holder")
+    session.note("store back, epoch:", placed.lease()["epoch"])
+
+    name = placed.lease()["holder"]
+    frozen = placed.fleet.processes[name]
     frozen.signal(signal.SIGSTOP)
-    placed.holder("planner-2")
-    session.note("holder frozen past its lease, epoch:", placed.epoch())
-    sent = placed.log("planner-1").count("event=order_sent")
+    wait_for(lambda: placed.lease()["epoch"] == 3, "the next holder")
+    session.note("holder frozen past its lease, epoch:", placed.lease()["epoch"])
+    lapses = placed.log(name).count("event=lease_lapsed")
+    sent = placed.log(name).count("event=order_sent")
     frozen.signal(signal.SIGCONT)
-    wait_for(lambda: "event=lease_lapsed" in placed.log("planner-1"), "the lapse")
+    wait_for(lambda: placed.log(name).count("event=lease_lapsed") > lapses, "the lapse")
     session.note("an engine had more than its memory:", placed.memory())
-    for name in ("engine-1", "engine-2"):
-        placed.restart_engine(name)
+    for engine in ("engine-1", "engine-2"):
+        placed.restart_engine(engine)
     session.note("both engines replaced after it, all answer:", placed.all_answer())
-    more = placed.log("planner-1").count("event=order_sent") - sent
+    more = placed.log(name).count("event=order_sent") - sent
     session.note("orders of the thawed planner:", more)
 
-    leaver = placed.fleet.processes["planner-2"]
+    leaver = placed.fleet.processes[placed.lease()["holder"]]
     session.note("holder asked to stop, exits with", leaver.stop())
-    wait_for(lambda: placed.epoch() == 3, "the next holder")
-    session.note("next holder at once, epoch:", placed.epoch())
+    wait_for(lambda: placed.lease()["epoch"] == 4, "the next holder")
+    session.note("next holder at once, epoch:", placed.lease()["epoch"])
     session.note("an engine had more than its memory:", placed.memory())
     session.check()
