--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any, Final
 
-from ..ids import ConfigVersion, Model, Upstream, Vm, Zone
+from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
 from ..wire.messages import (
@@ -23,8 +23,9 @@
     Welcome,
 )
 from .copies import EngineCopies
-from .dispatch import Dispatcher
+from .dispatch import DispatcherProxy
 from .holdings import HoldingsNews
+from .load import LoadMeter
 from .settings import SidecarSettings
 
 REPORT_EVERY: Final = 1.0
@@ -37,10 +38,15 @@
     def __init__(
         self,
         cfg: SidecarSettings,
-        dispatcher: Dispatcher,
+        incarnation: Incarnation,
+        dispatcher: DispatcherProxy,
+        meter: LoadMeter,
         copies: EngineCopies | None = None,
     ) -> None:
         self._cfg = cfg
+        self._incarnation = incarnation
+        self._meter = meter
+        self.draining = False
         self._dispatcher = dispatcher
         self._links: set[Link] = set()
         self._lock = threading.Lock()
@@ -87,7 +93,7 @@
         with self._lock:
             self._links.discard(link)
             self._planners.pop(link, None)
-        self._dispatcher.link_lost(link)
+        self._dispatcher.link_lost.defer(link)
 
     @singledispatchmethod
     def take(self, msg: Any, link: Link) -> None:
@@ -113,11 +119,11 @@
     def _(self, msg: Submit, link: Link) -> None:
         self._note_version(msg.version)
         if self._copies is None:
-            self._dispatcher.submit(msg, link)
+            self._dispatcher.submit.defer(msg, link)
             return
         with self._copies.using(msg) as refusal:
             if refusal is None:
-                self._dispatcher.submit(msg, link)
+                self._dispatcher.submit.defer(msg, link)
             else:
                 link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
 
@@ -131,15 +137,15 @@
 
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
-        self._dispatcher.cancel(msg)
+        self._dispatcher.cancel.defer(msg)
 
     @take.register
     def _(self, msg: Bury, link: Link) -> None:
-        self._dispatcher.bury(msg, link)
+        self._dispatcher.bury.defer(msg, link)
 
     @take.register
     def _(self, msg: Resume, link: Link) -> None:
-        self._dispatcher.resume(msg, link)
+        self._dispatcher.resume.defer(msg, link)
 
     def _note_version(self, version: ConfigVersion) -> None:
         self.version = max(self.version, version)
@@ -152,25 +158,24 @@
             kind=UpstreamKind(cfg.kind),
             vm=Vm(cfg.vm),
             zone=Zone(cfg.zone),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             version=self.version,
             models=self.models,
-            draining=self._dispatcher.draining,
+            draining=self.draining,
         )
 
     def report(self) -> None:
         """Send a load report on every link now."""
-        running, limit, queued, tokens = self._dispatcher.load()
-        meter = self._dispatcher.meter
+        load, meter = self._dispatcher.load().get(), self._meter
         msg = Report(
             upstream=Upstream(self._cfg.upstream),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             models=self.models,
-            draining=self._dispatcher.draining,
-            running=running,
-            limit=limit,
-            queued=queued,
-            queued_tokens=tokens,
+            draining=self.draining,
+            running=load.running,
+            limit=load.limit,
+            queued=load.queued,
+            queued_tokens=load.queued_tokens,
             token_rate=meter.token_rate(),
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
@@ -185,8 +190,8 @@
     def _tell_planners(self) -> None:
         if self._copies is None:
             return
-        dispatcher, now = self._dispatcher, time.monotonic()
-        msg = self._copies.holdings(dispatcher.incarnation, dispatcher.draining)
+        now = time.monotonic()
+        msg = self._copies.holdings(self._incarnation, self.draining)
         with self._lock:
             due = [link for link, news in self._planners.items() if news.due(msg, now)]
         for link in due:
