--- /dev/null
+++ b/scripts/path_cost.py
@@ -0,0 +1,120 @@
+"""Processor time and memory of entry and sidecar for each request and token.
+
+Starts stand-ins, one entry and one sidecar, sends a bounded number of requests
+at each size and reads what the two processes spent.
+
+Usage: path_cost.py [TOKENS,...]
+"""
+
+import os
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from fleet import Fleet
+
+from persimmonhitch.slopes.base import Reading, Slope, render
+
+TICK = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+SIZES = (1, 10, 50, 200)
+REQUESTS = 200
+CALLERS = 8
+IDLE = 10.0
+PROCESSES = ("entry-1", "sidecar-e1")
+UNIT = "tokens a request"
+
+
+def spent(fleet: Fleet, name: str) -> float:
+    """Return the processor seconds that a process has used."""
+    stat = Path(f"/proc/{fleet.processes[name].popen.pid}/stat").read_text()
+    fields = stat.rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def memory(fleet: Fleet, name: str) -> float:
+    """Return the resident memory of a process in MiB."""
+    path = Path(f"/proc/{fleet.processes[name].popen.pid}/statm")
+    return int(path.read_text().split()[1]) * PAGE / 2**20
+
+
+def start(fleet: Fleet) -> None:
+    """Start what the measurement needs and wait until it serves."""
+    fleet.standin("store", "store")
+    options = ("--models=tiny-chat:10:r1", "--step=0.001")
+    fleet.standin("engine-1", "engine", *options)
+    fleet.addresses("port", "store", "engine-1")
+    fleet.entry("entry-1")
+    fleet.sidecar("e1", "engine-1", "engine")
+    raised = fleet_lists()
+    fleet.apply(*raised)
+    fleet.issue("fretes")
+    fleet.addresses("http", "entry-1")
+    fleet.ready("entry-1", 1)
+
+
+def fleet_lists() -> tuple[str, str]:
+    """Return lists whose one account is never short of tokens."""
+    accounts = "[account fretes]\nplan = desk\n"
+    plans = (
+        "[plan desk]\nrate = 10000000\nburst = 10000000\nweight = 1\n"
+        "priority = interactive\nmodels = tiny-chat\nservices =\n"
+        "[model tiny-chat]\nmemory = 8\nkv_memory = 2\nrevision = r1\n"
+    )
+    return accounts, plans
+
+
+def measure(fleet: Fleet, tokens: int) -> Reading:
+    """Send the requests of one size and read what was spent."""
+
+    def one(number: int) -> bool:
+        words = f"slot {number}"
+        reply = fleet.chat("entry-1", "fretes", words, tokens, stream=True)
+        return reply.status == 200 and reply.body.endswith(b"data: [DONE]\n\n")
+
+    before = {name: spent(fleet, name) for name in PROCESSES}
+    began = time.monotonic()
+    with ThreadPoolExecutor(CALLERS) as callers:
+        good = sum(callers.map(one, range(REQUESTS)))
+    seconds = time.monotonic() - began
+    cost = [spent(fleet, name) - before[name] for name in PROCESSES]
+    return Reading(
+        tokens,
+        (
+            ("good", good),
+            ("requests/s", REQUESTS / seconds),
+            ("entry ms", 1000 * cost[0] / REQUESTS),
+            ("sidecar ms", 1000 * cost[1] / REQUESTS),
+            ("entry MiB", memory(fleet, "entry-1")),
+            ("sidecar MiB", memory(fleet, "sidecar-e1")),
+        ),
+    )
+
+
+def idle(fleet: Fleet) -> None:
+    """Print what the processes spend and hold with nothing to do."""
+    before = {name: spent(fleet, name) for name in PROCESSES}
+    time.sleep(IDLE)
+    for name in PROCESSES:
+        core = 100 * (spent(fleet, name) - before[name]) / IDLE
+        print(f"idle {name}: {core:.2f}% of a core, {memory(fleet, name):.1f} MiB")
+
+
+def main(args: list[str]) -> int:
+    """Measure each size; return 0 when every answer was right."""
+    sizes = tuple(int(part) for part in args[0].split(",")) if args else SIZES
+    fleet = Fleet()
+    try:
+        start(fleet)
+        idle(fleet)
+        measure(fleet, 1)
+        readings = [measure(fleet, tokens) for tokens in sizes]
+    finally:
+        fleet.stop_all()
+    print(render(Slope(UNIT, sizes, lambda _sizes: iter(())), readings))
+    return 0 if all(dict(r.figures)["good"] == REQUESTS for r in readings) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/persimmonhitch/slopes/links.py
@@ -0,0 +1,115 @@
+"""Cost of idle links: memory, threads, processor time and heartbeats.
+
+Both ends stand in this process, so each figure is for a pair of ends, half of
+it for one. What a pair carries in both directions is what one end sends and
+receives. ``links`` takes the links as the programs open them; ``links-one-ping``
+is the same library with heartbeats of the opener alone.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any, Final
+
+from websockets.sync.client import connect
+from websockets.sync.server import ServerConnection, serve
+
+from ..wire.link import Link, LinkServer, open_link
+from .base import SLOPES, Reading, Slope, resident, tcp_traffic
+from .codec import hello
+
+SECRET: Final = b"for this measurement only"
+SETTLE: Final = 3.0
+WINDOW: Final = 10.0
+"""Seconds of idling measured; five heartbeats of each link."""
+ONE_PING_EVERY: Final = 5.0
+KIB: Final = 1024
+
+Close = Callable[[], None]
+
+
+class Sink:
+    """Takes messages and drops them."""
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        """Drop a message."""
+
+    def on_close(self, link: Link) -> None:
+        """Take the end of a link."""
+
+
+def run(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure idle links, more of them at each size."""
+    server = LinkServer("127.0.0.1", 0, SECRET, lambda _link: Sink())
+    server.start()
+
+    def open_one() -> Close:
+        link = open_link("127.0.0.1", server.port, SECRET, Sink(), hello(0))
+        return link.unwrap().close
+
+    yield from _measure(sizes, open_one, server.stop)
+
+
+def run_one_ping(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure idle connections on which only the opener sends heartbeats."""
+
+    def drain(conn: ServerConnection) -> None:
+        for _ in conn:
+            pass
+
+    server = serve(drain, "127.0.0.1", 0, compression=None, ping_interval=None)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    port = server.socket.getsockname()[1]
+
+    def open_one() -> Close:
+        conn = connect(
+            f"ws://127.0.0.1:{port}/",
+            compression=None,
+            proxy=None,
+            ping_interval=ONE_PING_EVERY,
+            legacy=True,
+        )
+        return conn.close
+
+    yield from _measure(sizes, open_one, server.shutdown)
+
+
+def _measure(
+    sizes: Sequence[int], open_one: Callable[[], Close], stop: Close
+) -> Iterator[Reading]:
+    links: list[Close] = []
+    memory, threads = resident(), threading.active_count()
+    try:
+        for size in sizes:
+            start = time.process_time()
+            added = size - len(links)
+            links += [open_one() for _ in range(added)]
+            opened = (time.process_time() - start) / max(added, 1)
+            time.sleep(SETTLE)
+            yield _reading(size, memory, threads, opened)
+    finally:
+        for close in links:
+            close()
+        stop()
+
+
+def _reading(size: int, memory: int, threads: int, opened: float) -> Reading:
+    before, start = tcp_traffic(), time.process_time()
+    time.sleep(WINDOW)
+    spent = time.process_time() - start
+    carried = tcp_traffic().since(before)
+    return Reading(
+        size,
+        (
+            ("memory KiB", (resident() - memory) / KIB),
+            ("threads", threading.active_count() - threads),
+            ("core %", 100 * spent / WINDOW),
+            ("payload B/s", carried.payload / WINDOW),
+            ("wire B/s", carried.wire / WINDOW),
+            ("open ms", 1000 * opened),
+        ),
+    )
+
+
+SLOPES.register("links")(Slope("link pairs", (10, 100, 300, 1000), run))
+SLOPES.register("links-one-ping")(Slope("link pairs", (10, 100, 300), run_one_ping))
