--- a/src/persimmonhitch/slopes/__main__.py
+++ b/src/persimmonhitch/slopes/__main__.py
@@ -19,7 +19,16 @@
 
 from .base import SLOPES, Reading, render
 
-PLUGINS: Final = ("catalog", "codec", "links", "scrape", "store", "web")
+PLUGINS: Final = (
+    "catalog",
+    "codec",
+    "links",
+    "placement",
+    "scrape",
+    "store",
+    "web",
+    "working_set",
+)
 EXIT_UNKNOWN: Final = 2
 
 
--- a/src/persimmonhitch/slopes/links.py
+++ b/src/persimmonhitch/slopes/links.py
@@ -3,7 +3,8 @@
 Both ends stand in this process, so each figure is for a pair of ends, half of
 it for one. What a pair carries in both directions is what one end sends and
 receives. ``links`` takes the links as the programs open them; ``links-one-ping``
-is the same library with heartbeats of the opener alone.
+is the same library with heartbeats of the opener alone. ``links-reports`` adds
+a load report each second on every link.
 """
 
 import threading
@@ -11,21 +12,24 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any, Final
 
-from websockets.sync.client import connect
-from websockets.sync.server import ServerConnection, serve
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
 
 from ..wire.link import Link, LinkServer, open_link
+from ..wire.loop import call, link_loop
 from .base import SLOPES, Reading, Slope, resident, tcp_traffic
-from .codec import hello
+from .codec import hello, report
 
 SECRET: Final = b"for this measurement only"
 SETTLE: Final = 3.0
 WINDOW: Final = 10.0
 """Seconds of idling measured; five heartbeats of each link."""
 ONE_PING_EVERY: Final = 5.0
+REPORT_EVERY: Final = 1.0
+REPORT_MODELS: Final = 3
 KIB: Final = 1024
 
-Close = Callable[[], None]
+Close = Callable[[], object]
 
 
 class Sink:
@@ -38,9 +42,42 @@
         """Take the end of a link."""
 
 
+class Reporter(Sink):
+    """Keeps the links of a server and sends a load report on each."""
+
+    def __init__(self) -> None:
+        self.links: list[Link] = []
+        self.stopping = threading.Event()
+
+    def accept(self, link: Link) -> Sink:
+        """Keep a link that was accepted."""
+        self.links.append(link)
+        return self
+
+    def run(self) -> None:
+        """Send reports until told to stop."""
+        while not self.stopping.wait(REPORT_EVERY):
+            for link in tuple(self.links):
+                link.send(report(REPORT_MODELS))
+
+
 def run(sizes: Sequence[int]) -> Iterator[Reading]:
     """Measure idle links, more of them at each size."""
-    server = LinkServer("127.0.0.1", 0, SECRET, lambda _link: Sink())
+    yield from _measure_links(sizes, Reporter())
+
+
+def run_reports(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure links that carry a load report each second."""
+    reporter = Reporter()
+    threading.Thread(target=reporter.run, daemon=True).start()
+    try:
+        yield from _measure_links(sizes, reporter)
+    finally:
+        reporter.stopping.set()
+
+
+def _measure_links(sizes: Sequence[int], reporter: Reporter) -> Iterator[Reading]:
+    server = LinkServer("127.0.0.1", 0, SECRET, reporter.accept)
     server.start()
 
     def open_one() -> Close:
@@ -50,28 +87,34 @@
     yield from _measure(sizes, open_one, server.stop)
 
 
-def run_one_ping(sizes: Sequence[int]) -> Iterator[Reading]:
-    """Measure idle connections on which only the opener sends heartbeats."""
+async def _drain(conn: ServerConnection) -> None:
+    async for _ in conn:
+        pass
 
-    def drain(conn: ServerConnection) -> None:
-        for _ in conn:
-            pass
 
-    server = serve(drain, "127.0.0.1", 0, compression=None, ping_interval=None)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    port = server.socket.getsockname()[1]
+async def _serve() -> Server:
+    return await serve(_drain, "127.0.0.1", 0, compression=None, ping_interval=None)
 
-    def open_one() -> Close:
-        conn = connect(
-            f"ws://127.0.0.1:{port}/",
-            compression=None,
-            proxy=None,
-            ping_interval=ONE_PING_EVERY,
-            legacy=True,
-        )
-        return conn.close
 
-    yield from _measure(sizes, open_one, server.shutdown)
+async def _open_one_ping(port: int) -> Close:
+    conn = await connect(
+        f"ws://127.0.0.1:{port}/",
+        compression=None,
+        proxy=None,
+        ping_interval=ONE_PING_EVERY,
+    )
+    return lambda: link_loop().call_soon_threadsafe(conn.transport.abort)
+
+
+def run_one_ping(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure idle connections on which only the opener sends heartbeats."""
+    server = call(_serve())
+    port = next(iter(server.sockets)).getsockname()[1]
+
+    def stop() -> None:
+        link_loop().call_soon_threadsafe(server.close)
+
+    yield from _measure(sizes, lambda: call(_open_one_ping(port)), stop)
 
 
 def _measure(
@@ -113,3 +156,4 @@
 
 SLOPES.register("links")(Slope("link pairs", (10, 100, 300, 1000), run))
 SLOPES.register("links-one-ping")(Slope("link pairs", (10, 100, 300), run_one_ping))
+SLOPES.register("links-reports")(Slope("link pairs", (10, 100, 300), run_reports))
--- /dev/null
+++ b/src/persimmonhitch/slopes/placement.py
@@ -0,0 +1,82 @@
+"""Time of one placement round against the upstreams, and against the models."""
+
+import time
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from ..decide.board import Need, Placed, PlacedState, Site
+from ..decide.placement import plan
+from ..ids import Model, Upstream, Zone
+from .base import SLOPES, Reading, Slope
+
+ZONES: Final = 18
+MODELS: Final = 590
+UPSTREAMS: Final = 1100
+CAPACITY: Final = 80.0
+MEMORY: Final = 20.0
+SPEED: Final = 2000.0
+PLACES: Final = 3
+"""Copies that an upstream holds; a fourth would fit."""
+
+
+Fleet = tuple[dict[Model, Need], list[Site]]
+
+
+def fleet(upstreams: int, models: int, lost: int) -> Fleet:
+    """Return needs and sites; so many sites at the end have come back empty."""
+    copies = max(1, upstreams * PLACES // models)
+    names = [Model(f"model-{number}") for number in range(models)]
+    needs = {
+        name: Need(name, MEMORY, "r1", None, SPEED * copies / 4, copies)
+        for name in names
+    }
+    sites = []
+    for number in range(upstreams):
+        held = [names[(number * PLACES + i) % models] for i in range(PLACES)]
+        kept = [] if number >= upstreams - lost else held
+        placed = {name: Placed(PlacedState.SERVING, MEMORY, "r1") for name in kept}
+        free = CAPACITY - MEMORY * len(placed)
+        upstream, zone = Upstream(f"up-{number}"), Zone(f"zone-{number % ZONES}")
+        sites.append(Site(upstream, zone, CAPACITY, free, True, False, placed))
+    return needs, sites
+
+
+def _round(upstreams: int, models: int, lost: int) -> tuple[float, int]:
+    needs, sites = fleet(upstreams, models, lost)
+    start = time.thread_time()
+    moves = plan(needs, sites, SPEED)
+    return time.thread_time() - start, len(moves)
+
+
+def _reading(size: int, upstreams: int, models: int) -> Reading:
+    quiet, _ = _round(upstreams, models, 0)
+    zone, zone_moves = _round(upstreams, models, upstreams // ZONES)
+    empty, empty_moves = _round(upstreams, models, upstreams)
+    return Reading(
+        size,
+        (
+            ("quiet ms", quiet * 1000),
+            ("zone lost ms", zone * 1000),
+            ("moves", zone_moves),
+            ("all empty ms", empty * 1000),
+            ("moves when empty", empty_moves),
+        ),
+    )
+
+
+def run_upstreams(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure rounds for all models on so many upstreams."""
+    for size in sizes:
+        yield _reading(size, size, MODELS)
+
+
+def run_models(sizes: Sequence[int]) -> Iterator[Reading]:
+    """Measure rounds for so many models on a region's upstreams."""
+    for size in sizes:
+        yield _reading(size, UPSTREAMS, size)
+
+
+SLOPES.register("placement-upstreams")(
+    Slope("upstreams", (10, 100, 1000, 1100, 5500), run_upstreams)
+)
+SLOPES.register("placement-models")(Slope("models", (10, 100, 590), run_models))
