Slopes: look at sockets only when summing traffic

Cause: the sum over open TCP connections wrapped every descriptor of the process as a socket; a non-socket left a copy behind, and the tests of links and threads failed with EBADF in one run of three.

--- a/src/persimmonhitch/slopes/base.py
+++ b/src/persimmonhitch/slopes/base.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import socket
+import stat
 import struct
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -17,6 +18,7 @@
 """IP and TCP headers of one segment, with the timestamps option."""
 TCP_INFO_FORMAT: Final = "=8x24I4Q2I"
 """The platform's ``struct tcp_info`` up to the segments received."""
+MAX_INFO: Final = 256
 BYTES_ACKED: Final = 26
 SEGMENTS_OUT: Final = 28
 MICRO: Final = 1e6
@@ -91,11 +93,16 @@
 
 def _tcp_info(descriptor: int) -> tuple[int, ...] | None:
     try:
-        with socket.socket(fileno=os.dup(descriptor)) as sock:
-            sock.getpeername()
-            raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 256)
+        if not stat.S_ISSOCK(os.fstat(descriptor).st_mode):
+            return None
+        sock = socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
         return None
+    with sock:
+        try:
+            raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, MAX_INFO)
+        except OSError:
+            return None
     size = struct.calcsize(TCP_INFO_FORMAT)
     return struct.unpack(TCP_INFO_FORMAT, raw[:size]) if len(raw) >= size else None
 
