Slopes: links in use counted by upstream, bytes to open a link

Cause: the working set counted a link for each copy, though an upstream holds several models; and the cost of opening was known in time only.

--- a/src/persimmonhitch/slopes/links.py
+++ b/src/persimmonhitch/slopes/links.py
@@ -124,19 +124,22 @@
     memory, threads = resident(), threading.active_count()
     try:
         for size in sizes:
-            start = time.process_time()
+            start, before = time.process_time(), tcp_traffic()
             added = size - len(links)
             links += [open_one() for _ in range(added)]
             opened = (time.process_time() - start) / max(added, 1)
+            carried = tcp_traffic().since(before).wire / max(added, 1)
             time.sleep(SETTLE)
-            yield _reading(size, memory, threads, opened)
+            yield _reading(size, memory, threads, opened, carried)
     finally:
         for close in links:
             close()
         stop()
 
 
-def _reading(size: int, memory: int, threads: int, opened: float) -> Reading:
+def _reading(
+    size: int, memory: int, threads: int, opened: float, first: float
+) -> Reading:
     before, start = tcp_traffic(), time.process_time()
     time.sleep(WINDOW)
     spent = time.process_time() - start
@@ -150,6 +153,7 @@
             ("payload B/s", carried.payload / WINDOW),
             ("wire B/s", carried.wire / WINDOW),
             ("open ms", 1000 * opened),
+            ("open B", first),
         ),
     )
 
--- a/src/persimmonhitch/slopes/working_set.py
+++ b/src/persimmonhitch/slopes/working_set.py
@@ -2,7 +2,8 @@
 
 A computation with fixed seeds, not a measurement of this machine: requests come
 at an entry's part of the peak, models are asked for by a Zipf law, each request
-goes to one of the model's copies in reach and holds the link while it streams.
+goes to a copy in the own availability zone, or where there is none to one in the
+region, and holds the link to that upstream while it streams.
 The figures say how many links and openings a second an entry would need if it
 opened links on demand and closed idle ones.
 """
@@ -18,8 +19,12 @@
 STREAM_SECONDS: Final = 910_000 / 2100 * 0.054
 """Tokens a request at the longest time between two."""
 MODELS: Final = 590
-COPIES: Final = 6
-"""Copies of a model in a region: 1,100 upstreams with three models each."""
+UPSTREAMS: Final = 1100
+"""Of one region."""
+PLACES: Final = 3
+"""Models that an upstream holds."""
+ZONES: Final = 4
+"""Availability zones of a region: 18 in 5 regions."""
 LENGTH: Final = 3600.0
 SEED: Final = 6
 
@@ -31,11 +36,23 @@
         yield Reading(size, (("links in use", links), ("opened /s", opened)))
 
 
+def _placed(rng: random.Random) -> list[list[int]]:
+    """Return for each model the upstreams that an entry in zone 0 would use."""
+    copies = [number % MODELS for number in range(UPSTREAMS * PLACES)]
+    rng.shuffle(copies)
+    places: list[list[int]] = [[] for _ in range(MODELS)]
+    for index, model in enumerate(copies):
+        places[model].append(index // PLACES)
+    near = [[up for up in ups if up % ZONES == 0] for ups in places]
+    return [own or ups for own, ups in zip(near, places, strict=True)]
+
+
 def _play(idle: float) -> tuple[float, float]:
     rng = random.Random(SEED)
+    places = _placed(rng)
     weights = [1 / rank for rank in range(1, MODELS + 1)]
-    until: dict[tuple[int, int], float] = {}
-    ends: list[tuple[float, tuple[int, int]]] = []
+    until: dict[int, float] = {}
+    ends: list[tuple[float, int]] = []
     now, held, opened = 0.0, 0.0, 0
     while now < LENGTH:
         step = rng.expovariate(REQUEST_RATE)
@@ -45,8 +62,7 @@
             if until.get(link, now) <= now:
                 until.pop(link, None)
         held += step * len(until)
-        model = rng.choices(range(MODELS), weights)[0]
-        link = (model, rng.randrange(COPIES))
+        link = rng.choice(places[rng.choices(range(MODELS), weights)[0]])
         opened += link not in until
         until[link] = now + STREAM_SECONDS + idle
         heapq.heappush(ends, (until[link], link))
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from persimmonhitch.slopes import __main__ as command
-from persimmonhitch.slopes import base, links
+from persimmonhitch.slopes import base, links, placement, working_set
 from persimmonhitch.slopes.base import SLOPES, Reading, Slope
 
 CAPACITY = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
@@ -20,6 +20,8 @@
 def short(monkeypatch):
     monkeypatch.setattr(links, "SETTLE", 0.0)
     monkeypatch.setattr(links, "WINDOW", 0.01)
+    monkeypatch.setattr(working_set, "LENGTH", 30.0)
+    monkeypatch.setattr(placement, "UPSTREAMS", 60)
     spent = base.seconds_each
     for plugin in command.PLUGINS:
         module = import_module(f"persimmonhitch.slopes.{plugin}")
