Operators' pages, settings tables that cannot drift, and tests that run the pages

The tables of settings and metrics are made from the code by scripts/settings_tables, and a test compares them; commands that the pages show in run blocks are run against an object API in the test's process.

--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,109 @@
+"""The pages say what the code does: commands run, tables and figures match."""
+
+import re
+import shlex
+import tomllib
+from importlib import import_module
+from pathlib import Path
+
+import pytest
+import settings_tables
+
+from persimmonhitch.observe.logs import log
+from persimmonhitch.slopes import __main__ as slopes
+from persimmonhitch.slopes.base import SLOPES
+from persimmonhitch.standin.store_server import StoreApp
+from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.verdict import ErrorCode
+from persimmonhitch.web import WebServer
+
+ROOT = Path(__file__).resolve().parent.parent
+DOCS = ROOT / "docs"
+PAGES = sorted(DOCS.rglob("*.md"))
+RUN = re.compile(r"<!-- run -->\n```sh\n(.*?)```", re.S)
+SHOWING = [page for page in PAGES if RUN.search(page.read_text())]
+EXIT = re.compile(r"#\s*exit (\d+)\s*$")
+STORE_URL = "http://10.0.0.5:7000"
+SCRIPTS = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["scripts"]
+
+
+@pytest.fixture
+def desk(tmp_path, monkeypatch):
+    """An operator's directory, and an object API that its files name."""
+    server = WebServer(StoreApp(StoreState()), "127.0.0.1", 0, 8)
+    server.start()
+    for path in (DOCS / "examples").iterdir():
+        text = path.read_text()
+        here = text.replace(STORE_URL, f"http://127.0.0.1:{server.port}")
+        (tmp_path / path.name).write_text(here)
+    monkeypatch.chdir(tmp_path)
+    yield tmp_path
+    server.close()
+
+
+def run(line):
+    """Run one command of a page in this process; return its exit code."""
+    program, *args = shlex.split(line, comments=True)
+    module, function = SCRIPTS[program].split(":")
+    try:
+        return int(getattr(import_module(module), function)(args) or 0)
+    except SystemExit as exc:
+        return exc.code or 0
+
+
+@pytest.mark.parametrize("page", SHOWING, ids=lambda page: page.name)
+def test_commands_of_the_pages(page, desk, capsys):
+    for block in RUN.findall(page.read_text()):
+        for line in block.splitlines():
+            expected = EXIT.search(line)
+            code = run(line)
+            printed = capsys.readouterr()
+            assert code == int(expected[1] if expected else 0), (line, printed.err)
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_links_between_pages_lead_somewhere(page):
+    for target in re.findall(r"\]\(([^)#:]+?)(?:#\S*)?\)", page.read_text()):
+        assert (page.parent / target).exists(), target
+
+
+def test_tables_of_settings_and_metrics_do_not_drift():
+    page = settings_tables.PAGE.read_text()
+    same = settings_tables.regenerated(page) == page
+    assert same, "run scripts/settings_tables and commit the page"
+
+
+def test_examples_leave_no_mistake_unnamed(desk):
+    text = (desk / "entry.ini").read_text()
+    (desk / "bad.ini").write_text(text.replace("port = 8080", "prot = 8080"))
+    assert run("persimmonhitch-entry --settings=bad.ini --check") == 2
+
+
+def test_the_page_names_every_exit_code_of_the_command_line():
+    from persimmonhitch.ctl.outcome import ExitCode
+
+    page = (DOCS / "OPERATIONS.md").read_text().replace("\n", " ")
+    listed = re.search(r"Those of `persimmonhitch-ctl`: (.*?)\.  ", page)[1]
+    assert re.findall(r"(?:^|; )(\d) ", listed) == [str(int(code)) for code in ExitCode]
+
+
+def test_alerts_name_codes_events_and_metrics_that_exist():
+    page = (DOCS / "OPERATIONS.md").read_text()
+    alerts = page.split("## Alerts")[1]
+    source = "".join(p.read_text() for p in (ROOT / "src").rglob("*.py"))
+    codes = {code.value for code in ErrorCode}
+    assert set(re.findall(r'code="(\w+)"', alerts)) <= codes
+    for event in re.findall(r"`event=(\w+)`", alerts) + ["store_away", "link_lost"]:
+        assert re.search(rf'{log.__name__}\(\s*"{event}"', source), event
+    shown = settings_tables.metrics_table() + "process_resident_memory_bytes"
+    for name in re.findall(r"`((?:persimmonhitch|gen_ai|process)_\w+)`", alerts):
+        assert name.removesuffix("_total") in shown, name
+
+
+def test_capacity_names_slopes_that_exist():
+    for plugin in slopes.PLUGINS:
+        import_module(f"persimmonhitch.slopes.{plugin}")
+    page = (DOCS / "CAPACITY.md").read_text()
+    table = page.split("## Slopes")[1].split("A pair is both ends")[0]
+    named = re.findall(r"^\| `([\w-]+)`", table, re.M)
+    assert sorted(named) == sorted(SLOPES.names())
