--- a/src/persimmonhitch/entry/borrowed.py
+++ b/src/persimmonhitch/entry/borrowed.py
@@ -1,10 +1,10 @@
 """The list of sidecars from a peer, for an entry that starts in an outage."""
 
 import json
-import random
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import count
 from typing import Any, Final
 
 from ..catalog.exchange import Mesh
@@ -69,10 +69,12 @@
         return self._listed.is_set() or self.ready.is_set()
 
     def _run(self) -> None:
-        while not self._stopping.wait(ASK_EVERY) and not self._done():
+        for turn in count():
+            if self._stopping.wait(ASK_EVERY) or self._done():
+                return
             peers = self._mesh.peers()
             if peers:
-                self._mesh.send(random.choice(peers).vm, SidecarsPull())
+                self._mesh.send(peers[turn % len(peers)].vm, SidecarsPull())
 
     def _on_pull(self, vm: Vm, msg: SidecarsPull) -> None:
         view = self._known() if self._listed.is_set() else self._borrowed
