--- a/src/persimmonhitch/planner/round.py
+++ b/src/persimmonhitch/planner/round.py
@@ -6,8 +6,9 @@
 from ..decide.board import Need, PlacedState, Site
 from ..decide.copy_count import CopyCounts
 from ..decide.pacing import LoadPacer, Place, RetryDelay
-from ..decide.placement import Move, Reason, plan
+from ..decide.placement import Move, Reason, make_plan
 from ..ids import Model
+from ..observe.logs import log
 
 
 @dataclass
@@ -28,6 +29,7 @@
 
     def __post_init__(self) -> None:
         self.counts = CopyCounts(self.speed)
+        self._stuck: set[tuple[Model, Reason]] = set()
 
     def needs(
         self, catalog: Catalog, asked: dict[Model, float], now: float
@@ -58,16 +60,23 @@
         now: float,
     ) -> list[Move]:
         """Return the moves to order now; places with an open order are left out."""
+        planned = make_plan(needs, sites, self.speed)
+        self._tell_stuck(planned.stuck)
         blocked = self.retry.blocked(now) | ordered
         chosen = [
             move
-            for move in (*plan(needs, sites, self.speed), *_unfinished(needs, sites))
+            for move in (*planned.moves, *_unfinished(needs, sites))
             if (move.model, move.upstream) not in blocked
         ]
         adapters = frozenset(m for m, need in needs.items() if need.base is not None)
         models, lora = _under_way(sites, adapters)
         return list(self.pacer.admit(chosen, adapters, models, lora, now))
 
+    def _tell_stuck(self, stuck: tuple[tuple[Model, Reason], ...]) -> None:
+        for model, reason in set(stuck) - self._stuck:
+            log("model_without_room", model=model, reason=reason.value)
+        self._stuck = set(stuck)
+
 
 def _unfinished(needs: dict[Model, Need], sites: list[Site]) -> list[Move]:
     """Return loads that a sidecar has reserved for; they may have been lost."""
--- a/src/persimmonhitch/play/placement_planners.py
+++ b/src/persimmonhitch/play/placement_planners.py
@@ -34,6 +34,11 @@
 
     def moves(self, fleet: Fleet, needs: Needs, asked: Asked) -> list[Move]:
         """Return the moves for this period."""
+        full = self.full(fleet, needs, asked)
+        return list(plan(full, fleet.sites(full), SPEED))
+
+    def full(self, fleet: Fleet, needs: Needs, asked: Asked) -> Needs:
+        """Return the needs with their demand and copies wanted."""
         demand = self.counts.demand(asked, fleet.now)
         wanted = self.counts.wanted(demand, _bases(needs), fleet.now)
         full = {
@@ -42,7 +47,17 @@
             )
             for m, need in needs.items()
         }
-        return list(plan(full, fleet.sites(full), SPEED))
+        return full
+
+
+class Tidy(Steady):
+    """Baseline with smoothed demand that unloads surplus copies at once."""
+
+    def moves(self, fleet: Fleet, needs: Needs, asked: Asked) -> list[Move]:
+        """Return the moves for this period."""
+        full = self.full(fleet, needs, asked)
+        chosen = list(plan(full, fleet.sites(full), SPEED))
+        return chosen + _surplus(fleet, full, chosen)
 
 
 class Eager:
@@ -59,25 +74,25 @@
             wanted = copies_for(total[model], SPEED * FILL) + spare
             full[model] = replace(need, demand=asked[model], wanted=wanted)
         chosen = list(plan(full, fleet.sites(full), SPEED))
-        return chosen + self._surplus(fleet, full, chosen)
-
-    def _surplus(self, fleet: Fleet, needs: Needs, chosen: list[Move]) -> list[Move]:
-        touched = {move.model for move in chosen}
-        bases = set(_bases(needs).values())
-        moves = []
-        places = fleet.places()
-        for model, need in needs.items():
-            serving = places.get(model, [])
-            if model in touched or len(serving) <= need.wanted:
+        return chosen + _surplus(fleet, full, chosen)
+
+
+def _surplus(fleet: Fleet, needs: Needs, chosen: list[Move]) -> list[Move]:
+    """Return unloads of all copies above the wanted number."""
+    touched = {move.model for move in chosen}
+    bases = set(_bases(needs).values())
+    moves = []
+    places = fleet.places()
+    for model, need in needs.items():
+        serving = places.get(model, [])
+        if model in touched or len(serving) <= need.wanted:
+            continue
+        for upstream in serving[need.wanted :]:
+            held = fleet.upstreams[upstream].copies
+            if model in bases and any(needs[m].base == model for m, _ in held):
                 continue
-            for upstream in serving[need.wanted :]:
-                held = fleet.upstreams[upstream].copies
-                if model in bases and any(needs[m].base == model for m, _ in held):
-                    continue
-                moves.append(
-                    Move(False, model, upstream, need.revision, Reason.RETIRED)
-                )
-        return moves
+            moves.append(Move(False, model, upstream, need.revision, Reason.RETIRED))
+    return moves
 
 
 @dataclass
@@ -116,5 +131,6 @@
 PLANNERS: Final[dict[str, Callable[[Asked], Planner]]] = {
     "static": Static,
     "no hysteresis": lambda _steady: Eager(),
+    "surplus unloaded": lambda _steady: Tidy(),
     "planner": lambda _steady: Steady(),
 }
--- a/src/persimmonhitch/play/placement_play.py
+++ b/src/persimmonhitch/play/placement_play.py
@@ -1,7 +1,6 @@
 """Play of placement: moves, reachability and served demand for both deployments."""
 
 import random
-import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,7 +8,7 @@
 from ..decide.pacing import LoadPacer
 from ..ids import Model, Upstream
 from ..standin.weights import WeightStore
-from .placement_fleet import Accelerator, Fleet, Held
+from .placement_fleet import Accelerator, Fleet
 from .placement_load import (
     CAPACITY,
     DEPLOYMENTS,
@@ -18,7 +17,7 @@
     Profile,
     profiles,
 )
-from .placement_planners import PLANNERS, Asked, Planner, Steady
+from .placement_planners import PLANNERS, Asked, Planner
 from .registry import PLAYS
 
 PERIOD: Final = 5.0
@@ -153,47 +152,3 @@
                     what = "deaths" if deaths else "surges"
                     print(tally.row(f"{dep.name}, {what}, {name}, seed {seed}"))
     return 0
-
-
-def _full_fleet_round(run: Run, asked: Asked) -> float:
-    """Return the seconds of a round when all memory is taken and demand rises."""
-    copies = sorted(run.fleet.places())
-    for index, acc in enumerate(run.fleet.upstreams.values()):
-        for step in range(len(copies)):
-            model = copies[(index + step) % len(copies)]
-            memory = run.needs[model].memory
-            if acc.free() < memory:
-                break
-            acc.copies.setdefault((model, "1"), Held(memory, "1", 0.0))
-    start = time.perf_counter()
-    run.planner.moves(run.fleet, run.needs, {m: 20 * v for m, v in asked.items()})
-    return time.perf_counter() - start
-
-
-@PLAYS.register("planning-time")
-def play_planning_time(args: list[str]) -> int:
-    """Print how long one round takes at several sizes of the fleet."""
-    sizes = [(59, 550), (147, 1375), (295, 2750), (590, 5500)]
-    print("| models | upstreams | fill s | steady s | full fleet s | copies |")
-    print("| --- | --- | --- | --- | --- | --- |")
-    for models, engines in sizes:
-        dep = Deployment("full", engines, models, 0, 50.0, 1000, 1000)
-        run = Run(dep, Steady(), profiles(dep, 3600.0, 1.0, 1), False, 1)
-        asked = {p.need.model: p.steady for p in run.models}
-        slowest = 0.0
-        for _ in range(400):
-            start = time.perf_counter()
-            moves = run.planner.moves(run.fleet, run.needs, asked)
-            slowest = max(slowest, time.perf_counter() - start)
-            if not moves:
-                break
-            run.fleet.apply(moves, run.needs)
-            run.fleet.now += 1000.0
-        start = time.perf_counter()
-        run.planner.moves(run.fleet, run.needs, asked)
-        steady = time.perf_counter() - start
-        full = _full_fleet_round(run, asked)
-        copies = sum(len(acc.copies) for acc in run.fleet.upstreams.values())
-        times = f"{slowest:.2f} | {steady:.2f} | {full:.2f}"
-        print(f"| {models} | {engines} | {times} | {copies} |")
-    return 0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,7 +7,7 @@
 from persimmonhitch.decide.board import Need
 from persimmonhitch.decide.copy_count import HOLD, CopyCount, DemandTrack
 from persimmonhitch.decide.pacing import LoadPacer, RetryDelay
-from persimmonhitch.decide.placement import Move, Reason, plan
+from persimmonhitch.decide.placement import Move, Reason, make_plan, plan
 from persimmonhitch.ids import Model, Upstream
 from persimmonhitch.play.placement_fleet import Fleet
 from persimmonhitch.standin.weights import WeightStore
@@ -128,20 +128,36 @@
     assert fleet.loads == 4
 
 
-def test_a_new_revision_serves_before_the_old_one_goes():
-    """Operators change a model's revision while callers use it.
+@pytest.mark.parametrize(("upstreams", "wanted"), [(2, 1), (3, 2), (4, 3)])
+def test_a_new_revision_serves_before_the_old_one_goes(upstreams, wanted):
+    """Operators change a model's revision while callers use it, with room for one
+    copy more.
 
-    There is no moment in which neither revision serves.
+    There is no moment in which fewer copies serve than are wanted.
     """
-    fleet = fleet_of(2, capacity=50.0)
-    settle(fleet, needs_of(need("a")))
-    needs = needs_of(need("a", revision="2"))
-    for _ in range(6):
+    fleet = fleet_of(upstreams, capacity=50.0)
+    settle(fleet, needs_of(need("a", wanted=wanted)))
+    needs = needs_of(need("a", wanted=wanted, revision="2"))
+    for _ in range(6 * wanted):
         fleet.apply(plan(needs, fleet.sites(needs), SPEED), needs)
         fleet.now += 1.0
-        assert fleet.serving(Model("a"))
-    (held,) = [key for acc in fleet.upstreams.values() for key in acc.copies]
-    assert held == (Model("a"), "2")
+        assert len(fleet.serving(Model("a"))) >= wanted
+    held = [key for acc in fleet.upstreams.values() for key in acc.copies]
+    assert held == [(Model("a"), "2")] * wanted
+
+
+def test_a_model_without_room_is_named():
+    """All memory is taken by sole copies, and operators add one more model.
+
+    Nothing may go for it, so the operators are told which model waits.
+    """
+    needs = needs_of(need("a", 80.0), need("b", 80.0))
+    fleet = fleet_of(2)
+    settle(fleet, needs)
+    needs = {**needs, **needs_of(need("c", 80.0))}
+    planned = make_plan(needs, fleet.sites(needs), SPEED)
+    assert planned.moves == ()
+    assert planned.stuck == ((Model("c"), Reason.UNREACHABLE),)
 
 
 def test_adapters_get_another_base_when_the_first_has_no_room():
