--- a/src/persimmonhitch/entry/sidecar_conn.py
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -1,14 +1,16 @@
 """One sidecar as an entry sees it: its link, its load, what is in flight there."""
 
+import math
 import threading
 import time
 from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from returns.result import Success
 
+from ..catalog.messages import ConfigNote
 from ..decide.routing import UpstreamLoad
-from ..ids import Incarnation, Model, RequestId
+from ..ids import ConfigVersion, Incarnation, Model, RequestId
 from ..observe.logs import log
 from ..verdict import Verdict
 from ..wire.link import Link, open_link
@@ -33,17 +35,29 @@
 """Seconds to wait for the answer to ``Bury``; it takes one round trip."""
 
 
+class Versions(Protocol):
+    """What the configuration's source is asked for on reports."""
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the newest version known here."""
+
+    def hint(self, version: ConfigVersion) -> None:
+        """Say that a sidecar knows a version."""
+
+
 class SidecarConn:
     """The link to one sidecar and all attempts on it."""
 
-    def __init__(self, info: SidecarInfo, secret: bytes) -> None:
+    def __init__(self, info: SidecarInfo, secret: bytes, versions: Versions) -> None:
         self.info = info
+        self._versions = versions
         self.link: Link | None = None
         self.incarnation: Incarnation | None = None
         self.models: frozenset[Model] = info.models
         self.report: Report | None = None
         self.report_at = 0.0
-        self.welcomed_at = 0.0
+        self._since: dict[Model, float] = {}
         self.dropped = 0
         self._draining = False
         self._secret = secret
@@ -101,18 +115,30 @@
     @take.register
     def _(self, msg: Welcome) -> None:
         self.incarnation = msg.incarnation
-        self.models = frozenset(msg.models)
+        self._now_serves(msg.models)
         self._draining = msg.draining
-        self.welcomed_at = time.monotonic()
         self.welcomed.set()
+        self._compare(msg.version)
+
+    def _compare(self, theirs: ConfigVersion) -> None:
+        """Tell the sidecar of a newer version, or learn from it of one.
+
+        An entry with no requests would otherwise keep the news from the sidecar,
+        which then could not refuse the requests of one that lags.
+        """
+        ours = self._versions.version
+        if theirs < ours and self.link is not None:
+            self.link.send(ConfigNote(ours))
+        self._versions.hint(theirs)
 
     @take.register
     def _(self, msg: Report) -> None:
+        self._compare(msg.version)
         self.report = msg
         with self._lock:
             self.load.on_report(msg)
         self.report_at = time.monotonic()
-        self.models = frozenset(msg.models)
+        self._now_serves(msg.models)
         self._draining = msg.draining
 
     @take.register(Head)
@@ -133,6 +159,17 @@
         if waiter is not None:
             waiter.set()
 
+    def _now_serves(self, models: tuple[Model, ...]) -> None:
+        now = time.monotonic()
+        self.models = frozenset(models)
+        # A copy that stays through a lost link keeps its age: its caches are warm,
+        # and taking it for new would send its callers to busier copies.
+        self._since = {model: self._since.get(model, now) for model in models}
+
+    def age_of(self, model: Model, now: float) -> float:
+        """Return for how long this entry has seen a model served here."""
+        return now - self._since[model] if model in self._since else math.inf
+
     def submit(self, sub: Submit) -> Exchange | None:
         """Send an attempt; None when the link is gone and nothing was sent."""
         exchange = Exchange(sub.request, sub.attempt)
--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -14,7 +14,7 @@
 import pykka
 from returns.result import Success
 
-from ..decide.admission import LoadView, admit, retry_after
+from ..decide.admission import LoadView, admit, expired, queue_full
 from ..decide.fairness import FairQueue, Waiting
 from ..ids import Incarnation, Model, RequestId
 from ..kernel.actors import proxied
@@ -171,7 +171,7 @@
     def _view(self, sub: Submit) -> LoadView:
         return LoadView(
             ahead=self._queue.ahead(sub.account, sub.weight, sub.priority),
-            rate=self._meter.token_rate(),
+            rate=self._meter.service_rate,
             first_token=self._meter.first_token_p95,
             running=len(self._running),
             limit=self._meter.limit,
@@ -181,18 +181,15 @@
         """Refuse what the queue can't hold, from the account that fills it."""
         for item in self._queue.overflow(self._queue_tokens):
             self._seen.bury(item.request, now)
-            self._jobs.pop(item.request).fail(self._full())
-
-    def _full(self) -> Failure:
-        rate = max(1.0, self._meter.token_rate())
-        back = retry_after(self._queue_tokens / rate)
-        return Failure(ErrorCode.OVERLOADED, "the queue is full", retry_after=back)
+            full = queue_full(self._queue_tokens, self._meter.service_rate)
+            self._jobs.pop(item.request).fail(full)
 
     def _start_next(self) -> None:
         while len(self._running) < self._meter.limit:
             item = self._queue.pop(time.monotonic())
             if item is None:
                 return
+            self._meter.left_queue(item.cost, len(self._queue))
             job = self._jobs[item.request]
             self._running.add((item.request, job.submit.attempt))
             self._meter.started(len(self._running))
@@ -278,8 +275,7 @@
             job = self._jobs[item.request]
             job.ended_at = now
             self._seen.bury(item.request, now)
-            reason = "the deadline passed in the queue"
-            job.fail(Failure(ErrorCode.DEADLINE, reason, Verdict.NOT_RUN, 1.0))
+            job.fail(expired(self._queue.tokens, self._meter.service_rate))
 
     def _forget(self, now: float) -> None:
         for request, job in list(self._jobs.items()):
