Planner dials again what ended while it opened; the demo starts a planner

Cause: a link whose end was told before its opening stayed in the view for good, and a sidecar could be dialled twice. Seen while reading; the new test fails without it. The golden session has an adapter too (its first line changed for that).

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -43,6 +43,7 @@
     good = False
     try:
         small_fleet(fleet)
+        fleet.planner("planner").ports()
         good = play(fleet)
         hints(fleet)
         if "--stay" in args:
--- a/src/persimmonhitch/planner/fleet.py
+++ b/src/persimmonhitch/planner/fleet.py
@@ -69,7 +69,7 @@
     def opened(self, upstream: Upstream, link: Link) -> bool:
         """Take a new link; return False when the upstream is not wanted."""
         member = self.members.get(upstream)
-        if member is None:
+        if member is None or member.link is not None:
             return False
         member.link = link
         member.fresh = False
--- a/src/persimmonhitch/planner/links.py
+++ b/src/persimmonhitch/planner/links.py
@@ -95,9 +95,9 @@
     def _try(self, info: SidecarInfo) -> None:
         handler = _Handler(info.upstream, self._tell)
         result = open_link(info.host, info.port, self._secret, handler, self._hello())
-        with self._lock:
-            self._under_way.discard(info.upstream)
         if isinstance(result, Success):
             self._tell(LinkOpened(info.upstream, result.unwrap()))
         else:
             log("sidecar_unreached", upstream=info.upstream, error=result.failure())
+        with self._lock:
+            self._under_way.discard(info.upstream)
--- a/src/persimmonhitch/planner/planning.py
+++ b/src/persimmonhitch/planner/planning.py
@@ -103,8 +103,10 @@
         if self._acting() is None or not self._fleet.opened(msg.upstream, msg.link):
             msg.link.close()
             return
-        if self._epoch is not None:
-            self._fence(msg.link, self._epoch)
+        if self._epoch is not None and not self._fence(msg.link, self._epoch):
+            # Its end was told before its opening: nobody would dial it again, and
+            # the upstream would count as dead until the planner restarts.
+            self._fleet.lost(msg.upstream, msg.link)
 
     @take.register
     def _(self, msg: LinkLost) -> None:
@@ -182,11 +184,12 @@
             if member.link is None:
                 self._dialer.dial(member.info)
 
-    def _fence(self, link: Link, epoch: Epoch) -> None:
+    def _fence(self, link: Link, epoch: Epoch) -> bool:
         # Until a sidecar has refused older epochs, an order of the last holder may
         # change what it holds; its holdings count from then on only.
         name = self._order_name(epoch)
-        link.send(Order(name, epoch, Action.FENCE.value, Model(""), None, "", 0.0))
+        order = Order(name, epoch, Action.FENCE.value, Model(""), None, "", 0.0)
+        return link.send(order)
 
     def _plan(self, epoch: Epoch) -> None:
         now = self._clock()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -174,7 +174,7 @@
 
     def send(self, msg):
         self.sent.append(msg)
-        return True
+        return not self.closed
 
     def close(self):
         self.closed = True
@@ -201,7 +201,8 @@
     for link in (None, FakeLink()):
         # The new life has not said yet what it holds and whether it takes orders.
         if link:
-            fleet.opened(UP, link)
+            assert fleet.opened(UP, link)
+            assert not fleet.opened(UP, FakeLink())
         (site,) = fleet.sites(Epoch(1), {}, SILENCE)
         assert (site.open, site.copies[MODEL].state) == (False, PlacedState.LOADING)
     assert fleet.sites(Epoch(1), {}, SILENCE + 0.1) == []
@@ -274,6 +275,19 @@
     assert link.closed
 
 
+def test_a_link_that_ended_before_it_was_told_is_dialled_again(store, clock):
+    """A link breaks in the moment of its opening and its end is told first.
+
+    Taken for open it would never be dialled again, and its models stay away.
+    """
+    _lease, actor, _link = planning(store, clock)
+    dead = FakeLink()
+    dead.close()
+    actor.take(SidecarsListed({UP: info(UP), OTHER: info(OTHER)}))
+    actor.take(LinkOpened(OTHER, dead))
+    assert actor._fleet.members[OTHER].link is None
+
+
 def test_a_new_holder_waits_to_hear_from_everybody(store, clock):
     """A planner takes the lease and has heard from one sidecar out of two.
 
--- a/tests/test_planner_golden.py
+++ b/tests/test_planner_golden.py
@@ -8,6 +8,7 @@
 
 ACCOUNTS = "[account fretes]\nplan = desk\n"
 SIZE = 6
+ADAPTER = "m-b-lora"
 ENGINE = ("--memory=34", "--load-time=0.2", "--unfenced")
 ORDERS = "34\n[orders]\nlimit = 1\nlist_period = 0.1\ntimeout = 5"
 """Memory of the accelerator, and orders that are settled within a second."""
@@ -19,8 +20,9 @@
         f"[model {name}]\nmemory = {SIZE}\nkv_memory = 2\nrevision = {revision}\n"
         for name, revision in models.items()
     ]
+    sections.append(f"[model {ADAPTER}]\nmemory = 1\nrevision = r1\nbase = m-b\n")
     desk = "rate = 5000\nburst = 20000\nweight = 1\npriority = interactive\n"
-    names = ", ".join(models)
+    names = ", ".join([*models, ADAPTER])
     return f"[plan desk]\n{desk}models = {names}\nservices =\n" + "".join(sections)
 
 
@@ -74,7 +76,7 @@
     def replies(self):
         return [
             self.fleet.chat("entry", "fretes", "a", 1, model=model).status
-            for model in self.models
+            for model in [*self.models, ADAPTER]
         ]
 
     def all_answer(self):
@@ -112,7 +114,9 @@
     more than its memory.
     """
     session = Session("placement")
-    session.note("three models on two empty engines, all answer:", placed.all_answer())
+    session.note(
+        "three models and an adapter on empty engines, all answer:", placed.all_answer()
+    )
 
     for name in ("engine-1", "engine-2"):
         placed.restart_engine(name)
