--- a/src/persimmonhitch/catalog/store_source.py
+++ b/src/persimmonhitch/catalog/store_source.py
@@ -27,7 +27,11 @@
 WATCH_SECONDS: Final = 1.0
 """Of one watch. A watch is an answered question only once it has ended, and a
 cut connection stays silent; longer ones would notice a cut later."""
-RETRY: Final = 0.5
+RETRY_FIRST: Final = 0.5
+RETRY_MOST: Final = 3.0
+"""Seconds between tries while the store is away, doubled from first to most. In
+an outage all 360 entries come to try; every 3 s that is 120 calls a second for a
+store that is just coming back."""
 IDLE: Final = 0.25
 """Seconds between two looks of an entry that need not watch."""
 
@@ -69,6 +73,7 @@
         return not confirmed or not self._feed.ready.is_set() or self._elected()
 
     def _run(self) -> None:
+        pause = RETRY_FIRST
         while not self._stopping.is_set():
             if not self._needed():
                 self._exchange.watching = True
@@ -76,8 +81,10 @@
                 continue
             after = self.load()
             if after is None:
-                self._stopping.wait(RETRY)
+                self._stopping.wait(pause)
+                pause = min(pause * 2, RETRY_MOST)
                 continue
+            pause = RETRY_FIRST
             self._compact()
             while after is not None and self._needed() and not self._stopping.is_set():
                 after = self.follow(after)
