--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -128,11 +128,11 @@
         if self._copies is None:
             self._dispatcher.submit.defer(msg, link)
             return
-        with self._copies.using(msg) as refusal:
-            if refusal is None:
+        with self._copies.using(msg) as missing:
+            if missing is None:
                 self._dispatcher.submit.defer(msg, link)
             else:
-                link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
+                link.send(Fail.from_failure(msg.request, msg.attempt, missing))
 
     @take.register
     def _(self, msg: Order, link: Link) -> None:
@@ -193,7 +193,7 @@
             limit=load.limit,
             queued=load.queued,
             queued_tokens=load.queued_tokens,
-            token_rate=meter.token_rate(),
+            token_rate=meter.service_rate,
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
             version=self.version,
