Planner follows the log by a watch

It now uses the entries' reader: one list at the start, then a watch. Those that stand by read nothing, as before. The reader no longer knows of peers.

--- a/src/persimmonhitch/catalog/exchange.py
+++ b/src/persimmonhitch/catalog/exchange.py
@@ -75,12 +75,15 @@
         self._asked: dict[int, float] = {}
         self._cut_off: set[Vm] = set()
         self._parts: dict[str, list[SnapshotPart]] = {}
-        self.watching = True
-        """False while this entry should watch the store and can't read it."""
+        self._watching = True
         mesh.on(ConfigPull, self._on_pull)
         mesh.on(ConfigPush, self._on_push)
         mesh.on(ConfigWhole, self._on_whole)
 
+    def reached(self, answered: bool) -> None:
+        """Note whether the store answered, if this entry is to watch it."""
+        self._watching = answered
+
     def watchers(self) -> tuple[Vm, ...]:
         """Return the entries of this region that watch the store.
 
@@ -125,7 +128,7 @@
     def _push_of(self, nonce: int, changes: tuple[Change, ...]) -> ConfigPush:
         steady = self._feed.gate.confirmed(self._clock())
         version = self._feed.version
-        return ConfigPush(version, steady, self.watching, nonce, changes[:MAX_PUSH])
+        return ConfigPush(version, steady, self._watching, nonce, changes[:MAX_PUSH])
 
     def _on_pull(self, vm: Vm, msg: ConfigPull) -> None:
         changes = self._feed.after(msg.after)
--- a/src/persimmonhitch/catalog/store_source.py
+++ b/src/persimmonhitch/catalog/store_source.py
@@ -19,7 +19,6 @@
     Version,
 )
 from .changes import Change
-from .exchange import PeerExchange
 from .feed import CatalogFeed
 from .log import Tail, parse_change, read_tail
 from .snapshots import EVERY, compact
@@ -36,25 +35,43 @@
 """Seconds between two looks of an entry that need not watch."""
 
 
-class StoreSource:
-    """Follows the log while this entry is one of its region's watchers.
+def _nobody(_news: object) -> None:
+    """Take news that concerns no other process."""
+
 
-    It also does so as long as the configuration is not confirmed: after the
-    start, and after a freeze.
+class StoreSource:
+    """Follows the log while this process is to watch it.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The object API.
+    feed : CatalogFeed
+        Takes what is read.
+    needed : callable
+        Whether this process is to watch now.
+    told : callable
+        Gets the changes that were new here.
+    reached : callable
+        Gets whether the store answered.
+    clock : callable
+        Monotonic seconds.
     """
 
     def __init__(
         self,
         store: ObjectStore,
         feed: CatalogFeed,
-        exchange: PeerExchange,
-        elected: Callable[[], bool],
+        needed: Callable[[], bool],
+        told: Callable[[tuple[Change, ...]], None] = _nobody,
+        reached: Callable[[bool], None] = _nobody,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._store = store
         self._feed = feed
-        self._exchange = exchange
-        self._elected = elected
+        self._needed = needed
+        self._told = told
+        self._reached = reached
         self._clock = clock
         self._compact_at = EVERY
         self._stopping = threading.Event()
@@ -68,15 +85,11 @@
         """Follow it no more."""
         self._stopping.set()
 
-    def _needed(self) -> bool:
-        confirmed = self._feed.gate.confirmed(self._clock())
-        return not confirmed or not self._feed.ready.is_set() or self._elected()
-
     def _run(self) -> None:
         pause = RETRY_FIRST
         while not self._stopping.is_set():
             if not self._needed():
-                self._exchange.watching = True
+                self._reached(True)
                 self._stopping.wait(IDLE)
                 continue
             after = self.load()
@@ -133,16 +146,16 @@
     def _take(self, changes: Iterable[Change]) -> None:
         taken = self._feed.take(changes)
         if taken:
-            self._exchange.push(taken)
+            self._told(taken)
 
     def _answered(self, asked_at: float) -> None:
-        self._exchange.watching = True
+        self._reached(True)
         self._feed.heard(asked_at)
 
     def _failed(self, exc: StoreFailure) -> None:
         log("config_unread", error=exc.error.value, detail=exc.detail)
         if exc.error is StoreError.UNAVAILABLE:
-            self._exchange.watching = False
+            self._reached(False)
 
     def _compact(self) -> None:
         """Write a snapshot when one is due; every watcher may, see ``compact``."""
--- a/src/persimmonhitch/catalog/sync.py
+++ b/src/persimmonhitch/catalog/sync.py
@@ -35,7 +35,14 @@
         self._clock = clock
         self.feed = CatalogFeed(clock)
         self.exchange = PeerExchange(self.feed, mesh, vm, region, rng, clock)
-        self.source = StoreSource(store, self.feed, self.exchange, self.elected, clock)
+        self.source = StoreSource(
+            store,
+            self.feed,
+            self.needed,
+            self.exchange.push,
+            self.exchange.reached,
+            clock,
+        )
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="ask", daemon=True)
@@ -49,6 +56,15 @@
         """Return whether this entry watches the store for its region."""
         return self._vm in self.exchange.watchers()
 
+    def needed(self) -> bool:
+        """Return whether this entry is to read the store.
+
+        Besides a watcher it is one whose configuration nobody has confirmed:
+        after its start, and after a freeze.
+        """
+        confirmed = self.feed.gate.confirmed(self._clock())
+        return not confirmed or not self.feed.ready.is_set() or self.elected()
+
     def start(self) -> None:
         """Keep up to date from now on."""
         self.source.start()
--- a/src/persimmonhitch/planner/main.py
+++ b/src/persimmonhitch/planner/main.py
@@ -12,13 +12,13 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
 import pykka
 from docopt import docopt
-from returns.result import Success
 
-from ..catalog.log import read_head
+from ..catalog.feed import CatalogFeed
+from ..catalog.store_source import StoreSource
 from ..decide.pacing import LoadPacer
 from ..entry.directory import SidecarInfo
 from ..ids import ConfigVersion, Vm, Zone, new_incarnation
@@ -35,8 +35,6 @@
 from .round import Rounds
 from .settings import PlannerSettings
 
-CATALOG_EVERY: Final = 1.0
-
 
 class PlannerProcess:
     """All parts of the process."""
@@ -61,6 +59,12 @@
         )
         self._dialer = Dialer(cfg.secret.encode(), self._hello, self._tell)
         self._watcher: Watcher | None = None
+        feed = CatalogFeed()
+        feed.listen(lambda catalog: self._tell(CatalogRead(catalog)))
+        # Those that stand by read nothing; a change costs the holder one event.
+        self._source = StoreSource(
+            self._store, feed, lambda: self._lease.epoch() is not None
+        )
 
     @classmethod
     def from_config(cls, cfg: PlannerSettings) -> "PlannerProcess":
@@ -72,12 +76,13 @@
         self._tell(self._dialer)
         self._every(self.cfg.lease_duration / RENEWALS_PER_LEASE, self._keep_lease)
         self._every(self.cfg.period, lambda: self._tell(Tick()))
-        self._every(CATALOG_EVERY, self._read_catalog)
+        self._source.start()
         log("started", lease=self.cfg.lease, incarnation=self._incarnation)
 
     def stop(self) -> None:
         """Give no more orders, then let the next holder in."""
         self._stopping.set()
+        self._source.stop()
         pykka.ActorRegistry.stop_all()
         self._dialer.stop()
         self._lease.release()
@@ -100,13 +105,6 @@
             self._watcher.stop()
             self._watcher = None
 
-    def _read_catalog(self) -> None:
-        if self._lease.epoch() is None:
-            return
-        result = read_head(self._store)
-        if isinstance(result, Success):
-            self._tell(CatalogRead(result.unwrap().catalog))
-
     def _listed(self, view: View) -> None:
         found = (SidecarInfo.from_object(obj) for obj in view.objects.values())
         engines = (
--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -98,11 +98,12 @@
             if vm in self.frozen:
                 continue
             source = entry.sync.source
-            if source._needed():
+            if entry.sync.needed():
                 load = entry.after is None
                 entry.after = source.load() if load else source.follow(entry.after)
             else:
-                entry.after, entry.sync.exchange.watching = None, True
+                entry.after = None
+                entry.sync.exchange.reached(True)
             entry.sync.exchange.ask()
 
     def versions(self):
