--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -1,24 +1,31 @@
 """Links of entries and the planner: their messages and the reports to them."""
 
 import threading
+import time
 from functools import singledispatchmethod
 from typing import Any, Final
 
-from ..ids import ConfigVersion, Model, Upstream, Vm, Zone
+from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
 from ..wire.messages import (
     PROTOCOL,
     Bury,
     Cancel,
+    Fail,
     Hello,
+    Order,
     Report,
     Resume,
+    Role,
     Submit,
     UpstreamKind,
     Welcome,
 )
-from .dispatch import Dispatcher
+from .copies import EngineCopies
+from .dispatch import DispatcherProxy
+from .holdings import HoldingsNews
+from .load import LoadMeter
 from .settings import SidecarSettings
 
 REPORT_EVERY: Final = 1.0
@@ -29,20 +36,34 @@
     """Serves every link of this sidecar."""
 
     def __init__(
-        self, cfg: SidecarSettings, dispatcher: Dispatcher, models: tuple[Model, ...]
+        self,
+        cfg: SidecarSettings,
+        incarnation: Incarnation,
+        dispatcher: DispatcherProxy,
+        meter: LoadMeter,
+        copies: EngineCopies | None = None,
     ) -> None:
         self._cfg = cfg
+        self._incarnation = incarnation
+        self._meter = meter
+        self.draining = False
         self._dispatcher = dispatcher
         self._links: set[Link] = set()
         self._lock = threading.Lock()
         self._stopping = threading.Event()
-        self.models = models
+        self._copies = copies
+        self._planners: dict[Link, HoldingsNews] = {}
         self.version = ConfigVersion(0)
         self._server = LinkServer(cfg.host, cfg.port, cfg.secret.encode(), self._accept)
         self._reporter = threading.Thread(
             target=self._report_loop, name="report", daemon=True
         )
 
+    @property
+    def models(self) -> tuple[Model, ...]:
+        """Return the models that may be asked for here."""
+        return () if self._copies is None else self._copies.models()
+
     @property
     def port(self) -> int:
         """Return the TCP port for links."""
@@ -71,7 +92,8 @@
         """Hold the link's answers for a resume."""
         with self._lock:
             self._links.discard(link)
-        self._dispatcher.link_lost(link)
+            self._planners.pop(link, None)
+        self._dispatcher.link_lost.defer(link)
 
     @singledispatchmethod
     def take(self, msg: Any, link: Link) -> None:
@@ -88,24 +110,42 @@
         self._note_version(msg.version)
         link.send(self._welcome())
         with self._lock:
-            self._links.add(link)
+            if msg.role is Role.PLANNER:
+                self._planners[link] = HoldingsNews()
+            else:
+                self._links.add(link)
 
     @take.register
     def _(self, msg: Submit, link: Link) -> None:
         self._note_version(msg.version)
-        self._dispatcher.submit(msg, link)
+        if self._copies is None:
+            self._dispatcher.submit.defer(msg, link)
+            return
+        with self._copies.using(msg) as refusal:
+            if refusal is None:
+                self._dispatcher.submit.defer(msg, link)
+            else:
+                link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
+
+    @take.register
+    def _(self, msg: Order, link: Link) -> None:
+        if self._copies is None or link not in self._planners:
+            log("order_unexpected", peer=link.peer)
+            link.close()
+            return
+        self._copies.order(msg, link)
 
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
-        self._dispatcher.cancel(msg)
+        self._dispatcher.cancel.defer(msg)
 
     @take.register
     def _(self, msg: Bury, link: Link) -> None:
-        self._dispatcher.bury(msg, link)
+        self._dispatcher.bury.defer(msg, link)
 
     @take.register
     def _(self, msg: Resume, link: Link) -> None:
-        self._dispatcher.resume(msg, link)
+        self._dispatcher.resume.defer(msg, link)
 
     def _note_version(self, version: ConfigVersion) -> None:
         self.version = max(self.version, version)
@@ -118,31 +158,43 @@
             kind=UpstreamKind(cfg.kind),
             vm=Vm(cfg.vm),
             zone=Zone(cfg.zone),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             version=self.version,
             models=self.models,
-            draining=self._dispatcher.draining,
+            draining=self.draining,
         )
 
     def report(self) -> None:
         """Send a load report on every link now."""
-        running, limit, queued, tokens = self._dispatcher.load()
-        meter = self._dispatcher.meter
+        load, meter = self._dispatcher.load().get(), self._meter
         msg = Report(
             upstream=Upstream(self._cfg.upstream),
-            incarnation=self._dispatcher.incarnation,
+            incarnation=self._incarnation,
             models=self.models,
-            draining=self._dispatcher.draining,
-            running=running,
-            limit=limit,
-            queued=queued,
-            queued_tokens=tokens,
+            draining=self.draining,
+            running=load.running,
+            limit=load.limit,
+            queued=load.queued,
+            queued_tokens=load.queued_tokens,
             token_rate=meter.token_rate(),
             first_token=meter.first_token_p95,
             token_gap=meter.gap_p95,
             version=self.version,
         )
-        for link in self._all_links():
+        with self._lock:
+            links = list(self._links)
+        for link in links:
+            link.send(msg)
+        self._tell_planners()
+
+    def _tell_planners(self) -> None:
+        if self._copies is None:
+            return
+        now = time.monotonic()
+        msg = self._copies.holdings(self._incarnation, self.draining)
+        with self._lock:
+            due = [link for link, news in self._planners.items() if news.due(msg, now)]
+        for link in due:
             link.send(msg)
 
     def _report_loop(self) -> None:
@@ -151,4 +203,4 @@
 
     def _all_links(self) -> list[Link]:
         with self._lock:
-            return list(self._links)
+            return [*self._links, *self._planners]
