--- /dev/null
+++ b/scripts/hop_cost.py
@@ -0,0 +1,143 @@
+"""Time that entry and sidecar add to a stream, against calling engines directly.
+
+Both ways are played in turn in one run, with the same stand-ins, so that the
+figures can be compared.
+
+Usage: hop_cost.py [STREAMS,...]
+"""
+
+import json
+import sys
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from urllib.parse import urlsplit
+
+from fleet import Fleet
+from path_cost import fleet_lists, spent
+
+ENGINES = 6
+STEP = 0.0165
+"""Seconds; with ten streams an engine the stand-in then takes 24 ms a token."""
+TOKENS = 400
+ROUNDS = 2
+SPREAD = 9.6
+"""Seconds over which the streams start: one stream's time, so that requests come
+evenly, as many a second as an entry gets at the full size."""
+SIZES = (60,)
+TIMEOUT = 120.0
+
+
+@dataclass
+class Timing:
+    """Seconds to the first token and between tokens."""
+
+    first: list[float] = field(default_factory=list)
+    gaps: list[float] = field(default_factory=list)
+    broken: int = 0
+
+
+def stream(url: str, headers: dict[str, str], words: str, timing: Timing) -> None:
+    """Run one stream and note the time of each token."""
+    address = urlsplit(url)
+    conn = HTTPConnection(address.hostname, address.port, timeout=TIMEOUT)
+    messages = [{"role": "user", "content": words}]
+    body = {"model": "tiny-chat", "messages": messages, "stream": True}
+    last = began = time.monotonic()
+    body["max_tokens"] = TOKENS
+    conn.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+    answer = conn.getresponse()
+    seen, whole = 0, False
+    for line in answer:
+        if b'"content"' in line:
+            now = time.monotonic()
+            (timing.gaps if seen else timing.first).append(
+                now - (last if seen else began)
+            )
+            seen, last = seen + 1, now
+        whole = whole or line.startswith(b"data: [DONE]")
+    timing.broken += not whole or seen != TOKENS
+    conn.close()
+
+
+def play(urls: Sequence[str], headers: dict[str, str], streams: int) -> Timing:
+    """Run so many streams at once, a few times over."""
+    timing = Timing()
+
+    def one(number: int) -> None:
+        time.sleep(SPREAD * number / streams)
+        for _ in range(ROUNDS):
+            stream(urls[number % len(urls)], headers, f"slot {number}", timing)
+
+    with ThreadPoolExecutor(streams) as callers:
+        list(callers.map(one, range(streams)))
+    return timing
+
+
+def p(values: Sequence[float], part: float) -> float:
+    """Return a percentile in milliseconds."""
+    return 1000 * sorted(values)[int(part * (len(values) - 1))]
+
+
+def start(fleet: Fleet) -> None:
+    """Start engines, sidecars and one entry."""
+    fleet.standin("store", "store")
+    names = [f"engine-{number}" for number in range(ENGINES)]
+    for name in names:
+        fleet.standin(name, "engine", "--models=tiny-chat:10:r1", f"--step={STEP}")
+    fleet.addresses("port", "store", *names)
+    fleet.entry("entry-1")
+    for number, name in enumerate(names):
+        fleet.sidecar(f"e{number}", name, "engine")
+    fleet.apply(*fleet_lists())
+    fleet.issue("fretes")
+    fleet.addresses("http", "entry-1")
+    fleet.ready("entry-1", ENGINES)
+
+
+def show(way: str, streams: int, timing: Timing, seconds: float, core: float) -> None:
+    """Print one row."""
+    first, gaps = timing.first, timing.gaps
+    rate = (len(first) + len(gaps)) / seconds
+    cells = (p(first, 0.5), p(first, 0.95), p(gaps, 0.5), p(gaps, 0.95))
+    text = " | ".join(f"{cell:.1f}" for cell in cells)
+    row = f"| {way} | {streams} | {rate:.0f} | {text} | {core:.0f} | {timing.broken} |"
+    print(row, flush=True)
+
+
+def main(args: list[str]) -> int:
+    """Measure each size; return 0 when every stream was whole."""
+    sizes = tuple(int(part) for part in args[0].split(",")) if args else SIZES
+    fleet, broken = Fleet(), 0
+    try:
+        start(fleet)
+        engines = [fleet.urls[f"engine-{number}"] for number in range(ENGINES)]
+        ways = {
+            "direct": (engines, {}),
+            "through": (
+                [fleet.urls["entry-1"]],
+                {"Authorization": f"Bearer {fleet.keys['fretes']}"},
+            ),
+        }
+        print(
+            "| way | streams | tokens/s | first p50 ms | p95 | gap p50 ms | p95 |",
+            end="",
+        )
+        print(" entry core % | broken |\n|" + " --- |" * 9)
+        for streams in sizes:
+            for way, (urls, headers) in ways.items():
+                before, began = spent(fleet, "entry-1"), time.monotonic()
+                timing = play(urls, headers, streams)
+                seconds = time.monotonic() - began
+                core = 100 * (spent(fleet, "entry-1") - before) / seconds
+                show(way, streams, timing, seconds, core)
+                broken += timing.broken
+    finally:
+        fleet.stop_all()
+    return 0 if not broken else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -73,6 +73,13 @@
     assert same, "run scripts/settings_tables and commit the page"
 
 
+def test_every_program_with_settings_has_its_table_and_example():
+    page = settings_tables.PAGE.read_text()
+    for program in settings_tables.programs():
+        assert f"<!-- table {program} -->" in page
+        assert (DOCS / "examples" / f"{program}.ini").exists()
+
+
 def test_examples_leave_no_mistake_unnamed(desk):
     text = (desk / "entry.ini").read_text()
     (desk / "bad.ini").write_text(text.replace("port = 8080", "prot = 8080"))
