--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -11,7 +11,6 @@
 
 import random
 from pathlib import Path
-from typing import Final
 
 from docopt import docopt
 
@@ -40,8 +39,6 @@
 from .router import Router
 from .settings import EntrySettings
 
-TRACE_RATIO: Final = 1.0
-
 
 class Entry:
     """All parts of the process."""
@@ -89,7 +86,7 @@
             forwarder,
             self.records,
             self.metrics,
-            Traces(TRACE_RATIO),
+            Traces(cfg.trace_ratio),
         )
         feed = self.sync.feed
         return EntryApp(gateway, self.metrics, self._ready, lambda: feed.version)
--- a/src/persimmonhitch/entry/settings.py
+++ b/src/persimmonhitch/entry/settings.py
@@ -33,6 +33,9 @@
     seeds: tuple[tuple[str, int], ...] = setting(
         "link", "seeds", "entries to ask while the store is down", ()
     )
+    trace_ratio: float = setting(
+        "traces", "ratio", "part of all traces that is kept", 1.0, low=0, high=1
+    )
     stop_notice: float = setting(
         "stop", "notice", "seconds not ready before the listener closes", 2.0, low=0
     )
--- a/src/persimmonhitch/slopes/codec.py
+++ b/src/persimmonhitch/slopes/codec.py
@@ -3,10 +3,14 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any, Final
 
+from ..catalog.changes import Change, Delta, new_change_id
+from ..catalog.messages import ConfigPull, ConfigPush
+from ..catalog.model import KeyEntry, KeyState
 from ..ids import (
     Account,
     ConfigVersion,
     Incarnation,
+    KeyHash,
     Model,
     Tokens,
     Upstream,
@@ -76,6 +80,22 @@
     return Hello(PROTOCOL, Role.ENTRY, vm, zone, LIFE, VERSION)
 
 
+def config_push(changes: int) -> ConfigPush:
+    """Return an answer with so many changes, each of one key."""
+    key = KeyEntry(KeyHash("0" * 64), Account("account-17"), KeyState.WITHDRAWN)
+    delta = Delta(keys=(key,))
+    made = tuple(
+        Change(ConfigVersion(VERSION + i), new_change_id(), "ana", 1.8e9, delta)
+        for i in range(changes)
+    )
+    return ConfigPush(VERSION, True, True, 2**62, made)
+
+
+def config_pull(_size: int) -> ConfigPull:
+    """Return the question that an entry asks of a peer."""
+    return ConfigPull(VERSION, 2**62)
+
+
 def _slope(make: Callable[[int], Any]) -> Callable[[Sequence[int]], Iterator[Reading]]:
     def run(sizes: Sequence[int]) -> Iterator[Reading]:
         for size in sizes:
@@ -101,3 +121,7 @@
 )
 SLOPES.register("codec-chunk")(Slope("bytes", (10, 100, 1000, 10_000), _slope(chunk)))
 SLOPES.register("codec-hello")(Slope("hello", (1,), _slope(hello)))
+SLOPES.register("codec-config-push")(
+    Slope("changes", (0, 1, 10, 100), _slope(config_push))
+)
+SLOPES.register("codec-config-pull")(Slope("question", (1,), _slope(config_pull)))
