--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,121 @@
+"""Bad input from callers and from processes: a clear end, and the process lives."""
+
+import time
+
+import cbor2
+import pytest
+import test_links
+from test_links import HELLO, SECRET
+from websockets.exceptions import ConnectionClosed
+from websockets.sync.client import connect
+
+from persimmonhitch.entry.calls import clean_headers, clean_query, read_call
+from persimmonhitch.verdict import ErrorCode, Failure
+from persimmonhitch.web import Request
+from persimmonhitch.web.http import MAX_BODY, read_request
+from persimmonhitch.wire import auth
+from persimmonhitch.wire.codec import MAX_FRAME, decode, encode
+from persimmonhitch.wire.messages import Head, Hello, Role
+
+ledger = test_links.ledger
+KEY = "phk_secret"
+CHAT = "/v1/chat/completions"
+
+
+def request(path=CHAT, body=b"{}", query="", **headers):
+    all_headers = {"authorization": f"Bearer {KEY}", **headers}
+    return Request("POST", path, query, all_headers, body)
+
+
+@pytest.mark.parametrize(
+    "req",
+    [
+        request(body=b"{"),
+        request(body=b"\xff\xfe"),
+        request(body=b"[" * 100000),
+        request(body=b'{"model": 1}'),
+        request(body=b'{"model": "m", "messages": [1]}'),
+        request(
+            body=b'{"model": "m", "messages": [{"role": "user"}], "max_tokens": 1e9}'
+        ),
+        request(**{"x-request-timeout": "nan"}),
+        request(**{"x-request-timeout": "-1"}),
+        request(**{"x-request-timeout": "1e9"}),
+        request(**{"x-request-priority": "first"}),
+        request("/v1/services/s/x", **{"idempotency-key": "k" * 256}),
+        request("/v1/services/s/x", body=f"my key is {KEY}".encode()),
+        request(f"/v1/services/s/{KEY}"),
+    ],
+)
+def test_bad_calls_are_named(req):
+    result = read_call(req, 60.0, 600.0)
+    assert result.failure().code is ErrorCode.BAD_REQUEST
+
+
+@pytest.mark.parametrize("stated", [str(MAX_BODY + 1), ""])
+def test_a_body_that_is_too_long_is_refused(stated):
+    class Endless:
+        def read(self, count):
+            return b"x" * count
+
+    environ = {"CONTENT_LENGTH": stated, "wsgi.input": Endless()}
+    result = read_request(environ)
+    assert isinstance(result.failure(), Failure)
+    assert result.failure().code is ErrorCode.TOO_LARGE
+
+
+def test_headers_and_query_lose_the_key_and_what_is_for_one_hop():
+    headers = {
+        "connection": "close, X-Hop",
+        "x-hop": "1",
+        "te": "trailers",
+        "authorization": f"Bearer {KEY}",
+        "x-note": f"with {KEY} in it",
+        "accept": "text/plain",
+    }
+    assert clean_headers(headers, KEY) == {"accept": "text/plain"}
+    assert clean_query(f"a=1&k={KEY}&b=2", KEY) == "a=1&b=2"
+    assert clean_query("k=phk%5Fsecret", KEY) == ""
+
+
+FRAMES = {
+    "text": "hello",
+    "empty": b"",
+    "no cbor": b"\xff\x00",
+    "no list": cbor2.dumps({"a": 1}),
+    "unknown kind": cbor2.dumps([9999]),
+    "too few fields": cbor2.dumps([3, "r"]),
+    "wrong type": cbor2.dumps([1, "one", "entry", "v", "z", "i", 1]),
+    "wrong enum": cbor2.dumps([1, 1, "king", "v", "z", "i", 1]),
+    "deep": b"\x81" * 5000,
+    "wrong protocol": encode(Hello(99, Role.ENTRY, "v", "z", "i", 1)),
+    "not for a sidecar": encode(Head("r", 1, 200, {})),
+}
+
+
+@pytest.mark.parametrize("frame", FRAMES.values(), ids=FRAMES.keys())
+def test_bad_frames_end_their_link_only(ledger, frame):
+    """A peer of another version, or a faulty one, sends what cannot be read. Its
+    link ends; the sidecar and the links of the others go on.
+    """
+    url = f"ws://127.0.0.1:{ledger.server.port}/link"
+    headers = {auth.HEADER: auth.sign(SECRET.encode(), time.time())}
+    conn = connect(url, additional_headers=headers, proxy=None, legacy=True)
+    conn.send(frame)
+    with pytest.raises(ConnectionClosed):
+        conn.recv(timeout=5)
+    assert ledger.conn.welcomed.is_set()
+    other = test_links.SidecarConn(ledger.conn.info, SECRET.encode(), test_links.STILL)
+    assert other.connect(HELLO)
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["", "a.b.c", "1.2", auth.sign(b"other", time.time()), auth.sign(b"s", 0.0)],
+)
+def test_links_without_the_secret_are_refused(value):
+    assert not auth.verify(b"s", value, time.time())
+
+
+def test_a_frame_over_the_limit_is_not_read():
+    assert "bytes" in decode(b"x" * (MAX_FRAME + 1)).failure()
