--- /dev/null
+++ b/scripts/prove.py
@@ -0,0 +1,71 @@
+"""Show that each proof fails without its mechanism.
+
+Usage:
+  prove [POINT ...]
+
+Each mutation of ``tests/mutations.toml`` takes one mechanism out of a copy of the
+tree and runs the test that proves it there; that test has to fail.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT = 180.0
+COPIED = ("src", "tests", "scripts", "examples", "pyproject.toml")
+
+
+def mutate(tree: Path, edits: list[dict[str, str]]) -> None:
+    """Make the edits; each must match exactly once, or it proves nothing."""
+    for edit in edits:
+        path = tree / "src" / "persimmonhitch" / edit["file"]
+        text = path.read_text()
+        if text.count(edit["old"]) != 1:
+            raise SystemExit(f"{edit['file']}: {edit['old']!r} does not stand once")
+        path.write_text(text.replace(edit["old"], edit["new"]))
+
+
+def run(tree: Path, test: str) -> bool:
+    """Return whether a test passes in a tree."""
+    command = [sys.executable, "-m", "pytest", "-x", "-p", "no:cacheprovider", test]
+    env = {**os.environ, "PYTHONPATH": str(tree / "src"), "UPDATE_GOLDEN": ""}
+    done = subprocess.run(
+        command, cwd=tree, env=env, capture_output=True, timeout=LIMIT, check=False
+    )
+    return done.returncode == 0
+
+
+def prove(case: dict) -> str:
+    """Return the line that tells how a mutation went."""
+    with tempfile.TemporaryDirectory() as folder:
+        tree = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, tree / name)
+            else:
+                shutil.copy(source, tree / name)
+        mutate(tree, case["edit"])
+        passed = run(tree, case["test"])
+    verdict = "STILL PASSES" if passed else "fails"
+    return f"{case['point']:>2} {verdict:12} {case['test']} without: {case['without']}"
+
+
+def main(points: list[str]) -> int:
+    """Run all mutations, or those of the points named; return 1 if one passes."""
+    cases = tomllib.loads((ROOT / "tests" / "mutations.toml").read_text())["case"]
+    lines = []
+    for case in cases:
+        if not points or str(case["point"]) in points:
+            lines.append(prove(case))
+            print(lines[-1], flush=True)
+    return 1 if any("STILL PASSES" in line for line in lines) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
