--- /dev/null
+++ b/src/persimmonhitch/entry/peers.py
@@ -0,0 +1,250 @@
+"""Links between entries, for loans of tokens and pushes of configuration."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+from returns.result import Success
+
+from ..ids import Region, Vm, Zone
+from ..observe.logs import log
+from ..platform.objects import StoredObject
+from ..platform.watcher import View
+from ..wire.link import Link, LinkServer, open_link
+from ..wire.messages import PROTOCOL, Hello, Role
+
+M = TypeVar("M")
+RELINK_EVERY: Final = 0.3
+
+Handler = Callable[[Vm, Any], None]
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class PeerInfo:
+    """Where another entry is."""
+
+    vm: Vm
+    zone: Zone
+    region: Region
+    host: str
+    port: int
+
+    @classmethod
+    def from_object(cls, obj: StoredObject) -> "PeerInfo | None":
+        """Return the entry of a stored object, or None for a broken one."""
+        spec = obj.spec
+        try:
+            return cls(
+                Vm(obj.name),
+                Zone(spec["zone"]),
+                Region(spec["region"]),
+                str(spec["link_host"]),
+                int(spec["link_port"]),
+            )
+        except (KeyError, ValueError, TypeError) as exc:
+            log("entry_object_broken", name=obj.name, error=repr(exc))
+            return None
+
+    @classmethod
+    def from_hello(cls, msg: Hello) -> "PeerInfo":
+        """Return an entry that the store does not list."""
+        return cls(msg.vm, msg.zone, Region(""), "", 0)
+
+
+class PeerMesh:
+    """Sends to and hears from the other entries.
+
+    Each entry sends on links that it opened itself and hears on those that it
+    accepted, so that a link has one writer of requests and the two directions
+    fail apart. One that is not in the store's list is answered on its own link:
+    it started while the store was away, and found the others by its seeds.
+    """
+
+    def __init__(
+        self,
+        vm: Vm,
+        host: str,
+        port: int,
+        secret: bytes,
+        hello: Callable[[], Hello],
+        seeds: tuple[Address, ...] = (),
+    ) -> None:
+        self.vm = vm
+        self._seeds = seeds
+        self._seed_links: dict[Address, Link] = {}
+        self._own: set[Address] = set()
+        self._secret = secret
+        self._hello = hello
+        self._handlers: dict[type, Handler] = {}
+        self._infos: dict[Vm, PeerInfo] = {}
+        self._links: dict[Vm, Link] = {}
+        self._greeted: dict[Link, Hello] = {}
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._handling = ThreadPoolExecutor(1, thread_name_prefix="peer-messages")
+        self._server = LinkServer(host, port, secret, self._accept)
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Return the TCP port for links."""
+        return self._server.port
+
+    def on(self, kind: type[M], handler: Callable[[Vm, M], None]) -> None:
+        """Hand every message of a kind to ``handler``, with its sender.
+
+        Handlers run one at a time, in order of arrival, on a thread of their own.
+        """
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Accept links and open our own."""
+        self._server.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End every link."""
+        self._stopping.set()
+        self._server.stop()
+        with self._lock:
+            links = [*self._links.values(), *self._greeted]
+        for link in links:
+            link.close()
+        self._handling.shutdown(wait=False, cancel_futures=True)
+
+    def update(self, view: View) -> None:
+        """Take the store's list of entries."""
+        infos = [PeerInfo.from_object(obj) for obj in view.objects.values()]
+        found = {info.vm: info for info in infos if info and info.vm != self.vm}
+        with self._lock:
+            self._infos = found
+
+    def peers(self) -> tuple[PeerInfo, ...]:
+        """Return the entries to which a link is open."""
+        with self._lock:
+            linked = tuple(i for vm, i in self._infos.items() if vm in self._links)
+            others = {msg.vm: msg for msg in self._greeted.values()}
+            unlisted = others.keys() - self._infos.keys() - {self.vm}
+            return (*linked, *(PeerInfo.from_hello(others[vm]) for vm in unlisted))
+
+    def send(self, vm: Vm, msg: Any) -> bool:
+        """Send a message to one entry; False when no link to it is open."""
+        with self._lock:
+            link = self._links.get(vm) or self._greeted_by(vm)
+        return link is not None and link.send(msg)
+
+    def _greeted_by(self, vm: Vm) -> Link | None:
+        found = (link for link, msg in self._greeted.items() if msg.vm == vm)
+        return next(found, None)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(RELINK_EVERY):
+            with self._lock:
+                infos = dict(self._infos)
+                links = dict(self._links)
+            for vm, info in infos.items():
+                if vm not in links:
+                    self._open(info)
+            for vm, link in links.items():
+                if vm not in infos:
+                    link.close()
+            self._ask_seeds(bool(infos))
+
+    def _ask_seeds(self, listed: bool) -> None:
+        """Keep links to the seeds, only while the store lists no other entry."""
+        with self._lock:
+            links = dict(self._seed_links)
+        if listed:
+            for link in links.values():
+                link.close()
+            return
+        for address in self._seeds:
+            if address in links or address in self._own:
+                continue
+            opened = _Opened(self)
+            result = open_link(*address, self._secret, opened, self._hello())
+            if isinstance(result, Success):
+                with self._lock:
+                    if not result.unwrap().ended.is_set():
+                        self._seed_links[address] = result.unwrap()
+
+    def _open(self, info: PeerInfo) -> None:
+        result = open_link(
+            info.host, info.port, self._secret, _Opened(self), self._hello()
+        )
+        if not isinstance(result, Success):
+            return
+        link = result.unwrap()
+        with self._lock:
+            # A link may end before it is entered here; its end would then have
+            # been told already, and a dead link would stand in the table.
+            if not link.ended.is_set():
+                self._links[info.vm] = link
+        log("peer_linked", peer_vm=info.vm)
+
+    def _accept(self, link: Link) -> "PeerMesh":
+        return self
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        """Take one message of a peer; its first must be ``Hello``."""
+        if isinstance(msg, Hello):
+            if self.greet(link, msg):
+                link.send(self._hello())
+            return
+        hello = self._greeted.get(link)
+        handler = self._handlers.get(type(msg))
+        if hello is None or handler is None:
+            log("message_unexpected", peer=link.peer, kind=type(msg).__name__)
+            link.close()
+            return
+        self._handling.submit(self._handle, handler, hello.vm, msg)
+
+    def _handle(self, handler: Handler, vm: Vm, msg: Any) -> None:
+        try:
+            handler(vm, msg)
+        except Exception as exc:
+            log("peer_message_failed", peer_vm=vm, error=repr(exc))
+
+    def greet(self, link: Link, msg: Hello) -> bool:
+        """Note who is at the other end; return whether it is another entry."""
+        if msg.protocol != PROTOCOL or msg.role is not Role.ENTRY:
+            log("protocol_mismatch", peer=link.peer, theirs=msg.protocol, ours=PROTOCOL)
+            link.close()
+            return False
+        if msg.vm == self.vm:
+            with self._lock:
+                own = [a for a, ln in self._seed_links.items() if ln is link]
+                self._own.update(own)
+            link.close()
+            return False
+        with self._lock:
+            if not link.ended.is_set():
+                self._greeted[link] = msg
+        return True
+
+    def on_close(self, link: Link) -> None:
+        """Forget a link that has ended."""
+        with self._lock:
+            self._greeted.pop(link, None)
+            self._links = {vm: ln for vm, ln in self._links.items() if ln is not link}
+            seeds = self._seed_links.items()
+            self._seed_links = {a: ln for a, ln in seeds if ln is not link}
+
+
+class _Opened:
+    """Handler of a link that this entry opened: its greeting gets no answer."""
+
+    def __init__(self, mesh: PeerMesh) -> None:
+        self._mesh = mesh
+
+    def on_message(self, link: Link, msg: Any) -> None:
+        if isinstance(msg, Hello):
+            self._mesh.greet(link, msg)
+            return
+        self._mesh.on_message(link, msg)
+
+    def on_close(self, link: Link) -> None:
+        self._mesh.on_close(link)
--- a/src/persimmonhitch/kernel/lifecycle.py
+++ b/src/persimmonhitch/kernel/lifecycle.py
@@ -3,7 +3,6 @@
 import signal
 import threading
 from collections.abc import Callable
-from types import FrameType
 from typing import Final
 
 from ..observe.logs import log
@@ -28,14 +27,22 @@
         self._steps.append((name, step))
 
     def install_signals(self) -> None:
-        """Let SIGTERM and SIGINT ask for the stop."""
-        for signum in SIGNALS:
-            signal.signal(signum, self._on_signal)
-
-    def _on_signal(self, signum: int, _frame: FrameType | None) -> None:
-        if self.stopping.is_set():
-            self.forced.set()
-        self.stopping.set()
+        """Let SIGTERM and SIGINT ask for the stop; before any thread starts.
+
+        A thread of its own waits for them. A handler would run on the main thread
+        between any two of its steps: while that thread holds an event's lock, the
+        handler waits for the same lock for ever, and the process ignores SIGTERM.
+        One that was just thawed may even have its handler run by no thread at all.
+        """
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        threading.Thread(target=self._listen, name="signals", daemon=True).start()
+
+    def _listen(self) -> None:
+        while True:
+            signal.sigwait(SIGNALS)
+            if self.stopping.is_set():
+                self.forced.set()
+            self.stopping.set()
 
     def wait(self) -> None:
         """Return once a stop is asked for."""
--- /dev/null
+++ b/src/persimmonhitch/sidecar/main.py
@@ -0,0 +1,137 @@
+"""The process beside each upstream.
+
+Usage:
+  persimmonhitch-sidecar --settings=FILE [--check]
+  persimmonhitch-sidecar --help
+
+Options:
+  --settings=FILE  Settings in INI.
+  --check          Check the settings and exit: 0 if good, 2 if not.
+"""
+
+from pathlib import Path
+from typing import Final
+
+from docopt import docopt
+
+from ..ids import Model, new_incarnation
+from ..kernel import Lifecycle
+from ..observe.logs import log, start_logs
+from ..observe.traces import Traces
+from ..platform.http_store import HttpObjectStore
+from ..platform.objects import Kind, Spec
+from ..platform.registration import Registration
+from ..settings import load_or_exit
+from ..wire.messages import UpstreamKind
+from .copies import EngineCopies
+from .dispatch import Dispatcher, drain
+from .load import LoadMeter
+from .server import SidecarServer
+from .settings import SidecarSettings
+from .upstream import Address, UpstreamCall
+
+TRACE_RATIO: Final = 1.0
+NOTICE: Final = 1.0
+"""Seconds between the notice of leaving and the end of the listener."""
+
+
+class Sidecar:
+    """All parts of the process."""
+
+    def __init__(self, cfg: SidecarSettings, life: Lifecycle) -> None:
+        self.cfg = cfg
+        kind = UpstreamKind(cfg.kind)
+        call = UpstreamCall(Address.from_url(cfg.url), kind)
+        meter = LoadMeter(cfg.concurrency, kind is UpstreamKind.ENGINE)
+        self.incarnation = new_incarnation()
+        self.dispatcher = Dispatcher.launch(
+            self.incarnation,
+            call,
+            meter,
+            cfg.concurrency,
+            cfg.queue_tokens,
+            Traces(TRACE_RATIO),
+            life.stopping.set,
+        )
+        engine = kind is UpstreamKind.ENGINE
+        self.copies = EngineCopies(cfg, self._open_on) if engine else None
+        self.server = SidecarServer(
+            cfg, self.incarnation, self.dispatcher, meter, self.copies
+        )
+        store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        self.registration = Registration(store, Kind.SIDECAR, cfg.upstream)
+
+    @classmethod
+    def from_config(cls, cfg: SidecarSettings, life: Lifecycle) -> "Sidecar":
+        """Build the process from its settings."""
+        return cls(cfg, life)
+
+    def _open_on(self, model: Model) -> int:
+        return self.dispatcher.open_on(model).get()
+
+    def start(self) -> None:
+        """Serve and register."""
+        if self.copies is not None:
+            self.copies.start(self._copies_changed)
+        self.server.start()
+        self.registration.start(self._spec())
+        log("started", upstream=self.cfg.upstream, port=self.server.port)
+        print(f"listening link={self.server.port}", flush=True)
+
+    def _copies_changed(self) -> None:
+        self.server.report()
+        self.registration.set(self._spec())
+
+    def _spec(self) -> Spec:
+        cfg = self.cfg
+        return {
+            "vm": cfg.vm,
+            "zone": cfg.zone,
+            "region": cfg.region,
+            "host": cfg.host,
+            "port": self.server.port,
+            "kind": cfg.kind,
+            "service": cfg.service,
+            "memory": cfg.memory,
+            "incarnation": self.incarnation,
+            "models": list(self.server.models),
+            "draining": self.server.draining,
+        }
+
+    def stop(self, life: Lifecycle) -> None:
+        """Leave: tell the entries, finish what runs, then end.
+
+        Entries learn it from the report at once and from the store's object as a
+        second source. A request that crosses the notice is refused as not run
+        and tried elsewhere, so callers see nothing.
+        """
+        self.server.draining = True
+        self.dispatcher.leave().get()
+        self.server.report()
+        self.registration.set(self._spec())
+        life.forced.wait(NOTICE)
+        cut = drain(self.dispatcher, self.cfg.stop_limit, life.forced)
+        if cut:
+            log("stop_cut", requests=cut)
+        self.registration.remove()
+        if self.copies is not None:
+            self.copies.stop()
+        self.server.stop()
+        self.dispatcher.stop()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the sidecar until a signal ends it."""
+    args = docopt(__doc__, argv)
+    cfg = load_or_exit(SidecarSettings, Path(args["--settings"]))
+    if args["--check"]:
+        return 0
+    start_logs("sidecar", cfg.vm)
+    life = Lifecycle()
+    life.install_signals()
+    sidecar = Sidecar.from_config(cfg, life)
+    sidecar.start()
+    life.on_stop("sidecar", lambda: sidecar.stop(life))
+    life.wait()
+    life.stop()
+    return 0
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -192,9 +192,9 @@
 class Report:
     """Load of one upstream as its sidecar sees it.
 
-    ``queued_tokens`` wait at the sidecar; ``token_rate`` is generated tokens a
-    second over all requests; times are seconds, ``first_token`` and
-    ``token_gap`` at the 95th percentile of the last window.
+    ``queued_tokens`` wait at the sidecar; ``token_rate`` is reserved tokens a
+    second that it serves when busy, 0 until it was seen busy; times are seconds,
+    ``first_token`` and ``token_gap`` at the 95th percentile of the last window.
     """
 
     upstream: Upstream
@@ -214,7 +214,10 @@
 @message(12)
 @dataclass(frozen=True)
 class Order:
-    """Order of the planner to a sidecar, fenced by the lease's epoch."""
+    """Order of the planner to a sidecar, fenced by the lease's epoch.
+
+    ``memory`` is the GiB of a load, with its KV cache.
+    """
 
     order: str
     epoch: Epoch
@@ -222,6 +225,7 @@
     model: Model
     adapter: Adapter | None
     revision: str
+    memory: float
 
 
 @message(13)
@@ -232,3 +236,19 @@
     order: str
     epoch: Epoch
     error: str
+
+
+@message(14)
+@dataclass(frozen=True)
+class Resume:
+    """Go on with an attempt whose link was lost, from chunk ``next_chunk``.
+
+    A sidecar that never saw the request buries it and answers with ``Fail`` and
+    the verdict not_run; one that holds the answer sends it again.
+    """
+
+    request: RequestId
+    attempt: int
+    incarnation: Incarnation
+    have_head: bool
+    next_chunk: int
