--- a/src/persimmonhitch/entry/gateway.py
+++ b/src/persimmonhitch/entry/gateway.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Protocol
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -11,6 +11,8 @@
 from ..catalog.keys import authenticate
 from ..catalog.model import Catalog, PlanEntry
 from ..ids import Account, RequestId, Tokens
+from ..limits.limiter import Reservation
+from ..limits.tokens import prompt_tokens
 from ..observe.metrics import Metrics
 from ..observe.traces import Hop, HopName, Traces
 from ..verdict import ErrorCode, Failure, Verdict
@@ -20,12 +22,9 @@
 from .answers import STREAM_HEADERS, failure_answer, passed_answer
 from .calls import CHAT_PATH, Call, bearer_key, read_call
 from .forward import Forwarder, Streaming, Whole
-from .local_limiter import Reservation
 from .once import CallRecords, Permit
 from .stream import StreamBody
 
-PROMPT_BYTES_A_TOKEN: Final = 4
-
 
 class Limiter(Protocol):
     """What the gateway needs of the rate limiter."""
@@ -283,8 +282,7 @@
 def _cost(catalog: Catalog, call: Call) -> Tokens:
     if call.service is not None:
         return Tokens(catalog.services[call.service].cost)
-    prompt = -(-len(call.body) // PROMPT_BYTES_A_TOKEN)
-    return Tokens(float(prompt + call.max_tokens))
+    return Tokens(float(prompt_tokens(call.body) + call.max_tokens))
 
 
 def _repeatable(catalog: Catalog, call: Call) -> bool:
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -14,11 +14,13 @@
 
 from docopt import docopt
 
-from ..catalog.model import EMPTY, Catalog
+from ..catalog.model import Catalog
 from ..catalog.sync import CatalogSync
 from ..decide.admission import connections_full
 from ..ids import Region, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
+from ..limits.keeper import RecordKeeper
+from ..limits.limiter import Limiter
 from ..observe.logs import log, start_logs
 from ..observe.metrics import Metrics
 from ..observe.traces import Traces
@@ -34,7 +36,6 @@
 from .borrowed import BorrowedSidecars
 from .forward import Forwarder
 from .gateway import Gateway, Limits
-from .local_limiter import LocalLimiter
 from .once import CallRecords
 from .peers import PeerMesh
 from .pool import SidecarPool
@@ -51,10 +52,13 @@
         self.metrics = Metrics("entry", cfg.vm)
         store = HttpObjectStore(cfg.store, cfg.store_timeout)
         secret = cfg.secret.encode()
-        self.limiter = LocalLimiter(EMPTY)
         self.mesh = PeerMesh(
             Vm(cfg.vm), cfg.link_host, cfg.link_port, secret, self.hello, cfg.seeds
         )
+        self.limiter = Limiter(Vm(cfg.vm), self.mesh)
+        self.shares = RecordKeeper(
+            store, self.limiter, lambda: (peer.vm for peer in self.mesh.peers())
+        )
         rng = random.Random()
         self.sync = CatalogSync(store, self.mesh, Vm(cfg.vm), Region(cfg.region), rng)
         self.sync.feed.listen(self._on_catalog)
@@ -106,6 +110,7 @@
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.limiter.update(catalog)
+        self.shares.kick()
         self.metrics.config_version(catalog.version)
 
     def hello(self) -> Hello:
@@ -125,6 +130,8 @@
             part.start()
         self.borrowed.start()
         self.mesh.start()
+        self.limiter.start()
+        self.shares.start()
         self.records.start()
         self.server.start()
         self.registration.start(self._spec())
@@ -157,6 +164,7 @@
         cut = self.server.drain(self.cfg.stop_limit, life.forced)
         if cut:
             log("stop_cut", requests=cut)
+        self.shares.close()
         self.limiter.close()
         self.registration.remove()
         for part in (self.sync, self.sidecars, self.entries, self.borrowed):
--- a/src/persimmonhitch/limits/account.py
+++ b/src/persimmonhitch/limits/account.py
@@ -207,6 +207,11 @@
                 self.share.take_back(msg.lease, msg.tokens, now)
         return self.tick(now)
 
+    def found(self, record: ShareRecord, now: float) -> list[Action]:
+        """Take the first record that an account ever has, full at once."""
+        self.share.found(record, now)
+        return self.learn(record, now)
+
     def learn(self, record: ShareRecord, now: float) -> list[Action]:
         """Take a share record, newer or not."""
         self.share.look(now)
@@ -214,10 +219,10 @@
             self._renew_views()
         return self.tick(now)
 
-    def confirm(self, record: ShareRecord, now: float) -> list[Action]:
-        """Take a record that settles a doubt after a pause."""
+    def confirm(self, record: ShareRecord, asked: float, now: float) -> list[Action]:
+        """Take a record asked for at ``asked``; it may settle a doubt."""
         self.share.look(now)
-        if self.share.confirm(record, now):
+        if self.share.confirm(record, asked, now):
             self._renew_views()
         return self.tick(now)
 
@@ -534,9 +539,7 @@
             return []
         first = self._home()
         if first is None:
-            again = min(view.probe_at for view in self._views.values()) - now
-            pause = max(again, lending.PROBE_FIRST)
-            return [self._drop(waiter, pause, now) for waiter in list(self._queue)]
+            return self._wait_for_probe(now)
         have = self._have()
         actions: list[Action] = []
         for waiter in self._queue:
@@ -546,6 +549,15 @@
                 actions.append(self._borrow(waiter, need, first, now))
         return actions
 
+    def _wait_for_probe(self, now: float) -> list[Action]:
+        # No holder answers. The next probe may find one, and a request that can
+        # wait for it does; the others are told when it is.
+        probe_at = min(view.probe_at for view in self._views.values())
+        self._refill_at = max(probe_at, now + lending.ANSWER_TIMEOUT / 10)
+        pause = max(probe_at - now, 0.0) + lending.ANSWER_TIMEOUT
+        late = [w for w in self._queue if w.deadline <= now + pause]
+        return [self._drop(waiter, pause, now) for waiter in late]
+
     def _borrow(self, waiter: _Waiter, tokens: float, first: Vm, now: float) -> Action:
         vm, waiter.target, waiter.asked = waiter.target or first, None, True
         loan, wait = self._new_loan(), waiter.deadline - now
--- /dev/null
+++ b/src/persimmonhitch/limits/keeper.py
@@ -0,0 +1,244 @@
+"""Share records in the store: found, followed, moved, released and reclaimed."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from returns.result import Success
+
+from ..ids import Account, Vm
+from ..observe.logs import log
+from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError
+from .account import AccountLimiter, Action
+from .limiter import Limiter, boot_time
+from .record import (
+    HOLDERS,
+    NOBODY,
+    PARTS,
+    ShareRecord,
+    from_spec,
+    join,
+    ranked,
+    rebalance,
+    reclaim,
+    release,
+)
+from .share import RECLAIM_AFTER
+
+PERIOD: Final = 5.0
+"""Seconds between two looks at the store: two reads, whatever the load."""
+FIRST: Final = 0.2
+"""Seconds between them while an account has no record yet."""
+REBALANCE_EVERY: Final = 30.0
+"""Seconds over which demand is counted before a share moves after it."""
+RELEASE_LIMIT: Final = 6.0
+"""Seconds at a stop for a pooled share to come back; a lease lasts less."""
+
+
+class RecordKeeper:
+    """Follows the records of all accounts and changes those it may change.
+
+    Parameters
+    ----------
+    live : callable
+        Returns the other entries to which a link is open.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        limiter: Limiter,
+        live: Callable[[], Iterable[Vm]],
+        clock: Callable[[], float] = boot_time,
+    ) -> None:
+        self._store = store
+        self._limiter = limiter
+        self._live = live
+        self._clock = clock
+        self._objects: dict[Account, StoredObject] = {}
+        self._gone_since: dict[Vm, float] = {}
+        self._rebalanced = clock()
+        self._kick = threading.Event()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="shares", daemon=True)
+
+    def start(self) -> None:
+        """Follow from now on."""
+        self._thread.start()
+
+    def kick(self) -> None:
+        """Look at the store soon: accounts have changed."""
+        self._kick.set()
+
+    def close(self) -> None:
+        """Follow no more and give this VM's shares to the others."""
+        self._stopping.set()
+        self._kick.set()
+        if self._thread.is_alive():
+            self._thread.join(PERIOD)
+        for account in self._limiter.accounts():
+            self._limiter.apply(account, lambda lim, now: lim.stop_pooling(now))
+        until = self._clock() + RELEASE_LIMIT
+        for account in self._limiter.accounts():
+            self._release(account, until)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            whole = self.look()
+            self._kick.wait(PERIOD if whole else FIRST)
+            self._kick.clear()
+
+    def look(self) -> bool:
+        """Read the records once; return whether every account has one."""
+        asked = self._clock()
+        listing = self._store.list_all(Kind.SHARE)
+        if not isinstance(listing, Success):
+            return False
+        self._objects = {Account(obj.name): obj for obj in listing.unwrap().items}
+        # A new account has its burst at once, and a move now would cost part of it.
+        fresh = set(self._limiter.accounts()) - set(self._objects)
+        for account in self._limiter.accounts():
+            if account in self._objects:
+                self._learn(account, self._objects[account], asked)
+            else:
+                self._found(account)
+        self._tend(fresh)
+        known = (self._limiter.record(a) for a in self._limiter.accounts())
+        return all(record.generation > 0 for record in known)
+
+    def _learn(self, account: Account, obj: StoredObject, asked: float) -> None:
+        result = from_spec(obj.spec)
+        if not isinstance(result, Success):
+            log("share_record_broken", account=account, error=result.failure())
+            return
+        record = result.unwrap()
+        self._limiter.apply(account, lambda lim, now: lim.confirm(record, asked, now))
+
+    def _found(self, account: Account) -> None:
+        record = ShareRecord(1, {self._limiter.vm: PARTS})
+        result = self._store.create(Kind.SHARE, account, record.to_spec())
+        if not isinstance(result, Success):
+            return
+        # Nobody has held a share before, so nobody can have lent any of it: the
+        # account may have its burst at once.
+        self._objects[account] = result.unwrap()
+        self._limiter.apply(account, lambda lim, now: lim.found(record, now))
+
+    # -- changes of this VM's shares -------------------------------------------
+
+    def _tend(self, fresh: set[Account]) -> None:
+        gone = self._gone()
+        now = self._clock()
+        due = now - self._rebalanced >= REBALANCE_EVERY
+        if due:
+            self._rebalanced = now
+        for account, obj in list(self._objects.items()):
+            record = self._limiter.record(account)
+            if record.generation != obj.spec.get("generation"):
+                continue
+            if account in fresh:
+                continue
+            if gone & set(record.parts) and self._is_reclaimer(record, gone):
+                live = {*self._live(), self._limiter.vm}
+                self._write(account, reclaim(record, gone, live))
+            elif self._limiter.vm in record.parts:
+                self._move(account, record, due)
+
+    def _is_reclaimer(self, record: ShareRecord, gone: set[Vm]) -> bool:
+        left = sorted(set(record.parts) - gone)
+        return not left or left[0] == self._limiter.vm
+
+    def _move(self, account: Account, record: ShareRecord, due: bool) -> None:
+        me = self._limiter.vm
+        if self._limiter.parts(account) < record.parts[me]:
+            # A write of ours had no answer and no effect so far. Another version
+            # makes it fail for good, and only then the share may grow back.
+            self._write(account, ShareRecord(record.generation + 1, record.parts))
+            return
+        new = None
+        others = [vm for vm in self._live() if vm not in record.parts]
+        if len(record.parts) < HOLDERS and others and record.holders()[0] == me:
+            new = join(record, me, ranked(account, others)[0])
+        elif due:
+            demand: dict[Vm, float] = {}
+            self._limiter.apply(account, _take_demand(demand))
+            new = rebalance(record, me, demand)
+        if new is not None:
+            self._give(account, new)
+
+    def _give(self, account: Account, new: ShareRecord) -> bool:
+        # The share shrinks here before the record is written. When the write's
+        # answer is lost it stays small until a newer record is seen.
+        shrunk: list[bool] = []
+        self._limiter.apply(account, _yielder(new, shrunk))
+        if not all(shrunk) or not shrunk:
+            return False
+        return self._write(account, new)
+
+    def _write(self, account: Account, new: ShareRecord) -> bool:
+        result = self._store.update(self._objects[account], new.to_spec())
+        if not isinstance(result, Success):
+            log("share_write_failed", account=account, error=result.failure().detail)
+            return False
+        self._objects[account] = result.unwrap()
+        log("share_moved", account=account, generation=new.generation)
+        self._limiter.apply(account, lambda lim, now: lim.learn(new, now))
+        return True
+
+    def _release(self, account: Account, until: float) -> None:
+        me = self._limiter.vm
+        while self._clock() < until:
+            obj = self._store.get(Kind.SHARE, account)
+            if not isinstance(obj, Success):
+                if obj.failure().error is not StoreError.UNAVAILABLE:
+                    return
+            else:
+                self._objects[account] = obj.unwrap()
+                record = from_spec(obj.unwrap().spec).value_or(NOBODY)
+                if me not in record.parts:
+                    return
+                heirs = set(self._live())
+                if self._give(account, release(record, me, heirs)):
+                    return
+            threading.Event().wait(FIRST)
+
+    # -- VMs that have gone ----------------------------------------------------
+
+    def _gone(self) -> set[Vm]:
+        listing = self._store.list_all(Kind.VM)
+        now = self._clock()
+        if not isinstance(listing, Success):
+            # Time without a list does not count: it says nothing of any VM.
+            self._gone_since.clear()
+            return set()
+        listed = {Vm(obj.name) for obj in listing.unwrap().items}
+        if self._limiter.vm not in listed:
+            self._gone_since.clear()
+            return set()
+        held: set[Vm] = set()
+        for account in self._objects:
+            held |= set(self._limiter.record(account).parts)
+        missing = held - listed
+        self._gone_since = {vm: self._gone_since.get(vm, now) for vm in missing}
+        return {vm for vm, t in self._gone_since.items() if now - t >= RECLAIM_AFTER}
+
+
+Step = Callable[[AccountLimiter, float], list[Action]]
+
+
+def _take_demand(into: dict[Vm, float]) -> Step:
+    def step(limiter: AccountLimiter, now: float) -> list[Action]:
+        into.update(limiter.demand)
+        limiter.demand.clear()
+        return []
+
+    return step
+
+
+def _yielder(new: ShareRecord, shrunk: list[bool]) -> Step:
+    def step(limiter: AccountLimiter, now: float) -> list[Action]:
+        limiter.share.look(now)
+        shrunk.append(limiter.share.yield_to(new, now))
+        return limiter.tick(now)
+
+    return step
--- a/src/persimmonhitch/limits/lending.py
+++ b/src/persimmonhitch/limits/lending.py
@@ -20,7 +20,7 @@
 
 ANSWER_TIMEOUT: Final = 0.25
 """Seconds for the first answer; twice a round trip between distant regions."""
-PROBE_FIRST: Final = 1.0
+PROBE_FIRST: Final = 0.25
 PROBE_MOST: Final = 8.0
 """Seconds between probes of a holder that does not answer; doubles each time."""
 POOL_BELOW: Final = 0.5
--- /dev/null
+++ b/src/persimmonhitch/limits/limiter.py
@@ -0,0 +1,286 @@
+"""Rate limiter of one entry: threads, clock and messages around the state machines."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..catalog.model import EMPTY, Catalog, PlanEntry
+from ..ids import Account, Tokens, Vm, new_loan_id
+from ..observe.logs import log
+from ..verdict import ErrorCode, Failure
+from .account import AccountLimiter, Action, Admit, Send, Ticket
+from .messages import (
+    Borrow,
+    Lend,
+    Message,
+    PoolAsk,
+    Pooled,
+    PoolReturn,
+    Queued,
+    Refund,
+    ShareRecordAsk,
+    ShareRecordNews,
+)
+from .record import NOBODY, ShareRecord
+
+TICK: Final = 1.0
+"""Seconds between looks at the clock while nothing waits."""
+SLACK: Final = 1.0
+"""Seconds beyond a request's time before its missing decision counts as a fault."""
+KINDS: Final = (Borrow, Queued, Lend, Refund, PoolAsk, Pooled, PoolReturn)
+
+
+def boot_time() -> float:
+    """Return seconds since the machine's start, counting time it was suspended.
+
+    A clock that stands still in a suspended VM would hide from a share that its
+    lease ended meanwhile, and it would be spent by two VMs.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Mesh(Protocol):
+    """What the limiter needs of the links between entries."""
+
+    def send(self, vm: Vm, msg: Any) -> bool:
+        """Send a message; False when no link is open."""
+
+    def on(self, kind: type[Any], handler: Callable[[Vm, Any], None]) -> None:
+        """Hand every message of a kind to ``handler``."""
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """Tokens taken from an account for one request."""
+
+    account: Account
+    tokens: Tokens
+    ticket: Ticket
+    giver: Vm
+    generation: int
+
+
+class _Decision:
+    """Where a request's thread waits for its answer."""
+
+    def __init__(self) -> None:
+        self.done = threading.Event()
+        self.action: Action | None = None
+
+
+class Limiter:
+    """Holds every account to its rate together with the other entries."""
+
+    def __init__(
+        self, vm: Vm, mesh: Mesh, clock: Callable[[], float] = boot_time
+    ) -> None:
+        self.vm = vm
+        self._mesh = mesh
+        self._clock = clock
+        self._catalog = EMPTY
+        self._accounts: dict[Account, AccountLimiter] = {}
+        self._decisions: dict[Ticket, _Decision] = {}
+        self._last_ticket = 0
+        self._changed = threading.Condition()
+        self._stopping = False
+        for kind in KINDS:
+            mesh.on(kind, self._on_message)
+        mesh.on(ShareRecordAsk, self._on_record_ask)
+        mesh.on(ShareRecordNews, self._on_record_news)
+        self._thread = threading.Thread(target=self._run, name="limits", daemon=True)
+
+    def start(self) -> None:
+        """Keep time from now on."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Keep time no more; what waits is refused."""
+        with self._changed:
+            self._stopping = True
+            for decision in self._decisions.values():
+                decision.done.set()
+            self._changed.notify_all()
+
+    # -- requests --------------------------------------------------------------
+
+    def reserve(
+        self, account: Account, cost: Tokens, wait: float
+    ) -> Result[Reservation, Failure]:
+        """Take tokens; wait for them while they can come within ``wait`` seconds."""
+        plan = self._catalog.plan_of(account)
+        if plan is None:
+            return Err(Failure(ErrorCode.NOT_PERMITTED, "the account has no plan"))
+        decision = _Decision()
+        with self._changed:
+            self._last_ticket += 1
+            ticket = Ticket(self._last_ticket)
+            self._decisions[ticket] = decision
+            limiter = self._account(account, plan)
+            sends = self._note(limiter.reserve(ticket, cost, wait, self._clock()))
+            self._changed.notify_all()
+        self._send(account, sends)
+        decision.done.wait(wait + SLACK)
+        with self._changed:
+            del self._decisions[ticket]
+        action = decision.action
+        if isinstance(action, Admit):
+            taken = Reservation(account, cost, ticket, action.giver, action.generation)
+            return Success(taken)
+        return Err(_refusal(action, cost, plan))
+
+    def settle(self, reservation: Reservation, used: Tokens) -> None:
+        """Give back what was not used."""
+        with self._changed:
+            limiter = self._accounts[reservation.account]
+            actions = limiter.settle(reservation.ticket, used, self._clock())
+            sends = self._note(actions)
+        self._send(reservation.account, sends)
+
+    # -- configuration and records ---------------------------------------------
+
+    def update(self, catalog: Catalog) -> None:
+        """Take new plans while requests wait."""
+        self._catalog = catalog
+        with self._changed:
+            accounts = list(self._accounts.items())
+        for account, _limiter in accounts:
+            plan = catalog.plan_of(account)
+            if plan is not None:
+                self.apply(account, _plan_setter(plan))
+
+    def accounts(self) -> tuple[Account, ...]:
+        """Return the accounts in force."""
+        return tuple(self._catalog.accounts)
+
+    def record(self, account: Account) -> ShareRecord:
+        """Return the newest share record known of an account."""
+        with self._changed:
+            limiter = self._accounts.get(account)
+            return NOBODY if limiter is None else limiter.share.record
+
+    def parts(self, account: Account) -> int:
+        """Return the parts of an account that this VM counts as its own."""
+        with self._changed:
+            limiter = self._accounts.get(account)
+            return 0 if limiter is None else limiter.share.parts
+
+    def apply(
+        self,
+        account: Account,
+        step: Callable[[AccountLimiter, float], list[Action]],
+    ) -> None:
+        """Run one step of an account's state machine and send what it says."""
+        plan = self._catalog.plan_of(account)
+        if plan is None:
+            return
+        with self._changed:
+            limiter = self._account(account, plan)
+            sends = self._note(step(limiter, self._clock()))
+            self._changed.notify_all()
+        self._send(account, sends)
+
+    def _account(self, account: Account, plan: PlanEntry) -> AccountLimiter:
+        limiter = self._accounts.get(account)
+        if limiter is None:
+            now = self._clock()
+            limiter = AccountLimiter(self.vm, account, plan, now, new_loan_id)
+            self._accounts[account] = limiter
+        return limiter
+
+    # -- messages and time -----------------------------------------------------
+
+    def _on_message(self, vm: Vm, msg: Message) -> None:
+        self.apply(msg.account, lambda limiter, now: limiter.receive(vm, msg, now))
+
+    def _on_record_ask(self, vm: Vm, msg: ShareRecordAsk) -> None:
+        record = self.record(msg.account)
+        if record.generation > 0:
+            parts = dict(record.parts)
+            news = ShareRecordNews(msg.account, msg.asked, record.generation, parts)
+            self._mesh.send(vm, news)
+
+    def _on_record_news(self, vm: Vm, msg: ShareRecordNews) -> None:
+        record = ShareRecord(msg.generation, msg.parts)
+        self.apply(msg.account, lambda lim, now: lim.confirm(record, msg.asked, now))
+
+    def _note(self, actions: list[Action]) -> list[Send]:
+        sends: list[Send] = []
+        for action in actions:
+            if isinstance(action, Send):
+                sends.append(action)
+                continue
+            decision = self._decisions.get(action.ticket)
+            if decision is not None:
+                decision.action = action
+                decision.done.set()
+        return sends
+
+    def _send(self, account: Account, sends: list[Send]) -> None:
+        # Outside the lock: a peer that reads slowly must not hold up the requests
+        # of all accounts.
+        for send in sends:
+            if not self._mesh.send(send.vm, send.msg):
+                self.apply(account, _peer_loser(send.vm))
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait(self._pause())
+                if self._stopping:
+                    return
+                accounts = list(self._accounts)
+            for account in accounts:
+                self.apply_quietly(account)
+
+    def apply_quietly(self, account: Account) -> None:
+        """Do what is due for one account; a fault there must not stop the others."""
+        try:
+            self._tick(account)
+        except Exception as exc:
+            log("limits_tick_failed", account=account, error=repr(exc))
+
+    def _tick(self, account: Account) -> None:
+        with self._changed:
+            limiter = self._accounts[account]
+            sends = self._note(limiter.tick(self._clock()))
+            holders = list(limiter.share.record.parts)
+            doubtful = limiter.share.doubtful
+        self._send(account, sends)
+        if doubtful:
+            log("share_in_doubt", account=account)
+            for vm in holders:
+                if vm != self.vm:
+                    self._mesh.send(vm, ShareRecordAsk(account, self._clock()))
+
+    def _pause(self) -> float:
+        now = self._clock()
+        wakes = [limiter.next_wake() for limiter in self._accounts.values()]
+        due = min((wake for wake in wakes if wake is not None), default=now + TICK)
+        return min(TICK, max(0.0, due - now))
+
+
+def _plan_setter(
+    plan: PlanEntry,
+) -> Callable[[AccountLimiter, float], list[Action]]:
+    return lambda limiter, now: limiter.set_plan(plan, now)
+
+
+def _peer_loser(vm: Vm) -> Callable[[AccountLimiter, float], list[Action]]:
+    return lambda limiter, now: limiter.peer_lost(vm, now)
+
+
+def _refusal(action: Action | None, cost: Tokens, plan: PlanEntry) -> Failure:
+    if action is None or isinstance(action, Admit | Send):
+        return Failure(
+            ErrorCode.RATE_LIMITED, "no tokens could be taken", retry_after=SLACK
+        )
+    if action.retry_after is None:
+        reason = f"the request costs {cost:.0f} tokens, the burst is {plan.burst:.0f}"
+        return Failure(ErrorCode.RATE_LIMITED, reason)
+    reason = "the account's rate is used up"
+    return Failure(ErrorCode.RATE_LIMITED, reason, retry_after=action.retry_after)
--- a/src/persimmonhitch/limits/messages.py
+++ b/src/persimmonhitch/limits/messages.py
@@ -110,9 +110,10 @@
 @message(27)
 @dataclass(frozen=True)
 class ShareRecordNews:
-    """The newest share record known of an account; also the answer to a doubt."""
+    """The newest share record known of an account; ``asked`` is the asker's time."""
 
     account: Account
+    asked: float
     generation: int
     parts: dict[Vm, int]
 
@@ -120,19 +121,10 @@
 @message(28)
 @dataclass(frozen=True)
 class ShareRecordAsk:
-    """Ask a peer for the newest share record it knows."""
+    """Ask a peer for the newest share record it knows, at the asker's time."""
 
     account: Account
-
-
-@message(29)
-@dataclass(frozen=True)
-class ShareRevoked:
-    """Tell a sidecar that a VM has had no share since ``generation``."""
-
-    account: Account
-    generation: int
-    vm: Vm
+    asked: float
 
 
 Message = Borrow | Queued | Lend | Refund | PoolAsk | Pooled | PoolReturn
--- a/src/persimmonhitch/limits/share.py
+++ b/src/persimmonhitch/limits/share.py
@@ -66,6 +66,7 @@
         self.parts = 0
         self.bucket = Bucket(0.0, 0.0, now)
         self.doubtful = False
+        self._doubtful_since = now
         # The process that ran here before may have lent the share to another
         # holder just before it ended, and that one may use it until its lease ends.
         ends = now + POOL_LIFE * KEPT_FACTOR
@@ -79,6 +80,7 @@
         """End leases, refill, and return whether the share may be used."""
         if now - self._seen > MAX_PAUSE:
             self.doubtful = True
+            self._doubtful_since = now
         self._seen = max(self._seen, now)
         for lease in sorted(self.pooled.values(), key=lambda item: item.ends):
             if lease.ends <= now:
@@ -90,6 +92,13 @@
         self.bucket.advance(now)
         return not self.doubtful
 
+    def found(self, record: ShareRecord, now: float) -> None:
+        """Take the first record of an account: nobody can have used its tokens."""
+        self.look(now)
+        self.away = None
+        self.parts = record.parts.get(self.vm, 0)
+        self._resize(now, self.plan.burst * self.parts / PARTS)
+
     def learn(self, record: ShareRecord, now: float) -> bool:
         """Take a record that was read or heard of; return whether it is newer."""
         if record.generation < self.record.generation:
@@ -106,10 +115,15 @@
         self._resize(now)
         return newer
 
-    def confirm(self, record: ShareRecord, now: float) -> bool:
-        """Take a record read from the store or from a peer after a pause."""
+    def confirm(self, record: ShareRecord, asked: float, now: float) -> bool:
+        """Take a record that the store or a peer was asked for at ``asked``.
+
+        An answer that was asked for before the pause says nothing: the share may
+        have gone to another VM after it was given.
+        """
         newer = self.learn(record, now)
-        if record.generation >= self.record.generation:
+        current = record.generation >= self.record.generation
+        if current and asked >= self._doubtful_since:
             self.doubtful = False
         return newer
 
--- a/src/persimmonhitch/play/limits_world.py
+++ b/src/persimmonhitch/play/limits_world.py
@@ -96,7 +96,7 @@
         self._on(vm, lambda lim: lim.tick(self.now))
         if limiter.share.doubtful and self.now >= self.frozen.get(vm, 0.0):
             record = self.record
-            self._on(vm, lambda lim: lim.confirm(record, self.now))
+            self._on(vm, lambda lim: lim.confirm(record, self.now, self.now))
         self.at(self.now + HEARTBEAT, lambda: self._beat(vm, limiter))
 
     def kill(self, vm: Vm) -> None:
--- /dev/null
+++ b/tests/test_limits_runtime.py
@@ -0,0 +1,203 @@
+"""Entries hold an account's rate together: threads, store and messages."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from returns.result import Success
+
+from persimmonhitch.catalog.model import AccountEntry, Catalog
+from persimmonhitch.limits.keeper import RecordKeeper
+from persimmonhitch.limits.limiter import Limiter
+from persimmonhitch.limits.record import PARTS
+from persimmonhitch.platform.objects import Kind
+from persimmonhitch.play.limits_world import ACCOUNT, plan
+from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.verdict import ErrorCode, Verdict
+from persimmonhitch.wire.codec import decode, encode
+
+
+class FakeMesh:
+    """Delivers messages between limiters of one process, through the codec."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.cut = set()
+        self.pool = ThreadPoolExecutor(1)
+
+    def of(self, vm):
+        mesh = self
+
+        class One:
+            def on(self, kind, handler):
+                mesh.handlers[vm, kind] = handler
+
+            def send(self, to, msg):
+                handler = mesh.handlers.get((to, type(msg)))
+                if handler is None or to in mesh.cut or vm in mesh.cut:
+                    return False
+                mesh.pool.submit(handler, vm, decode(encode(msg)).unwrap())
+                return True
+
+        return One()
+
+
+class Fleet:
+    """Entries' limiters and keepers over one fake store."""
+
+    def __init__(self, names, rate=1000.0, burst=500.0):
+        self.store, self.mesh = StoreState(), FakeMesh()
+        self.names = names
+        self.limiters, self.keepers = {}, {}
+        for vm in names:
+            self.start(vm, plan(rate, burst))
+
+    def start(self, vm, allowed):
+        catalog = Catalog(
+            plans={allowed.name: allowed},
+            accounts={ACCOUNT: AccountEntry(ACCOUNT, allowed.name)},
+        )
+        limiter = Limiter(vm, self.mesh.of(vm))
+        limiter.update(catalog)
+        others = [name for name in self.names if name != vm]
+        keeper = RecordKeeper(self.store, limiter, lambda: others)
+        limiter.start()
+        self.limiters[vm], self.keepers[vm] = limiter, keeper
+
+    def close(self):
+        for limiter in self.limiters.values():
+            limiter.close()
+
+
+@pytest.fixture
+def fleet():
+    made = Fleet(["vm0", "vm1", "vm2"])
+    for vm in made.names:
+        made.keepers[vm].look()
+    yield made
+    made.close()
+
+
+def test_rate_holds_over_all_entries_while_the_store_is_down(fleet):
+    """The store goes down and a caller sends through three entries at once, much
+    more than its rate. It must get its rate and burst, once, and every refusal must
+    come at once and say when to come back."""
+    fleet.store.faults.down = True
+    began, lock = time.monotonic(), threading.Lock()
+    admitted, refusals = [], []
+
+    def send(vm):
+        for _ in range(40):
+            asked = time.monotonic()
+            result = fleet.limiters[vm].reserve(ACCOUNT, 50.0, 0.05)
+            with lock:
+                if isinstance(result, Success):
+                    admitted.append(time.monotonic())
+                else:
+                    refusals.append((time.monotonic() - asked, result.failure()))
+
+    threads = [threading.Thread(target=send, args=(vm,)) for vm in fleet.names]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    passed = max(admitted) - began
+    assert 450 <= 50 * len(admitted) <= 500 + 1000 * passed
+    assert {vm.code for _, vm in refusals} == {ErrorCode.RATE_LIMITED}
+    assert all(exc.verdict is Verdict.NOT_RUN for _, exc in refusals)
+    assert all(exc.retry_after and exc.retry_after > 0 for _, exc in refusals)
+
+
+def test_tokens_not_used_come_back(fleet):
+    """A caller reserves much output and uses little. Without the refund it would be
+    refused though it is within its rate, also through an entry without a share."""
+    for _ in range(30):
+        result = fleet.limiters["vm2"].reserve(ACCOUNT, 400.0, 1.0)
+        assert isinstance(result, Success)
+        fleet.limiters["vm2"].settle(result.unwrap(), 1.0)
+
+
+def test_more_than_the_burst_is_never_waited_for(fleet):
+    refusal = fleet.limiters["vm1"].reserve(ACCOUNT, 501.0, 5.0).failure()
+    assert refusal.code is ErrorCode.RATE_LIMITED
+    assert refusal.retry_after is None
+
+
+def test_plan_changes_take_hold_while_a_request_waits(fleet):
+    """A request waits for tokens of a slow plan, and the operator raises the plan.
+    The request must go on at once instead of being refused."""
+    fleet.limiters["vm0"].reserve(ACCOUNT, 500.0, 0.1)
+    for vm in fleet.names:
+        fleet.limiters[vm].update(_catalog(plan(1.0, 500.0)))
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(fleet.limiters["vm0"].reserve, ACCOUNT, 50.0, 100.0)
+        fleet.limiters["vm0"].update(_catalog(plan(5000.0, 500.0)))
+        assert isinstance(fut.result(timeout=5), Success)
+
+
+def _catalog(allowed):
+    return Catalog(
+        plans={allowed.name: allowed},
+        accounts={ACCOUNT: AccountEntry(ACCOUNT, allowed.name)},
+    )
+
+
+def test_clean_stop_gives_the_share_to_another(fleet):
+    """An entry is replaced. Its share must go to one that stays, or the account
+    would miss that part of its rate until the platform's list forgets the VM."""
+    fleet.keepers["vm0"].close()
+    record = fleet.store.get(Kind.SHARE, ACCOUNT).unwrap()
+    assert "vm0" not in record.spec["parts"]
+    assert sum(record.spec["parts"].values()) == PARTS
+
+
+def test_lost_answer_of_a_move_keeps_the_share_small(fleet):
+    """A holder gives half its share away and the store's answer is lost. Whether the
+    write took effect is not known, so the holder must not use that half again."""
+    keeper, limiter = fleet.keepers["vm0"], fleet.limiters["vm0"]
+    keeper._objects[ACCOUNT] = fleet.store.get(Kind.SHARE, ACCOUNT).unwrap()
+    fleet.store.faults.lost_answers = 1
+    keeper._tend(set())
+    parts = fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["parts"]
+    assert limiter._accounts[ACCOUNT].share.parts <= parts["vm0"] < PARTS
+    keeper.look()
+    parts = fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["parts"]
+    assert limiter.record(ACCOUNT).parts == parts
+    assert limiter.parts(ACCOUNT) == parts["vm0"]
+
+
+def test_move_that_never_arrived_is_undone(fleet):
+    """A holder tries to give half its share away while the store is down. The write
+    never arrives, and once the store is back the holder must use its whole share
+    again, but only after the lost write can no longer take effect."""
+    keeper, limiter = fleet.keepers["vm0"], fleet.limiters["vm0"]
+    keeper._live = lambda: ["vm1"]
+    keeper.look()
+    fleet.store.faults.down = True
+    keeper._live = lambda: ["vm2"]
+    keeper._tend(set())
+    assert limiter.parts(ACCOUNT) == PARTS // 4
+    fleet.store.faults.down = False
+    keeper._live = lambda: []
+    keeper.look()
+    assert limiter.parts(ACCOUNT) == PARTS // 2
+    assert fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["generation"] == 3
+
+
+def test_share_of_a_listed_vm_is_never_reclaimed(fleet):
+    """The platform's list lags and its answer may miss. Only a VM that has been
+    missing for long, from a list that names this VM, loses its share."""
+    now = [0.0]
+    keeper = RecordKeeper(
+        fleet.store, fleet.limiters["vm1"], lambda: [], lambda: now[0]
+    )
+    keeper.look()
+    assert "vm0" in fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["parts"]
+    fleet.store.create(Kind.VM, "vm1", {})
+    for now[0] in (10.0, 39.0):
+        keeper.look()
+        assert "vm0" in fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["parts"]
+    now[0] = 41.0
+    keeper.look()
+    assert "vm0" not in fleet.store.get(Kind.SHARE, ACCOUNT).unwrap().spec["parts"]
