--- a/src/persimmonhitch/entry/admitted.py
+++ b/src/persimmonhitch/entry/admitted.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..ids import Account, ConfigVersion, RequestId, Tokens
+from ..limits.limiter import UNPAID, Reservation
 from ..verdict import ErrorCode, Failure
 from ..wire.messages import Priority
 from .calls import Call
@@ -33,3 +34,4 @@
     traceparent: str
     disconnected: Callable[[], bool]
     withdrawn: Callable[[], bool]
+    reservation: Reservation = UNPAID
--- a/src/persimmonhitch/entry/calls.py
+++ b/src/persimmonhitch/entry/calls.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 
 from ..ids import Model, Service
+from ..limits.tokens import DEFAULT_MAX_TOKENS
 from ..verdict import ErrorCode, Failure
 from ..web import Request
 from ..wire.messages import Priority
@@ -20,7 +21,6 @@
 PRIORITY_HEADER: Final = "x-request-priority"
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
 MAX_IDEMPOTENCY_KEY: Final = 255
-DEFAULT_MAX_TOKENS: Final = 256
 MOST_MAX_TOKENS: Final = 32768
 HOP_HEADERS: Final = frozenset(
     {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te"}
--- a/src/persimmonhitch/entry/gateway.py
+++ b/src/persimmonhitch/entry/gateway.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from returns.result import Failure as Err
@@ -12,7 +12,7 @@
 from ..catalog.model import Catalog, PlanEntry
 from ..ids import Account, RequestId, Tokens
 from ..limits.limiter import Reservation
-from ..limits.tokens import prompt_tokens
+from ..limits.tokens import model_cost, service_cost
 from ..observe.metrics import Metrics
 from ..observe.traces import Hop, HopName, Traces
 from ..verdict import ErrorCode, Failure, Verdict
@@ -145,7 +145,9 @@
             self._close(req.account, route, hop, began, reserved.failure(), 0)
             return failure_answer(reserved.failure(), req.request)
         self._metrics.queued(req.account, time.monotonic() - began)
-        opened = _Open(req.request, req.account, began, route, hop, reserved.unwrap())
+        reservation = reserved.unwrap()
+        opened = _Open(req.request, req.account, began, route, hop, reservation)
+        req = replace(req, reservation=reservation)
         if req.call.idempotency_key and not req.repeatable:
             return self._once(req, opened)
         return self._reply(req, opened)
@@ -281,8 +283,8 @@
 
 def _cost(catalog: Catalog, call: Call) -> Tokens:
     if call.service is not None:
-        return Tokens(catalog.services[call.service].cost)
-    return Tokens(float(prompt_tokens(call.body) + call.max_tokens))
+        return service_cost(catalog.services[call.service])
+    return model_cost(call.body, call.max_tokens).total
 
 
 def _repeatable(catalog: Catalog, call: Call) -> bool:
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -21,6 +21,7 @@
 from ..kernel import Lifecycle
 from ..limits.keeper import RecordKeeper
 from ..limits.limiter import Limiter
+from ..limits.revoked import ShareRevoked
 from ..observe.logs import log, start_logs
 from ..observe.metrics import Metrics
 from ..observe.traces import Traces
@@ -57,8 +58,9 @@
         )
         self.limiter = Limiter(Vm(cfg.vm), self.mesh)
         self.shares = RecordKeeper(
-            store, self.limiter, lambda: (peer.vm for peer in self.mesh.peers())
+            store, self.limiter, self.mesh.linked, self._on_revoked
         )
+        self.mesh.on(ShareRevoked, lambda _vm, msg: self.pool.broadcast(msg))
         rng = random.Random()
         self.sync = CatalogSync(store, self.mesh, Vm(cfg.vm), Region(cfg.region), rng)
         self.sync.feed.listen(self._on_catalog)
@@ -106,7 +108,12 @@
         # Without the sidecars every request would be refused here, while another
         # entry would have answered it.
         listed = self.sidecars.ready.is_set() or self.borrowed.ready.is_set()
-        return listed and self.sync.feed.ready.is_set()
+        return listed and self.sync.feed.ready.is_set() and self.shares.ready()
+
+    def _on_revoked(self, msg: ShareRevoked) -> None:
+        self.pool.broadcast(msg)
+        for vm in self.mesh.linked():
+            self.mesh.send(vm, msg)
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.limiter.update(catalog)
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -130,6 +130,11 @@
             unlisted = others.keys() - self._infos.keys() - {self.vm}
             return (*linked, *(PeerInfo.from_hello(others[vm]) for vm in unlisted))
 
+    def linked(self) -> frozenset[Vm]:
+        """Return the names of the entries to which a link is open."""
+        with self._lock:
+            return frozenset(self._links)
+
     def send(self, vm: Vm, msg: Any) -> bool:
         """Send a message to one entry; False when no link to it is open."""
         with self._lock:
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from ..ids import Model, Service, Upstream
 from ..observe.logs import log
@@ -90,6 +90,13 @@
         with self._changed:
             self._changed.wait(timeout)
 
+    def broadcast(self, msg: Any) -> None:
+        """Send a message to every sidecar in reach."""
+        for conn in self._all():
+            link = conn.link
+            if link is not None:
+                link.send(msg)
+
     def _all(self) -> list[SidecarConn]:
         with self._changed:
             return list(self._conns.values())
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -23,6 +23,7 @@
     reclaim,
     release,
 )
+from .revoked import ShareRevoked
 from .share import RECLAIM_AFTER
 
 PERIOD: Final = 5.0
@@ -31,6 +32,8 @@
 """Seconds between them while an account has no record yet."""
 REBALANCE_EVERY: Final = 30.0
 """Seconds over which demand is counted before a share moves after it."""
+READY_AFTER: Final = 3.0
+"""Seconds; ten times what a link between entries takes to open."""
 RELEASE_LIMIT: Final = 6.0
 """Seconds at a stop for a pooled share to come back; a lease lasts less."""
 
@@ -42,6 +45,8 @@
     ----------
     live : callable
         Returns the other entries to which a link is open.
+    on_revoked : callable
+        Told of each share that was taken from a VM, for the sidecars.
     """
 
     def __init__(
@@ -49,11 +54,14 @@
         store: ObjectStore,
         limiter: Limiter,
         live: Callable[[], Iterable[Vm]],
+        on_revoked: Callable[[ShareRevoked], None] = lambda _msg: None,
         clock: Callable[[], float] = boot_time,
     ) -> None:
         self._store = store
         self._limiter = limiter
         self._live = live
+        self._on_revoked = on_revoked
+        self._ready_by = float("inf")
         self._clock = clock
         self._objects: dict[Account, StoredObject] = {}
         self._gone_since: dict[Vm, float] = {}
@@ -70,6 +78,20 @@
         """Look at the store soon: accounts have changed."""
         self._kick.set()
 
+    def ready(self) -> bool:
+        """Return whether a holder of each account's share is in reach.
+
+        A request that came before would be refused although its account is within
+        its rate. Holders that are all gone must not keep this entry from serving
+        the other accounts, so after ``READY_AFTER`` they are not waited for.
+        """
+        now, accounts = self._clock(), self._limiter.accounts()
+        if accounts and self._ready_by == float("inf"):
+            self._ready_by = now + READY_AFTER
+        live = {*self._live(), self._limiter.vm}
+        held = (self._limiter.record(account).parts.keys() for account in accounts)
+        return now >= self._ready_by or all(live & holders for holders in held)
+
     def close(self) -> None:
         """Follow no more and give this VM's shares to the others."""
         self._stopping.set()
@@ -140,10 +162,19 @@
                 continue
             if gone & set(record.parts) and self._is_reclaimer(record, gone):
                 live = {*self._live(), self._limiter.vm}
-                self._write(account, reclaim(record, gone, live))
+                self._reclaim(account, record, gone & set(record.parts), live)
             elif self._limiter.vm in record.parts:
                 self._move(account, record, due)
 
+    def _reclaim(
+        self, account: Account, record: ShareRecord, gone: set[Vm], live: set[Vm]
+    ) -> None:
+        new = reclaim(record, gone, live)
+        if self._write(account, new):
+            for vm in gone:
+                log("share_reclaimed", account=account, vm_gone=vm)
+                self._on_revoked(ShareRevoked(account, new.generation, vm))
+
     def _is_reclaimer(self, record: ShareRecord, gone: set[Vm]) -> bool:
         left = sorted(set(record.parts) - gone)
         return not left or left[0] == self._limiter.vm
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -101,6 +101,8 @@
     cost: Tokens
     traceparent: str
     weight: float
+    giver: Vm
+    generation: int
 
 
 @message(4)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -46,6 +46,7 @@
         request("/v1/services/s/x", body=f"my key is {KEY}".encode()),
         request(f"/v1/services/s/{KEY}"),
     ],
+    ids=range(13),
 )
 def test_bad_calls_are_named(req):
     result = read_call(req, 60.0, 600.0)
@@ -112,6 +113,7 @@
 @pytest.mark.parametrize(
     "value",
     ["", "a.b.c", "1.2", auth.sign(b"other", time.time()), auth.sign(b"s", 0.0)],
+    ids=["empty", "words", "short", "other secret", "old"],
 )
 def test_links_without_the_secret_are_refused(value):
     assert not auth.verify(b"s", value, time.time())
