--- a/src/persimmonhitch/limits/account.py
+++ b/src/persimmonhitch/limits/account.py
@@ -97,6 +97,8 @@
     """A ``Borrow`` for it is on its way."""
     target: Vm | None = None
     """The holder to ask next, as the last one said."""
+    insist: bool = False
+    """A holder did not answer."""
 
 
 @dataclass
@@ -308,7 +310,7 @@
         )
         if msg.tokens <= 0 or self.share.doubtful or self.share.parts == 0:
             return [self._refusal(waiter, 0.0, now)]
-        if self._pooled_at() is not None:
+        if self._pooled_at() is not None and not msg.insist:
             return [self._refusal(waiter, 0.0, now)]
         self._busy_until = now + lending.POOL_IDLE
         self._queue.append(waiter)
@@ -365,7 +367,10 @@
     def _on_pool_ask(self, vm: Vm, msg: PoolAsk, now: float) -> list[Action]:
         share = self.share
         if msg.lease is not None:
-            kept = share.extend(vm, msg.lease, now)
+            # A peer that cannot reach the home holder waits here: the share has to
+            # come back, or that peer would be refused however little it sends.
+            waited_for = any(w.peer is not None for w in self._queue)
+            kept = not waited_for and share.extend(vm, msg.lease, now)
             return [self._pooled(vm, msg.ask, msg.lease, 0.0, kept, now)]
         lease = self._new_loan()
         tokens = None
@@ -457,6 +462,7 @@
             ask = self._asks.pop(loan)
             if ask.waiter is not None:
                 ask.waiter.asked, ask.waiter.target = False, None
+                ask.waiter.insist = True
             view = self._views.get(ask.vm)
             if view is None:
                 continue
@@ -563,7 +569,9 @@
         loan, wait = self._new_loan(), waiter.deadline - now
         life = min(LOAN_LIFE, max(LEAST_LIFE, ROUND_TRIPS * self._round_trip))
         self._asks[loan] = _Ask(vm, now, waiter, life)
-        return Send(vm, Borrow(self.account, loan, Tokens(tokens), wait, life))
+        return Send(
+            vm, Borrow(self.account, loan, Tokens(tokens), wait, life, waiter.insist)
+        )
 
     def _give_up_hopeless(self, now: float) -> list[Action]:
         share = self.share
@@ -650,7 +658,7 @@
             loan = self._new_loan()
             self._views[vm].asked = True
             self._asks[loan] = _Ask(vm, now)
-            msg = Borrow(self.account, loan, Tokens(0.0), 0.0, 0.0)
+            msg = Borrow(self.account, loan, Tokens(0.0), 0.0, 0.0, False)
             actions.append(Send(vm, msg))
         return actions
 
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -93,7 +93,7 @@
         asked = self._clock()
         listing = self._store.list_all(Kind.SHARE)
         if not isinstance(listing, Success):
-            return False
+            return self._limiter.ask_records(list(self._live()))
         self._objects = {Account(obj.name): obj for obj in listing.unwrap().items}
         # A new account has its burst at once, and a move now would cost part of it.
         fresh = set(self._limiter.accounts()) - set(self._objects)
--- a/src/persimmonhitch/limits/limiter.py
+++ b/src/persimmonhitch/limits/limiter.py
@@ -26,7 +26,7 @@
     ShareRecordAsk,
     ShareRecordNews,
 )
-from .record import NOBODY, ShareRecord
+from .record import NOBODY, ShareRecord, from_spec
 
 TICK: Final = 1.0
 """Seconds between looks at the clock while nothing waits."""
@@ -163,6 +163,14 @@
             limiter = self._accounts.get(account)
             return NOBODY if limiter is None else limiter.share.record
 
+    def ask_records(self, vms: list[Vm]) -> bool:
+        """Ask peers for the records not known here; return whether all are."""
+        unknown = [a for a in self.accounts() if self.record(a).generation == 0]
+        for account in unknown:
+            for vm in vms:
+                self._mesh.send(vm, ShareRecordAsk(account, self._clock()))
+        return not unknown
+
     def parts(self, account: Account) -> int:
         """Return the parts of an account that this VM counts as its own."""
         with self._changed:
@@ -205,7 +213,11 @@
             self._mesh.send(vm, news)
 
     def _on_record_news(self, vm: Vm, msg: ShareRecordNews) -> None:
-        record = ShareRecord(msg.generation, msg.parts)
+        result = from_spec({"generation": msg.generation, "parts": msg.parts})
+        if not isinstance(result, Success):
+            log("share_record_broken", peer_vm=vm, error=result.failure())
+            return
+        record = result.unwrap()
         self.apply(msg.account, lambda lim, now: lim.confirm(record, msg.asked, now))
 
     def _note(self, actions: list[Action]) -> list[Send]:
--- a/src/persimmonhitch/limits/messages.py
+++ b/src/persimmonhitch/limits/messages.py
@@ -11,7 +11,8 @@
 class Borrow:
     """Ask a holder for tokens, all or nothing, within ``wait`` seconds.
 
-    ``life`` is how long the borrower needs the loan to live. No tokens at all are
+    ``life`` is how long the borrower needs the loan to live; ``insist`` says that it
+    cannot reach the holder that has this one's share for now. No tokens at all are
     asked for to learn whether a holder answers again.
     """
 
@@ -20,6 +21,7 @@
     tokens: Tokens
     wait: float
     life: float
+    insist: bool
 
 
 @message(21)
