--- a/tests/test_limits_safety.py
+++ b/tests/test_limits_safety.py
@@ -4,9 +4,13 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from persimmonhitch.limits.account import AccountLimiter, Admit
 from persimmonhitch.limits.bucket import Bucket
+from persimmonhitch.limits.messages import Borrow, PoolAsk, Pooled, Refund
 from persimmonhitch.limits.record import (
     NOBODY,
+    PARTS,
+    ShareRecord,
     found,
     join,
     reclaim,
@@ -239,8 +243,8 @@
     bucket = Bucket(rate=10.0, cap=100.0, now=0.0)
     bucket.advance(10.0)
     assert bucket.spend(100.0, 10.0)
-    assert bucket.credit(60.0, since=10.0, now=30.0) == 0.0
     assert bucket.spend(100.0, 30.0)
+    assert bucket.credit(60.0, since=10.0, now=30.0) == 0.0
     assert bucket.credit(60.0, since=30.0, now=31.0) == 60.0
     assert not bucket.spend(80.0, 31.0)
 
@@ -256,3 +260,76 @@
     assert bucket.repay(loan, 30.0, 1.9) == 30.0
     bucket.advance(2.05)
     assert bucket.level == pytest.approx(80.0)
+
+
+def account_limiter(vm, parts, now=0.0):
+    """Return a limiter whose time as a new process is over, and its record."""
+    ids = iter(range(1000))
+    limiter = AccountLimiter(vm, ACCOUNT, PLANS[0], now, lambda: f"{vm}-{next(ids)}")
+    limiter.learn(ShareRecord(1, parts), now)
+    return limiter
+
+
+HALVES = {"vm0": PARTS // 2, "vm1": PARTS // 2}
+
+
+def test_new_process_leaves_its_share_alone_for_a_lease():
+    """An entry is killed after it lent its whole share, and starts anew at once. The
+    other one may use that share until the lease ends; both must not."""
+    limiter = account_limiter("vm0", HALVES)
+    for now, level in ((4.0, 0.0), (4.6, 0.0), (5.675, 50.0)):
+        limiter.tick(now)
+        assert limiter.share.bucket.level == pytest.approx(level)
+
+
+def test_share_that_grows_waits_for_loans_to_end():
+    """A holder lends all it has and gives its share away. Until that loan has ended
+    the new holder must not refill, or the account gets those tokens twice."""
+    limiter = account_limiter("vm0", {"vm1": PARTS})
+    limiter.tick(5.0)
+    limiter.learn(ShareRecord(2, HALVES), 5.0)
+    for now, level in ((5.2, 0.0), (5.275, 0.0), (6.275, 50.0)):
+        limiter.tick(now)
+        assert limiter.share.bucket.level == pytest.approx(level)
+
+
+def test_second_copy_of_a_refund_makes_no_tokens():
+    """A refund is delivered twice. Credited twice it would make tokens."""
+    limiter = account_limiter("vm0", HALVES)
+    for now in (4.0, 8.0, 12.0):
+        limiter.tick(now)
+    before = limiter.share.bucket.level
+    limiter.receive("vm9", Borrow(ACCOUNT, "loan", 100.0, 1.0, 0.2, False), 12.0)
+    for _ in range(2):
+        limiter.receive("vm9", Refund(ACCOUNT, "loan", 60.0), 12.0)
+    assert limiter.share.bucket.level == pytest.approx(before - 40.0)
+
+
+def test_pooled_share_ends_by_the_time_of_asking():
+    """The answer that lends a share is held up for seconds. Counted from its arrival
+    the lease would outlast the giver's, and two VMs would spend one share."""
+    limiter = account_limiter("vm0", HALVES)
+    for now in (2.0, 4.9):
+        limiter.tick(now)
+    sent = limiter.reserve(1, 400.0, 30.0, 5.0)
+    (ask,) = [send.msg for send in sent if isinstance(send.msg, PoolAsk)]
+    answer = Pooled(ACCOUNT, ask.ask, "lease", PARTS // 2, 0.0, 4.0, 1)
+    limiter.receive("vm1", answer, 5.2)
+    assert limiter.share.in_use == PARTS
+    limiter.tick(8.9)
+    limiter.tick(9.0)
+    assert limiter.share.in_use == PARTS // 2
+
+
+def test_frozen_process_asks_before_it_admits():
+    """A process stands still for ten minutes and its share is taken meanwhile. What
+    it was told before the pause must not let it spend the share once more."""
+    limiter = account_limiter("vm0", HALVES)
+    for now in (4.0, 8.0):
+        limiter.tick(now)
+    assert limiter.reserve(1, 10.0, 1.0, 608.0) == []
+    assert limiter.confirm(ShareRecord(1, HALVES), 7.0, 608.1) == []
+    gone = ShareRecord(2, {"vm1": PARTS})
+    actions = limiter.confirm(gone, 608.1, 608.2)
+    assert not any(isinstance(action, Admit) for action in actions)
+    assert limiter.share.bucket.level == 0.0
