--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -58,7 +58,7 @@
         )
         self.limiter = Limiter(Vm(cfg.vm), self.mesh)
         self.shares = RecordKeeper(
-            store, self.limiter, self.mesh.linked, self._on_revoked
+            store, self.limiter, self.mesh.linked, on_revoked=self._on_revoked
         )
         self.mesh.on(ShareRevoked, lambda _vm, msg: self.pool.broadcast(msg))
         rng = random.Random()
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -132,8 +132,7 @@
 
     def linked(self) -> frozenset[Vm]:
         """Return the names of the entries to which a link is open."""
-        with self._lock:
-            return frozenset(self._links)
+        return frozenset(peer.vm for peer in self.peers())
 
     def send(self, vm: Vm, msg: Any) -> bool:
         """Send a message to one entry; False when no link to it is open."""
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -54,8 +54,8 @@
         store: ObjectStore,
         limiter: Limiter,
         live: Callable[[], Iterable[Vm]],
-        on_revoked: Callable[[ShareRevoked], None] = lambda _msg: None,
         clock: Callable[[], float] = boot_time,
+        on_revoked: Callable[[ShareRevoked], None] = lambda _msg: None,
     ) -> None:
         self._store = store
         self._limiter = limiter
