--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -181,18 +181,33 @@
         )
         return self.spawn(f"sidecar-{name}", "sidecar", f"--settings={path}")
 
-    def entry(self, name: str, stop_notice: float = 0.2) -> Process:
-        """Start an entry."""
+    def entry(
+        self, name: str, stop_notice: float = 0.2, store: str = "store", seeds: str = ""
+    ) -> Process:
+        """Start an entry; ``store`` names the address by which it gets there."""
         path = self.settings(
             name,
             f"[vm]\nname = {name}\nzone = z1\nregion = r1\n"
             f"[http]\nhost = 127.0.0.1\n"
-            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\n"
+            f"[link]\nhost = 127.0.0.1\nsecret = {SECRET}\nseeds = {seeds}\n"
             f"[stop]\nnotice = {stop_notice}\n"
-            f"[store]\nurl = {self.urls['store']}\n",
+            f"[store]\nurl = {self.urls[store]}\n",
         )
         return self.spawn(name, "entry", f"--settings={path}")
 
+    def planner(self, name: str, lease: float = 1.0) -> Process:
+        """Start a planner."""
+        path = self.settings(
+            name,
+            f"[vm]\nname = {name}\nzone = z1\n"
+            f"[link]\nsecret = {SECRET}\n"
+            f"[lease]\nduration = {lease}\n"
+            f"[placement]\nperiod = 0.2\nsettle = 1.5\n"
+            f"[weights]\nrate = 20\n"
+            f"[store]\nurl = {self.urls['store']}\n",
+        )
+        return self.spawn(name, "planner", f"--settings={path}")
+
     def store(self) -> HttpObjectStore:
         """Return a client of the fleet's object API."""
         return HttpObjectStore(self.urls["store"], 2.0)
@@ -206,6 +221,19 @@
         answer = self.http.request("GET", self.urls[service] + "/_runs")
         return list(answer.json()["runs"].values())
 
+    def ctl(self, operator: str, *args: str) -> subprocess.Popen:
+        """Start the operators' command line."""
+        text = f"[store]\nurl = {self.urls['store']}\n[operator]\nname = {operator}\n"
+        path = self.settings(f"ctl-{operator}", text)
+        env = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        return subprocess.Popen(
+            [sys.executable, "-m", "persimmonhitch.ctl", f"--settings={path}", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env=env,
+        )
+
     def commit(self, edit: Callable[[Catalog], Delta]) -> Catalog:
         """Commit what ``edit`` makes of the configuration in force."""
         store = self.store()
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -5,6 +5,8 @@
 from functools import singledispatchmethod
 from typing import Any, Final
 
+from ..catalog.messages import ConfigNote
+from ..catalog.staleness import HeardVersions
 from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
@@ -53,7 +55,7 @@
         self._stopping = threading.Event()
         self._copies = copies
         self._planners: dict[Link, HoldingsNews] = {}
-        self.version = ConfigVersion(0)
+        self._heard = HeardVersions()
         self._server = LinkServer(cfg.host, cfg.port, cfg.secret.encode(), self._accept)
         self._reporter = threading.Thread(
             target=self._report_loop, name="report", daemon=True
@@ -118,14 +120,19 @@
     @take.register
     def _(self, msg: Submit, link: Link) -> None:
         self._note_version(msg.version)
+        with self._lock:
+            refusal = self._heard.refusal(msg.version, time.monotonic())
+        if refusal is not None:
+            link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
+            return
         if self._copies is None:
             self._dispatcher.submit.defer(msg, link)
             return
-        with self._copies.using(msg) as refusal:
-            if refusal is None:
+        with self._copies.using(msg) as missing:
+            if missing is None:
                 self._dispatcher.submit.defer(msg, link)
             else:
-                link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
+                link.send(Fail.from_failure(msg.request, msg.attempt, missing))
 
     @take.register
     def _(self, msg: Order, link: Link) -> None:
@@ -135,6 +142,10 @@
             return
         self._copies.order(msg, link)
 
+    @take.register
+    def _(self, msg: ConfigNote, link: Link) -> None:
+        self._note_version(msg.version)
+
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
         self._dispatcher.cancel.defer(msg)
@@ -148,7 +159,13 @@
         self._dispatcher.resume.defer(msg, link)
 
     def _note_version(self, version: ConfigVersion) -> None:
-        self.version = max(self.version, version)
+        with self._lock:
+            self._heard.note(version, time.monotonic())
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the newest version that an entry has told of."""
+        return self._heard.newest
 
     def _welcome(self) -> Welcome:
         cfg = self._cfg
