--- a/src/persimmonhitch/play/player.py
+++ b/src/persimmonhitch/play/player.py
@@ -109,7 +109,7 @@
             )
         )
         if self._meter.rate > 0.0:
-            bound = queue_bound(self._meter.rate, call.priority)
+            bound = queue_bound(self._meter.rate, Priority.BATCH)
             for item in self._queue.overflow(bound):
                 self._end(self._calls.pop(item.request), Outcome.REFUSED)
         self._pump()
