--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -11,12 +11,12 @@
 
 import random
 from pathlib import Path
-from typing import Final
 
 from docopt import docopt
 
 from ..catalog.model import EMPTY, Catalog
 from ..catalog.sync import CatalogSync
+from ..decide.admission import connections_full
 from ..ids import Region, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..observe.logs import log, start_logs
@@ -27,6 +27,7 @@
 from ..platform.registration import Registration
 from ..platform.watcher import Watcher
 from ..settings import load_or_exit
+from ..verdict import Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
 from .app import EntryApp
@@ -40,8 +41,6 @@
 from .router import Router
 from .settings import EntrySettings
 
-TRACE_RATIO: Final = 1.0
-
 
 class Entry:
     """All parts of the process."""
@@ -89,10 +88,15 @@
             forwarder,
             self.records,
             self.metrics,
-            Traces(TRACE_RATIO),
+            Traces(cfg.trace_ratio),
         )
         feed = self.sync.feed
-        return EntryApp(gateway, self.metrics, self._ready, lambda: feed.version)
+        return EntryApp(
+            gateway, self.metrics, self._ready, lambda: feed.version, self._full
+        )
+
+    def _full(self) -> Failure | None:
+        return connections_full(self.server.busy(), self.cfg.threads)
 
     def _ready(self) -> bool:
         # Without the sidecars every request would be refused here, while another
