Copies of a dead engine count as gone

Cause: an engine that died and stayed dead beside a living sidecar kept its copies in service, so nobody loaded them elsewhere.

--- a/src/persimmonhitch/sidecar/engine_api.py
+++ b/src/persimmonhitch/sidecar/engine_api.py
@@ -1,6 +1,7 @@
 """Orders to an engine and its own list, over HTTP."""
 
 import json
+from enum import Enum
 from typing import Any, Final, Protocol
 
 import urllib3
@@ -19,6 +20,16 @@
 LIST_TIMEOUT: Final = 2.0
 
 
+class Silence(Enum):
+    """Why the engine gave no list."""
+
+    REFUSED = "refused"
+    """It takes no connection."""
+    NO_ANSWER = "no_answer"
+    BROKEN = "broken"
+    """It answered something else."""
+
+
 class EngineApi(Protocol):
     """What the sidecar orders of an engine."""
 
@@ -28,7 +39,7 @@
     def unload(self, copy: Copy, epoch: Epoch) -> Answer:
         """Unload a copy."""
 
-    def listing(self) -> Result[tuple[Listed, ...], str]:
+    def listing(self) -> Result[tuple[Listed, ...], Silence]:
         """Return the copies that take up memory."""
 
 
@@ -44,7 +55,7 @@
     """
 
     def __init__(self, url: str, order_timeout: float) -> None:
-        self._url = url.rstrip("/")
+        self.url = url.rstrip("/")
         self._timeout = order_timeout
         # A retry would put a second order on its way behind the ledger's back.
         self._http = urllib3.PoolManager(retries=False, maxsize=8)
@@ -59,24 +70,26 @@
         path = UNLOAD_MODEL if copy.adapter is None else UNLOAD_ADAPTER
         return self._order(path, _body(copy, epoch))
 
-    def listing(self) -> Result[tuple[Listed, ...], str]:
+    def listing(self) -> Result[tuple[Listed, ...], Silence]:
         """Return the copies that take up memory."""
         try:
-            answer = self._http.request("GET", self._url + MODELS, timeout=LIST_TIMEOUT)
+            answer = self._http.request("GET", self.url + MODELS, timeout=LIST_TIMEOUT)
             items = json.loads(answer.data)["data"] if answer.status == 200 else None
             if items is None:
-                return Err(f"status {answer.status}")
+                return Err(Silence.BROKEN)
             return Success(tuple(_listed(item) for item in items))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(repr(exc))
-        except (ValueError, KeyError, TypeError) as exc:
-            return Err(f"not a list of models: {exc!r}")
+        except urllib3.exceptions.NewConnectionError:
+            return Err(Silence.REFUSED)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return Err(Silence.NO_ANSWER)
+        except (ValueError, KeyError, TypeError):
+            return Err(Silence.BROKEN)
 
     def _order(self, path: str, body: dict[str, Any]) -> Answer:
         try:
             answer = self._http.request(
                 "POST",
-                self._url + path,
+                self.url + path,
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=self._timeout,
--- a/src/persimmonhitch/sidecar/orders.py
+++ b/src/persimmonhitch/sidecar/orders.py
@@ -15,11 +15,18 @@
 from ..observe.logs import log
 from ..wire.messages import Order, OrderDone
 from ..wire.placement import Action, Copy, Holding, OrderError
-from .engine_api import EngineApi
+from .engine_api import EngineApi, Silence
 from .ledger import Answer, Begin, Ledger
 
 AT_ONCE: Final = 4
 """Orders carried out side by side; a slow base must not hold up small adapters."""
+GONE_AFTER: Final = {
+    Silence.REFUSED: 3.0,
+    Silence.NO_ANSWER: 30.0,
+    Silence.BROKEN: 30.0,
+}
+"""Seconds without a list after which the engine's copies count as gone. An engine that
+takes no connection is dead; one that is slow to answer may be at work."""
 ERRORS: Final = {
     Answer.REFUSED: OrderError.REFUSED,
     Answer.UNKNOWN: OrderError.NO_ANSWER,
@@ -65,6 +72,8 @@
         self._lock = threading.Lock()
         self._pool = ThreadPoolExecutor(AT_ONCE, thread_name_prefix="order")
         self._stopping = threading.Event()
+        self._silent_since: float | None = None
+        self._gone = False
 
     def start(self, list_period: float) -> None:
         """Ask the engine for its list every ``list_period`` seconds."""
@@ -81,12 +90,12 @@
     def serving(self) -> tuple[Copy, ...]:
         """Return the copies that may take requests."""
         with self._lock:
-            return self._ledger.serving()
+            return () if self._gone else self._ledger.serving()
 
     def holdings(self, demand: dict[Model, float]) -> tuple[Holding, ...]:
         """Return every copy with its state, memory and demand."""
         with self._lock:
-            entries = self._ledger.entries()
+            entries = [] if self._gone else self._ledger.entries()
         served: Counter[Model] = Counter(c.name for c, _, _ in entries)
         return tuple(
             Holding(c, s, m, demand.get(c.name, 0.0) / served[c.name])
@@ -97,7 +106,8 @@
         """Return capacity, free GiB, whether loads are allowed, and the epoch."""
         with self._lock:
             ledger = self._ledger
-            return ledger.capacity, ledger.free(), ledger.ready(), ledger.epoch
+            ready = ledger.ready() and not self._gone
+            return ledger.capacity, ledger.free(), ready, ledger.epoch
 
     def see_epoch(self, epoch: Epoch) -> bool:
         """Refuse older epochs from now on."""
@@ -115,17 +125,30 @@
         """Set the ledger right by the engine's own list; return whether it answered."""
         asked_at = self._clock()
         result = self._engine.listing()
-        if not isinstance(result, Success):
-            log("engine_list_failed", error=result.failure())
+        if isinstance(result, Err):
+            self._note_silence(result.failure(), asked_at)
             return False
+        before = set(self.serving())
         with self._lock:
-            before = set(self._ledger.serving())
+            self._silent_since, self._gone = None, False
             self._ledger.take_listing(result.unwrap(), asked_at, self._clock())
-            changed = before != set(self._ledger.serving())
-        if changed:
+        if before != set(self.serving()):
             self._on_change()
         return True
 
+    def _note_silence(self, why: Silence, asked_at: float) -> None:
+        # A dead engine beside a living sidecar would else count as serving: its
+        # models are not loaded elsewhere, and callers meet it for ever.
+        if self._silent_since is None:
+            self._silent_since = asked_at
+            log("engine_silent", why=why.value)
+        silent = self._clock() - self._silent_since
+        if silent >= GONE_AFTER[why] and not self._gone:
+            log("engine_gone", why=why.value, silent=silent)
+            with self._lock:
+                self._gone = True
+            self._on_change()
+
     def _keep_listing(self, period: float) -> None:
         while not self._stopping.is_set():
             self.refresh()
@@ -155,6 +178,8 @@
         return OrderError.BAD_ACTION
 
     def _load(self, copy: Copy, memory: float, epoch: Epoch) -> OrderError | None:
+        if self._gone:
+            return OrderError.STARTING
         if not 0.0 < memory < math.inf:
             return OrderError.BAD_MEMORY
         with self._lock:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from fleet import wait_for
@@ -13,12 +14,15 @@
 from returns.result import Success
 
 from persimmonhitch.ids import Adapter, Epoch, Model
-from persimmonhitch.sidecar.engine_api import HttpEngine
+from persimmonhitch.sidecar.copies import EngineCopies
+from persimmonhitch.sidecar.engine_api import HttpEngine, Silence
 from persimmonhitch.sidecar.ledger import Answer, Begin, Ledger, Listed
-from persimmonhitch.sidecar.orders import OrderDesk
+from persimmonhitch.sidecar.orders import GONE_AFTER, OrderDesk
+from persimmonhitch.sidecar.settings import SidecarSettings
 from persimmonhitch.standin.engine import EngineApp, EngineSpeed
 from persimmonhitch.standin.engine_memory import EngineMemory, EngineOrder, Outcome
 from persimmonhitch.standin.engine_orders import EngineOrders, OrderFaults
+from persimmonhitch.verdict import ErrorCode
 from persimmonhitch.web import WebServer
 from persimmonhitch.wire.messages import Order
 from persimmonhitch.wire.placement import Copy, CopyState, OrderError
@@ -379,3 +383,64 @@
     assert orders.memory_state()["violated"] is False
     assert ordered(desk, "load", A2) == "no_memory"
     desk.stop()
+
+
+class DeadEngine(ScriptedEngine):
+    silence = None
+
+    def listing(self):
+        return super().listing() if self.silence is None else Err(self.silence)
+
+
+@pytest.mark.parametrize("why", list(Silence))
+def test_copies_of_a_dead_engine_count_as_gone(why):
+    """An engine dies and nothing starts it again, while its sidecar lives on.
+
+    Its models would count as served here, and nobody would load them elsewhere.
+    """
+    now, changes, engine = [0.0], [], DeadEngine()
+    ledger = Ledger(CAPACITY, LIMIT, 0.0)
+    desk = OrderDesk(ledger, engine, lambda: changes.append(1), clock=lambda: now[0])
+    engine.load(B, 40.0, Epoch(1))
+    now[0] = LIMIT
+    assert desk.refresh()
+    engine.silence = why
+    for _ in range(int(GONE_AFTER[why])):
+        assert not desk.refresh()
+        assert desk.serving() == (B,)
+        now[0] += 1.0
+    desk.refresh()
+    assert (desk.serving(), desk.holdings({}), desk.memory()[2]) == ((), (), False)
+    engine.silence = None
+    desk.refresh()
+    assert (desk.serving(), len(changes)) == ((B,), 3)
+    desk.stop()
+
+
+def test_an_unload_waits_for_the_requests_that_use_its_copy(engine_over_http):
+    """The planner unloads a copy while a request for it is on its way in.
+
+    The request would else meet an engine that has just dropped the model.
+    """
+    orders, engine = engine_over_http
+    orders.preload("b:40:1")
+    cfg = SidecarSettings(
+        *("vm", "z", "r", "h", "s", "u", "engine", engine.url, ""),
+        order_limit=0.01,
+        list_period=0.01,
+    )
+    copies, done = EngineCopies(cfg, lambda _model: 0), threading.Event()
+    copies.start(lambda: None)
+    link = SimpleNamespace(send=lambda _msg: done.set())
+    submit = SimpleNamespace(model=B.model, cost=10.0)
+    wait_for(lambda: copies.holdings("i", False).ready, "the first list")
+    with copies.using(submit) as refusal:
+        assert refusal is None
+        copies.order(Order("o", Epoch(1), "unload", B.model, None, "1", 0.0), link)
+        wait_for(lambda: copies.models() == (), "the copy to leave service")
+        with copies.using(submit) as second:
+            assert second.code is ErrorCode.MODEL_LOADING
+        assert orders.serves("b") and not done.is_set()
+    assert done.wait(5)
+    assert not orders.serves("b")
+    copies.stop()
--- a/tests/test_planner_golden.py
+++ b/tests/test_planner_golden.py
@@ -85,8 +85,11 @@
 
     def restart_engine(self, name):
         self.memory()
-        port = self.fleet.urls[name].rsplit(":", 1)[1]
         self.fleet.processes[name].kill()
+        self.start_engine(name)
+
+    def start_engine(self, name):
+        port = self.fleet.urls[name].rsplit(":", 1)[1]
         self.fleet.standin(name, "engine", *ENGINE, f"--port={port}")
         self.fleet.processes[name].ports()
 
@@ -118,9 +121,9 @@
         "three models and an adapter on empty engines, all answer:", placed.all_answer()
     )
 
-    for name in ("engine-1", "engine-2"):
-        placed.restart_engine(name)
-    session.note("both engines killed and replaced, all answer:", placed.all_answer())
+    placed.fleet.processes["engine-1"].kill()
+    session.note("an engine killed and none in its place:", placed.all_answer())
+    placed.start_engine("engine-1")
 
     placed.faults(late=1, late_by=0.8)
     placed.add("m-d")
