Models no longer take room from each other in turns

In between the freed memory, held by the ledger for late orders, counted for nobody, so the revision showed as without room. Now revisions come before demand; copies above the least number make no room for themselves; and memory that a sidecar still holds for late orders is waited for. Seen failing before: test_models_do_not_take_room_from_each_other_in_turns (second row) and test_memory_that_comes_free_soon_is_waited_for.

--- a/src/persimmonhitch/decide/board.py
+++ b/src/persimmonhitch/decide/board.py
@@ -79,6 +79,9 @@
         return self.sites.items()
 
     def _enter(self, upstream: Upstream, site: Site) -> None:
+        held = [*site.copies.values(), *site.old.values()]
+        lingering = site.capacity - site.free - sum(p.memory for p in held)
+        self.coming[upstream] += max(0.0, lingering)
         for model, placed in site.copies.items():
             if placed.state is PlacedState.LEAVING:
                 self.leaving[model].add(upstream)
--- a/src/persimmonhitch/decide/moves.py
+++ b/src/persimmonhitch/decide/moves.py
@@ -19,8 +19,8 @@
     """Why a move is made; loads are made in this order."""
 
     UNREACHABLE = "unreachable"
-    DEMAND = "demand"
     REVISION = "revision"
+    DEMAND = "demand"
     SPARE = "spare"
     HEAT = "heat"
     MAKE_ROOM = "make_room"
--- a/src/persimmonhitch/decide/placement.py
+++ b/src/persimmonhitch/decide/placement.py
@@ -130,8 +130,9 @@
             return Reason.UNREACHABLE
         if self.board.old[need.model] and index < len(self.board.old[need.model]):
             return Reason.REVISION
-        last = index == need.wanted - 1
-        return Reason.SPARE if last and need.wanted > 1 else Reason.DEMAND
+        # Copies above the least make no room for themselves: they are what demand
+        # takes from others, and would take it back in the next round, without end.
+        return Reason.DEMAND if index < need.least else Reason.SPARE
 
     def cool_down(self) -> None:
         """Add a copy of the busiest model of the hottest upstreams elsewhere."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,8 +15,8 @@
 SPEED = 400.0
 
 
-def need(name, memory=40.0, wanted=1, demand=1.0, base=None, revision="1"):
-    return Need(Model(name), memory, revision, base, demand, wanted)
+def need(name, memory=40.0, wanted=1, demand=1.0, base=None, revision="1", least=1):
+    return Need(Model(name), memory, revision, base, demand, wanted, least)
 
 
 def needs_of(*needs):
@@ -146,6 +146,45 @@
     assert held == [(Model("a"), "2")] * wanted
 
 
+@pytest.mark.parametrize(
+    "wants",
+    [
+        [need("a", wanted=1, revision="2"), need("b", wanted=2, least=2, demand=500.0)],
+        [need("a", wanted=2, least=2, demand=500.0), need("b", wanted=3, demand=9.0)],
+        [need("c", wanted=1), need("a", wanted=2, least=2), need("b", wanted=2)],
+    ],
+)
+def test_models_do_not_take_room_from_each_other_in_turns(wants):
+    """All memory is taken, and two models want what only one can have.
+
+    If each took the other's copy in turn, both would be loaded without end.
+    """
+    fleet = fleet_of(3, capacity=40.0)
+    settle(fleet, needs_of(need("a"), need("b", wanted=2)))
+    needs = needs_of(*wants)
+    settle(fleet, needs, rounds=12)
+    assert fleet.unreachable(needs) == []
+
+
+def test_memory_that_comes_free_soon_is_waited_for():
+    """A copy was unloaded for a new model, and its memory is held until no order
+    for it can arrive any more.
+
+    Planned anew each round, another copy would go for the same model each time.
+    """
+    needs = needs_of(need("a", wanted=1), need("b", wanted=1), need("c"))
+    fleet = fleet_of(4, capacity=40.0)
+    settle(fleet, needs_of(need("a", wanted=2), need("b", wanted=2)))
+    (unload,) = plan(needs, fleet.sites(needs), SPEED)
+    fleet.apply([unload], needs)
+    held = [
+        replace(site, free=0.0) if site.upstream == unload.upstream else site
+        for site in fleet.sites(needs)
+    ]
+    planned = make_plan(needs, held, SPEED)
+    assert (planned.moves, planned.stuck) == ((), ())
+
+
 def test_a_model_without_room_is_named():
     """All memory is taken by sole copies, and operators add one more model.
 
