An old revision yields where a spare of the new one has no place

Ruled out: letting every old copy go once the demand is carried (the table of revisions then shows 1 copy where 2 and 3 are wanted). Seen failing before: test_an_old_revision_does_not_hold_the_place_of_a_spare. The baseline without hysteresis says its least copies now, as the planner does.

--- a/src/persimmonhitch/decide/placement.py
+++ b/src/persimmonhitch/decide/placement.py
@@ -26,7 +26,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..ids import Model
+from ..ids import Model, Upstream
 from .board import Board, Need, PlacedState, Site
 from .moves import Move, MoveList, Reason
 from .room import RoomMaker
@@ -88,11 +88,7 @@
                     self.chosen.unload(model, upstream, Reason.RETIRED)
             for model, placed in site.old.items():
                 if placed.state is PlacedState.SERVING and self._replaced(model):
-                    self.board.unload_old(model, upstream)
-                    move = Move(
-                        False, model, upstream, placed.revision, Reason.REVISION
-                    )
-                    self.chosen.moves.append(move)
+                    self._unload_old(model, upstream)
 
     def _replaced(self, model: Model) -> bool:
         need = self.board.needs.get(model)
@@ -102,6 +98,12 @@
         # An old copy goes only for a new one, so the model keeps its strength.
         return serving > 0 and serving + old > need.wanted
 
+    def _unload_old(self, model: Model, upstream: Upstream) -> None:
+        revision = self.board.sites[upstream].old[model].revision
+        self.board.unload_old(model, upstream)
+        move = Move(False, model, upstream, revision, Reason.REVISION)
+        self.chosen.moves.append(move)
+
     def load_missing(self) -> None:
         """Load what is missing, in the order of ``Reason``."""
         for need, reason in self._missing():
@@ -110,9 +112,20 @@
             site = self.chosen.choose(need, reason)
             if site is not None:
                 self.chosen.load(need, site.upstream, reason)
-            elif reason is not Reason.SPARE and not self.room.spent():
+            elif reason is Reason.SPARE:
+                self._yield_old(need)
+            elif not self.room.spent():
                 self.room.make_room(need, reason)
 
+    def _yield_old(self, need: Need) -> None:
+        """Let an old copy go where a spare of the new revision finds no place."""
+        # Two copies would else wait for each other: the old one for the spare, the
+        # spare for memory; it shows as a revision that never changes on an upstream.
+        old = self.board.old[need.model]
+        carried = len(self.board.serving[need.model]) >= need.least
+        if old and carried and not self.room.coming(need):
+            self._unload_old(need.model, min(old))
+
     def _missing(self) -> list[tuple[Need, Reason]]:
         wants: list[tuple[int, float, Need, Reason]] = []
         for need in self.board.needs.values():
@@ -128,7 +141,7 @@
     def _reason(self, need: Need, index: int) -> Reason:
         if index == 0 and not self.board.reachable(need.model):
             return Reason.UNREACHABLE
-        if self.board.old[need.model] and index < len(self.board.old[need.model]):
+        if self.board.old[need.model] and index < need.least:
             return Reason.REVISION
         # Copies above the least make no room for themselves: they are what demand
         # takes from others, and would take it back in the next round, without end.
--- a/src/persimmonhitch/decide/room.py
+++ b/src/persimmonhitch/decide/room.py
@@ -58,6 +58,16 @@
         """Return whether this round has searched enough."""
         return self.searches >= MAX_SEARCHES
 
+    def coming(self, need: Need) -> bool:
+        """Return whether a place for a load comes free without any more moves."""
+        board = self.board
+        return any(
+            board.free[site.upstream] + board.coming[site.upstream] + ROUNDING
+            >= need.memory
+            for site in self.chosen.open_sites(need)
+            if site.upstream not in board.claimed
+        )
+
     def make_room(self, need: Need, reason: Reason) -> None:
         """Take surplus copies from one site, the one with the least to take."""
         self.searches += 1
--- a/src/persimmonhitch/play/placement_planners.py
+++ b/src/persimmonhitch/play/placement_planners.py
@@ -71,8 +71,10 @@
         full = {}
         for model, need in needs.items():
             spare = 1 if total[model] >= POPULAR * SPEED else 0
-            wanted = copies_for(total[model], SPEED * FILL) + spare
-            full[model] = replace(need, demand=asked[model], wanted=wanted)
+            least = copies_for(total[model], SPEED * FILL)
+            full[model] = replace(
+                need, demand=asked[model], wanted=least + spare, least=least
+            )
         chosen = list(plan(full, fleet.sites(full), SPEED))
         return chosen + _surplus(fleet, full, chosen)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -185,6 +185,22 @@
     assert (planned.moves, planned.stuck) == ((), ())
 
 
+def test_an_old_revision_does_not_hold_the_place_of_a_spare():
+    """All memory is taken, and a model has one copy of each revision and wants a
+    spare.
+
+    The old copy goes, though no second new one has room beside it.
+    """
+    fleet = fleet_of(2, capacity=40.0)
+    settle(fleet, needs_of(need("a")))
+    (home,) = fleet.serving(Model("a"))
+    needs = needs_of(need("a", wanted=2, revision="2"))
+    fleet.apply(plan(needs, fleet.sites(needs), SPEED), needs)
+    fleet.now += 2.0
+    (move,) = plan(needs, fleet.sites(needs), SPEED)
+    assert (move.load, move.upstream, move.revision) == (False, home, "1")
+
+
 def test_a_model_without_room_is_named():
     """All memory is taken by sole copies, and operators add one more model.
 
--- a/tests/test_planner_golden.py
+++ b/tests/test_planner_golden.py
@@ -66,13 +66,17 @@
                 "POST", self.fleet.urls[name] + "/faults", json=faults
             )
 
-    def held(self):
+    def held(self, *names):
         return [
             (item["id"], item["revision"])
-            for name in ("engine-1", "engine-2")
+            for name in names or ("engine-1", "engine-2")
             for item in self.engine(name, "/v1/models")["data"]
         ]
 
+    def engine_of(self, model):
+        one = model in [name for name, _ in self.held("engine-1")]
+        return "engine-1" if one else "engine-2"
+
     def replies(self):
         return [
             self.fleet.chat("entry", "fretes", "a", 1, model=model).status
@@ -121,9 +125,10 @@
         "three models and an adapter on empty engines, all answer:", placed.all_answer()
     )
 
-    placed.fleet.processes["engine-1"].kill()
+    victim = placed.engine_of("m-a")
+    placed.fleet.processes[victim].kill()
     session.note("an engine killed and none in its place:", placed.all_answer())
-    placed.start_engine("engine-1")
+    placed.start_engine(victim)
 
     placed.faults(late=1, late_by=0.8)
     placed.add("m-d")
