--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -179,10 +179,10 @@
 
     def _shed_overflow(self, now: float) -> None:
         """Refuse what the queue can't hold, from the account that fills it."""
+        refusal = queue_full(self._queue_tokens, self._meter.service_rate)
         for item in self._queue.overflow(self._queue_tokens):
             self._seen.bury(item.request, now)
-            full = queue_full(self._queue_tokens, self._meter.service_rate)
-            self._jobs.pop(item.request).fail(full)
+            self._jobs.pop(item.request).fail(refusal)
 
     def _start_next(self) -> None:
         while len(self._running) < self._meter.limit:
