--- a/tests/fake_mesh.py
+++ b/tests/fake_mesh.py
@@ -8,6 +8,11 @@
 from persimmonhitch.wire.codec import decode, encode
 
 
+def region(vm):
+    """Return the region of a VM: the letters before its number."""
+    return vm.rstrip("0123456789")
+
+
 @dataclass(frozen=True)
 class FakePeer:
     vm: str
@@ -23,7 +28,13 @@
     def peers(self):
         cut = self.fleet.cut
         vms = [vm for vm in self.fleet.entries if vm != self.vm]
-        return tuple(FakePeer(vm, "r") for vm in vms if not cut & {vm, self.vm})
+        here = region(self.vm)
+        return tuple(
+            FakePeer(vm, region(vm))
+            for vm in vms
+            if not cut & {vm, self.vm}
+            and (region(vm) == here or not self.fleet.regions_cut)
+        )
 
     def send(self, vm, msg):
         if vm not in [peer.vm for peer in self.peers()]:
@@ -47,7 +58,9 @@
         self.store = CutStore(fleet.store)
         self.mesh = FakeMesh(fleet, vm)
         rng = random.Random(vm)
-        self.sync = CatalogSync(self.store, self.mesh, vm, "r", rng, lambda: fleet.now)
+        self.sync = CatalogSync(
+            self.store, self.mesh, vm, region(vm), rng, lambda: fleet.now
+        )
         self.feed = self.sync.feed
         self.after = None
 
@@ -72,6 +85,7 @@
         self.store = StoreState()
         self.now = 1000.0
         self.cut = set()
+        self.regions_cut = False
         self.frozen = {}
         self.sent = 0
         self.entries = {}
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -1,5 +1,7 @@
 """The configuration reaches every entry, and none ever goes back."""
 
+import random
+
 import pytest
 from catalog_help import change, fill, lists, put, writer
 from fake_mesh import Fleet
@@ -93,6 +95,29 @@
     assert fleet.versions() == [4] * len(VMS)
 
 
+def test_a_region_without_the_store_learns_from_another():
+    """One region loses its way to the store, but not to the other regions.
+
+    Nobody in it can watch, so all of it would stay at its version.
+    """
+    fleet = started([f"{name}{number}" for name in "ab" for number in range(8)])
+    for vm, entry in fleet.entries.items():
+        entry.store.cut = vm.startswith("b")
+    fill(fleet.store, 1, "n")
+    for _ in range(LIMIT - 1):
+        fleet.step()
+    assert fleet.versions() == [4] * 16
+
+
+def test_regions_that_lose_each_other_go_on_by_the_store():
+    """Two regions lose each other for an hour, and both still reach the store."""
+    fleet = started([f"{name}{number}" for name in "ab" for number in range(8)])
+    fleet.regions_cut = True
+    fill(fleet.store, 1, "n")
+    fleet.step()
+    assert fleet.versions() == [4] * 16
+
+
 def test_a_newcomer_in_an_outage_takes_its_peers_version():
     """An entry VM is replaced while the store is down.
 
@@ -246,3 +271,67 @@
     assert left[: WATCHERS - 1] == chosen[1:]
     assert {teller(vm, chosen) for vm in VMS} <= set(chosen)
     assert teller("a", ["a"]) is None
+
+
+class Chaos:
+    """Does random harm to a fleet and remembers what was accepted."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.fleet = started(VMS[:6], 1)
+        self.accepted = {1: read_head(self.fleet.store).unwrap().catalog}
+
+    def commit(self):
+        store = self.fleet.store
+        if not store.faults.down:
+            catalog = fill(store, 1, "n")
+            self.accepted[catalog.version] = catalog
+
+    def cut_store(self):
+        entry = self.fleet.entries[self.rng.choice(VMS[:6])]
+        entry.store.cut = not entry.store.cut
+
+    def cut_peers(self):
+        self.fleet.cut ^= {self.rng.choice(VMS[:6])}
+
+    def freeze(self):
+        vm = self.rng.choice(VMS[:6])
+        if vm in self.fleet.frozen:
+            self.fleet.thaw(vm)
+        else:
+            self.fleet.frozen[vm] = []
+
+    def outage(self):
+        self.fleet.store.faults.down = not self.fleet.store.faults.down
+
+    def heal(self):
+        self.fleet.store.faults.down = False
+        self.fleet.cut = set()
+        for vm, entry in self.fleet.entries.items():
+            entry.store.cut = False
+            if vm in self.fleet.frozen:
+                self.fleet.thaw(vm)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_versions_only_rise_and_meet_again_whatever_fails(seed):
+    """Cuts, freezes and outages come at any moment and together, while operators
+    go on making changes. No process may go back or hold what was not accepted,
+    and once all is mended every one is at the newest version in a few seconds.
+    """
+    chaos = Chaos(seed)
+    harm = [chaos.commit] * 3 + [chaos.cut_store, chaos.cut_peers, chaos.freeze]
+    before = chaos.fleet.versions()
+    for _ in range(150):
+        chaos.rng.choice([*harm, chaos.outage])()
+        chaos.fleet.step(chaos.rng.choice([0.5, 1.0, 3.0]))
+        for entry in chaos.fleet.entries.values():
+            assert entry.feed.catalog == chaos.accepted[entry.feed.version]
+        now = chaos.fleet.versions()
+        assert all(a <= b for a, b in zip(before, now, strict=True))
+        before = now
+    chaos.heal()
+    for _ in range(LIMIT):
+        chaos.fleet.step()
+    newest = max(chaos.accepted)
+    assert newest > 10 and chaos.fleet.versions() == [newest] * 6
