--- a/src/persimmonhitch/catalog/store_source.py
+++ b/src/persimmonhitch/catalog/store_source.py
@@ -98,7 +98,6 @@
                 pause = min(pause * 2, RETRY_MOST)
                 continue
             pause = RETRY_FIRST
-            self._compact()
             while after is not None and self._needed() and not self._stopping.is_set():
                 after = self.follow(after)
 
@@ -151,6 +150,7 @@
     def _answered(self, asked_at: float) -> None:
         self._reached(True)
         self._feed.heard(asked_at)
+        self._compact()
 
     def _failed(self, exc: StoreFailure) -> None:
         log("config_unread", error=exc.error.value, detail=exc.detail)
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -118,6 +118,23 @@
     assert fleet.versions() == [4] * 16
 
 
+def test_watchers_write_snapshots_while_they_watch():
+    """Changes come for days while the watches never break.
+
+    Without snapshots the list of changes, which each newcomer and each command
+    reads whole, would grow with every change.
+    """
+    fleet = started(VMS[:3])
+    for _ in range(3):
+        fill(fleet.store, EVERY, "n")
+        fleet.step()
+    assert fleet.store.list_all(Kind.SNAPSHOT).unwrap().items
+    left = fleet.store.list_all(Kind.CHANGE).unwrap().items
+    assert len(left) <= HISTORY
+    assert fleet.add("new").sync.source.load()
+    assert fleet.versions() == [3 + 3 * EVERY] * 4
+
+
 def test_a_newcomer_in_an_outage_takes_its_peers_version():
     """An entry VM is replaced while the store is down.
 
--- a/tests/test_config_golden.py
+++ b/tests/test_config_golden.py
@@ -158,6 +158,11 @@
     session.note("one version on all entries within 6 s:", seconds < LIMIT)
     for name in ENTRIES:
         session.reply(f"{name} in the outage", book(fleet, name))
+    run = fleet.ctl("ana", "apply", *lists(fleet, "ana", 9000))
+    session.note(
+        "an operator's change:", run.communicate(timeout=30)[0].partition(":")[0]
+    )
+    session.note("exit", run.returncode)
     session.note("entry-4 starts and knows nobody")
     fleet.entry("entry-4")
     fleet.addresses("http", "entry-4")
