--- /dev/null
+++ b/tests/test_forward_verdict.py
@@ -0,0 +1,44 @@
+"""The verdict of a request that was tried more than once."""
+
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Failure as Err
+from returns.result import Success
+from test_links import admitted
+
+from persimmonhitch.entry.forward import Forwarder
+from persimmonhitch.verdict import ErrorCode, Failure, Verdict
+
+LOST = Failure(ErrorCode.UPSTREAM_LOST, "lost", Verdict.MAY_HAVE_RUN)
+STALE = Failure(ErrorCode.STALE_CONFIG, "late", Verdict.NOT_RUN)
+FULL = Failure(ErrorCode.OVERLOADED, "full", Verdict.NOT_RUN)
+NONE = Failure(ErrorCode.NO_UPSTREAM, "none", Verdict.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    ("attempts", "verdict"),
+    [
+        ([LOST, FULL], Verdict.MAY_HAVE_RUN),
+        ([FULL, LOST, STALE], Verdict.MAY_HAVE_RUN),
+        ([FULL, STALE], Verdict.NOT_RUN),
+    ],
+)
+def test_not_run_holds_for_all_attempts(monkeypatch, attempts, verdict):
+    """An upstream is lost while it works on a repeatable call, and the next one
+    refuses it. The caller is told that nothing ran, and the upstream's own count
+    says otherwise.
+    """
+    left = list(attempts)
+    conns = [SimpleNamespace(info=SimpleNamespace(upstream=str(n))) for n in range(9)]
+    metrics = SimpleNamespace(retried=lambda exc: None)
+    forwarder = Forwarder(None, None, metrics)
+    monkeypatch.setattr(
+        forwarder,
+        "_target",
+        lambda _req, tried: Success(conns[len(tried)]) if left else Err(NONE),
+    )
+    monkeypatch.setattr(forwarder, "_try", lambda *_args: Err(left.pop(0)))
+    failure = forwarder.run(admitted("ledger", repeatable=True)).failure()
+    assert failure.verdict is verdict
+    assert failure.code is ErrorCode.NO_UPSTREAM and not left
