--- a/src/persimmonhitch/catalog/changes.py
+++ b/src/persimmonhitch/catalog/changes.py
@@ -9,7 +9,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..ids import ConfigVersion
+from ..ids import Account, ConfigVersion, KeyHash, Model, Plan, Service
 from .model import (
     AccountEntry,
     Catalog,
@@ -139,6 +139,21 @@
     return Success(merged(catalog, change.delta, change.number))
 
 
+def entry_of(catalog: Catalog, ref: Ref) -> Entry | None:
+    """Return the entry that a reference names, or None."""
+    match ref.kind:
+        case EntryKind.PLAN:
+            return catalog.plans.get(Plan(ref.name))
+        case EntryKind.ACCOUNT:
+            return catalog.accounts.get(Account(ref.name))
+        case EntryKind.MODEL:
+            return catalog.models.get(Model(ref.name))
+        case EntryKind.SERVICE:
+            return catalog.services.get(Service(ref.name))
+        case EntryKind.KEY:
+            return catalog.keys.get(KeyHash(ref.name))
+
+
 def _changed(old: dict[K, V], new: dict[K, V]) -> tuple[V, ...]:
     return tuple(entry for key, entry in new.items() if old.get(key) != entry)
 
--- a/src/persimmonhitch/ctl/report.py
+++ b/src/persimmonhitch/ctl/report.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 
-from ..catalog.changes import Delta, Ref
+from ..catalog.changes import Delta, EntryKind, Ref, entry_of
 from ..catalog.model import Catalog, Entry, KeyEntry
 from ..catalog.spec import to_spec
 from ..platform.objects import StoredObject
@@ -24,20 +24,9 @@
     return "\n".join(lines)
 
 
-def _old_entry(catalog: Catalog, ref: Ref) -> Entry | None:
-    parts = (catalog.plans, catalog.accounts, catalog.models, catalog.services)
-    kinds = ("plan", "account", "model", "service", "key")
-    by_kind = dict(zip(kinds, (*parts, catalog.keys), strict=True))
-    entries: dict[str, Entry] = by_kind[ref.kind.value]  # type: ignore[assignment]
-    return entries.get(ref.name)
-
-
 def _name(ref: Ref) -> str:
-    return f"{ref.kind.value} {ref.name[:SHOWN_HASH] if _is_key(ref) else ref.name}"
-
-
-def _is_key(ref: Ref) -> bool:
-    return ref.kind.value == "key"
+    shown = ref.name[:SHOWN_HASH] if ref.kind is EntryKind.KEY else ref.name
+    return f"{ref.kind.value} {shown}"
 
 
 def _fields(old: Entry, new: Entry) -> Iterator[str]:
@@ -61,7 +50,7 @@
     """Return a delta line by line: + added, ~ changed, - deleted."""
     lines = []
     for ref, entry in delta.puts():
-        before = _old_entry(old, ref)
+        before = entry_of(old, ref)
         lines.append(f"{'+' if before is None else '~'} {_name(ref)}")
         if before is not None:
             lines += _fields(before, entry)
