--- a/tests/test_catalog_log.py
+++ b/tests/test_catalog_log.py
@@ -96,6 +96,28 @@
     assert read_head(store).unwrap().catalog.version == 2
 
 
+def test_a_lost_answer_is_recognised_though_another_changed_the_same_since():
+    """The answer is lost, and another operator's change of the same model comes
+    before the second try. Calling that a conflict would say that nothing was
+    written, and the log shows both changes.
+    """
+    store = StoreState()
+    base = fill(store, 1)
+    create = store.create
+
+    def lose(*args):
+        store.create = create
+        store.faults.lost_answers = 1
+        lost = create(*args)
+        head = read_head(store).unwrap().catalog
+        writer(store, "bo").commit(head, put("x", "bo")).unwrap()
+        return lost
+
+    store.create = lose
+    assert writer(store).commit(base, put("x", "ana")).unwrap().version == 2
+    assert read_head(store).unwrap().catalog.models["x"].revision == "bo"
+
+
 def test_an_outage_is_never_reported_as_success():
     """The store goes down before an operator's change, or in the middle of it.
 
