--- a/scripts/hop_cost.py
+++ b/scripts/hop_cost.py
@@ -3,7 +3,7 @@
 Both ways are played in turn in one run, with the same stand-ins, so that the
 figures can be compared.
 
-Usage: hop_cost.py [STREAMS,...]
+Usage: hop_cost.py [STREAMS,... [TOKENS]]
 """
 
 import json
@@ -23,9 +23,9 @@
 """Seconds; with ten streams an engine the stand-in then takes 24 ms a token."""
 TOKENS = 400
 ROUNDS = 2
-SPREAD = 9.6
-"""Seconds over which the streams start: one stream's time, so that requests come
-evenly, as many a second as an entry gets at the full size."""
+GAP = 0.024
+"""Seconds for a token; streams start over the time that one takes, so that requests
+come evenly: with 400 tokens, as many a second as an entry gets at the full size."""
 SIZES = (60,)
 TIMEOUT = 120.0
 
@@ -39,14 +39,16 @@
     broken: int = 0
 
 
-def stream(url: str, headers: dict[str, str], words: str, timing: Timing) -> None:
+def stream(
+    url: str, headers: dict[str, str], words: str, tokens: int, timing: Timing
+) -> None:
     """Run one stream and note the time of each token."""
     address = urlsplit(url)
     conn = HTTPConnection(address.hostname, address.port, timeout=TIMEOUT)
     messages = [{"role": "user", "content": words}]
     body = {"model": "tiny-chat", "messages": messages, "stream": True}
     last = began = time.monotonic()
-    body["max_tokens"] = TOKENS
+    body["max_tokens"] = tokens
     conn.request("POST", "/v1/chat/completions", json.dumps(body), headers)
     answer = conn.getresponse()
     seen, whole = 0, False
@@ -58,18 +60,21 @@
             )
             seen, last = seen + 1, now
         whole = whole or line.startswith(b"data: [DONE]")
-    timing.broken += not whole or seen != TOKENS
+    timing.broken += not whole or seen != tokens
     conn.close()
 
 
-def play(urls: Sequence[str], headers: dict[str, str], streams: int) -> Timing:
+def play(
+    urls: Sequence[str], headers: dict[str, str], streams: int, tokens: int
+) -> Timing:
     """Run so many streams at once, a few times over."""
     timing = Timing()
 
     def one(number: int) -> None:
-        time.sleep(SPREAD * number / streams)
+        time.sleep(tokens * GAP * number / streams)
+        url = urls[number % len(urls)]
         for _ in range(ROUNDS):
-            stream(urls[number % len(urls)], headers, f"slot {number}", timing)
+            stream(url, headers, f"slot {number}", tokens, timing)
 
     with ThreadPoolExecutor(streams) as callers:
         list(callers.map(one, range(streams)))
@@ -110,6 +115,7 @@
 def main(args: list[str]) -> int:
     """Measure each size; return 0 when every stream was whole."""
     sizes = tuple(int(part) for part in args[0].split(",")) if args else SIZES
+    tokens = int(args[1]) if len(args) > 1 else TOKENS
     fleet, broken = Fleet(), 0
     try:
         start(fleet)
@@ -129,7 +135,7 @@
         for streams in sizes:
             for way, (urls, headers) in ways.items():
                 before, began = spent(fleet, "entry-1"), time.monotonic()
-                timing = play(urls, headers, streams)
+                timing = play(urls, headers, streams, tokens)
                 seconds = time.monotonic() - began
                 core = 100 * (spent(fleet, "entry-1") - before) / seconds
                 show(way, streams, timing, seconds, core)
