--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -20,6 +20,7 @@
 from persimmonhitch.catalog.model import Catalog
 from persimmonhitch.ids import Account
 from persimmonhitch.platform.http_store import HttpObjectStore
+from persimmonhitch.platform.objects import Kind
 
 ROOT = Path(__file__).resolve().parent.parent
 SECRET = "demo-secret"
@@ -298,6 +299,15 @@
         url = self.urls[entry] + "/readyz"
         wait_for(lambda: self.http.request("GET", url).status == 200, f"{entry} ready")
 
+    def shared(self, account: str, holders: int) -> None:
+        """Wait until so many entries hold a share of an account."""
+
+        def spread() -> bool:
+            found = self.store().get(Kind.SHARE, account)
+            return len(found.unwrap().spec["parts"]) >= holders
+
+        wait_for(spread, f"{holders} holders of {account}")
+
     def stop_all(self) -> list[str]:
         """Stop every process; return the names of those that had to be killed."""
         killed = []
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -60,6 +60,8 @@
             channel_request_lookahead=LOOKAHEAD,
             max_request_body_size=MAX_BODY,
             clear_untrusted_proxy_headers=True,
+            # With select() the loop ends at the first descriptor of 1,024 or more.
+            asyncore_use_poll=True,
             ident=None,
         )
         self._server.channel_class = _Channel
--- a/tests/test_once_golden.py
+++ b/tests/test_once_golden.py
@@ -88,6 +88,7 @@
     and asks again through the other entry, which must not book a second time.
     """
     session = Session("booking_entry_killed")
+    fleet.shared("fretes", 2)
     with pytest.raises(Exception, match="onnection"):
         before = len(fleet.runs("service-1"))
         killer = threading.Thread(
