--- a/src/persimmonhitch/entry/admitted.py
+++ b/src/persimmonhitch/entry/admitted.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..ids import Account, ConfigVersion, RequestId, Tokens
+from ..ids import Account, ConfigVersion, RequestId, Tokens, Vm
 from ..verdict import ErrorCode, Failure
 from ..wire.messages import Priority
 from .calls import Call
@@ -33,3 +33,6 @@
     traceparent: str
     disconnected: Callable[[], bool]
     withdrawn: Callable[[], bool]
+    giver: Vm = Vm("")
+    """The VM whose rate share pays, under that generation of the share record."""
+    generation: int = 0
--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -210,4 +210,6 @@
         cost=req.cost,
         traceparent=req.traceparent,
         weight=req.weight,
+        giver=req.giver,
+        generation=req.generation,
     )
--- a/src/persimmonhitch/entry/gateway.py
+++ b/src/persimmonhitch/entry/gateway.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from returns.result import Failure as Err
@@ -145,7 +145,9 @@
             self._close(req.account, route, hop, began, reserved.failure(), 0)
             return failure_answer(reserved.failure(), req.request)
         self._metrics.queued(req.account, time.monotonic() - began)
-        opened = _Open(req.request, req.account, began, route, hop, reserved.unwrap())
+        taken = reserved.unwrap()
+        req = replace(req, giver=taken.giver, generation=taken.generation)
+        opened = _Open(req.request, req.account, began, route, hop, taken)
         if req.call.idempotency_key and not req.repeatable:
             return self._once(req, opened)
         return self._reply(req, opened)
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from ..ids import Model, Service, Upstream
 from ..observe.logs import log
@@ -85,6 +85,13 @@
                 found[name] = (*found.get(name, ()), conn.info.upstream)
         return found
 
+    def tell_all(self, msg: Any) -> None:
+        """Send a message on every open link."""
+        for conn in self._all():
+            link = conn.link
+            if link is not None:
+                link.send(msg)
+
     def wait_change(self, timeout: float) -> None:
         """Return when a sidecar may have come, or after ``timeout`` seconds."""
         with self._changed:
--- a/src/persimmonhitch/limits/messages.py
+++ b/src/persimmonhitch/limits/messages.py
@@ -129,4 +129,14 @@
     asked: float
 
 
+@message(29)
+@dataclass(frozen=True)
+class ShareRevoked:
+    """A VM's share was taken by a record of that generation."""
+
+    account: Account
+    vm: Vm
+    generation: int
+
+
 Message = Borrow | Queued | Lend | Refund | PoolAsk | Pooled | PoolReturn
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -8,6 +8,8 @@
 from ..catalog.messages import ConfigNote
 from ..catalog.staleness import HeardVersions
 from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
+from ..limits.messages import ShareRevoked
+from ..limits.revoked import RevokedShares
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
 from ..wire.messages import (
@@ -56,6 +58,7 @@
         self._copies = copies
         self._planners: dict[Link, HoldingsNews] = {}
         self._heard = HeardVersions()
+        self._revoked = RevokedShares()
         self._server = LinkServer(cfg.host, cfg.port, cfg.secret.encode(), self._accept)
         self._reporter = threading.Thread(
             target=self._report_loop, name="report", daemon=True
@@ -122,6 +125,8 @@
         self._note_version(msg.version)
         with self._lock:
             refusal = self._heard.refusal(msg.version, time.monotonic())
+            if refusal is None:
+                refusal = self._revoked.refusal(msg.account, msg.giver, msg.generation)
         if refusal is not None:
             link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
             return
@@ -142,6 +147,11 @@
             return
         self._copies.order(msg, link)
 
+    @take.register
+    def _(self, msg: ShareRevoked, link: Link) -> None:
+        with self._lock:
+            self._revoked.note(msg)
+
     @take.register
     def _(self, msg: ConfigNote, link: Link) -> None:
         self._note_version(msg.version)
--- a/src/persimmonhitch/slopes/codec.py
+++ b/src/persimmonhitch/slopes/codec.py
@@ -66,6 +66,8 @@
         cost=Tokens(400.0),
         traceparent=f"00-{'a' * 32}-{'b' * 16}-01",
         weight=1.0,
+        giver=Vm("entry-0123"),
+        generation=17,
     )
 
 
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -81,7 +81,8 @@
 
     ``deadline`` is seconds from the sending, since clocks of VMs differ.
     ``incarnation`` names the life of the sidecar that may run it; another life
-    refuses, because it cannot know what its predecessor ran.
+    refuses, because it cannot know what its predecessor ran. ``giver`` is the VM
+    whose rate share pays, under that ``generation`` of the account's share record.
     """
 
     request: RequestId
@@ -101,6 +102,8 @@
     cost: Tokens
     traceparent: str
     weight: float
+    giver: Vm
+    generation: int
 
 
 @message(4)
