--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable, Generator, Iterator
 from contextlib import closing
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from returns.result import Failure as Err
@@ -64,7 +64,6 @@
         self._budget.on_request(time.monotonic())
         tried: frozenset[Upstream] = frozenset()
         attempt = 0
-        earlier = Verdict.NOT_RUN
         while True:
             attempt += 1
             target = self._target(req, tried)
@@ -72,17 +71,16 @@
             # be newer than the one under which the key was good.
             version = req.version()
             if req.withdrawn():
-                return Err(_after(earlier, WITHDRAWN))
+                return Err(WITHDRAWN)
             if not isinstance(target, Success):
-                return Err(_after(earlier, target.failure()))
+                return Err(target.failure())
             conn = target.unwrap()
             result = self._try(req, conn, attempt, version)
             if isinstance(result, Success):
                 return result
-            exc = _after(earlier, result.failure())
-            earlier = exc.verdict
+            exc = result.failure()
             tried |= {conn.info.upstream}
-            if not self._try_again(req, result.failure()):
+            if not self._try_again(req, exc):
                 return Err(exc)
             log("retry", request=req.request, attempt=attempt, code=exc.code.value)
             self._metrics.retried(exc)
@@ -185,18 +183,6 @@
     return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=MODEL_RETRY)
 
 
-def _after(earlier: Verdict, exc: Failure) -> Failure:
-    """Return a failure with the verdict of all attempts.
-
-    A repeatable request may have run at one upstream and be refused by the next.
-    What the caller is told holds for the request, not for its last attempt; a
-    ``not_run`` here would show as a call that the upstream counted all the same.
-    """
-    if exc.verdict is Verdict.NOT_RUN and earlier is not Verdict.NOT_RUN:
-        return replace(exc, verdict=earlier)
-    return exc
-
-
 def _submit(
     req: Admitted,
     conn: SidecarConn,
@@ -224,6 +210,6 @@
         cost=req.cost,
         traceparent=req.traceparent,
         weight=req.weight,
-        giver=req.reservation.giver,
-        generation=req.reservation.generation,
+        giver=req.giver,
+        generation=req.generation,
     )
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -85,18 +85,18 @@
                 found[name] = (*found.get(name, ()), conn.info.upstream)
         return found
 
-    def wait_change(self, timeout: float) -> None:
-        """Return when a sidecar may have come, or after ``timeout`` seconds."""
-        with self._changed:
-            self._changed.wait(timeout)
-
-    def broadcast(self, msg: Any) -> None:
-        """Send a message to every sidecar in reach."""
+    def tell_all(self, msg: Any) -> None:
+        """Send a message on every open link."""
         for conn in self._all():
             link = conn.link
             if link is not None:
                 link.send(msg)
 
+    def wait_change(self, timeout: float) -> None:
+        """Return when a sidecar may have come, or after ``timeout`` seconds."""
+        with self._changed:
+            self._changed.wait(timeout)
+
     def _all(self) -> list[SidecarConn]:
         with self._changed:
             return list(self._conns.values())
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -8,7 +8,8 @@
 from ..catalog.messages import ConfigNote
 from ..catalog.staleness import HeardVersions
 from ..ids import ConfigVersion, Incarnation, Model, Upstream, Vm, Zone
-from ..limits.revoked import RevokedShares, ShareRevoked
+from ..limits.messages import ShareRevoked
+from ..limits.revoked import RevokedShares
 from ..observe.logs import log
 from ..wire.link import Link, LinkServer
 from ..wire.messages import (
@@ -124,9 +125,8 @@
         self._note_version(msg.version)
         with self._lock:
             refusal = self._heard.refusal(msg.version, time.monotonic())
-            refusal = refusal or self._revoked.refusal(
-                msg.account, msg.giver, msg.generation
-            )
+            if refusal is None:
+                refusal = self._revoked.refusal(msg.account, msg.giver, msg.generation)
         if refusal is not None:
             link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
             return
@@ -147,14 +147,14 @@
             return
         self._copies.order(msg, link)
 
-    @take.register
-    def _(self, msg: ConfigNote, link: Link) -> None:
-        self._note_version(msg.version)
-
     @take.register
     def _(self, msg: ShareRevoked, link: Link) -> None:
         with self._lock:
-            self._revoked.revoke(msg)
+            self._revoked.note(msg)
+
+    @take.register
+    def _(self, msg: ConfigNote, link: Link) -> None:
+        self._note_version(msg.version)
 
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
