--- a/src/persimmonhitch/entry/admitted.py
+++ b/src/persimmonhitch/entry/admitted.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..ids import Account, ConfigVersion, RequestId, Tokens, Vm
+from ..ids import Account, ConfigVersion, RequestId, Tokens
+from ..limits.limiter import UNPAID, Reservation
 from ..verdict import ErrorCode, Failure
 from ..wire.messages import Priority
 from .calls import Call
@@ -33,6 +34,4 @@
     traceparent: str
     disconnected: Callable[[], bool]
     withdrawn: Callable[[], bool]
-    giver: Vm = Vm("")
-    """The VM whose rate share pays, under that generation of the share record."""
-    generation: int = 0
+    reservation: Reservation = UNPAID
--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable, Generator, Iterator
 from contextlib import closing
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from returns.result import Failure as Err
@@ -64,6 +64,7 @@
         self._budget.on_request(time.monotonic())
         tried: frozenset[Upstream] = frozenset()
         attempt = 0
+        earlier = Verdict.NOT_RUN
         while True:
             attempt += 1
             target = self._target(req, tried)
@@ -71,16 +72,17 @@
             # be newer than the one under which the key was good.
             version = req.version()
             if req.withdrawn():
-                return Err(WITHDRAWN)
+                return Err(_after(earlier, WITHDRAWN))
             if not isinstance(target, Success):
-                return Err(target.failure())
+                return Err(_after(earlier, target.failure()))
             conn = target.unwrap()
             result = self._try(req, conn, attempt, version)
             if isinstance(result, Success):
                 return result
-            exc = result.failure()
+            exc = _after(earlier, result.failure())
+            earlier = exc.verdict
             tried |= {conn.info.upstream}
-            if not self._try_again(req, exc):
+            if not self._try_again(req, result.failure()):
                 return Err(exc)
             log("retry", request=req.request, attempt=attempt, code=exc.code.value)
             self._metrics.retried(exc)
@@ -183,6 +185,18 @@
     return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=MODEL_RETRY)
 
 
+def _after(earlier: Verdict, exc: Failure) -> Failure:
+    """Return a failure with the verdict of all attempts.
+
+    A repeatable request may have run at one upstream and be refused by the next.
+    What the caller is told holds for the request, not for its last attempt; a
+    ``not_run`` here would show as a call that the upstream counted all the same.
+    """
+    if exc.verdict is Verdict.NOT_RUN and earlier is not Verdict.NOT_RUN:
+        return replace(exc, verdict=earlier)
+    return exc
+
+
 def _submit(
     req: Admitted,
     conn: SidecarConn,
@@ -210,6 +224,6 @@
         cost=req.cost,
         traceparent=req.traceparent,
         weight=req.weight,
-        giver=req.giver,
-        generation=req.generation,
+        giver=req.reservation.giver,
+        generation=req.reservation.generation,
     )
--- a/src/persimmonhitch/entry/gateway.py
+++ b/src/persimmonhitch/entry/gateway.py
@@ -145,9 +145,9 @@
             self._close(req.account, route, hop, began, reserved.failure(), 0)
             return failure_answer(reserved.failure(), req.request)
         self._metrics.queued(req.account, time.monotonic() - began)
-        taken = reserved.unwrap()
-        req = replace(req, giver=taken.giver, generation=taken.generation)
-        opened = _Open(req.request, req.account, began, route, hop, taken)
+        reservation = reserved.unwrap()
+        opened = _Open(req.request, req.account, began, route, hop, reservation)
+        req = replace(req, reservation=reservation)
         if req.call.idempotency_key and not req.repeatable:
             return self._once(req, opened)
         return self._reply(req, opened)
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -113,16 +113,16 @@
         listed = self.sidecars.ready.is_set() or self.borrowed.ready.is_set()
         return listed and self.sync.feed.ready.is_set() and self.shares.ready()
 
-    def _on_catalog(self, catalog: Catalog) -> None:
-        self.limiter.update(catalog)
-        self.shares.kick()
-        self.metrics.config_version(catalog.version)
-
     def _tell_revoked(self, msg: ShareRevoked) -> None:
         self.pool.tell_all(msg)
         for peer in self.mesh.peers():
             self.mesh.send(peer.vm, msg)
 
+    def _on_catalog(self, catalog: Catalog) -> None:
+        self.limiter.update(catalog)
+        self.shares.kick()
+        self.metrics.config_version(catalog.version)
+
     def hello(self) -> Hello:
         """Return the first message of each link."""
         return Hello(
--- a/src/persimmonhitch/limits/limiter.py
+++ b/src/persimmonhitch/limits/limiter.py
@@ -65,6 +65,10 @@
     generation: int
 
 
+UNPAID: Final = Reservation(Account(""), Tokens(0.0), Ticket(-1), Vm(""), 0)
+"""Stands in a request that has no tokens yet."""
+
+
 class _Decision:
     """Where a request's thread waits for its answer."""
 
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -125,8 +125,9 @@
         self._note_version(msg.version)
         with self._lock:
             refusal = self._heard.refusal(msg.version, time.monotonic())
-            if refusal is None:
-                refusal = self._revoked.refusal(msg.account, msg.giver, msg.generation)
+            refusal = refusal or self._revoked.refusal(
+                msg.account, msg.giver, msg.generation
+            )
         if refusal is not None:
             link.send(Fail.from_failure(msg.request, msg.attempt, refusal))
             return
@@ -147,15 +148,15 @@
             return
         self._copies.order(msg, link)
 
+    @take.register
+    def _(self, msg: ConfigNote, link: Link) -> None:
+        self._note_version(msg.version)
+
     @take.register
     def _(self, msg: ShareRevoked, link: Link) -> None:
         with self._lock:
             self._revoked.note(msg)
 
-    @take.register
-    def _(self, msg: ConfigNote, link: Link) -> None:
-        self._note_version(msg.version)
-
     @take.register
     def _(self, msg: Cancel, link: Link) -> None:
         self._dispatcher.cancel.defer(msg)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -147,8 +147,6 @@
         call=call,
         version=lambda: 1,
         weight=1.0,
-        giver="entry-1",
-        generation=1,
         priority=Priority.INTERACTIVE,
         cost=10.0,
         repeatable=repeatable,
