--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -3,7 +3,7 @@
 Usage:
   prove [POINT ...]
 
-Each mutation of ``tests/mutations.toml`` takes one mechanism out of a copy of the
+Each mutation of ``tests/mutations*.toml`` takes one mechanism out of a copy of the
 tree and runs the test that proves it there; that test has to fail.
 """
 
@@ -58,7 +58,8 @@
 
 def main(points: list[str]) -> int:
     """Run all mutations, or those of the points named; return 1 if one passes."""
-    cases = tomllib.loads((ROOT / "tests" / "mutations.toml").read_text())["case"]
+    files = sorted((ROOT / "tests").glob("mutations*.toml"))
+    cases = [case for f in files for case in tomllib.loads(f.read_text())["case"]]
     lines = []
     for case in cases:
         if not points or str(case["point"]) in points:
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -242,6 +242,7 @@
         self._note_revoked(account, self._limiter.record(account), new)
         log("share_moved", account=account, generation=new.generation)
         self._limiter.apply(account, lambda lim, now: lim.learn(new, now))
+        self._limiter.tell_record(account, self._live())
         return True
 
     def _release(self, account: Account, until: float) -> None:
--- a/src/persimmonhitch/limits/limiter.py
+++ b/src/persimmonhitch/limits/limiter.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
@@ -32,6 +32,8 @@
 """Seconds between looks at the clock while nothing waits."""
 SLACK: Final = 1.0
 """Seconds beyond a request's time before its missing decision counts as a fault."""
+NOT_ASKED: Final = 0.0
+"""Time of asking in news that nobody asked for; it settles no doubt."""
 KINDS: Final = (Borrow, Queued, Lend, Refund, PoolAsk, Pooled, PoolReturn)
 
 
@@ -168,13 +170,33 @@
             return NOBODY if limiter is None else limiter.share.record
 
     def ask_records(self, vms: list[Vm]) -> bool:
-        """Ask peers for the records not known here; return whether all are."""
-        unknown = [a for a in self.accounts() if self.record(a).generation == 0]
+        """Ask peers for records unknown or in doubt here; return whether none is."""
+        unknown = [a for a in self.accounts() if self._unsure(a)]
         for account in unknown:
             for vm in vms:
                 self._mesh.send(vm, ShareRecordAsk(account, self._clock()))
         return not unknown
 
+    def _unsure(self, account: Account) -> bool:
+        with self._changed:
+            limiter = self._accounts.get(account)
+            if limiter is None:
+                return True
+            return limiter.share.doubtful or limiter.share.record.generation == 0
+
+    def tell_record(self, account: Account, vms: Iterable[Vm]) -> None:
+        """Tell peers of a record that was just written.
+
+        They would read it within seconds, but not if the store goes down first: a
+        new holder would then not know of its share for the whole outage.
+        """
+        record = self.record(account)
+        news = ShareRecordNews(
+            account, NOT_ASKED, record.generation, dict(record.parts)
+        )
+        for vm in vms:
+            self._mesh.send(vm, news)
+
     def parts(self, account: Account) -> int:
         """Return the parts of an account that this VM counts as its own."""
         with self._changed:
--- a/src/persimmonhitch/standin/service.py
+++ b/src/persimmonhitch/standin/service.py
@@ -21,6 +21,7 @@
         self.delay = delay
         self.runs: dict[str, int] = {}
         self.headers: list[dict[str, str]] = []
+        self.times: list[float] = []
         self._lock = threading.Lock()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Body:
@@ -30,8 +31,8 @@
             return json_answer(413, {"error": "too large"}).send(start_response)
         req = result.unwrap()
         if req.path == "/_runs":
-            answer = json_answer(200, {"runs": self.runs, "headers": self.headers})
-            return answer.send(start_response)
+            seen = {"runs": self.runs, "headers": self.headers, "times": self.times}
+            return json_answer(200, seen).send(start_response)
         return self._run(req.method, req.path, req.headers, req.body).send(
             start_response
         )
@@ -43,6 +44,7 @@
         with self._lock:
             self.runs[request] = self.runs.get(request, 0) + 1
             self.headers.append(headers)
+            self.times.append(time.monotonic())
         time.sleep(self.delay)
         value: dict[str, Any] = {
             "method": method,
--- /dev/null
+++ b/tests/test_limits_golden.py
@@ -0,0 +1,111 @@
+"""One account's rate over three real entries that die, freeze and lose the store."""
+
+import random
+import signal
+import threading
+
+import pytest
+from fleet import PLANS, Fleet, small_fleet, wait_for
+from golden_session import Session
+
+RATE, BURST, COST = 200.0, 200.0, 10.0
+JITTER = 0.5
+"""Seconds by which a call may run later than it was admitted, on a busy machine."""
+FLOODERS = 6
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+SLOTS = "/v1/services/ledger/slots"
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    plans = PLANS.replace("rate = 5000", f"rate = {RATE}")
+    plans = plans.replace("burst = 20000", f"burst = {BURST}")
+    with Fleet(tmp_path) as running:
+        small_fleet(running)
+        running.entry("entry-3")
+        running.addresses("http", "entry-3")
+        running.ready("entry-3", 3)
+        running.apply(plans=plans)
+        running.shared("fretes", 3)
+        yield running
+
+
+def book(fleet, entry, timeout):
+    headers = {"X-Request-Timeout": str(timeout)}
+    return fleet.request(entry, "POST", SLOTS, "fretes", headers=headers).status
+
+
+class Flood:
+    """Callers that send as fast as they are answered, through entries that live."""
+
+    def __init__(self, fleet, entries):
+        self.fleet, self.entries = fleet, list(entries)
+        self.stopping = threading.Event()
+        self.threads = [
+            threading.Thread(target=self.run, args=(seed,)) for seed in range(FLOODERS)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, seed):
+        rng = random.Random(seed)
+        while not self.stopping.is_set():
+            try:
+                status = book(self.fleet, rng.choice(self.entries), 0.3)
+            except Exception:
+                continue
+            if status != 200:
+                self.stopping.wait(0.02)
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def times(fleet):
+    answer = fleet.http.request("GET", fleet.urls["service-1"] + "/_runs")
+    return sorted(answer.json()["times"])
+
+
+def most_over(found):
+    """Return the largest part of rate and burst that any window has used."""
+    worst = 0.0
+    for first, start in enumerate(found):
+        for last in range(first, len(found)):
+            allowed = RATE * (found[last] - start + JITTER) + BURST
+            worst = max(worst, COST * (last - first + 1) / allowed)
+    return worst
+
+
+def test_rate_session(fleet):
+    """A planters' buyer sends many times its rate while entries die, freeze past
+    every lease and lose the store. If the fleet let through more than rate and
+    burst, the others would wait for it; if it forgot the share of a dead entry for
+    good, a buyer within its rate would lose bookings.
+    """
+    session = Session("rate")
+    fleet.faults(down=True)
+    session.note("the store is down from here on")
+    flood = Flood(fleet, ENTRIES)
+    wait_for(lambda: len(times(fleet)) > 60, "a flood through three entries")
+    flood.entries = ["entry-2", "entry-3"]
+    fleet.processes["entry-1"].kill()
+    session.note("entry-1 is killed in the flood")
+    before = len(times(fleet))
+    wait_for(lambda: len(times(fleet)) > before + 40, "the flood to go on")
+    flood.entries = ["entry-3"]
+    frozen = fleet.processes["entry-2"]
+    frozen.signal(signal.SIGSTOP)
+    session.note("entry-2 is frozen for longer than every lease")
+    threading.Event().wait(7.0)
+    frozen.signal(signal.SIGCONT)
+    flood.entries = ["entry-2", "entry-3"]
+    before = len(times(fleet))
+    wait_for(lambda: len(times(fleet)) > before + 40, "the flood after the thaw")
+    flood.stop()
+    session.note("flood over rate and burst:", most_over(times(fleet)) > 1.0)
+    threading.Event().wait(2.0)
+    calm = [book(fleet, ENTRIES[1 + turn % 2], 5.0) for turn in range(12)]
+    session.note("twelve calls within the rate:", *sorted(set(calm)))
+    session.check()
