--- a/tests/test_limits_runtime.py
+++ b/tests/test_limits_runtime.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from fleet import wait_for
 from returns.result import Success
 
 from persimmonhitch.catalog.model import AccountEntry, Catalog
@@ -85,6 +86,20 @@
     made.close()
 
 
+def test_a_new_holder_hears_of_its_share_at_once(fleet):
+    """The store goes down just after a share has moved, before anybody has read the
+    record again. The new holder must know of its share all the same, or the account
+    would miss that part of its rate for the whole outage."""
+    fleet.keepers["vm0"].look()
+    fleet.store.faults.down = True
+    record = fleet.limiters["vm0"].record(ACCOUNT)
+    taker = next(vm for vm in record.parts if vm != "vm0")
+    wait_for(
+        lambda: fleet.limiters[taker].parts(ACCOUNT) == record.parts[taker],
+        "the new holder to know",
+    )
+
+
 def test_rate_holds_over_all_entries_while_the_store_is_down(fleet):
     """The store goes down and a caller sends through three entries at once, much
     more than its rate. It must get its rate and burst, once, and every refusal must
