--- a/src/persimmonhitch/limits/account.py
+++ b/src/persimmonhitch/limits/account.py
@@ -8,13 +8,12 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Final, NewType
+from typing import Final
 
 from ..catalog.model import PlanEntry
 from ..ids import Account, LoanId, Tokens, Vm
 from . import lending
-from .bucket import Loan
+from .actions import Action, Admit, Refuse, Send, Ticket
 from .lending import HolderView
 from .messages import (
     Borrow,
@@ -26,12 +25,10 @@
     Queued,
     Refund,
 )
+from .pending import Ask, Charge, Credit, Lent, Waiter
 from .record import PARTS, ShareRecord
 from .share import KEPT_FACTOR, LOAN_LIFE, POOL_LIFE, Lease, Share
 
-Ticket = NewType("Ticket", int)
-"""One request at this VM's limiter."""
-
 LOANS_KNOWN: Final = 20_000
 """Loans remembered for refunds; a refund of an older one is lost, never doubled."""
 LEAST_LIFE: Final = 0.1
@@ -43,92 +40,6 @@
 """Tokens; below it a difference is a rounding error."""
 
 
-@dataclass(frozen=True)
-class Send:
-    """Send a message to another entry."""
-
-    vm: Vm
-    msg: Message
-
-
-@dataclass(frozen=True)
-class Admit:
-    """The request has its tokens, from ``giver`` under a record's generation."""
-
-    ticket: Ticket
-    giver: Vm
-    generation: int
-
-
-@dataclass(frozen=True)
-class Refuse:
-    """The request cannot get its tokens in time; None says that it never can."""
-
-    ticket: Ticket
-    retry_after: float | None
-
-
-Action = Send | Admit | Refuse
-
-
-@dataclass
-class _Credit:
-    """Borrowed tokens not yet spent."""
-
-    giver: Vm
-    loan: LoanId
-    generation: int
-    tokens: float
-    ends: float
-
-
-@dataclass(eq=False)
-class _Waiter:
-    """A request of this VM, or of a peer where ``peer`` is set."""
-
-    tokens: float
-    deadline: float
-    arrived: float
-    ticket: Ticket = Ticket(-1)
-    peer: Vm | None = None
-    loan: LoanId = LoanId("")
-    life: float = 0.0
-    asked: bool = False
-    """A ``Borrow`` for it is on its way."""
-    target: Vm | None = None
-    """The holder to ask next, as the last one said."""
-    insist: bool = False
-    """A holder did not answer."""
-
-
-@dataclass
-class _Ask:
-    """A ``Borrow`` or ``PoolAsk`` without its answer."""
-
-    vm: Vm
-    sent: float
-    waiter: _Waiter | None = None
-    life: float = 0.0
-    queued: bool = False
-
-
-@dataclass(frozen=True)
-class _Lent:
-    """A loan made."""
-
-    loan: Loan
-    tokens: float
-
-
-@dataclass
-class _Charge:
-    """What an admitted request took."""
-
-    total: float
-    since: float
-    borrowed: list[tuple[Vm, LoanId, float]] = field(default_factory=list)
-
-
 class AccountLimiter:
     """State machine of one account on one VM."""
 
@@ -146,11 +57,11 @@
         self.demand: dict[Vm, float] = {}
         self._new_loan = new_loan
         self._views: dict[Vm, HolderView] = {}
-        self._queue: list[_Waiter] = []
-        self._credits: list[_Credit] = []
-        self._asks: dict[LoanId, _Ask] = {}
-        self._charges: dict[Ticket, _Charge] = {}
-        self._lent: OrderedDict[LoanId, _Lent] = OrderedDict()
+        self._queue: list[Waiter] = []
+        self._credits: list[Credit] = []
+        self._asks: dict[LoanId, Ask] = {}
+        self._charges: dict[Ticket, Charge] = {}
+        self._lent: OrderedDict[LoanId, Lent] = OrderedDict()
         self._round_trip = LOAN_LIFE
         self._busy_until = now
         self._refill_at: float | None = None
@@ -164,7 +75,7 @@
         if tokens > self.share.plan.burst:
             return [Refuse(ticket, None)]
         self._busy_until = now + lending.POOL_IDLE
-        self._queue.append(_Waiter(tokens, now + wait, now, ticket))
+        self._queue.append(Waiter(tokens, now + wait, now, ticket))
         return self.tick(now)
 
     def settle(self, ticket: Ticket, used: Tokens, now: float) -> list[Action]:
@@ -305,7 +216,7 @@
         if msg.loan in self._lent or any(w.loan == msg.loan for w in self._queue):
             return []
         deadline = now + msg.wait
-        waiter = _Waiter(
+        waiter = Waiter(
             msg.tokens, deadline, now, peer=vm, loan=msg.loan, life=msg.life
         )
         if msg.tokens <= 0 or self.share.doubtful or self.share.parts == 0:
@@ -328,11 +239,11 @@
         view = self._views.get(away.vm)
         return away.vm if view is not None and view.up else None
 
-    def _refusal(self, waiter: _Waiter, retry_after: float, now: float) -> Action:
+    def _refusal(self, waiter: Waiter, retry_after: float, now: float) -> Action:
         return self._answer(waiter, 0.0, retry_after, now)
 
     def _answer(
-        self, waiter: _Waiter, tokens: float, retry_after: float, now: float
+        self, waiter: Waiter, tokens: float, retry_after: float, now: float
     ) -> Action:
         assert waiter.peer is not None
         generation = self.share.record.generation
@@ -347,14 +258,14 @@
         )
         return Send(waiter.peer, msg)
 
-    def _lend(self, waiter: _Waiter, now: float) -> Action | None:
+    def _lend(self, waiter: Waiter, now: float) -> Action | None:
         # The debit comes before the message: a lost message loses tokens and
         # never makes them.
         until = now + min(waiter.life, LOAN_LIFE) * KEPT_FACTOR
         loan = self.share.bucket.lend(waiter.tokens, now, until)
         if loan is None:
             return None
-        self._lent[waiter.loan] = _Lent(loan, waiter.tokens)
+        self._lent[waiter.loan] = Lent(loan, waiter.tokens)
         if len(self._lent) > LOANS_KNOWN:
             self._lent.popitem(last=False)
         return self._answer(waiter, waiter.tokens, 0.0, now)
@@ -400,7 +311,7 @@
         if view is not None:
             view.answered()
 
-    def _take_ask(self, vm: Vm, loan: LoanId) -> _Ask | None:
+    def _take_ask(self, vm: Vm, loan: LoanId) -> Ask | None:
         # An answer to an ask that was given up, or its second copy, is dropped:
         # its tokens are lost, where taking them could make some.
         ask = self._asks.get(loan)
@@ -425,9 +336,7 @@
         self._round_trip += (trip - self._round_trip) / 8
         if msg.tokens > 0:
             ends = ask.sent + msg.queued + ask.life
-            self._credits.append(
-                _Credit(vm, msg.loan, msg.generation, msg.tokens, ends)
-            )
+            self._credits.append(Credit(vm, msg.loan, msg.generation, msg.tokens, ends))
         elif waiter in self._queue:
             waiter.target = msg.pooled_at
             if msg.retry_after > 0:
@@ -499,10 +408,10 @@
             actions.append(action)
         return actions
 
-    def _admit(self, waiter: _Waiter, now: float) -> Action | None:
+    def _admit(self, waiter: Waiter, now: float) -> Action | None:
         if self._have() + EPSILON < waiter.tokens:
             return None
-        charge = _Charge(waiter.tokens, now)
+        charge = Charge(waiter.tokens, now)
         giver, generation = self.vm, self.share.record.generation
         left = waiter.tokens
         for credit in sorted(self._credits, key=lambda c: c.ends):
@@ -527,7 +436,7 @@
             for waiter in late
         ]
 
-    def _drop(self, waiter: _Waiter, retry_after: float, now: float) -> Action:
+    def _drop(self, waiter: Waiter, retry_after: float, now: float) -> Action:
         self._queue.remove(waiter)
         if waiter.peer is not None:
             return self._refusal(waiter, max(retry_after, EPSILON), now)
@@ -564,11 +473,11 @@
         late = [w for w in self._queue if w.deadline <= now + pause]
         return [self._drop(waiter, pause, now) for waiter in late]
 
-    def _borrow(self, waiter: _Waiter, tokens: float, first: Vm, now: float) -> Action:
+    def _borrow(self, waiter: Waiter, tokens: float, first: Vm, now: float) -> Action:
         vm, waiter.target, waiter.asked = waiter.target or first, None, True
         loan, wait = self._new_loan(), waiter.deadline - now
         life = min(LOAN_LIFE, max(LEAST_LIFE, ROUND_TRIPS * self._round_trip))
-        self._asks[loan] = _Ask(vm, now, waiter, life)
+        self._asks[loan] = Ask(vm, now, waiter, life)
         return Send(
             vm, Borrow(self.account, loan, Tokens(tokens), wait, life, waiter.insist)
         )
@@ -628,7 +537,7 @@
     ) -> Action:
         ask = self._new_loan()
         view.asked = True
-        self._asks[ask] = _Ask(vm, now)
+        self._asks[ask] = Ask(vm, now)
         return Send(vm, PoolAsk(self.account, ask, lease))
 
     def _on_pooled(self, vm: Vm, msg: Pooled, now: float) -> None:
@@ -657,7 +566,7 @@
         for vm in lending.to_probe(self._views, now):
             loan = self._new_loan()
             self._views[vm].asked = True
-            self._asks[loan] = _Ask(vm, now)
+            self._asks[loan] = Ask(vm, now)
             msg = Borrow(self.account, loan, Tokens(0.0), 0.0, 0.0, False)
             actions.append(Send(vm, msg))
         return actions
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -10,7 +10,8 @@
 from ..ids import Account, Vm
 from ..observe.logs import log
 from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError
-from .account import AccountLimiter, Action
+from .account import AccountLimiter
+from .actions import Action
 from .limiter import Limiter, boot_time
 from .messages import ShareRevoked
 from .record import (
--- a/src/persimmonhitch/limits/limiter.py
+++ b/src/persimmonhitch/limits/limiter.py
@@ -13,7 +13,8 @@
 from ..ids import Account, Tokens, Vm, new_loan_id
 from ..observe.logs import log
 from ..verdict import ErrorCode, Failure
-from .account import AccountLimiter, Action, Admit, Send, Ticket
+from .account import AccountLimiter
+from .actions import Action, Admit, Send, Ticket
 from .messages import (
     Borrow,
     Lend,
--- a/src/persimmonhitch/observe/traces.py
+++ b/src/persimmonhitch/observe/traces.py
@@ -124,7 +124,8 @@
 
     def set(self, **attributes: Value) -> None:
         """Add attributes; see ``ATTRIBUTES`` for those that are kept."""
-        self._span.set_attributes(_permitted(attributes))
+        if self._span.is_recording():
+            self._span.set_attributes(_permitted(attributes))
 
     def fail(self, failure: Failure) -> None:
         """Add the code and the verdict of a failure."""
--- a/src/persimmonhitch/play/limits_world.py
+++ b/src/persimmonhitch/play/limits_world.py
@@ -9,7 +9,8 @@
 
 from ..catalog.model import PlanEntry
 from ..ids import Account, LoanId, Plan, Tokens, Vm
-from ..limits.account import AccountLimiter, Action, Admit, Send, Ticket
+from ..limits.account import AccountLimiter
+from ..limits.actions import Action, Admit, Send, Ticket
 from ..limits.record import ShareRecord
 from ..wire.messages import Priority
 
--- a/tests/test_decide_processes.py
+++ b/tests/test_decide_processes.py
@@ -35,6 +35,10 @@
 }
 
 
+REFUSALS = {"OVERLOADED", "RATE_LIMITED"}
+"""Codes that only the decisions and the rate shares give."""
+
+
 def trees():
     for package in ("entry", "sidecar"):
         for path in sorted((ROOT / package).glob("*.py")):
@@ -63,7 +67,7 @@
     found = []
     for path, tree in trees():
         for node in ast.walk(tree):
-            if isinstance(node, ast.Attribute) and node.attr == "OVERLOADED":
+            if isinstance(node, ast.Attribute) and node.attr in REFUSALS:
                 found.append(f"{path}:{node.lineno} refuses for load")
             if not isinstance(node, ast.Call):
                 continue
--- a/tests/test_limits_safety.py
+++ b/tests/test_limits_safety.py
@@ -4,7 +4,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from persimmonhitch.limits.account import AccountLimiter, Admit
+from persimmonhitch.limits.account import AccountLimiter
+from persimmonhitch.limits.actions import Admit
 from persimmonhitch.limits.bucket import Bucket
 from persimmonhitch.limits.messages import Borrow, PoolAsk, Pooled, Refund
 from persimmonhitch.limits.record import (
