A slow reader stops its own answer only; an ordinary session as golden file; refusals of the server as JSON

Cause: an answer that its caller did not read stood whole in the entry's memory, and waitress would have put it into a file on a VM without disks; a body over the limit got a plain text without request id (found by the ordinary session). Ruled out: leaving the link unread (holds up every other answer on it). Before: no bound.

--- a/src/persimmonhitch/entry/answers.py
+++ b/src/persimmonhitch/entry/answers.py
@@ -4,8 +4,8 @@
 import math
 from typing import Any, Final
 
-from ..ids import RequestId
-from ..verdict import Failure
+from ..ids import RequestId, new_request_id
+from ..verdict import HTTP_STATUS, ErrorCode, Failure
 from ..web import Answer, json_answer
 
 STREAM_HEADERS: Final = {
@@ -35,6 +35,14 @@
     return json_answer(exc.http_status, error_body(exc, request), **extra)
 
 
+def refused_unread(status: int) -> Answer:
+    """Return the answer to a request that the server could not read."""
+    too_large = status == HTTP_STATUS[ErrorCode.TOO_LARGE]
+    code = ErrorCode.TOO_LARGE if too_large else ErrorCode.BAD_REQUEST
+    exc = Failure(code, "the request is too large or cannot be read")
+    return failure_answer(exc, new_request_id())
+
+
 def failure_event(exc: Failure, request: RequestId) -> bytes:
     """Return the last event of a stream that was cut short."""
     return b"data: " + json.dumps(error_body(exc, request)).encode() + b"\n\n"
--- a/src/persimmonhitch/entry/exchange.py
+++ b/src/persimmonhitch/entry/exchange.py
@@ -1,11 +1,22 @@
 """The answer to one attempt as it comes in over a link."""
 
 import queue
+import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from ..ids import RequestId
 from ..wire.messages import Chunk, End, Fail, Head
 
+MOST_UNREAD: Final = 256 * 1024
+LEAST_UNREAD: Final = 64 * 1024
+"""Bytes of one answer that wait for its caller: 60 streams take 15 MiB at most."""
+
+
+def _no_flow(_go_on: bool) -> None:
+    return
+
 
 @dataclass(frozen=True)
 class LinkLost:
@@ -30,6 +41,11 @@
     next_chunk: int = 0
     have_head: bool = False
     dropped: int = 0
+    flow: Callable[[bool], None] = _no_flow
+    """Told False when the caller does not keep up, True when it does again."""
+    _unread: int = 0
+    _stopped: bool = False
+    _lock: threading.Lock = field(default_factory=threading.Lock)
     _frames: "queue.SimpleQueue[Incoming]" = field(default_factory=queue.SimpleQueue)
 
     def put(self, frame: Head | Chunk | End | Fail) -> bool:
@@ -41,9 +57,25 @@
             self.have_head = True
         if isinstance(frame, Chunk):
             self.next_chunk += 1
+            self._count(len(frame.data))
         self._frames.put(frame)
         return True
 
+    def _count(self, size: int) -> None:
+        """Keep unread bytes in bounds.
+
+        A caller that reads slowly would else have its whole answer stand in this
+        entry's memory; and if the link were left unread instead, it would hold up
+        every other answer on it.
+        """
+        with self._lock:
+            self._unread += size
+            too_many = not self._stopped and self._unread > MOST_UNREAD
+            read = self._stopped and self._unread < LEAST_UNREAD
+            self._stopped = (self._stopped or too_many) and not read
+        if too_many or read:
+            self.flow(read)
+
     def _fits(self, frame: Head | Chunk | End | Fail) -> bool:
         if frame.request != self.request or frame.attempt != self.attempt:
             return False
@@ -62,6 +94,9 @@
     def get(self, timeout: float) -> Incoming | None:
         """Return the next frame, or None after ``timeout`` seconds."""
         try:
-            return self._frames.get(timeout=max(0.0, timeout))
+            frame = self._frames.get(timeout=max(0.0, timeout))
         except queue.Empty:
             return None
+        if isinstance(frame, Chunk):
+            self._count(-len(frame.data))
+        return frame
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -33,6 +33,7 @@
 from ..verdict import Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
+from .answers import refused_unread
 from .app import EntryApp
 from .borrowed import BorrowedSidecars
 from .forward import Forwarder
@@ -79,7 +80,9 @@
         self.records = CallRecords(store)
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self.app = self._app()
-        self.server = WebServer(self.app, cfg.host, cfg.port, cfg.threads)
+        self.server = WebServer(
+            self.app, cfg.host, cfg.port, cfg.threads, refused_unread
+        )
 
     @classmethod
     def from_config(cls, cfg: EntrySettings) -> "Entry":
--- a/src/persimmonhitch/entry/sidecar_conn.py
+++ b/src/persimmonhitch/entry/sidecar_conn.py
@@ -21,6 +21,7 @@
     Chunk,
     End,
     Fail,
+    Flow,
     Head,
     Hello,
     Report,
@@ -173,6 +174,7 @@
     def submit(self, sub: Submit) -> Exchange | None:
         """Send an attempt; None when the link is gone and nothing was sent."""
         exchange = Exchange(sub.request, sub.attempt)
+        exchange.flow = lambda go_on: self._flow(exchange, go_on)
         with self._lock:
             self._exchanges[sub.request] = (exchange, sub.cost)
             self.load.on_send(sub.cost)
@@ -194,6 +196,10 @@
         )
         return self.link is not None and self.link.send(msg)
 
+    def _flow(self, exchange: Exchange, go_on: bool) -> None:
+        if self.link is not None:
+            self.link.send(Flow(exchange.request, exchange.attempt, go_on))
+
     def cancel(self, exchange: Exchange) -> None:
         """Say that nobody waits for the attempt any more."""
         if self.link is not None:
--- a/src/persimmonhitch/sidecar/dispatch.py
+++ b/src/persimmonhitch/sidecar/dispatch.py
@@ -22,7 +22,7 @@
 from ..observe.traces import Traces
 from ..verdict import ErrorCode, Failure, Verdict
 from ..wire.link import Link
-from ..wire.messages import Buried, Bury, Cancel, Fail, Resume, Submit
+from ..wire.messages import Buried, Bury, Cancel, Fail, Flow, Resume, Submit
 from .job import Job, JobSpans
 from .load import LoadMeter
 from .seen import SeenRequests
@@ -235,6 +235,16 @@
         elif job.submit.repeatable:
             job.cancelled.set()
 
+    def flow(self, msg: Flow) -> None:
+        """Stop or go on reading an attempt's answer from the upstream."""
+        job = self._jobs.get(msg.request)
+        if job is None or job.submit.attempt != msg.attempt:
+            return
+        if msg.go_on:
+            job.flowing.set()
+        else:
+            job.flowing.clear()
+
     def bury(self, msg: Bury, link: Link) -> None:
         """Answer what is true of a request and keep it true."""
         link.send(Buried(msg.request, self._bury(msg.request, msg.incarnation)))
@@ -311,6 +321,7 @@
     submit = proxied(Dispatcher.submit)
     cancel = proxied(Dispatcher.cancel)
     bury = proxied(Dispatcher.bury)
+    flow = proxied(Dispatcher.flow)
     resume = proxied(Dispatcher.resume)
     link_lost = proxied(Dispatcher.link_lost)
     begin = proxied(Dispatcher.begin)
--- a/src/persimmonhitch/sidecar/job.py
+++ b/src/persimmonhitch/sidecar/job.py
@@ -56,6 +56,7 @@
     arrived_at: float
     spans: JobSpans
     cancelled: threading.Event = field(default_factory=threading.Event)
+    flowing: threading.Event = field(default_factory=threading.Event)
     orphaned_at: float | None = None
     ended_at: float | None = None
     used: float = 0.0
@@ -64,6 +65,9 @@
     _next_chunk: int = 0
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
+    def __post_init__(self) -> None:
+        self.flowing.set()
+
     @property
     def deadline_at(self) -> float:
         """Return the time on this VM's clock by which it must have ended."""
@@ -111,6 +115,8 @@
         with self._lock:
             self.orphaned_at = None
             self.link = link
+            # The entry's wish to stop went with the old link; it asks again.
+            self.flowing.set()
             for frame in self._frames:
                 if _is_missing(frame, msg):
                     link.send(frame)
--- a/src/persimmonhitch/sidecar/server.py
+++ b/src/persimmonhitch/sidecar/server.py
@@ -17,6 +17,7 @@
     Bury,
     Cancel,
     Fail,
+    Flow,
     Hello,
     Order,
     Report,
@@ -161,6 +162,10 @@
     def _(self, msg: Cancel, link: Link) -> None:
         self._dispatcher.cancel.defer(msg)
 
+    @take.register
+    def _(self, msg: Flow, link: Link) -> None:
+        self._dispatcher.flow.defer(msg)
+
     @take.register
     def _(self, msg: Bury, link: Link) -> None:
         self._dispatcher.bury.defer(msg, link)
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -23,6 +23,8 @@
 TOKEN_EVENT: Final = b"data: {"
 USAGE: Final = b'"usage"'
 RETRY_SOON: Final = 1.0
+FLOW_LOOK: Final = 0.1
+"""Seconds between two looks at the deadline while a caller does not read."""
 PASSED_HEADERS: Final = frozenset(
     {"content-type", "cache-control", "etag", "last-modified", "location", "vary"}
     | {"content-language", "content-disposition", "content-encoding", "retry-after"}
@@ -132,6 +134,7 @@
                 raise TimeoutError("deadline")
             meter.take(part, stream)
             job.chunk(part)
+            _wait_for_reader(job)
         if stream and not meter.finished:
             raise OSError("the stream ended without its last event")
         used = meter.used(sub)
@@ -147,6 +150,13 @@
         )
 
 
+def _wait_for_reader(job: Job) -> None:
+    """Read no more from the upstream while the caller does not keep up."""
+    while not job.flowing.wait(FLOW_LOOK):
+        if job.cancelled.is_set() or time.monotonic() > job.deadline_at:
+            return
+
+
 def _request_headers(sub: Submit, traceparent: str) -> dict[str, str]:
     extra: dict[str, str] = {"X-Request-Id": sub.request}
     if traceparent:
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -3,25 +3,34 @@
 import threading
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, Final
 
 import waitress
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
-from waitress.task import WSGITask
+from waitress.task import ErrorTask, WSGITask
 
-from .http import MAX_BODY, Body, Environ, StartResponse
+from .http import MAX_BODY, Answer, Body, Environ, StartResponse, json_answer
 
 App = Callable[[Environ, StartResponse], Body]
+Refusal = Callable[[int], Answer]
+"""Makes the answer to a request that the server refuses with a status by itself."""
 
 INTERNAL_SOCKETS: Final = 2
 """The listener and the wake-up pipe, which waitress counts as connections."""
+MOST_UNSENT: Final = 256 * 1024
+"""Bytes of an answer that wait for a slow reader."""
 LOOKAHEAD: Final = 1
 """Requests read ahead on a connection; without it a client's leave goes unseen."""
 POLL: Final = 0.02
 """Seconds between two looks at whether a stop has finished."""
 
 
+def _plain_refusal(status: int) -> Answer:
+    return json_answer(status, {"message": HTTPStatus(status).phrase})
+
+
 class _Task(WSGITask):  # type: ignore[misc]
     """Closes its connection after the answer while the server leaves.
 
@@ -36,8 +45,22 @@
         return super().build_response_header()
 
 
+class _ErrorTask(ErrorTask):  # type: ignore[misc]
+    """Answers what the server refuses by itself in the application's own form."""
+
+    def execute(self) -> None:
+        answer = self.channel.server.refusal(self.request.error.code)
+        body = b"".join(answer.body)
+        self.status = f"{answer.status} {HTTPStatus(answer.status).phrase}"
+        self.response_headers.extend(answer.headers.items())
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
 class _Channel(HTTPChannel):  # type: ignore[misc]
     task_class = _Task
+    error_task_class = _ErrorTask
 
 
 class WebServer:
@@ -50,7 +73,14 @@
     connections is the bound.
     """
 
-    def __init__(self, app: App, host: str, port: int, threads: int) -> None:
+    def __init__(
+        self,
+        app: App,
+        host: str,
+        port: int,
+        threads: int,
+        refusal: Refusal = _plain_refusal,
+    ) -> None:
         self._server: Any = waitress.create_server(
             app,
             host=host,
@@ -60,12 +90,17 @@
             channel_request_lookahead=LOOKAHEAD,
             max_request_body_size=MAX_BODY,
             clear_untrusted_proxy_headers=True,
+            # VMs have no disks: bodies stay in memory, and a slow reader stops its
+            # own thread long before its answer would overflow into a file.
+            inbuf_overflow=2 * MAX_BODY,
+            outbuf_high_watermark=MOST_UNSENT,
             # With select() the loop ends at the first descriptor of 1,024 or more.
             asyncore_use_poll=True,
             ident=None,
         )
         self._server.channel_class = _Channel
         self._server.leaving = False
+        self._server.refusal = refusal
         self._thread = threading.Thread(
             target=self._server.run, name="web-server", daemon=True
         )
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -241,6 +241,16 @@
     error: str
 
 
+@message(15)
+@dataclass(frozen=True)
+class Flow:
+    """Stop or go on reading an attempt's answer from the upstream."""
+
+    request: RequestId
+    attempt: int
+    go_on: bool
+
+
 @message(14)
 @dataclass(frozen=True)
 class Resume:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,6 +15,7 @@
 from persimmonhitch.entry.attempt import Attempt
 from persimmonhitch.entry.calls import Call
 from persimmonhitch.entry.directory import SidecarInfo
+from persimmonhitch.entry.exchange import MOST_UNREAD
 from persimmonhitch.entry.forward import _submit
 from persimmonhitch.entry.sidecar_conn import SidecarConn
 from persimmonhitch.ids import new_incarnation, new_request_id
@@ -307,6 +308,34 @@
     assert conn.dropped == 5
 
 
+def test_a_slow_reader_stops_its_own_answer_only(engine):
+    """A caller reads its long answer slowly while another's comes over the same
+    link. The other's must not wait, and the slow one's must not pile up.
+    """
+    words = "w" * 4000
+    message = {"role": "user", "content": words}
+    chat = {"model": "m", "messages": [message], "stream": True, "max_tokens": 2000}
+    engine.app.speed = EngineSpeed(prefill=0.0, step=0.0)
+    req = admitted(body=json.dumps(chat).encode(), repeatable=True, timeout=30.0)
+    frames = Attempt(
+        engine.conn, _submit(req, engine.conn, 1, time.monotonic(), 1), req
+    )
+    slow = frames.frames()
+    next(slow)
+    wait_for(lambda: engine.conn._exchanges[req.request][0]._stopped, "the stop")
+    short = {**chat, "messages": [{"role": "user", "content": "quick"}]}
+    short["max_tokens"] = 3
+    other = admitted(body=json.dumps(short).encode(), repeatable=True)
+    joined, _ = start(engine, other)
+    assert isinstance(joined()[-1], End)
+    held = engine.conn._exchanges[req.request][0]._unread
+    assert held < 2 * MOST_UNREAD
+    rest = list(slow)
+    assert isinstance(rest[-1], End)
+    text = b"".join(f.data for f in rest if isinstance(f, Chunk))
+    assert text.count(b'"content"') == 2000
+
+
 def test_wrong_secret_opens_no_link(ledger):
     """A process without the fleet's secret asks for a link and gets none."""
     conn = SidecarConn(ledger.conn.info, b"wrong", STILL)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,7 +3,8 @@
 import json
 
 import pytest
-from fleet import Fleet, small_fleet, wait_for
+from fleet import ACCOUNTS, PLANS, Fleet, small_fleet, wait_for
+from golden_session import Session
 
 
 @pytest.fixture(scope="module")
@@ -111,3 +112,52 @@
 
     wanted = {"name=entry", "name=queue", "name=sidecar", "name=upstream"}
     wait_for(lambda: hops() == wanted, "four spans")
+
+
+ABSENT = """
+[plan more]
+rate = 100
+burst = 500
+weight = 1
+priority = batch
+models = tiny-*
+services =
+[model tiny-absent]
+memory = 8
+revision = r1
+"""
+
+
+def test_ordinary_session(fleet):
+    """What callers get, one answer of each kind, as a golden file."""
+    session = Session("ordinary")
+    fleet.apply(ACCOUNTS + "[account ships]\nplan = more\n", PLANS + ABSENT)
+    fleet.issue("ships")
+    wait_for(
+        lambda: fleet.chat("entry-1", "ships", "a", 1).status == 200, "the new account"
+    )
+    book = "/v1/services/ledger/slots"
+    say = session.reply
+    say("whole chat", fleet.chat("entry-1", "fretes", "a b", 4))
+    stream = fleet.chat("entry-1", "fretes", "a b", 4, stream=True)
+    session.note("streamed chat:", stream.status, words_of(stream.body))
+    say("plain call", fleet.request("entry-2", "GET", f"{book}/7", "fretes"))
+    say("no key", fleet.chat("entry-1", "nobody", "a"))
+    say("not JSON", fleet.request("entry-1", "POST", CHAT, "fretes", body=b"{"))
+    say("another plan's service", fleet.request("entry-1", "GET", book, "ships"))
+    say("no such path", fleet.request("entry-1", "GET", "/v2", "fretes"))
+    long = b"x" * (5 * 1024 * 1024)
+    say("5 MiB body", fleet.request("entry-1", "POST", book, "fretes", body=long))
+    say("more than the burst", fleet.chat("entry-1", "ships", "a", 4000))
+    soon = {"X-Request-Timeout": "1"}
+    absent = {"model": "tiny-absent", "headers": soon}
+    say("model not loaded", fleet.chat("entry-1", "ships", "a", 1, **absent))
+    late = {"X-Request-Timeout": "0.3"}
+    say("too little time", fleet.chat("entry-1", "fretes", "a", 400, headers=late))
+    token = {"Idempotency-Key": "ordinary"}
+    for body in (b"1", b"2"):
+        reply = fleet.request(
+            "entry-1", "POST", book, "fretes", headers=token, body=body
+        )
+        say(f"booking {body.decode()} under one key", reply)
+    session.check()
