Verdict test goes on until enough calls ran; rate session prints its largest window

Cause: the count of calls that ran depends on how busy the machine is (10 to 24 of 72 seen), and the test asked for more than 6.

--- a/tests/test_limits_golden.py
+++ b/tests/test_limits_golden.py
@@ -104,7 +104,9 @@
     before = len(times(fleet))
     wait_for(lambda: len(times(fleet)) > before + 40, "the flood after the thaw")
     flood.stop()
-    session.note("flood over rate and burst:", most_over(times(fleet)) > 1.0)
+    worst = most_over(times(fleet))
+    print(f"largest part of rate and burst used in a window: {worst:.3f}")
+    session.note("flood over rate and burst:", worst > 1.0)
     threading.Event().wait(2.0)
     calm = [book(fleet, ENTRIES[1 + turn % 2], 5.0) for turn in range(12)]
     session.note("twelve calls within the rate:", *sorted(set(calm)))
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -10,13 +10,18 @@
 SEED = 20261202
 CALLERS = 6
 CALLS = 12
+MOST_CALLS = 60
+ENOUGH = 6
+"""Calls that ran, without which the test would say little."""
 SLOTS = "/v1/services/ledger/slots"
 
 
 def caller(fleet, number, seen):
     """Book over and over through both entries and note what was answered."""
     rng = random.Random(SEED + number)
-    for _ in range(CALLS):
+    for turn in range(MOST_CALLS):
+        if turn >= CALLS and sum(verdict == "ran" for _, verdict in seen) > ENOUGH:
+            return
         entry = rng.choice(["entry-1", "entry-2"])
         try:
             reply = fleet.request(
@@ -86,5 +91,5 @@
     assert max(runs.values()) == 1
     counts = Counter(verdict for _, verdict in seen)
     print(f"verdicts: {dict(counts)}, runs: {sum(runs.values())}")
-    assert len(seen) == CALLERS * CALLS
-    assert counts["ran"] > CALLERS
+    assert len(seen) >= CALLERS * CALLS
+    assert counts["ran"] > ENOUGH
