Try another copy when one has just been unloaded

Cause: the sidecar refuses a request for a copy that it no longer has as not run, but the entry did not count that among the failures of one upstream; the caller got 503 while another copy served. Before: the new table's row fails. After: it passes.

--- a/src/persimmonhitch/decide/retries.py
+++ b/src/persimmonhitch/decide/retries.py
@@ -18,6 +18,7 @@
         ErrorCode.NO_UPSTREAM,
         ErrorCode.UPSTREAM_LOST,
         ErrorCode.OVERLOADED,
+        ErrorCode.MODEL_LOADING,
     }
 )
 """Failures of one upstream that say nothing about the others."""
--- a/tests/test_decide_load.py
+++ b/tests/test_decide_load.py
@@ -6,9 +6,9 @@
 
 from persimmonhitch.decide.admission import LoadView, admit
 from persimmonhitch.decide.concurrency import ConcurrencyLimit
-from persimmonhitch.decide.retries import RetryBudget
+from persimmonhitch.decide.retries import RetryBudget, may_retry
 from persimmonhitch.decide.shift import warmup_weight
-from persimmonhitch.verdict import ErrorCode, Verdict
+from persimmonhitch.verdict import ErrorCode, Failure, Verdict
 from persimmonhitch.wire.messages import Priority
 
 
@@ -110,3 +110,22 @@
 )
 def test_new_copy_gets_traffic_by_degrees(age, share):
     assert warmup_weight(age) == pytest.approx(share)
+
+
+@pytest.mark.parametrize(
+    ("code", "verdict", "repeatable", "expected"),
+    [
+        (ErrorCode.MODEL_LOADING, Verdict.NOT_RUN, False, True),
+        (ErrorCode.SHUTTING_DOWN, Verdict.NOT_RUN, False, True),
+        (ErrorCode.DEADLINE, Verdict.NOT_RUN, True, False),
+        (ErrorCode.DUPLICATE, Verdict.NOT_RUN, True, False),
+        (ErrorCode.UPSTREAM_LOST, Verdict.MAY_HAVE_RUN, True, True),
+        (ErrorCode.UPSTREAM_LOST, Verdict.MAY_HAVE_RUN, False, False),
+        (ErrorCode.UPSTREAM_ERROR, Verdict.RAN, True, False),
+    ],
+)
+def test_what_may_be_tried_elsewhere(code, verdict, repeatable, expected):
+    """A copy is unloaded while a request for it is on its way, or an upstream is
+    lost: what did not run, and what may be repeated, is tried at another one.
+    """
+    assert may_retry(Failure(code, "", verdict), repeatable) is expected
