The platform's list as second source of a leaving upstream

Cause: a sidecar that is frozen when its VM is told to leave says nothing, and its upstream got work until the VM was gone. Ruled out: the link's end alone (6 s after the freeze, and none when only the sidecar's word is missing). Conclusion: entries watch the list; one watch each.

--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -70,6 +70,7 @@
         self.sync.feed.listen(self._on_catalog)
         self.pool = SidecarPool(secret, self.hello, self.sync)
         self.sidecars = Watcher(store, Kind.SIDECAR, self.pool.update)
+        self.vms = Watcher(store, Kind.VM, self.pool.update_vms)
         self.entries = Watcher(store, Kind.ENTRY, self.mesh.update)
         self.borrowed = BorrowedSidecars(
             self.mesh,
@@ -139,7 +140,7 @@
 
     def start(self) -> None:
         """Serve and register."""
-        for part in (self.sync, self.sidecars, self.entries, self.pool):
+        for part in (self.sync, self.sidecars, self.vms, self.entries, self.pool):
             part.start()
         self.borrowed.start()
         self.mesh.start()
@@ -180,7 +181,7 @@
         self.shares.close()
         self.limiter.close()
         self.registration.remove()
-        for part in (self.sync, self.sidecars, self.entries, self.borrowed):
+        for part in (self.sync, self.sidecars, self.vms, self.entries, self.borrowed):
             part.stop()
         self.records.stop()
         self.mesh.stop()
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from ..ids import Model, Service, Upstream
+from ..ids import Model, Service, Upstream, Vm
 from ..observe.logs import log
 from ..platform.watcher import View
 from ..wire.messages import Hello, UpstreamKind
@@ -15,6 +15,8 @@
 RELINK_EVERY: Final = 0.2
 """Seconds between two tries to open a link that is lost."""
 RELINK_MOST: Final = 2.0
+LEAVING: Final = "leaving"
+"""State in the platform's list of a VM that is about to go."""
 
 
 class SidecarPool:
@@ -27,6 +29,7 @@
         self._versions = versions
         self._hello = hello
         self._conns: dict[Upstream, SidecarConn] = {}
+        self._leaving: frozenset[Vm] = frozenset()
         self._opening: set[Upstream] = set()
         self._next_try: dict[Upstream, tuple[float, float]] = {}
         self._changed = threading.Condition()
@@ -55,6 +58,17 @@
         for conn in removed:
             conn.close()
 
+    def update_vms(self, view: View) -> None:
+        """Take the platform's list of VMs; those that leave get no new work.
+
+        The sidecar's own word comes first. One that is frozen or cut off when its
+        VM is told to leave says nothing, and would get work until it is gone.
+        """
+        names = view.objects.items()
+        self._leaving = frozenset(
+            Vm(name) for name, obj in names if obj.spec.get("state") == LEAVING
+        )
+
     def _put(self, name: Upstream, info: SidecarInfo) -> None:
         conn = self._conns.get(name)
         if conn is None or (conn.info.host, conn.info.port) != (info.host, info.port):
@@ -66,7 +80,8 @@
 
     def serving(self, model: Model, service: Service | None) -> list[SidecarConn]:
         """Return the sidecars that can take a request now."""
-        return [conn for conn in self._all() if _serves(conn, model, service)]
+        found = [conn for conn in self._all() if _serves(conn, model, service)]
+        return [conn for conn in found if conn.info.vm not in self._leaving]
 
     def listed(self, model: Model, service: Service | None) -> bool:
         """Return whether a sidecar that may be out of reach has a copy."""
--- a/tests/test_leaving_golden.py
+++ b/tests/test_leaving_golden.py
@@ -8,6 +8,8 @@
 from golden_session import Session
 from urllib3.exceptions import HTTPError
 
+from persimmonhitch.platform.objects import Kind
+
 LONG = 150
 """Tokens of a stream that lasts about a second."""
 
@@ -78,6 +80,26 @@
     session.check()
 
 
+def test_a_frozen_upstream_whose_vm_leaves_gets_no_new_work(tmp_path):
+    """A VM is told to leave while the sidecar on it hears nothing. The platform's
+    list says so, and callers must not be sent there: their requests would hang
+    until the VM is gone.
+    """
+    with Fleet(tmp_path) as fleet:
+        small_fleet(fleet)
+        fleet.store().create(Kind.VM, "vm-e1", {"state": "leaving"}).unwrap()
+        fleet.processes["sidecar-e2"].kill()
+        soon = {"X-Request-Timeout": "0.5"}
+
+        def status():
+            return fleet.chat("entry-1", "fretes", "call", 1, headers=soon).status
+
+        wait_for(lambda: status() == 503, "the end of new work at e1")
+        before = started(fleet, "engine-1")
+        assert [status() for _ in range(3)] == [503, 503, 503]
+        assert started(fleet, "engine-1") == before
+
+
 def test_second_signal_ends_at_once(tmp_path):
     """An operator cannot wait for a long stream and sends a second signal. The
     process ends, says how many requests it cut, and the caller's stream ends
