Event streams of plain services are whole; less copied at each token

Cause: the sidecar asked every event stream for an engine's last event, so each stream of a plain service ended as lost and may_have_run; and it copied up to 64 KiB at each token to keep the end of the stream. Ruled out: leaving service streams unchecked by kind of path (the kind of the upstream says it already). Before: the new test fails. After: all of tests/test_links.py pass. The saving at each token was not measured.

--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -21,6 +21,8 @@
 EVENT_STREAM: Final = "text/event-stream"
 STREAM_END: Final = b"data: [DONE]"
 TOKEN_EVENT: Final = b"data: {"
+STREAM_TAIL: Final = 4096
+"""Bytes of a stream held for its last events; they are copied at each token."""
 USAGE: Final = b'"usage"'
 RETRY_SOON: Final = 1.0
 FLOW_LOOK: Final = 0.1
@@ -126,7 +128,9 @@
         answer = conn.getresponse()
         job.head(answer.status, _answer_headers(answer))
         meter = TokenMeter(began, timing, self._kind)
-        stream = answer.headers.get("Content-Type", "").startswith(EVENT_STREAM)
+        # Only an engine's stream has a last event by which to see that it is whole.
+        content = answer.headers.get("Content-Type", "")
+        stream = self._kind is UpstreamKind.ENGINE and content.startswith(EVENT_STREAM)
         for part in _parts(answer):
             if job.cancelled.is_set():
                 raise OSError("cancelled")
@@ -190,7 +194,8 @@
         """Take one part of the body as it came."""
         if self._kind is not UpstreamKind.ENGINE:
             return
-        self._tail = (self._tail + part)[-READ_SIZE:]
+        kept = STREAM_TAIL if stream else READ_SIZE
+        self._tail = (self._tail + part)[-kept:]
         if not stream:
             return
         events = part.count(TOKEN_EVENT)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -336,6 +336,22 @@
     assert text.count(b'"content"') == 2000
 
 
+def test_event_stream_of_a_plain_service_is_whole():
+    """A plain service answers with events of its own and no last event of an
+    engine. Its caller must get them, and not hear that the service was lost.
+    """
+
+    def events(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return [b"data: tide at noon\n\n"]
+
+    made = rig(events, UpstreamKind.SERVICE)
+    joined, _ = start(made, admitted("ledger"))
+    kinds = [type(frame) for frame in joined()]
+    made.close()
+    assert kinds == [Head, Chunk, End]
+
+
 def test_wrong_secret_opens_no_link(ledger):
     """A process without the fleet's secret asks for a link and gets none."""
     conn = SidecarConn(ledger.conn.info, b"wrong", STILL)
