The store's client speaks the platform's format; its interface moves to store/

Cause: the client and its stand-in spoke a format of our own, so nothing could run on the users' platform, and platform/ mixed the store's interface with its format. Ways weighed: a second client beside the first (two copies of one job); the one client rewritten (taken). Watches become long polls that return the version to go on from: resuming at an event's own version would list anew each 20 s, when the store forgets the history of a quiet kind. Ruled out: keeping the streamed watch, which the platform does not offer.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -19,8 +19,8 @@
 from persimmonhitch.catalog.log import ChangeWriter, read_head
 from persimmonhitch.catalog.model import Catalog
 from persimmonhitch.ids import Account
-from persimmonhitch.platform.http_store import HttpObjectStore
-from persimmonhitch.platform.objects import Kind
+from persimmonhitch.platform.store_client import StoreClient
+from persimmonhitch.store.objects import Kind
 
 ROOT = Path(__file__).resolve().parent.parent
 SECRET = "demo-secret"
@@ -209,9 +209,9 @@
         )
         return self.spawn(name, "planner", f"--settings={path}")
 
-    def store(self) -> HttpObjectStore:
+    def store(self) -> StoreClient:
         """Return a client of the fleet's object API."""
-        return HttpObjectStore(self.urls["store"], 2.0)
+        return StoreClient(self.urls["store"], 2.0)
 
     def faults(self, **values: object) -> None:
         """Set the faults of the store's stand-in; none are left without values."""
--- a/src/persimmonhitch/catalog/log.py
+++ b/src/persimmonhitch/catalog/log.py
@@ -14,7 +14,7 @@
 from returns.result import Result, Success
 
 from ..ids import ConfigVersion
-from ..platform.objects import (
+from ..store.objects import (
     Kind,
     Listing,
     ObjectStore,
--- a/src/persimmonhitch/catalog/snapshots.py
+++ b/src/persimmonhitch/catalog/snapshots.py
@@ -11,7 +11,7 @@
 from returns.result import Result, Success
 
 from ..ids import ConfigVersion
-from ..platform.objects import (
+from ..store.objects import (
     Kind,
     ObjectStore,
     StoredObject,
--- a/src/persimmonhitch/catalog/store_source.py
+++ b/src/persimmonhitch/catalog/store_source.py
@@ -8,8 +8,8 @@
 from returns.result import Success
 
 from ..observe.logs import log
-from ..platform.objects import (
-    Event,
+from ..store.objects import (
+    Changes,
     EventType,
     Kind,
     ObjectStore,
@@ -118,16 +118,16 @@
     def follow(self, after: Version) -> Version | None:
         """Watch once; return where the next watch goes on, None on failure."""
         asked_at = self._clock()
-        for outcome in self._store.watch(Kind.CHANGE, after, WATCH_SECONDS):
-            if not isinstance(outcome, Success):
-                self._failed(outcome.failure())
-                return None
-            event: Event = outcome.unwrap()
-            after = event.object.version
+        outcome = self._store.watch(Kind.CHANGE, after, WATCH_SECONDS)
+        if not isinstance(outcome, Success):
+            self._failed(outcome.failure())
+            return None
+        changes: Changes = outcome.unwrap()
+        for event in changes.events:
             if event.type is EventType.ADDED and not self._added(event.object):
                 return None
         self._answered(asked_at)
-        return after
+        return changes.version
 
     def _added(self, obj: StoredObject) -> bool:
         """Take one new change; return whether nothing before it is missing."""
--- a/src/persimmonhitch/catalog/sync.py
+++ b/src/persimmonhitch/catalog/sync.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..ids import ConfigVersion, Region, Vm
-from ..platform.objects import ObjectStore
+from ..store.objects import ObjectStore
 from .exchange import Mesh, PeerExchange
 from .feed import CatalogFeed
 from .store_source import StoreSource
--- a/src/persimmonhitch/ctl/commands.py
+++ b/src/persimmonhitch/ctl/commands.py
@@ -15,7 +15,7 @@
 from ..catalog.model import Catalog
 from ..catalog.render import render_accounts, render_plans
 from ..ids import Account, ConfigVersion, Upstream
-from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError
+from ..store.objects import Kind, ObjectStore, StoredObject, StoreError
 from .fleet_status import Ask, ask, with_answers
 from .outcome import ExitCode, Outcome, commit_failed, unread
 from .report import render_delta, render_keys, render_objects, shown_hash
--- a/src/persimmonhitch/ctl/fleet_status.py
+++ b/src/persimmonhitch/ctl/fleet_status.py
@@ -8,7 +8,7 @@
 
 import urllib3
 
-from ..platform.objects import StoredObject
+from ..store.objects import StoredObject
 
 TIMEOUT: Final = 1.0
 AT_ONCE: Final = 32
--- a/src/persimmonhitch/ctl/main.py
+++ b/src/persimmonhitch/ctl/main.py
@@ -34,9 +34,9 @@
 
 from ..catalog.log import ChangeWriter
 from ..ids import Account, ConfigVersion, Upstream
-from ..platform.http_store import HttpObjectStore
-from ..platform.objects import ObjectStore
+from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
+from ..store.objects import ObjectStore
 from . import commands
 from .outcome import ExitCode, Outcome
 from .settings import CtlSettings
@@ -86,7 +86,7 @@
     cfg = load_or_exit(CtlSettings, Path(args["--settings"]))
     if args["--check"]:
         return ExitCode.OK
-    store = HttpObjectStore(cfg.store, cfg.store_timeout)
+    store = StoreClient(cfg.store, cfg.store_timeout)
     outcome = run(args, store, ChangeWriter(store, cfg.operator))
     stream = sys.stdout if outcome.code in QUIET else sys.stderr
     print(outcome.text, file=stream)
--- a/src/persimmonhitch/ctl/outcome.py
+++ b/src/persimmonhitch/ctl/outcome.py
@@ -4,7 +4,7 @@
 from enum import IntEnum
 
 from ..catalog.log import CommitError, CommitFailure
-from ..platform.objects import StoreError, StoreFailure
+from ..store.objects import StoreError, StoreFailure
 
 
 class ExitCode(IntEnum):
--- a/src/persimmonhitch/ctl/report.py
+++ b/src/persimmonhitch/ctl/report.py
@@ -5,7 +5,7 @@
 from ..catalog.changes import Delta, EntryKind, Ref, entry_of
 from ..catalog.model import Catalog, Entry, KeyEntry
 from ..catalog.spec import to_spec
-from ..platform.objects import StoredObject
+from ..store.objects import StoredObject
 
 SHOWN_HASH = 16
 """Characters of a hash in lists: enough to name a key in ``key withdraw``."""
--- a/src/persimmonhitch/entry/borrowed.py
+++ b/src/persimmonhitch/entry/borrowed.py
@@ -10,8 +10,8 @@
 from ..catalog.exchange import Mesh
 from ..ids import Vm
 from ..observe.logs import log
-from ..platform.objects import Kind, StoredObject, Version
-from ..platform.watcher import View
+from ..store.objects import Kind, StoredObject, Version
+from ..store.watcher import View
 from ..wire.codec import message
 
 ASK_EVERY: Final = 0.5
--- a/src/persimmonhitch/entry/directory.py
+++ b/src/persimmonhitch/entry/directory.py
@@ -4,7 +4,7 @@
 
 from ..ids import Incarnation, Model, Region, Service, Upstream, Vm, Zone
 from ..observe.logs import log
-from ..platform.objects import StoredObject
+from ..store.objects import StoredObject
 from ..wire.messages import UpstreamKind
 
 
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -25,11 +25,11 @@
 from ..observe.logs import log, start_logs
 from ..observe.metrics import Metrics
 from ..observe.traces import Traces
-from ..platform.http_store import HttpObjectStore
-from ..platform.objects import Kind, Spec
-from ..platform.registration import Registration
-from ..platform.watcher import Watcher
+from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
+from ..store.objects import Kind, Spec
+from ..store.registration import Registration
+from ..store.watcher import Watcher
 from ..verdict import Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
@@ -52,7 +52,7 @@
         self.cfg = cfg
         self.incarnation = new_incarnation()
         self.metrics = Metrics("entry", cfg.vm)
-        store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        store = StoreClient(cfg.store, cfg.store_timeout)
         secret = cfg.secret.encode()
         self.mesh = PeerMesh(
             Vm(cfg.vm), cfg.link_host, cfg.link_port, secret, self.hello, cfg.seeds
--- a/src/persimmonhitch/entry/once.py
+++ b/src/persimmonhitch/entry/once.py
@@ -21,7 +21,7 @@
 
 from ..ids import Account, RequestId, Tokens
 from ..observe.logs import log
-from ..platform.objects import Kind, ObjectStore, Spec, StoredObject, StoreError
+from ..store.objects import Kind, ObjectStore, Spec, StoredObject, StoreError
 from ..verdict import ErrorCode, Failure, Verdict
 from .calls import Call
 from .forward import Whole
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -10,8 +10,8 @@
 
 from ..ids import Region, Vm, Zone
 from ..observe.logs import log
-from ..platform.objects import StoredObject
-from ..platform.watcher import View
+from ..store.objects import StoredObject
+from ..store.watcher import View
 from ..wire.link import Link, LinkServer, open_link
 from ..wire.messages import PROTOCOL, Hello, Role
 
--- a/src/persimmonhitch/entry/pool.py
+++ b/src/persimmonhitch/entry/pool.py
@@ -7,7 +7,7 @@
 
 from ..ids import Model, Service, Upstream, Vm
 from ..observe.logs import log
-from ..platform.watcher import View
+from ..store.watcher import View
 from ..wire.messages import Hello, UpstreamKind
 from .directory import SidecarInfo
 from .sidecar_conn import SidecarConn, Versions
--- a/src/persimmonhitch/limits/keeper.py
+++ b/src/persimmonhitch/limits/keeper.py
@@ -9,7 +9,7 @@
 
 from ..ids import Account, Vm
 from ..observe.logs import log
-from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError
+from ..store.objects import Kind, ObjectStore, StoredObject, StoreError
 from .account import AccountLimiter
 from .actions import Action
 from .limiter import Limiter, boot_time
--- a/src/persimmonhitch/limits/record.py
+++ b/src/persimmonhitch/limits/record.py
@@ -17,7 +17,7 @@
 from returns.result import Result, Success
 
 from ..ids import Account, Vm
-from ..platform.objects import Spec
+from ..store.objects import Spec
 
 PARTS: Final = 1_000_000
 """A whole share; integers, so that the sum is exact."""
--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -24,7 +24,7 @@
 
 from ..ids import Epoch, Incarnation, Vm
 from ..observe.logs import log
-from ..platform.objects import Kind, ObjectStore, StoredObject, StoreError, Version
+from ..store.objects import Kind, ObjectStore, StoredObject, StoreError, Version
 
 MARGIN: Final = 0.05
 """Part of the duration by which the holder stops early: clocks run unevenly."""
--- a/src/persimmonhitch/planner/main.py
+++ b/src/persimmonhitch/planner/main.py
@@ -24,10 +24,10 @@
 from ..ids import ConfigVersion, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..observe.logs import log, start_logs
-from ..platform.http_store import HttpObjectStore
-from ..platform.objects import Kind
-from ..platform.watcher import View, Watcher
+from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
+from ..store.objects import Kind
+from ..store.watcher import View, Watcher
 from ..wire.messages import PROTOCOL, Hello, Role, UpstreamKind
 from .lease import RENEWALS_PER_LEASE, LeaseKeeper
 from .links import Dialer
@@ -43,7 +43,7 @@
         self.cfg = cfg
         self._stopping = threading.Event()
         self._incarnation = new_incarnation()
-        self._store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        self._store = StoreClient(cfg.store, cfg.store_timeout)
         self._lease = LeaseKeeper(
             self._store, cfg.lease, Vm(cfg.vm), self._incarnation, cfg.lease_duration
         )
--- a/src/persimmonhitch/platform/__init__.py
+++ b/src/persimmonhitch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of what the platform gives: the object API and the list of VMs."""
+"""Names, formats and calls of the platform; nothing here decides."""
--- /dev/null
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -0,0 +1,93 @@
+"""Objects of the store as JSON, both ways; the stand-in uses it too."""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from ..store.objects import (
+    Changes,
+    Event,
+    EventType,
+    Kind,
+    Listing,
+    Spec,
+    StoredObject,
+    Version,
+)
+from .names import OBJECTS_PATH
+
+Body = dict[str, Any]
+
+KIND_NAMES: Final = {Kind.UPSTREAM: "servers", Kind.FLEET: "config"}
+"""Kinds whose name here is not ours; all others are kinds of our own."""
+_KINDS: Final = {KIND_NAMES.get(kind, kind.value): kind for kind in Kind}
+
+
+def path_of(kind: Kind, name: str = "") -> str:
+    """Return the path of a kind, or of one object."""
+    path = f"{OBJECTS_PATH}/{KIND_NAMES.get(kind, kind.value)}"
+    return f"{path}/{name}" if name else path
+
+
+def kind_at(path: str) -> tuple[Kind | None, str]:
+    """Return the kind and the object's name in a path."""
+    kind, _, name = path.removeprefix(f"{OBJECTS_PATH}/").partition("/")
+    return _KINDS.get(kind), name
+
+
+def encode_object(name: str, spec: Spec, version: Version | None) -> Body:
+    """Return the body that writes an object, on condition of a version if given."""
+    meta: Body = {"name": name}
+    if version is not None:
+        meta["revision"] = version
+    return {"metadata": meta, "specification": spec}
+
+
+def decode_object(kind: Kind, body: Mapping[str, Any]) -> StoredObject:
+    """Return the object of a body."""
+    meta = body["metadata"]
+    # A broken object of another writer must not hide the others of its kind.
+    spec = body.get("specification")
+    spec = spec if isinstance(spec, dict) else {}
+    version = Version(int(meta.get("revision", 0)))
+    return StoredObject(kind, str(meta["name"]), version, spec)
+
+
+def encode_listing(listing: Listing) -> Body:
+    """Return the body of a list that fits on one page."""
+    items = [encode_object(o.name, o.spec, o.version) for o in listing.items]
+    return {"items": items, "has_more": False, "at_revision": listing.version}
+
+
+def decode_page(kind: Kind, body: Body) -> tuple[list[StoredObject], Version, bool]:
+    """Return one page of a list, its version and whether more pages follow."""
+    items = [decode_object(kind, item) for item in body["items"]]
+    return items, Version(int(body["at_revision"])), bool(body.get("has_more"))
+
+
+def encode_changes(changes: Changes) -> Body:
+    """Return the body of a watch's answer."""
+    events = [_encode_event(event) for event in changes.events]
+    return {"events": events, "at_revision": changes.version}
+
+
+def _encode_event(event: Event) -> Body:
+    obj = event.object
+    body = encode_object(obj.name, obj.spec, obj.version)
+    if event.type is EventType.ADDED:
+        body["metadata"]["created_revision"] = obj.version
+    return {"object": body, "deleted": event.type is EventType.DELETED}
+
+
+def decode_changes(kind: Kind, body: Body) -> Changes:
+    """Return the changes of a watch's answer."""
+    events = tuple(_event(kind, item) for item in body.get("events") or ())
+    return Changes(Version(int(body["at_revision"])), events)
+
+
+def _event(kind: Kind, item: Mapping[str, Any]) -> Event:
+    obj = decode_object(kind, item["object"])
+    meta = item["object"]["metadata"]
+    if item.get("deleted"):
+        return Event(EventType.DELETED, obj)
+    first = meta.get("created_revision") == meta["revision"]
+    return Event(EventType.ADDED if first else EventType.MODIFIED, obj)
--- a/src/persimmonhitch/sidecar/main.py
+++ b/src/persimmonhitch/sidecar/main.py
@@ -18,10 +18,10 @@
 from ..kernel import Lifecycle
 from ..observe.logs import log, start_logs
 from ..observe.traces import Traces
-from ..platform.http_store import HttpObjectStore
-from ..platform.objects import Kind, Spec
-from ..platform.registration import Registration
+from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
+from ..store.objects import Kind, Spec
+from ..store.registration import Registration
 from ..wire.messages import UpstreamKind
 from .copies import EngineCopies
 from .dispatch import Dispatcher, drain
@@ -58,7 +58,7 @@
         self.server = SidecarServer(
             cfg, self.incarnation, self.dispatcher, meter, self.copies
         )
-        store = HttpObjectStore(cfg.store, cfg.store_timeout)
+        store = StoreClient(cfg.store, cfg.store_timeout)
         self.registration = Registration(store, Kind.SIDECAR, cfg.upstream)
 
     @classmethod
--- a/src/persimmonhitch/slopes/store.py
+++ b/src/persimmonhitch/slopes/store.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, Final
 
-from ..platform.objects import Kind, StoredObject, Version
+from ..store.objects import Kind, StoredObject, Version
 from .base import MICRO, SLOPES, Reading, Slope, resident, seconds_each
 
 KIB: Final = 1024
--- a/src/persimmonhitch/standin/store_state.py
+++ b/src/persimmonhitch/standin/store_state.py
@@ -4,7 +4,6 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Iterator
 from copy import deepcopy
 from dataclasses import dataclass
 from typing import Final
@@ -12,7 +11,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..platform.objects import (
+from ..store.objects import (
+    Changes,
     Event,
     EventType,
     Kind,
@@ -145,29 +145,17 @@
         return Success(deepcopy(obj))
 
     def watch(
-        self, kind: Kind, after: Version, timeout: float
-    ) -> Iterator[Result[Event, StoreFailure]]:
-        """Yield events after a version until ``timeout`` seconds have passed."""
+        self, kind: Kind, after: Version, wait: float
+    ) -> Result[Changes, StoreFailure]:
+        """Return what happened after a version; wait for it up to ``wait`` seconds."""
         fault = self._fault("watch")
         if fault:
-            yield Err(fault)
-            return
-        end = time.monotonic() + timeout
-        while True:
-            result = self._next_events(kind, after, end)
-            if not isinstance(result, Success):
-                yield Err(result.failure())
-                return
-            batch = result.unwrap()
-            if not batch:
-                return
-            for event in batch:
-                after = event.object.version
-                yield Success(deepcopy(event))
+            return Err(fault)
+        return self._next_events(kind, after, time.monotonic() + wait)
 
     def _next_events(
         self, kind: Kind, after: Version, end: float
-    ) -> Result[list[Event], StoreFailure]:
+    ) -> Result[Changes, StoreFailure]:
         with self._changed:
             while True:
                 if self.faults.down:
@@ -175,9 +163,10 @@
                 if self._events and after < self._events[0].object.version - 1:
                     return Err(StoreFailure(StoreError.EXPIRED, str(after)))
                 batch = [e for e in self._events if e.object.version > after]
-                found = [e for e in batch if e.object.kind is kind]
+                found = tuple(e for e in batch if e.object.kind is kind)
                 left = end - time.monotonic()
                 if found or left <= 0:
-                    return Success(found)
+                    now = Version(max(after, self._version))
+                    return Success(Changes(now, deepcopy(found)))
                 # A short wait, so that an outage switched on meanwhile ends it.
                 self._changed.wait(min(left, 0.1))
--- /dev/null
+++ b/src/persimmonhitch/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store as the rest of the system sees it."""
--- a/src/persimmonhitch/platform/objects.py
+++ b/src/persimmonhitch/store/objects.py
@@ -1,6 +1,5 @@
 """The object API as the rest of the system sees it."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, NewType, Protocol
@@ -23,6 +22,10 @@
     LEASE = "leases"
     CALL = "calls"
     VM = "vms"
+    UPSTREAM = "upstreams"
+    """Upstreams as they report themselves; written by the platform."""
+    FLEET = "fleet"
+    """The operators' configuration of the fleet; written by them."""
 
 
 class StoreError(Enum):
@@ -80,6 +83,14 @@
     object: StoredObject
 
 
+@dataclass(frozen=True)
+class Changes:
+    """What one watch saw, and the version from which the next one goes on."""
+
+    version: Version
+    events: tuple[Event, ...]
+
+
 class ObjectStore(Protocol):
     """Versions, conditional updates and watches."""
 
@@ -103,9 +114,10 @@
         """Delete an object; ``CONFLICT`` unless ``old`` is its newest version."""
 
     def watch(
-        self, kind: Kind, after: Version, timeout: float
-    ) -> Iterator[Result[Event, StoreFailure]]:
-        """Yield events after a version until ``timeout`` seconds have passed.
+        self, kind: Kind, after: Version, wait: float
+    ) -> Result[Changes, StoreFailure]:
+        """Return what happened after a version; wait for it up to ``wait`` seconds.
 
-        A failure is the last item yielded.
+        Nothing happened if the changes hold no event. ``EXPIRED`` when the store no
+        longer knows what came after the version.
         """
--- a/src/persimmonhitch/platform/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -35,10 +35,15 @@
     """
 
     def __init__(
-        self, store: ObjectStore, kind: Kind, listener: Callable[[View], None]
+        self,
+        store: ObjectStore,
+        kind: Kind,
+        listener: Callable[[View], None],
+        wait: float = WATCH_SECONDS,
     ) -> None:
         self._store = store
         self._kind = kind
+        self._wait = wait
         self._listener = listener
         self._stopping = threading.Event()
         self.ready = threading.Event()
@@ -74,24 +79,26 @@
         self._publish({obj.name: obj for obj in listing.items})
         after = listing.version
         while not self._stopping.is_set():
-            for outcome in self._store.watch(self._kind, after, WATCH_SECONDS):
-                if not isinstance(outcome, Success):
-                    self._log_end(outcome.failure().error, outcome.failure().detail)
-                    return
-                event = outcome.unwrap()
-                after = event.object.version
-                self._apply(event)
+            outcome = self._store.watch(self._kind, after, self._wait)
+            if not isinstance(outcome, Success):
+                self._log_end(outcome.failure().error, outcome.failure().detail)
+                return
+            changes = outcome.unwrap()
+            after = changes.version
+            if changes.events:
+                self._apply(changes.events)
             self.view = replace(self.view, seen_at=time.monotonic())
 
     def _log_end(self, error: StoreError, detail: str) -> None:
         log("watch_ended", kind=self._kind.value, error=error.value, detail=detail)
 
-    def _apply(self, event: Event) -> None:
+    def _apply(self, events: Iterable[Event]) -> None:
         objects = dict(self.view.objects)
-        if event.type is EventType.DELETED:
-            objects.pop(event.object.name, None)
-        else:
-            objects[event.object.name] = event.object
+        for event in events:
+            if event.type is EventType.DELETED:
+                objects.pop(event.object.name, None)
+            else:
+                objects[event.object.name] = event.object
         self._publish(objects)
 
     def _publish(self, objects: dict[str, StoredObject]) -> None:
--- a/tests/catalog_help.py
+++ b/tests/catalog_help.py
@@ -7,7 +7,7 @@
 from persimmonhitch.catalog.log import ChangeWriter, change_name, read_head
 from persimmonhitch.catalog.model import ModelEntry
 from persimmonhitch.catalog.spec import to_spec
-from persimmonhitch.platform.objects import Kind
+from persimmonhitch.store.objects import Kind
 
 LISTS = Path(__file__).parent / "lists"
 ACCOUNTS = (LISTS / "accounts.ini").read_text()
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -16,7 +16,7 @@
 from persimmonhitch.catalog.model import EMPTY
 from persimmonhitch.catalog.snapshots import EVERY
 from persimmonhitch.catalog.staleness import GRACE, HeardVersions
-from persimmonhitch.platform.objects import Kind
+from persimmonhitch.store.objects import Kind
 from persimmonhitch.wire.codec import decode
 
 VMS = [f"vm{number}" for number in range(12)]
--- a/tests/test_catalog_log.py
+++ b/tests/test_catalog_log.py
@@ -10,8 +10,8 @@
 from persimmonhitch.catalog.log import CommitError, change_name, parse_change, read_head
 from persimmonhitch.catalog.model import EMPTY
 from persimmonhitch.catalog.snapshots import EVERY, KEPT, compact, make_parts
-from persimmonhitch.platform.objects import Kind
 from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.store.objects import Kind
 
 
 def test_changes_are_replayed_in_order():
--- a/tests/test_ctl_golden.py
+++ b/tests/test_ctl_golden.py
@@ -11,8 +11,8 @@
 
 from persimmonhitch.catalog import keys
 from persimmonhitch.ctl import main as ctl
-from persimmonhitch.platform.objects import Kind
 from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.store.objects import Kind
 
 GOLDEN = Path(__file__).parent / "golden"
 
--- a/tests/test_leaving_golden.py
+++ b/tests/test_leaving_golden.py
@@ -8,7 +8,7 @@
 from golden_session import Session
 from urllib3.exceptions import HTTPError
 
-from persimmonhitch.platform.objects import Kind
+from persimmonhitch.store.objects import Kind
 
 LONG = 150
 """Tokens of a stream that lasts about a second."""
--- a/tests/test_limits_runtime.py
+++ b/tests/test_limits_runtime.py
@@ -14,9 +14,9 @@
 from persimmonhitch.limits.messages import ShareRevoked
 from persimmonhitch.limits.record import PARTS
 from persimmonhitch.limits.revoked import RevokedShares
-from persimmonhitch.platform.objects import Kind
 from persimmonhitch.play.limits_world import ACCOUNT, plan
 from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.store.objects import Kind
 from persimmonhitch.verdict import ErrorCode, Verdict
 from persimmonhitch.wire.codec import decode, encode
 
--- a/tests/test_planner_golden.py
+++ b/tests/test_planner_golden.py
@@ -6,6 +6,8 @@
 from fleet import Fleet, wait_for
 from golden_session import Session
 
+from persimmonhitch.store.objects import Kind
+
 ACCOUNTS = "[account fretes]\nplan = desk\n"
 SIZE = 6
 ADAPTER = "m-b-lora"
@@ -103,9 +105,7 @@
         return self.violated
 
     def lease(self):
-        path = "/apis/persimmonhitch/v1/leases/planner"
-        answer = self.fleet.http.request("GET", self.fleet.urls["store"] + path)
-        return answer.json()["spec"]
+        return self.fleet.store().get(Kind.LEASE, "planner").unwrap().spec
 
 
 @pytest.fixture
