Placement at the speed of demand, and a lease that is handed over

Taken: copies by demand that waits, loads from near disks first, staging of models that no disk has while engines are idle, resignation of a holder that others can replace, per-engine guard after the last order of another entry.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -61,6 +61,8 @@
     unread: int
     model_here: bool
     adapter_here: bool
+    fetches: bool = True
+    """Whether it takes an order for an adapter now; none while it loads a model."""
     read_rate: float = READ_RATE
     trust: float = 1.0
     """Part of its usual work that it gets while it returns from failures; 0 is none."""
@@ -121,6 +123,7 @@
     able = [ln for ln in every if need.model is None or ln.model_here]
     if not able:
         return Choice(Step.LOAD)
+    able = [ln for ln in able if need.adapter is None or ln.adapter_here or ln.fetches]
     open_lanes = [lane for lane in able if has_room(lane, need)]
     if not open_lanes:
         return Choice(Step.WAIT)
--- a/src/persimmonhitch/decide/patience.py
+++ b/src/persimmonhitch/decide/patience.py
@@ -22,6 +22,12 @@
 """Part of the aim that may pass before the call is sent; the rest is for its answer."""
 FULL_RETRY: Final = 0.5
 """Seconds after which a place may be free: about the time of a short answer."""
+LOAD_WORD: Final = 0.5
+"""Seconds within which the holder of the lease of orders says that a load has begun;
+without its word none may come, since every place may hold what is asked for more."""
+LOAD_PART: Final = 0.6
+"""Part of its time that a call spends on a load: what is left has to do for the wait
+behind the others that waited for it, and for its answer."""
 SPREAD: Final = 0.5
 """Part of a retry time by which it is lengthened at random."""
 
@@ -32,6 +38,11 @@
     return min(need.deadline_at, max(aim, need.arrived + LEAST_WAIT))
 
 
+def load_limit(need: Need) -> float:
+    """Return the monotonic time up to which a call waits for a model's load."""
+    return need.arrived + (need.deadline_at - need.arrived) * LOAD_PART
+
+
 def refusal(step: Step, need: Need, load_time: float = FULL_RETRY) -> Failure:
     """Return what a caller is told whose call found no place."""
     spread = 1.0 + random.random() * SPREAD
--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -5,14 +5,20 @@
 that nobody holds refuses all of its callers until a load has ended; one whose only copy
 is on a full engine makes its callers wait while other engines are idle.
 
-Demand is in tokens a second. The relief that a further copy gives is the demand that it
-takes from each copy there is: with n copies, d/n - d/(n+1). What it costs is the same
-figure for the copies that make room for it, and the whole demand for a model's last
-copy, weighed by ``LAST_COPY`` since all of its callers are refused meanwhile. A move is
-made only if the relief is ``GAIN`` times the cost, and above a floor that grows with
-the time of the load, so that two models don't take each other's place without end.
+Demand is in tokens a second. A copy serves up to ``COMFORT`` of it; what more is asked
+of a model waits. The relief that a further copy gives is the demand that no longer
+waits, and what it costs is the demand that does once others have made room for it. A
+model's last copy counts for its whole demand, ``LAST_COPY`` times, since all of its
+callers are refused without it. Copies beyond what the demand needs are worth the little
+by which they spread it, a last copy without demand ``IDLE_VALUE``.
+
+A move is made only if the relief is ``GAIN`` times the cost, and above a floor that
+grows with the time of the load; and a model that has just been loaded stays for
+``SETTLED``. Else models that are asked for now and then take each other's place
+without end, and each is on its way whenever a call comes for it.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -27,23 +33,35 @@
 LOAD_FLOOR: Final = 40.0
 """Tokens a second of relief that a second of loading must bring; a fortieth of what one
 engine reads, so that loads for a handful of calls don't take its place."""
-IDLE_VALUE: Final = 1.0
-"""Tokens a second that a last copy is worth without any demand."""
+DISTURB: Final = 0.05
+"""Part of the demand for models with adapters that a second of loading disturbs: an
+engine takes no order for an adapter while it loads a model."""
+IDLE_VALUE: Final = 100.0
+"""Tokens a second that a last copy is worth without any demand. It is little, since an
+engine that had a model before has it back from its disk within two seconds."""
+COMFORT: Final = 12_000.0
+"""Tokens a second that one copy serves without a wait: half of what an engine reads."""
+SPREAD_VALUE: Final = 0.3
+"""Part of a copy's demand that a copy beyond need is worth."""
+SETTLED: Final = 3.0
+"""Seconds that a model stays after its load, twice the time of a load from disk."""
 
 
 @dataclass(frozen=True)
 class EngineView:
-    """One engine; memory in MB. ``open`` says whether it can take an order now."""
+    """One engine; memory in MB. It can take an order in ``busy_for`` seconds."""
 
     upstream: Upstream
     memory: float
     adapters_memory: float
     models: frozenset[Model]
-    open: bool
+    busy_for: float = 0.0
     coming: frozenset[Model] = frozenset()
     leaving: frozenset[Model] = frozenset()
     in_memory: frozenset[Model] = frozenset()
     on_disk: frozenset[Model] = frozenset()
+    settling: frozenset[Model] = frozenset()
+    """Models that were loaded less than ``SETTLED`` ago."""
 
 
 @dataclass(frozen=True)
@@ -75,14 +93,20 @@
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
         if count == 0:
             return demand * LAST_COPY
-        return demand / count - demand / (count + 1)
+        return _waiting(demand, count) - _waiting(demand, count + 1)
 
     def value(self, model: Model) -> float:
         """Return what one copy of a model is worth."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
         if count <= 1:
             return max(IDLE_VALUE, demand * LAST_COPY)
-        return demand / (count - 1) - demand / count
+        more = _waiting(demand, count - 1) - _waiting(demand, count)
+        return more + SPREAD_VALUE * demand / count
+
+
+def _waiting(demand: float, copies: int) -> float:
+    """Return the demand that waits with a number of copies."""
+    return max(0.0, demand - copies * COMFORT)
 
 
 def next_move(
@@ -107,15 +131,21 @@
 def _best(board: _Board, model: Model, cold_allowed: bool) -> Move | None:
     best: tuple[float, Move] | None = None
     relief = board.relief(model)
+    near = _near_in(board, model)
     for engine in board.engines:
-        if not engine.open or model in engine.models | engine.coming:
+        if engine.busy_for > 0 or model in engine.models | engine.coming:
             continue
         move = _move(board, engine, model)
         if move is None or (move.cold and not cold_allowed):
             continue
+        if move.cold and near < move.seconds:
+            # A load from the weight store keeps an engine from taking other orders
+            # for several times as long; a place near the weights comes free sooner.
+            continue
         displaced = sum(board.value(victim) for victim in move.victims)
         floor = LOAD_FLOOR * move.seconds if board.copies.get(model) else 0.0
         gain = relief - GAIN * displaced - floor
+        gain -= DISTURB * move.seconds * _disturbed(board, engine, move)
         # The sooner of two equal places: callers wait for its load.
         gain /= 1.0 + move.seconds
         if gain > 0 and (best is None or gain > best[0]):
@@ -123,13 +153,70 @@
     return best[1] if best else None
 
 
+def _near_in(board: _Board, model: Model) -> float:
+    """Return the seconds until a copy can be loaded from near, or infinity."""
+    spec = board.specs[model]
+    times = [
+        engine.busy_for + spec.load_disk
+        for engine in board.engines
+        if model in engine.in_memory | engine.on_disk and model not in engine.models
+    ]
+    return min(times, default=math.inf)
+
+
+def next_staging(
+    specs: Mapping[Model, ModelSpec],
+    demand: Mapping[Model, float],
+    engines: Iterable[EngineView],
+) -> Move | None:
+    """Return a load for a model whose weights are near no engine, while one is idle.
+
+    Its first callers would else wait for a load from the weight store, which takes
+    several times as long as one from a disk, and longer than many of them have.
+    """
+    board = _Board(specs, demand, list(engines))
+    far = [
+        model
+        for model in specs
+        if not board.copies.get(model) and _near_in(board, model) == math.inf
+    ]
+    idle = [e for e in board.engines if e.busy_for <= 0 and _is_idle(board, e)]
+    for model in far:
+        moves = [move for e in idle if (move := _move(board, e, model)) is not None]
+        if moves:
+            return min(moves, key=lambda m: _staging_cost(board, m))
+    return None
+
+
+def _is_idle(board: _Board, engine: EngineView) -> bool:
+    return not any(board.demand.get(m, 0.0) for m in engine.models | engine.coming)
+
+
+def _staging_cost(board: _Board, move: Move) -> tuple[int, int]:
+    """Prefer few victims, and models with one copy: more copies were put there."""
+    spread = sum(board.copies.get(victim, 1) for victim in move.victims)
+    return len(move.victims), spread
+
+
+def _disturbed(board: _Board, engine: EngineView, move: Move) -> float:
+    """Return the demand at an engine for models whose adapters it could not load."""
+    staying = engine.models - engine.leaving - frozenset(move.victims)
+    return sum(
+        board.demand.get(model, 0.0) / max(1, board.copies.get(model, 1))
+        for model in staying
+        if model in board.specs and board.specs[model].adapters
+    )
+
+
 def _move(board: _Board, engine: EngineView, model: Model) -> Move | None:
     spec = board.specs[model]
     held = engine.models | engine.coming
     free = engine.memory - engine.adapters_memory
     free -= sum(board.specs[m].memory for m in held if m in board.specs)
     victims: list[Model] = []
-    candidates = sorted(engine.models - engine.leaving, key=board.value)
+    candidates = sorted(
+        engine.models - engine.leaving - engine.settling, key=board.value
+    )
     for victim in candidates:
         if free >= spec.memory:
             break
--- a/src/persimmonhitch/direct/desk.py
+++ b/src/persimmonhitch/direct/desk.py
@@ -26,6 +26,8 @@
 OVERDUE: Final = 12.0
 """Seconds after which a load that does not show counts as lost; an order that got no
 answer may be carried out this late."""
+UNKNOWN_FOR: Final = 1.0
+"""Seconds that an engine counts as busy whose state is still to be learned."""
 TRIES: Final = 3
 """Tries of one order; each further one has first read the engine's state anew."""
 KEPT_BACK: Final = 0.03
@@ -43,6 +45,7 @@
     spec: EngineSpec
     holding: Holding | None = None
     used_at: dict[tuple[Model, Adapter], float] = field(default_factory=dict)
+    loaded_at: dict[Model, float] = field(default_factory=dict)
     loading: Model | None = None
     ready_at: float = 0.0
     leaving: frozenset[Model] = frozenset()
@@ -96,11 +99,25 @@
         self._in_use = in_use
         self._clock = clock
         self._sleep = sleep
+        self.free_from = 0.0
+        """Until then an order of another entry may be too recent."""
+        self.ordered_at: float | None = None
+
+    def busy_for(self) -> float:
+        """Return the seconds until the engine can take an order for a model."""
+        now = self._clock()
+        engine = self.engine
+        if engine.loading is not None:
+            return max(POLL, engine.ready_at - now)
+        if engine.holding is None or engine.holding.busy:
+            return max(UNKNOWN_FOR, self.free_from - now)
+        return max(0.0, self.free_from - now)
 
     @property
-    def free(self) -> bool:
-        """Return whether the engine can take an order for a model now."""
-        return self.engine.holding is not None and self.engine.loading is None
+    def known(self) -> bool:
+        """Return whether it is known what the engine holds and is about to."""
+        holding = self.engine.holding
+        return holding is not None and not (holding.busy and not self.engine.loading)
 
     def refresh(self) -> bool:
         """Read the engine's own report; return whether it told anything."""
@@ -114,7 +131,7 @@
             return False
         holding: Holding = result.unwrap()
         old = self.engine.holding
-        if old is not None and old.newer_than(holding):
+        if old is not None and old.orders > holding.orders:
             return False
         self.engine.holding = holding
         return True
@@ -146,7 +163,8 @@
             holding = engine.holding
             if holding is None or model not in holding.models:
                 return False
-            if model in engine.leaving:
+            if model in engine.leaving or engine.loading is not None:
+                # It takes no order for an adapter while it loads a model.
                 return False
             if holding.has(model, adapter) or adapter in holding.incoming.get(
                 model, frozenset()
@@ -238,7 +256,8 @@
                     return
                 engine.ready_at = self._clock() + seconds
                 self._publish(self)
-            self._await(lambda held: held.has(model, None), seconds)
+            if self._await(lambda held: held.has(model, None), seconds):
+                engine.loaded_at[model] = self._clock()
             return
 
     def _unload(self, model: Model) -> bool:
@@ -277,8 +296,7 @@
         """Take a report; return whether the order is done, None if not yet."""
         with self.lock:
             held = self.engine.holding
-            if held is None or told.born != held.born:
-                self.engine.holding = told
+            if held is None:
                 return False
             # One that is older than our last order says nothing of it.
             if told.orders < held.orders or told.busy or not reached(told):
@@ -291,8 +309,9 @@
     def _send(self, order: Order) -> Outcome:
         holding = self.engine.holding
         epoch = self._epoch()
-        if holding is None or epoch is None:
+        if holding is None or epoch is None or self._clock() < self.free_from:
             return Outcome.FENCED
+        self.ordered_at = self._clock()
         outcome = self._client.order(self.engine.record, order, holding.orders, epoch)
         log(
             "order",
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -9,8 +9,8 @@
 from returns.result import Result, Success
 
 from ..decide.dispatch import Choice, Need, Step, choose
-from ..decide.patience import give_up_at, refusal
-from ..fleet.config import FleetConfig, ModelSpec
+from ..decide.patience import LOAD_WORD, give_up_at, load_limit, refusal
+from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Model, Upstream, Vm, Zone
 from ..observe.logs import log
@@ -104,7 +104,10 @@
             if not waiter.decided.is_set():
                 self._refuse_hopeless(waiter, now)
         abort.on_fire(waiter.decided.set)
-        waiter.decided.wait(max(0.0, waiter.give_up_at - now))
+        while not waiter.decided.wait(max(0.0, waiter.give_up_at - now)):
+            now = self._clock()
+            if now >= waiter.give_up_at:
+                break
         with self._lock:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
@@ -119,26 +122,17 @@
         need = waiter.need
         if waiter.last.step is not Step.LOAD or need.model is None:
             return
-        ready_at = self._ready_at(need, now)
-        if ready_at < need.deadline_at:
-            waiter.give_up_at = need.deadline_at
+        ready_at = self._coming.get(need.model, 0.0)
+        if ready_at <= now:
+            # Nobody has said yet that it is being loaded.
+            waiter.give_up_at = min(need.deadline_at, now + LOAD_WORD)
+            return
+        if ready_at < load_limit(need):
+            waiter.give_up_at = load_limit(need)
             return
         waiter.failure = refusal(Step.LOAD, need, ready_at - now)
         waiter.decided.set()
 
-    def _ready_at(self, need: Need, now: float) -> float:
-        coming = self._coming.get(need.model or Model(""))
-        if coming is not None and coming > now:
-            return coming
-        spec = self._model(need)
-        return now + (spec.load_cold if spec else 0.0)
-
-    def _model(self, need: Need) -> ModelSpec | None:
-        service = self._cfg.services.get(need.service) if self._cfg else None
-        if service is None or service.engine is None or need.model is None:
-            return None
-        return service.engine.models.get(need.model)
-
     def asked(self, model: Model, tokens: float) -> None:
         """Count what callers ask of a model, whether it is served or not."""
         with self._lock:
@@ -210,6 +204,9 @@
                 self._coming[model] = now + left
             self._lanes.hear_holding(msg)
             self._match()
+            for waiter in list(self._waiters):
+                if msg.coming and waiter.need.model in msg.coming:
+                    self._refuse_hopeless(waiter, now)
 
     def hear_node(self, vm: Vm, msg: NodeNews) -> None:
         """Take what a peer has at each upstream."""
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -12,7 +12,7 @@
 from ..fleet.upstream import Holding, UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Vm
 from ..platform import headers, names
-from ..platform.upstream_format import decode_holding, encode_order
+from ..platform.upstream_format import decode_report, encode_order
 
 ORDER_TIMEOUT: Final = 0.5
 """Seconds for an answer to an order; engines answer in milliseconds, and one that was
@@ -89,6 +89,6 @@
             body: Any = json.loads(answer.data)
             if answer.status != 200:
                 return Err(f"status {answer.status}")
-            return Success(decode_holding(body))
+            return Success(decode_report(body))
         except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError) as exc:
             return Err(repr(exc))
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -90,16 +90,11 @@
         if not isinstance(admitted, Success):
             return self._turned_away(admitted.failure(), caller, in_force)
         found: Admitted = admitted.unwrap()
+        over = self._over_rate(found)
+        if over is not None:
+            return self._turned_away(over, caller, in_force)
         if found.need.model is not None:
             self._dispatcher.asked(found.need.model, found.need.tokens)
-        wait = self._charge(found)
-        if wait is not None:
-            exc = Failure(
-                ErrorCode.RATE_LIMITED,
-                "the account's rate is used up",
-                retry_after=wait,
-            )
-            return self._turned_away(exc, caller, in_force)
         flight = _Flight(found, Abort(req.disconnected, found.end_at), found.route.name)
         self._metrics.request_started(flight.route)
         self._watchdog.add(flight.abort)
@@ -118,10 +113,16 @@
         )
         return refuse(exc, request)
 
-    def _charge(self, found: Admitted) -> float | None:
+    def _over_rate(self, found: Admitted) -> Failure | None:
+        """Charge a request to its account, or return why it can't be."""
         if found.account is None:
             return None
-        return self._quota.take(found.account.name, found.cost)
+        wait = self._quota.take(found.account.name, found.cost)
+        if wait is None:
+            return None
+        account = found.account
+        reason = f"{account.name} has used its rate of {account.rate:g} a second"
+        return Failure(ErrorCode.RATE_LIMITED, reason, retry_after=wait)
 
     # -- attempts ----------------------------------------------------------------
 
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -19,6 +19,12 @@
 MISSING_LIFE: Final = 1.0
 """Seconds for which an engine's word that it lacks something stands against older
 news that say it has it."""
+TOLD_LIFE: Final = 2.5
+"""Seconds for which the word of the lease's holder goes before an engine's own entry,
+which is a heartbeat and a lag behind; it is told anew each second."""
+BUSY_MARGIN: Final = 0.3
+"""Seconds beyond a load's expected end at which orders are tried again; the holder of
+the lease tells its end at once."""
 RATE_WEIGHT: Final = 0.2
 """Weight of the newest sample in an engine's rate of reading."""
 LEAST_SAMPLE: Final = 200
@@ -40,7 +46,11 @@
     """One upstream with what was learned of it."""
 
     record: UpstreamRecord
-    holding: Holding | None
+    told: Holding | None = None
+    """What the holder of the lease says that it holds, at ``told_at``."""
+    told_at: float = 0.0
+    busy_until: float = 0.0
+    """Until when it loads a model and takes no other order."""
     trust: Trust = field(default_factory=Trust)
     read_rate: float = READ_RATE
     missing: dict[tuple[Model, Adapter | None], float] = field(default_factory=dict)
@@ -48,11 +58,17 @@
 
     def has(self, model: Model, adapter: Adapter | None, now: float) -> bool:
         """Return whether a call for a model and adapter can run there now."""
-        if self.holding is None or not self.holding.has(model, adapter):
+        holding = self._holding(now)
+        if holding is None or not holding.has(model, adapter):
             return False
         since = self.missing.get((model, adapter))
         return since is None or now - since > MISSING_LIFE
 
+    def _holding(self, now: float) -> Holding | None:
+        if self.told is not None and now - self.told_at < TOLD_LIFE:
+            return self.told
+        return self.record.holding
+
 
 class Lanes:
     """All upstreams; not safe by itself, its owner holds the lock."""
@@ -78,11 +94,12 @@
                 record.host,
                 record.port,
             ):
-                known[record.name] = Known(record, record.holding)
+                known[record.name] = Known(record)
                 continue
+            if record.born != old.record.born:
+                # It started anew under its name and holds nothing of before.
+                old = Known(record)
             old.record = record
-            if record.holding is not None:
-                self._hold(old, record.holding)
             known[record.name] = old
         self._known = known
         self._by_service = defaultdict(list)
@@ -90,25 +107,20 @@
             if not item.record.draining:
                 self._by_service[item.record.service].append(item)
 
-    def _hold(self, known: Known, holding: Holding) -> None:
-        old = known.holding
-        if old is not None and holding.born > old.born:
-            known.trust = Trust()
-            known.missing.clear()
-        if old is None or not old.newer_than(holding):
-            known.holding = holding
-
     def hear_holding(self, msg: HoldingNews) -> None:
         """Take what the holder of the lease says that an engine holds."""
         known = self._known.get(msg.upstream)
-        if known is None:
+        if known is None or known.record.born != msg.born:
             return
         models = {model: frozenset(names) for model, names in msg.models.items()}
         for model, names in models.items():
             known.missing.pop((model, None), None)
             for name in names:
                 known.missing.pop((model, name), None)
-        self._hold(known, Holding(msg.born, msg.orders, models))
+        known.told = Holding(msg.orders, models)
+        known.told_at = self._clock()
+        loading = msg.coming.values()
+        known.busy_until = known.told_at + max(loading, default=-1.0) + BUSY_MARGIN
 
     def hear_node(self, vm: Vm, msg: NodeNews) -> None:
         """Take what a peer has at each upstream."""
@@ -198,6 +210,7 @@
             unread=mine.unread + sum(item.unread for item in others),
             model_here=model is not None and known.has(model, None, now),
             adapter_here=model is not None and known.has(model, need.adapter, now),
+            fetches=now >= known.busy_until,
             read_rate=known.read_rate,
             trust=known.trust.part(now),
         )
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -4,40 +4,77 @@
 is asked of them and what runs; it tells them what each engine holds.
 """
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Final
+from typing import Any, Final, Protocol
 
 from ..decide.bursts import LoadRate
 from ..decide.demand import Demand
-from ..decide.residency import EngineView, Move, next_move
+from ..decide.residency import SETTLED, EngineView, Move, next_move, next_staging
 from ..fleet.config import EngineSpec, FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
 from ..observe.logs import log
 from ..planner.lease import LeaseKeeper
+from ..store.objects import Version
 from .desk import Desk, Engine, held_models
 from .engine_client import EngineClient
-from .news import HoldingNews, NodeNews, Want
+from .handover import OrderHistory
+from .news import (
+    HoldingNews,
+    NodeNews,
+    Renewed,
+    Resigned,
+    StoreAnswer,
+    StoreAsk,
+    Want,
+)
 
 PERIOD: Final = 0.1
 """Seconds between two looks at what should be loaded."""
 WORKERS: Final = 24
 """Orders under way at a time, each waiting for an engine most of its time."""
 PEER_NEWS_LIFE: Final = 1.0
-PUBLISH_EVERY: Final = 1.0
+HOLDER_SILENT: Final = 1.1
+"""Seconds without news after which the holder of the lease may have gone; two of its
+messages have been missed then."""
+LEARN_TIME: Final = 2.0
+"""Seconds at most in which a new holder learns what engines hold before it has models
+loaded; one that does not answer its report in that time may answer none."""
+ANSWER_LIFE: Final = 1.5
+"""Seconds for which a peer's word that the store is away holds; three of its looks."""
+PUBLISH_EVERY: Final = 0.5
 """Seconds after which holdings are told again, for entries that have started since."""
 
 
+class Peers(Protocol):
+    """What the leader needs of the other entries."""
+
+    def send(self, vm: Vm, msg: Any) -> bool:
+        """Send a message to one; return whether a link to it is open."""
+
+    def tell_all(self, msg: Any) -> None:
+        """Send a message to all in reach."""
+
+    def listed(self) -> frozenset[Vm]:
+        """Return all other entries, in reach or not."""
+
+    def linked(self, vm: Vm) -> bool:
+        """Return whether a link to an entry is open."""
+
+
 class Leader:
     """Gives orders while this entry holds the lease.
 
     Parameters
     ----------
+    peers : Peers
+        The other entries.
     tell : callable
-        Takes news for this entry and all others.
+        Takes what an engine holds, for this entry and all others.
     guard : float
         Seconds that have to pass between orders of two entries.
     """
@@ -46,24 +83,31 @@
         self,
         vm: Vm,
         lease: LeaseKeeper,
+        peers: Peers,
         tell: Callable[[HoldingNews], None],
         guard: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._lease = lease
+        self._peers = peers
         self._tell = tell
-        self._guard = guard
+        self._history = OrderHistory(guard, clock)
+        self._away: dict[Vm, float] = {}
+        self._began_at = 0.0
+        self._kick = threading.Event()
         self._clock = clock
         self._client = EngineClient(vm)
         self._cfg: FleetConfig | None = None
         self._records: dict[Upstream, UpstreamRecord] = {}
         self._desks: dict[Upstream, Desk] = {}
         self._demand = Demand()
+        self._rates: dict[Model, float] = {}
         self._rate = LoadRate()
         self._in_use: dict[Vm, tuple[float, frozenset[str]]] = {}
-        self._active_from: float | None = None
+        self._active = False
         self._refreshing: set[Upstream] = set()
         self._told_at = 0.0
+        self._heard_at = -HOLDER_SILENT
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
@@ -80,15 +124,76 @@
     def stop(self) -> None:
         """Give no more orders and let the next entry have the lease."""
         self._stopping.set()
+        self._kick.set()
+        epoch = self._lease.epoch()
+        if epoch is not None:
+            self._tell_resigned(epoch)
         self._lease.release()
 
     def _keep_lease(self) -> None:
         while not self._stopping.is_set():
-            try:
-                self._lease.step()
-            except Exception as exc:
-                log("lease_step_failed", error=repr(exc))
-            self._stopping.wait(self._lease.step_every)
+            self._guarded(self._step_lease)
+            self._kick.wait(self._lease.step_every)
+            self._kick.clear()
+
+    def _step_lease(self) -> None:
+        # Another holder's news are proof enough of its life; without this the others'
+        # looks at the lease would be most calls to the store.
+        if self._clock() - self._heard_at <= HOLDER_SILENT:
+            return
+        self._lease.step()
+        renewal = self._lease.renewal()
+        if renewal is not None:
+            self._peers.tell_all(Renewed(*renewal))
+        epoch = self._lease.epoch()
+        if self._lease.failing and epoch is not None:
+            self._peers.tell_all(StoreAsk(epoch))
+
+    # -- handing the lease over ------------------------------------------------------
+
+    def hear_ask(self, vm: Vm, msg: StoreAsk) -> None:
+        """Look whether the store can be reached from here, for the lease's holder."""
+        self._pool.submit(self._guarded, self._answer, vm, msg.epoch)
+
+    def _answer(self, vm: Vm, epoch: Epoch) -> None:
+        self._peers.send(vm, StoreAnswer(epoch, self._lease.reachable()))
+
+    def hear_answer(self, vm: Vm, msg: StoreAnswer) -> None:
+        """Give the lease up if another entry can renew one and this one can't."""
+        if not msg.reached:
+            self._away[vm] = self._clock()
+            return
+        if not self._lease.failing or self._lease.epoch() != msg.epoch:
+            return
+        epoch = self._lease.resign()
+        if epoch is not None:
+            self._tell_resigned(epoch)
+
+    def _tell_resigned(self, epoch: Epoch) -> None:
+        now = self._clock()
+        ages = {
+            name: now - desk.ordered_at
+            for name, desk in self._desks.items()
+            if desk.ordered_at is not None
+        }
+        log("orders_resigned", epoch=epoch)
+        self._peers.tell_all(Resigned(epoch, ages))
+
+    def hear_resigned(self, vm: Vm, msg: Resigned) -> None:
+        """Seek the lease that another entry has given up."""
+        self._lease.hear_resigned(vm, msg.epoch)
+        self._history.hear_resigned(vm, msg.ages)
+        self._heard_at = -HOLDER_SILENT
+        self._kick.set()
+
+    def hear_renewed(self, msg: Renewed) -> None:
+        """Note when the lease's holder has renewed it."""
+        self._lease.hear_renewal(Version(msg.version), msg.age)
+
+    def hear_holding(self, vm: Vm, msg: HoldingNews) -> None:
+        """Note the life and the orders of the lease's holder."""
+        self._heard_at = self._clock()
+        self._history.hear(vm, msg.upstream, msg.orders)
 
     # -- what it is told -----------------------------------------------------------
 
@@ -129,13 +234,25 @@
     # -- rounds ----------------------------------------------------------------------
 
     def _epoch(self) -> Epoch | None:
-        if not self._is_active():
-            return None
-        return self._lease.epoch()
+        return self._held_epoch() if self._is_active() else None
+
+    def _held_epoch(self) -> Epoch | None:
+        """Return the epoch of the lease, also past its time while nobody can take it.
+
+        In an outage of the store the lease ends and none can be taken; no adapter
+        would be loaded until it is over. If all other entries say that the store is
+        away, the last holder goes on.
+        """
+        epoch = self._lease.epoch()
+        if epoch is not None:
+            return epoch
+        now = self._clock()
+        peers = self._peers.listed()
+        away = all(now - self._away.get(vm, -ANSWER_LIFE) < ANSWER_LIFE for vm in peers)
+        return self._lease.caretaker() if away and peers else None
 
     def _is_active(self) -> bool:
-        at = self._active_from
-        return at is not None and self._clock() >= at and not self._stopping.is_set()
+        return self._active and not self._stopping.is_set()
 
     def _run(self) -> None:
         while not self._stopping.wait(PERIOD):
@@ -149,15 +266,15 @@
 
     def round(self) -> None:
         """Look once at what should be loaded."""
-        if self._lease.epoch() is None:
-            if self._active_from is not None:
+        with self._lock:
+            self._rates = self._demand.rates(self._clock())
+        if self._held_epoch() is None:
+            if self._active:
                 log("orders_ended")
-            self._active_from = None
+            self._active = False
             return
-        if self._active_from is None:
+        if not self._active:
             self._begin()
-        if not self._is_active():
-            return
         self._open_desks()
         self._place()
         if self._clock() - self._told_at >= PUBLISH_EVERY:
@@ -166,12 +283,12 @@
                 self._publish(desk)
 
     def _begin(self) -> None:
-        wait = self._guard if self._lease.taken_from_other else 0.0
-        self._active_from = self._clock() + wait
+        self._began_at = self._clock()
         with self._lock:
             self._desks = {}
         self._rate = LoadRate()
-        log("orders_begin", after=wait, epoch=self._lease.epoch())
+        self._active = True
+        log("orders_begin", epoch=self._lease.epoch(), before=self._lease.before or "-")
 
     def _open_desks(self) -> None:
         with self._lock:
@@ -187,7 +304,9 @@
                     self._desks[name] = self._desk(Engine(record, spec))
                 else:
                     desk.engine.record = record
-            fresh = [d for d in self._desks.values() if d.engine.holding is None]
+            # An order of the last holder may be under way: what it loads takes memory
+            # that no report shows before its end.
+            fresh = [d for d in self._desks.values() if not d.known]
         for desk in fresh:
             if (
                 desk.engine.loading is None
@@ -206,7 +325,13 @@
             self._refreshing.discard(desk.engine.record.name)
 
     def _desk(self, engine: Engine) -> Desk:
-        return Desk(engine, self._client, self._epoch, self._publish, self._runs)
+        desk = Desk(engine, self._client, self._epoch, self._publish, self._runs)
+        before = self._lease.before
+        ended = before is not None and not self._peers.linked(before)
+        desk.free_from = self._history.free_from(
+            engine.record.name, self._began_at, before, ended
+        )
+        return desk
 
     def _runs(self, engine: Engine, model: Model, adapter: Adapter) -> bool:
         name = f"{engine.record.name}/{model}/{adapter}"
@@ -229,7 +354,7 @@
         self._tell(
             HoldingNews(
                 engine.record.name,
-                engine.holding.born,
+                engine.record.born,
                 engine.holding.orders,
                 dict(held_models(engine)),
                 coming,
@@ -240,7 +365,7 @@
         now = self._clock()
         with self._lock:
             cfg = self._cfg
-            demand = self._demand.rates(now)
+            demand = self._rates
             desks = list(self._desks.values())
         if cfg is None:
             return
@@ -257,11 +382,17 @@
         desks: list[Desk],
         now: float,
     ) -> None:
+        unknown = any(desk.engine.holding is None for desk in desks)
+        if unknown and now - self._began_at < LEARN_TIME:
+            # What no known engine holds may well be on one that is still unknown.
+            return
         by_name = {desk.engine.record.name: desk for desk in desks}
         for _ in range(len(desks)):
-            views = [_view(desk) for desk in desks]
+            views = [_view(desk, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
             move = next_move(spec.models, demand, views, cold)
+            if move is None and cold:
+                move = next_staging(spec.models, demand, views)
             if move is None:
                 return
             if move.cold:
@@ -285,12 +416,12 @@
 
 
 def _restarted(desk: Desk, record: UpstreamRecord) -> bool:
-    held, told = desk.engine.holding, record.holding
-    return held is not None and told is not None and told.born > held.born
+    return record.born != desk.engine.record.born
 
 
-def _view(desk: Desk) -> EngineView:
+def _view(desk: Desk, now: float) -> EngineView:
     engine = desk.engine
+    loaded = engine.loaded_at.items()
     holding = engine.holding
     coming = frozenset({engine.loading} if engine.loading is not None else ())
     return EngineView(
@@ -298,9 +429,10 @@
         memory=engine.spec.memory,
         adapters_memory=engine.adapters_memory(),
         models=frozenset(holding.models) if holding else frozenset(),
-        open=desk.free and not engine.record.draining,
+        busy_for=math.inf if engine.record.draining else desk.busy_for(),
         coming=coming,
         leaving=engine.leaving,
         in_memory=holding.in_memory if holding else frozenset(),
         on_disk=holding.on_disk if holding else frozenset(),
+        settling=frozenset(model for model, at in loaded if now - at < SETTLED),
     )
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -48,7 +48,15 @@
 from .exchange import Exchange
 from .gateway import Gateway
 from .leader import Leader
-from .news import HoldingNews, NodeNews, Want
+from .news import (
+    HoldingNews,
+    NodeNews,
+    Renewed,
+    Resigned,
+    StoreAnswer,
+    StoreAsk,
+    Want,
+)
 from .quota import Quota
 from .settings import DirectSettings
 from .upstreams import UpstreamList
@@ -56,11 +64,17 @@
 WATCH: Final = 2.0
 """Seconds of one watch: a connection that went silent is noticed a little after, within
 the time that a change may take to be in force."""
+COALESCE: Final = 0.7
+"""Seconds between two watches of the upstreams. Each of them writes its entry about
+each second, and a watch ends at the first; without the pause these were two thirds of
+all calls to the store. An upstream may get work for two seconds after it is leaving."""
 RETRY_MOST: Final = 1.0
 """Seconds between tries while the store is away."""
 TICK: Final = 0.05
 STATUS_THREADS: Final = 3
 LEASE_NAME: Final = "orders"
+LEASE_CALL_PART: Final = 0.3
+"""Part of the lease's time that one call for it may take."""
 STOP_MARGIN: Final = 0.25
 """Seconds before the platform's limit at which the last requests are given up."""
 
@@ -84,9 +98,11 @@
         self.quota = Quota(lambda: self.peers)
         self.watchdog = Watchdog()
         self.dispatcher = Dispatcher(Zone(cfg.zone), self._want)
-        lease = LeaseKeeper(store, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
+        # Its renewals must be known to have failed well before the lease is over.
+        quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART)
+        lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
         guard = cfg.order_guard_ms / 1000
-        self.leader = Leader(self.vm, lease, self._tell_holding, guard)
+        self.leader = Leader(self.vm, lease, self, self._tell_holding, guard)
         self.upstreams = UpstreamList(self._on_upstreams)
         self.watchers = (
             Watcher(store, Kind.FLEET, self._on_config, WATCH, RETRY_MOST),
@@ -97,6 +113,7 @@
                 WATCH,
                 RETRY_MOST,
                 self.upstreams.away,
+                COALESCE,
             ),
             Watcher(store, Kind.ENTRY, self._on_entries, retry_most=RETRY_MOST),
         )
@@ -113,6 +130,10 @@
         self.mesh.on(NodeNews, self._on_node)
         self.mesh.on(Want, lambda _vm, msg: self.leader.hear_want(msg))
         self.mesh.on(HoldingNews, self._on_holding)
+        self.mesh.on(StoreAsk, self.leader.hear_ask)
+        self.mesh.on(StoreAnswer, self.leader.hear_answer)
+        self.mesh.on(Resigned, self.leader.hear_resigned)
+        self.mesh.on(Renewed, lambda _vm, msg: self.leader.hear_renewed(msg))
 
     def _serve(self) -> None:
         cfg = self.cfg
@@ -183,20 +204,35 @@
 
     def _on_holding(self, vm: Vm, msg: HoldingNews) -> None:
         self.leader_vm = vm
+        self.leader.hear_holding(vm, msg)
         self.dispatcher.hear_holding(msg)
 
     def _tell_holding(self, msg: HoldingNews) -> None:
         self.leader_vm = None
         self.dispatcher.hear_holding(msg)
+        self.tell_all(msg)
+
+    def send(self, vm: Vm, msg: object) -> bool:
+        """Send a message to one entry."""
+        return self.mesh.send(vm, msg)
+
+    def tell_all(self, msg: object) -> None:
+        """Send a message to all entries in reach."""
         for peer in self.mesh.peers():
             self.mesh.send(peer.vm, msg)
 
+    def listed(self) -> frozenset[Vm]:
+        """Return all other entries."""
+        return self.peers
+
+    def linked(self, vm: Vm) -> bool:
+        """Return whether a link to an entry is open."""
+        return any(peer.vm == vm for peer in self.mesh.peers())
+
     def _want(self, msg: Want) -> None:
         self.leader.hear_want(msg)
-        if self.leader_vm is not None and self.mesh.send(self.leader_vm, msg):
-            return
-        for peer in self.mesh.peers():
-            self.mesh.send(peer.vm, msg)
+        if self.leader_vm is None or not self.mesh.send(self.leader_vm, msg):
+            self.tell_all(msg)
 
     # -- life ------------------------------------------------------------------------
 
@@ -236,8 +272,7 @@
     def _tell_node(self) -> None:
         news = replace(self.dispatcher.news(), used=self.quota.used())
         self.leader.hear_node(self.vm, news)
-        for peer in self.mesh.peers():
-            self.mesh.send(peer.vm, news)
+        self.tell_all(news)
 
     def stop(self, life: Lifecycle) -> None:
         """Leave without cutting a request.
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..ids import Account, Adapter, Model, Upstream
+from ..ids import Account, Adapter, Epoch, Model, Upstream
 from ..wire.codec import message
 
 
@@ -55,3 +55,41 @@
     models: dict[Model, tuple[Adapter, ...]]
     coming: dict[Model, float]
     """Models that are being loaded, with the seconds left."""
+
+
+@message(63)
+@dataclass(frozen=True)
+class Renewed:
+    """The holder of the lease tells the version that it wrote ``age`` seconds ago."""
+
+    version: int
+    age: float
+
+
+@message(64)
+@dataclass(frozen=True)
+class StoreAsk:
+    """The holder of the lease can't reach the store and asks whether others can."""
+
+    epoch: Epoch
+
+
+@message(65)
+@dataclass(frozen=True)
+class StoreAnswer:
+    """Answers a ``StoreAsk`` of an epoch."""
+
+    epoch: Epoch
+    reached: bool
+
+
+@message(66)
+@dataclass(frozen=True)
+class Resigned:
+    """The sender gives orders under an epoch no more.
+
+    ``ages`` are the seconds since its last order to each engine.
+    """
+
+    epoch: Epoch
+    ages: dict[Upstream, float]
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -30,7 +30,7 @@
         "orders", "guard_ms", "milliseconds between orders of two entries", 3000, 0
     )
     lease: float = setting(
-        "orders", "lease", "seconds that the lease of orders lasts", 1.2, 0.3, 30
+        "orders", "lease", "seconds that the lease of orders lasts", 1.5, 0.3, 30
     )
     stop_notice: float = setting(
         "stop", "notice", "seconds not ready before the listener closes", 2.5, low=0
--- a/src/persimmonhitch/fleet/upstream.py
+++ b/src/persimmonhitch/fleet/upstream.py
@@ -2,19 +2,21 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from ..ids import Adapter, Model, Service, Upstream, Zone
 
+ORDERS_UNKNOWN: Final = -1
+
 
 @dataclass(frozen=True)
 class Holding:
     """What one engine holds, as of a number of orders that it took.
 
-    ``orders`` starts anew with each start of the engine, which ``born`` tells apart:
-    the millisecond at which it started.
+    ``orders`` starts anew with each start of the engine. An engine tells it in its own
+    report; its entry in the store leaves it out, ``ORDERS_UNKNOWN``.
     """
 
-    born: int
     orders: int
     models: Mapping[Model, frozenset[Adapter]]
     incoming: Mapping[Model, frozenset[Adapter]] = field(default_factory=dict)
@@ -23,10 +25,6 @@
     on_disk: frozenset[Model] = frozenset()
     busy: bool = False
 
-    def newer_than(self, other: "Holding") -> bool:
-        """Return whether this tells of a later state than ``other``."""
-        return (self.born, self.orders) > (other.born, other.orders)
-
     def has(self, model: Model, adapter: Adapter | None) -> bool:
         """Return whether a call for a model and its adapter can run there now."""
         adapters = self.models.get(model)
@@ -50,5 +48,7 @@
     zone: Zone
     slots: int
     draining: bool
+    born: int
+    """Millisecond at which it started; tells its starts under one name apart."""
     holding: Holding | None
     """None for a plain service."""
--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -98,6 +98,7 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._held: StoredObject | None = None
+        self._held_since = 0.0
         self._valid_until = 0.0
         self._seen: Version | None = None
         self._seen_at = 0.0
@@ -106,8 +107,9 @@
         self._care: Epoch | None = None
         self._away = False
         self._stepped_at = 0.0
-        self.taken_from_other = False
-        """Whether the lease was another VM's before it was ours."""
+        self._resigned: tuple[str, int] | None = None
+        self.before: Vm | None = None
+        """Who held the lease before it was ours; None for this VM or nobody."""
 
     @property
     def step_every(self) -> float:
@@ -121,6 +123,39 @@
                 return None
             return Epoch(LeaseSpec.from_object(self._held).epoch)
 
+    @property
+    def failing(self) -> bool:
+        """Return whether the store's absence keeps the held lease from renewal."""
+        return self._away and self._held is not None
+
+    def renewal(self) -> tuple[Version, float] | None:
+        """Return the held lease's version and the seconds since it was sent."""
+        with self._lock:
+            if self._held is None or self._sent is None:
+                return None
+            return self._held.version, self._clock() - self._held_since
+
+    def resign(self) -> Epoch | None:
+        """Give the lease up without the store; return the epoch that ends."""
+        with self._lock:
+            epoch = self.epoch()
+            self._held = self._sent = self._care = None
+        return epoch
+
+    def hear_renewal(self, version: Version, age: float) -> None:
+        """Take from the holder itself when it wrote a version of the lease.
+
+        The lease is over that much sooner than by this process's own looks at it, of
+        which the first would only begin to count.
+        """
+        with self._lock:
+            if version != self._seen:
+                self._seen, self._seen_at = version, self._clock() - age
+
+    def hear_resigned(self, vm: Vm, epoch: Epoch) -> None:
+        """Take from the holder itself that it acts under an epoch no more."""
+        self._resigned = (vm, epoch)
+
     def caretaker(self) -> Epoch | None:
         """Return the last epoch held, if only the store's absence ended it."""
         with self._lock:
@@ -139,6 +174,13 @@
                 log("lease_overtaken", epoch=epoch)
                 self._held = None
 
+    def reachable(self) -> bool:
+        """Return whether the store answers a look at the lease now."""
+        result = self._store.get(Kind.LEASE, self._name)
+        if isinstance(result, Success):
+            return True
+        return result.failure().error is not StoreError.UNAVAILABLE
+
     def step(self) -> None:
         """Renew the lease, or take it where it is free; call a few times a lease."""
         now = self._clock()
@@ -180,6 +222,10 @@
         if isinstance(result, Success):
             self._care = None
             self._take_over(result.unwrap())
+        elif result.failure().error is StoreError.UNAVAILABLE:
+            # The holder could not renew it meanwhile either, and is to have its time
+            # for that when the store is back.
+            self._seen = None
         elif result.failure().error is StoreError.NOT_FOUND:
             self._write(None, self._least_epoch + 1, 0)
 
@@ -188,7 +234,8 @@
         if self._is_lost_answer(obj, old):
             return
         if self._free(obj, old):
-            self.taken_from_other = old.holder != self._vm
+            before = None if old.holder in (NOBODY, self._vm) else Vm(old.holder)
+            self.before = before
             self._write(obj, max(old.epoch, self._least_epoch) + 1, 0)
 
     def _free(self, obj: StoredObject, old: LeaseSpec) -> bool:
@@ -196,6 +243,8 @@
         # A process that starts on a VM is proof that the one before it has ended.
         if old.holder in (NOBODY, self._vm) or old.incarnation == self._incarnation:
             return True
+        if self._resigned == (old.holder, old.epoch):
+            return True
         if self._seen != obj.version:
             self._seen, self._seen_at = obj.version, now
         return now - self._seen_at >= old.duration
@@ -205,7 +254,11 @@
         lease = LeaseSpec(
             self._vm, self._incarnation, epoch, renewals, self._duration
         ).spec()
-        self._sent = (epoch, renewals, sent_at)
+        # The same write sent again may have taken effect the first time, without an
+        # answer; the lease counts from then.
+        again = self._sent is not None and self._sent[:2] == (epoch, renewals)
+        if not again:
+            self._sent = (epoch, renewals, sent_at)
         if old is None:
             result = self._store.create(Kind.LEASE, self._name, lease)
         else:
@@ -223,7 +276,11 @@
     def _after_failed_renewal(self, error: StoreError) -> None:
         # A renewal whose answer was lost has a newer version than the one held:
         # all later renewals would conflict and a healthy holder lose its lease.
-        if error not in (StoreError.UNAVAILABLE, StoreError.CONFLICT):
+        if error is StoreError.UNAVAILABLE:
+            # The next renewal tells; a look now would take as long as this one, and
+            # whoever can reach the store is to be asked before the lease is over.
+            return
+        if error is not StoreError.CONFLICT:
             self._held = None
             return
         result = self._store.get(Kind.LEASE, self._name)
@@ -255,6 +312,7 @@
             if self._held is None:
                 log("lease_taken", epoch=obj.spec["epoch"])
             self._held = obj
+            self._held_since = sent_at
             self._valid_until = self._end(sent_at)
 
     def _end(self, sent_at: float) -> float:
--- a/src/persimmonhitch/platform/upstream_format.py
+++ b/src/persimmonhitch/platform/upstream_format.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from ..fleet.upstream import Holding, UpstreamRecord
+from ..fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm, Zone
 
 Body = Mapping[str, Any]
@@ -40,19 +40,24 @@
             zone=Zone(zone),
             slots=slots,
             draining=state == "draining",
-            holding=decode_holding(body) if "models" in body else None,
+            born=int(body.get("born") or 0),
+            # The count in an entry is that of its heartbeats, not of orders.
+            holding=decode_holding(body, ORDERS_UNKNOWN) if "models" in body else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise UnreadableEntry(repr(exc)) from exc
 
 
-def decode_holding(body: Body) -> Holding:
+def decode_report(body: Body) -> Holding:
+    """Return what an engine holds by its own report, whose count is of orders."""
+    return decode_holding(body, int(body["sequence"]))
+
+
+def decode_holding(body: Body, orders: int) -> Holding:
     """Return what an engine holds, from its entry or its own report."""
     available = body.get("available") or {}
     return Holding(
-        # Engines that never restart under one id may leave their start out.
-        born=int(body.get("born") or 0),
-        orders=int(body.get("sequence") or 0),
+        orders=orders,
         models={
             Model(item["name"]): frozenset(
                 _adapter_name(adapter) for adapter in item.get("adapters") or ()
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -46,12 +46,15 @@
         wait: float = WATCH_SECONDS,
         retry_most: float = RETRY_MOST,
         away: Callable[[], None] = _ignore,
+        pause: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
         self._wait = wait
         self._retry_most = retry_most
         self._away = away
+        self._pause = pause
+        """Seconds after changes before the next watch, so that it brings several."""
         self._listener = listener
         self._stopping = threading.Event()
         self.ready = threading.Event()
@@ -96,6 +99,7 @@
             after = changes.version
             if changes.events:
                 self._apply(changes.events)
+                self._stopping.wait(self._pause)
             self.view = replace(self.view, seen_at=time.monotonic())
 
     def _log_end(self, error: StoreError, detail: str) -> None:
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -1,5 +1,6 @@
 """The HTTP server: waitress, bounded, with a graceful stop of our own."""
 
+import logging
 import threading
 import time
 from collections.abc import Callable
@@ -13,6 +14,9 @@
 
 from .http import MAX_BODY, Answer, Body, Environ, StartResponse, json_answer
 
+# What it would say of broken answers and of its queue is in our own logs, by request.
+logging.getLogger("waitress").setLevel(logging.CRITICAL)
+
 App = Callable[[Environ, StartResponse], Body]
 Refusal = Callable[[int], Answer]
 """Makes the answer to a request that the server refuses with a status by itself."""
