Places of an engine count until the unload is sent; a stop closes idle connections

Found by a log line of what a holder learns. Ruled out: stale reports (the report showed all five adapters), orders without answer.

--- a/src/persimmonhitch/direct/desk.py
+++ b/src/persimmonhitch/direct/desk.py
@@ -28,6 +28,10 @@
 answer may be carried out this late."""
 UNKNOWN_FOR: Final = 1.0
 """Seconds that an engine counts as busy whose state is still to be learned."""
+ASK_AGAIN: Final = 0.3
+"""Seconds between two asks for a state; an engine that has crashed answers none."""
+GONE_FOR: Final = 1.0
+"""Seconds without orders to an address at which another instance answers."""
 TRIES: Final = 3
 """Tries of one order; each further one has first read the engine's state anew."""
 KEPT_BACK: Final = 0.03
@@ -102,6 +106,7 @@
         self.free_from = 0.0
         """Until then an order of another entry may be too recent."""
         self.ordered_at: float | None = None
+        self.asked_at: float | None = None
 
     def busy_for(self) -> float:
         """Return the seconds until the engine can take an order for a model."""
@@ -113,14 +118,16 @@
             return max(UNKNOWN_FOR, self.free_from - now)
         return max(0.0, self.free_from - now)
 
-    @property
-    def known(self) -> bool:
-        """Return whether it is known what the engine holds and is about to."""
+    def to_be_learned(self) -> bool:
+        """Return whether the engine's state is unknown and due to be asked for."""
         holding = self.engine.holding
-        return holding is not None and not (holding.busy and not self.engine.loading)
+        if self.engine.loading is not None or (holding and not holding.busy):
+            return False
+        return self.asked_at is None or self._clock() - self.asked_at >= ASK_AGAIN
 
     def refresh(self) -> bool:
         """Read the engine's own report; return whether it told anything."""
+        self.asked_at = self._clock()
         result = self._client.report(self.engine.record)
         if not isinstance(result, Success):
             log(
@@ -134,13 +141,28 @@
         if old is not None and old.orders > holding.orders:
             return False
         self.engine.holding = holding
+        self._log_learned(holding)
         return True
 
+    def _log_learned(self, holding: Holding) -> None:
+        held = [f"{m}/{'+'.join(sorted(a))}" for m, a in holding.models.items()]
+        coming = [f"{m}/{'+'.join(sorted(a))}" for m, a in holding.incoming.items()]
+        log(
+            "engine_learned",
+            upstream=self.engine.record.name,
+            orders=holding.orders,
+            held=",".join(held) or "-",
+            coming=",".join(coming) or "-",
+            busy=holding.busy,
+        )
+
     # -- adapters ----------------------------------------------------------------
 
     def fetch(self, model: Model, adapter: Adapter) -> bool:
         """Have an adapter loaded; return whether it serves now."""
         with self.lock:
+            if self._epoch() is None or self._clock() < self.free_from:
+                return False
             if not self._start_fetch(model, adapter):
                 return False
             engine = self.engine
@@ -216,6 +238,9 @@
         outcome = self._send(Order(False, model, adapter))
         if outcome in (Outcome.ACCEPTED, Outcome.HOLDS):
             return True
+        # It is still there. Counted as gone, its place would be given to another and
+        # the engine, ordered beyond its places, would crash.
+        self.engine.holding = holding
         return self._recover(outcome)
 
     # -- models ------------------------------------------------------------------
@@ -330,6 +355,10 @@
 
     def _recover(self, outcome: Outcome) -> bool:
         """Learn the engine's state anew; return whether another try may help."""
+        if outcome is Outcome.GONE:
+            # Until its entry is removed; an order a moment later meets the same.
+            self.engine.holding = None
+            self.free_from = self._clock() + GONE_FOR
         if outcome in (Outcome.FENCED, Outcome.GONE):
             return False
         self._sleep(REPORT_AGE)
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -306,7 +306,7 @@
                     desk.engine.record = record
             # An order of the last holder may be under way: what it loads takes memory
             # that no report shows before its end.
-            fresh = [d for d in self._desks.values() if not d.known]
+            fresh = [d for d in self._desks.values() if d.to_be_learned()]
         for desk in fresh:
             if (
                 desk.engine.loading is None
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -37,7 +37,7 @@
 from ..store.objects import Kind
 from ..store.registration import Registration
 from ..store.watcher import View, Watcher
-from ..verdict import Failure
+from ..verdict import ErrorCode, Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
 from .abort import Watchdog
@@ -89,6 +89,8 @@
         self.metrics = Metrics("direct", cfg.vm)
         self.in_force = InForce(NOTHING, RouteTable(()))
         self.leaving = threading.Event()
+        self.refusing = threading.Event()
+        """Set when too little time is left at a stop for another request."""
         self._stopped = threading.Event()
         store = StoreClient(cfg.store, cfg.store_timeout)
         host, port = cfg.link[0]
@@ -163,6 +165,9 @@
         )
 
     def _full(self) -> Failure | None:
+        if self.refusing.is_set():
+            reason = "this entry is stopping"
+            return Failure(ErrorCode.SHUTTING_DOWN, reason, retry_after=0.0)
         return connections_full(len(self.watchdog), self.cfg.threads)
 
     def _ready(self) -> bool:
@@ -286,6 +291,8 @@
         threading.Thread(target=self._leave, name="leave", daemon=True).start()
         life.forced.wait(self.cfg.stop_notice)
         self.server.stop_listening()
+        self.server.close_idle()
+        self.refusing.set()
         left = self.cfg.stop_limit - STOP_MARGIN - (time.monotonic() - began)
         cut = self.server.drain(left, life.forced)
         if cut:
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -153,6 +153,20 @@
         self._server.trigger.pull_trigger(close_listener)
         closed.wait(1.0)
 
+    def close_idle(self) -> None:
+        """Close connections without a request.
+
+        A caller that finds its connection closed opens another one elsewhere. What it
+        sent on one that is kept open here would be read by a process that ends soon.
+        """
+
+        def close_all() -> None:
+            for channel in list(self._server.active_channels.values()):
+                if not channel.requests and channel.request is None:
+                    channel.will_close = True
+
+        self._server.trigger.pull_trigger(close_all)
+
     def busy(self) -> int:
         """Return how many connections have a request or unsent bytes."""
         channels = list(self._server.active_channels.values())
--- /dev/null
+++ b/tests/fake_engine.py
@@ -0,0 +1,136 @@
+"""An engine in memory that takes orders as the platform's interface says."""
+
+import json
+
+from returns.result import Failure as Err
+from returns.result import Success
+
+from persimmonhitch.direct.desk import Desk, Engine
+from persimmonhitch.direct.engine_client import Outcome
+from persimmonhitch.fleet.config import EngineSpec, ModelSpec
+from persimmonhitch.fleet.upstream import Holding, UpstreamRecord
+from persimmonhitch.ids import Adapter, Epoch, Model, Service, Upstream, Zone
+
+SPECS = {
+    Model(name): ModelSpec(Model(name), memory, 8.0, 1.7, 0.6, 8, 0.5)
+    for name, memory in (("big", 80.0), ("other", 80.0), ("small", 30.0))
+}
+SPEC = EngineSpec(64, 100_000, 200.0, 2, 1.5, SPECS)
+
+
+class Clock:
+    """A clock that tests move; ``sleep`` moves it too."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+class FakeEngine:
+    """Holds models and adapters; notes when it is ordered beyond its room."""
+
+    def __init__(self, clock, models=("big",), adapters=(), lag=0.0):
+        self.clock = clock
+        self.models = {Model(name): set() for name in models}
+        for name in adapters:
+            self.models[Model(models[0])].add(Adapter(name))
+        self.orders = 0
+        self.busy_until = 0.0
+        self.loading = None
+        self.overfull = []
+        self.log = []
+        self.lose_answers = 0
+        self.late = []
+        self.record = UpstreamRecord(
+            Upstream("e1"),
+            Service("llm"),
+            "10.0.0.1",
+            80,
+            Zone("z1"),
+            64,
+            False,
+            1,
+            None,
+        )
+
+    def _settle(self):
+        if self.loading is not None and self.clock() >= self.busy_until:
+            self.models[self.loading] = set()
+            self.loading = None
+
+    def _places(self):
+        return sum(len(names) for names in self.models.values())
+
+    def order(self, _record, order, orders, _epoch):
+        self._settle()
+        self.log.append((order, orders))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            self.late.append((order, orders))
+            return Outcome.UNKNOWN
+        return self.take(order, orders)
+
+    def run_late(self):
+        for order, orders in self.late:
+            self.take(order, orders)
+        self.late = []
+
+    def take(self, order, orders):
+        if orders != self.orders or self.loading is not None:
+            return Outcome.CONFLICT
+        self.orders += 1
+        if order.adapter is not None:
+            return self._adapter(order)
+        return self._model(order)
+
+    def _adapter(self, order):
+        held = self.models[order.model]
+        if not order.load:
+            held.discard(order.adapter)
+            return Outcome.HOLDS
+        if self._places() >= SPEC.adapter_slots:
+            self.overfull.append(order)
+        held.add(order.adapter)
+        return Outcome.ACCEPTED
+
+    def _model(self, order):
+        if not order.load:
+            self.models.pop(order.model, None)
+            return Outcome.ACCEPTED
+        memory = sum(SPECS[name].memory for name in self.models)
+        if memory + SPECS[order.model].memory > SPEC.memory:
+            self.overfull.append(order)
+        self.loading, self.busy_until = order.model, self.clock() + 1.7
+        return Outcome.ACCEPTED
+
+    def report(self, _record):
+        self._settle()
+        models = {name: frozenset(names) for name, names in self.models.items()}
+        return Success(Holding(self.orders, models, busy=self.loading is not None))
+
+
+class DeadEngine(FakeEngine):
+    """Answers nothing."""
+
+    def report(self, _record):
+        return Err("refused")
+
+
+def desk_of(engine, clock, in_use=lambda *_: False, epoch=lambda: Epoch(1)):
+    """Return a desk for an engine, and what it published."""
+    told = []
+    desk = Desk(
+        Engine(engine.record, SPEC),
+        engine,
+        epoch,
+        lambda d: told.append(json.dumps(sorted(d.engine.holding.models))),
+        in_use,
+        clock,
+        clock.sleep,
+    )
+    return desk, told
--- /dev/null
+++ b/tests/test_direct_desk.py
@@ -0,0 +1,91 @@
+"""Orders to one engine, which must never hold more than it has room for."""
+
+import pytest
+from fake_engine import Clock, FakeEngine, desk_of
+
+from persimmonhitch.ids import Adapter, Model
+
+BIG, OTHER, SMALL = Model("big"), Model("other"), Model("small")
+
+
+def test_a_full_engine_is_not_overloaded_by_a_new_holder():
+    """A new holder of the lease learns at once what an engine holds, but may not order
+    it yet, since the orders of the one before are too recent. A call wants an adapter
+    meanwhile. The adapter that was to make room for it must count as held until its
+    unload has really been sent; else the next load goes to a full engine, which
+    crashes, and all of its callers lose their answers.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, adapters=("a1", "a2"))
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    desk.free_from = clock() + 3.0
+    assert not desk.fetch(BIG, Adapter("a3"))
+    clock.now += 4.0
+    assert desk.fetch(BIG, Adapter("a3"))
+    assert engine.overfull == []
+    assert len(engine.models[BIG]) == 2
+
+
+def test_orders_without_an_answer_are_not_carried_out_twice():
+    """An order gets no answer and the engine carries it out seconds later, after
+    another one. By then its place is taken; the engine must refuse it.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, adapters=("a1",))
+    desk, _told = desk_of(engine, clock)
+    engine.lose_answers = 1
+    assert desk.fetch(BIG, Adapter("a3"))
+    engine.run_late()
+    assert engine.overfull == []
+    assert engine.models[BIG] == {"a1", "a3"}
+
+
+@pytest.mark.parametrize(
+    ("held", "model", "victims", "after"),
+    [
+        (("big",), OTHER, (), {"big", "other"}),
+        (("big", "other"), SMALL, (), {"big", "other", "small"}),
+        (("big", "other", "small"), OTHER, (), {"big", "other", "small"}),
+    ],
+)
+def test_models_are_loaded_where_there_is_room(held, model, victims, after):
+    clock = Clock()
+    engine = FakeEngine(clock, models=held)
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    desk.load(model, victims, 1.7)
+    assert set(engine.models) == after
+    assert engine.overfull == []
+
+
+def test_a_victim_leaves_before_the_load_and_is_told_first():
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other"))
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    desk.load(SMALL, (BIG,), 1.7)
+    assert set(engine.models) == {"other", "small"}
+    assert [order.load for order, _ in engine.log] == [False, True]
+
+
+def test_no_model_is_loaded_into_memory_that_is_taken():
+    """The plan counted on room that another load has taken meanwhile."""
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other", "small"))
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    engine.models.pop(SMALL)
+    desk.load(SMALL, (), 1.7)
+    assert engine.overfull == []
+
+
+def test_adapters_in_use_are_not_unloaded():
+    """All places of an engine are taken by adapters that run calls: an unload would
+    wait for them, and every new call for those adapters would be refused meanwhile.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, adapters=("a1", "a2"))
+    desk, _told = desk_of(engine, clock, in_use=lambda *_: True)
+    assert not desk.fetch(BIG, Adapter("a3"))
+    assert engine.models[BIG] == {"a1", "a2"}
--- /dev/null
+++ b/tests/test_direct_stop.py
@@ -0,0 +1,35 @@
+"""A stop must not take requests that it has no time for."""
+
+import http.client
+import threading
+
+from persimmonhitch.web import Answer, WebServer
+
+
+class App:
+    def __init__(self):
+        self.calls = 0
+
+    def __call__(self, environ, start_response):
+        self.calls += 1
+        return Answer(200, {"Content-Length": "2"}, [b"ok"]).send(start_response)
+
+
+def test_an_idle_connection_is_closed_at_a_stop():
+    """A caller keeps a connection to an entry that is stopping and sends its next
+    request on it seconds later. It would be cut in the middle of its answer at the end
+    of the entry's time; closed before, the caller goes elsewhere with all of its time.
+    """
+    app = App()
+    server = WebServer(app, "127.0.0.1", 0, 4, keep_streams=True)
+    server.start()
+    conn = http.client.HTTPConnection("127.0.0.1", server.port, timeout=5)
+    conn.request("GET", "/")
+    assert conn.getresponse().read() == b"ok"
+    server.leave()
+    server.stop_listening()
+    server.close_idle()
+    assert conn.sock.recv(1) == b""
+    assert app.calls == 1
+    assert server.drain(1.0, threading.Event()) == 0
+    server.close()
