--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -89,6 +89,7 @@
         self._coming: dict[Model, float] = {}
         self._asked: dict[Model, float] = {}
         self._cfg: FleetConfig | None = None
+        self._closing: Failure | None = None
 
     # -- calls -------------------------------------------------------------------
 
@@ -99,6 +100,8 @@
         now = self._clock()
         waiter = _Waiter(need, excluded, give_up_at(need))
         with self._lock:
+            if self._closing is not None:
+                return Err(self._closing)
             self._waiters.append(waiter)
             self._match()
             if not waiter.decided.is_set():
@@ -151,6 +154,14 @@
             self._lanes.finish(record.name, need, was_read)
             self._match()
 
+    def close(self, failure: Failure) -> None:
+        """Refuse what waits, and what comes; it has time left to go elsewhere."""
+        with self._lock:
+            self._closing = failure
+            for waiter in self._waiters:
+                waiter.failure = failure
+                waiter.decided.set()
+
     def _match(self) -> None:
         """Give every place that is free to the first that can use it."""
         for waiter in sorted(self._waiters, key=_Waiter.order):
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -79,6 +79,11 @@
 """Seconds before the platform's limit at which the last requests are given up."""
 
 
+STOPPING: Final = Failure(
+    ErrorCode.SHUTTING_DOWN, "this entry is stopping", retry_after=0.0
+)
+
+
 class Entry:
     """All parts of the process."""
 
@@ -166,8 +171,7 @@
 
     def _full(self) -> Failure | None:
         if self.refusing.is_set():
-            reason = "this entry is stopping"
-            return Failure(ErrorCode.SHUTTING_DOWN, reason, retry_after=0.0)
+            return STOPPING
         return connections_full(len(self.watchdog), self.cfg.threads)
 
     def _ready(self) -> bool:
@@ -293,10 +297,13 @@
         self.server.stop_listening()
         self.server.close_idle()
         self.refusing.set()
+        self.dispatcher.close(STOPPING)
         left = self.cfg.stop_limit - STOP_MARGIN - (time.monotonic() - began)
         cut = self.server.drain(left, life.forced)
         if cut:
             log("stop_cut", requests=cut)
+            self.watchdog.end_all()
+            self.server.drain(STOP_MARGIN / 2, life.forced)
         self._stopped.set()
 
     def _leave(self) -> None:
--- /dev/null
+++ b/tests/test_direct_dispatcher.py
@@ -0,0 +1,90 @@
+"""Calls that wait for an upstream."""
+
+import threading
+import time
+
+from returns.result import Success
+
+from persimmonhitch.decide.dispatch import Need
+from persimmonhitch.direct.abort import Abort
+from persimmonhitch.direct.dispatcher import Dispatcher
+from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
+from persimmonhitch.ids import Model, Service, Upstream, Zone
+from persimmonhitch.verdict import ErrorCode, Failure
+
+LLM, Z1, BIG = Service("llm"), Zone("z1"), Model("big")
+STOPPING = Failure(ErrorCode.SHUTTING_DOWN, "stopping", retry_after=0.0)
+
+
+def record(name="e1", models=(BIG,), slots=2, draining=False, born=1):
+    held = Holding(ORDERS_UNKNOWN, {model: frozenset() for model in models})
+    return UpstreamRecord(
+        Upstream(name), LLM, "10.0.0.1", 80, Z1, slots, draining, born, held
+    )
+
+
+def need(rank=1, aim=5.0, deadline=10.0, model=BIG, adapter=None):
+    now = time.monotonic()
+    return Need(LLM, model, adapter, 100, 120, rank, now, now + aim, now + deadline)
+
+
+def abort():
+    return Abort(lambda: False, time.monotonic() + 60)
+
+
+def dispatcher(*records):
+    made = Dispatcher(Z1, lambda _want: None)
+    made.update(list(records))
+    return made
+
+
+class Waiting:
+    """A call that waits on a thread of its own."""
+
+    def __init__(self, owner, wanted):
+        self.result = None
+        self._thread = threading.Thread(target=self._run, args=(owner, wanted))
+        self._thread.start()
+        while not owner._waiters and self._thread.is_alive():
+            time.sleep(0)
+
+    def _run(self, owner, wanted):
+        self.result = owner.acquire(wanted, abort())
+
+    def outcome(self):
+        self._thread.join(10)
+        return self.result
+
+
+def test_what_waits_at_a_stop_is_refused_while_it_has_time():
+    """An entry is told to stop while calls wait in it for a model that is on no engine.
+    Kept to the end of the entry's time they get no answer at all; refused at once they
+    find their place at another entry.
+    """
+    made = dispatcher(record(models=()))
+    call = Waiting(made, need())
+    made.close(STOPPING)
+    assert call.outcome().failure() is STOPPING
+    assert made.acquire(need(), abort()).failure() is STOPPING
+
+
+def test_the_most_urgent_goes_first():
+    made = dispatcher(record(slots=1))
+    first = made.acquire(need(), abort()).unwrap()
+    late = Waiting(made, need(rank=2))
+    urgent = Waiting(made, need(rank=0))
+    while len(made._waiters) < 2:
+        time.sleep(0)
+    first.release()
+    permit = urgent.outcome().unwrap()
+    assert late.result is None
+    permit.release()
+    assert isinstance(late.outcome(), Success)
+
+
+def test_an_upstream_that_leaves_gets_nothing_more():
+    """An upstream says that it is draining while calls go to it."""
+    made = dispatcher(record("e1"), record("e2"))
+    made.update([record("e1", draining=True), record("e2")])
+    for _ in range(2):
+        assert made.acquire(need(), abort()).unwrap().record.name == "e2"
