Logs on standard output from a thread of their own, bounded; SIGHUP reads settings anew

Cause: lines went to standard error and were written by the request's own thread, which stops when the reader does; SIGHUP ended the process by default.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -79,7 +79,8 @@
     name: str
     popen: subprocess.Popen
     log: Path
-    out: Path
+    began: int
+    """Where its output begins in the log, after that of earlier processes."""
 
     def ports(self) -> dict[str, int]:
         """Return the ports that the process printed."""
@@ -87,8 +88,8 @@
         def line() -> str:
             if self.popen.poll() is not None:
                 raise RuntimeError(f"{self.name} ended:\n{self.log.read_text()}")
-            text = self.out.read_text()
-            return text if text.endswith("\n") else ""
+            lines = self.log.read_text()[self.began :].split("\n")[:-1]
+            return next((ln for ln in lines if ln.startswith("listening ")), "")
 
         words = wait_for(line, f"the port of {self.name}").split()[1:]
         return {key: int(port) for key, port in (word.split("=") for word in words)}
@@ -141,15 +142,16 @@
 
     def spawn(self, name: str, module: str, *args: str) -> Process:
         """Start a module of the package as a process."""
-        log, out = self.folder / f"{name}.log", self.folder / f"{name}.out"
+        log = self.folder / f"{name}.log"
+        began = log.stat().st_size if log.exists() else 0
         env = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
         popen = subprocess.Popen(
             [sys.executable, "-m", f"persimmonhitch.{module}", *args],
-            stdout=out.open("w"),
-            stderr=log.open("a"),
+            stdout=log.open("a"),
+            stderr=subprocess.STDOUT,
             env=env,
         )
-        process = Process(name, popen, log, out)
+        process = Process(name, popen, log, began)
         self.processes[name] = process
         return process
 
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -13,7 +13,7 @@
 from ..fleet.call import CallerHeaders
 from ..fleet.config import CallKind
 from ..ids import RequestId, Upstream, new_request_id
-from ..observe.logs import log
+from ..observe.logs import Sampled, log
 from ..observe.metrics import Metrics
 from ..platform import headers as wire
 from ..verdict import ErrorCode, Failure, Verdict
@@ -81,6 +81,7 @@
         self._metrics = metrics
         self._clock = clock
         self._retries = RetryBudget()
+        self._done = Sampled("request_done")
 
     def handle(self, req: Request) -> Answer:
         """Answer one call."""
@@ -357,20 +358,41 @@
             self._quota.refund(account, found.cost)
         seconds = self._clock() - found.need.arrived
         self._metrics.request_done(account, flight.route, status, failure, seconds)
+        self._log_end(flight, failure, status, seconds, upstream)
+
+    def _log_end(
+        self,
+        flight: _Flight,
+        failure: Failure | None,
+        status: int,
+        seconds: float,
+        upstream: str,
+    ) -> None:
+        found = flight.admitted
+        fields: dict[str, object] = {
+            "request": flight.request,
+            "route": flight.route,
+            "account": found.account.name if found.account else "-",
+            "model": found.caller.model or "-",
+            "adapter": found.caller.adapter or "-",
+            "upstream": upstream,
+            "status": status,
+            "attempts": flight.attempts,
+            "refusals": flight.refusals,
+            "seconds": seconds,
+            "config": self._in_force().cfg.version,
+        }
+        if failure is None and status < 400:
+            self._done.log(**fields)
+            return
+        reason = flight.abort.reason
         log(
-            "request_done" if failure is None else "request_failed",
-            request=flight.request,
-            route=flight.route,
-            account=account or "-",
-            model=found.caller.model or "-",
-            adapter=found.caller.adapter or "-",
-            upstream=upstream,
-            status=status,
-            attempts=flight.attempts,
-            refusals=flight.refusals,
-            seconds=seconds,
-            ended=flight.abort.reason.value if flight.abort.reason else "-",
-            reason="-" if failure is None else failure.message,
+            "request_failed",
+            **fields,
+            verdict=failure.verdict.value if failure else Verdict.RAN.value,
+            code=failure.code.value if failure else "-",
+            ended=reason.value if reason else "-",
+            reason=failure.message if failure else "the upstream's own answer",
         )
 
     # -- streams -----------------------------------------------------------------
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -26,14 +26,14 @@
 from ..ids import Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..limits.pooled import NEWS_EVERY
-from ..observe.logs import log, start_logs
+from ..observe.logs import flush_logs, log, start_logs
 from ..observe.metrics import Metrics
 from ..planner.lease import LeaseKeeper
 from ..platform.config_format import decode_config
 from ..platform.headers import read_reply
 from ..platform.names import CONFIG_NAME
 from ..platform.store_client import StoreClient
-from ..settings import load_or_exit
+from ..settings import load, load_or_exit
 from ..store.objects import Kind
 from ..store.registration import Registration
 from ..store.watcher import View, Watcher
@@ -283,6 +283,20 @@
         self.leader.hear_node(self.vm, news)
         self.tell_all(news)
 
+    def reload(self, path: Path) -> None:
+        """Read the settings anew; those of a stop are taken while the process runs."""
+        result = load(DirectSettings, path)
+        if not isinstance(result, Success):
+            mistakes = "; ".join(str(mistake) for mistake in result.failure())
+            log("settings_refused", mistakes=mistakes)
+            return
+        new: DirectSettings = result.unwrap()
+        changed = [f for f, v in vars(new).items() if v != getattr(self.cfg, f)]
+        self.cfg = replace(
+            self.cfg, stop_notice=new.stop_notice, stop_limit=new.stop_limit
+        )
+        log("settings_read", changed=",".join(changed) or "-")
+
     def stop(self, life: Lifecycle) -> None:
         """Leave without cutting a request.
 
@@ -317,12 +331,15 @@
     cfg = load_or_exit(DirectSettings, Path(args["--settings"]))
     if args["--check"]:
         return 0
-    start_logs("direct", cfg.vm)
     life = Lifecycle()
+    # Before the logs: their thread would take the signals by their default.
     life.install_signals()
+    start_logs("direct", cfg.vm)
     entry = Entry.from_config(cfg)
     entry.start()
     life.on_stop("direct", lambda: entry.stop(life))
+    life.on_reload(lambda: entry.reload(Path(args["--settings"])))
     life.wait()
     life.stop()
+    flush_logs()
     return 0
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -22,7 +22,7 @@
 from ..limits.keeper import RecordKeeper
 from ..limits.limiter import Limiter
 from ..limits.messages import ShareRevoked
-from ..observe.logs import log, start_logs
+from ..observe.logs import announce, flush_logs, log, start_logs
 from ..observe.metrics import Metrics
 from ..observe.traces import Traces
 from ..platform.store_client import StoreClient
@@ -150,7 +150,7 @@
         self.server.start()
         self.registration.start(self._spec())
         log("started", port=self.server.port, link_port=self.mesh.port)
-        print(f"listening http={self.server.port} link={self.mesh.port}", flush=True)
+        announce(f"listening http={self.server.port} link={self.mesh.port}")
 
     def _spec(self) -> Spec:
         cfg = self.cfg
@@ -196,12 +196,14 @@
     cfg = load_or_exit(EntrySettings, Path(args["--settings"]))
     if args["--check"]:
         return 0
-    start_logs("entry", cfg.vm)
     life = Lifecycle()
+    # Before the logs: their thread would take the signals by their default.
     life.install_signals()
+    start_logs("entry", cfg.vm)
     entry = Entry.from_config(cfg)
     entry.start()
     life.on_stop("entry", lambda: entry.stop(life))
     life.wait()
     life.stop()
+    flush_logs()
     return 0
--- a/src/persimmonhitch/kernel/lifecycle.py
+++ b/src/persimmonhitch/kernel/lifecycle.py
@@ -7,7 +7,7 @@
 
 from ..observe.logs import log
 
-SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class Lifecycle:
@@ -20,15 +20,22 @@
     def __init__(self) -> None:
         self.stopping = threading.Event()
         self.forced = threading.Event()
+        self._reload: Callable[[], None] | None = None
         self._steps: list[tuple[str, Callable[[], None]]] = []
 
     def on_stop(self, name: str, step: Callable[[], None]) -> None:
         """Enter a step to run at the stop; the last one entered runs first."""
         self._steps.append((name, step))
 
+    def on_reload(self, step: Callable[[], None]) -> None:
+        """Set what SIGHUP asks for; without it the signal is logged alone."""
+        self._reload = step
+
     def install_signals(self) -> None:
         """Let SIGTERM and SIGINT ask for the stop; before any thread starts.
 
+        SIGHUP asks to read the settings anew; by default it would end the process.
+
         A thread of its own waits for them. A handler would run on the main thread
         between any two of its steps: while that thread holds an event's lock, the
         handler waits for the same lock for ever, and the process ignores SIGTERM.
@@ -39,11 +46,21 @@
 
     def _listen(self) -> None:
         while True:
-            signal.sigwait(SIGNALS)
+            if signal.sigwait(SIGNALS) == signal.SIGHUP:
+                self._run_reload()
+                continue
             if self.stopping.is_set():
                 self.forced.set()
             self.stopping.set()
 
+    def _run_reload(self) -> None:
+        try:
+            if self._reload is not None:
+                self._reload()
+            log("reloaded", changed=self._reload is not None)
+        except Exception as exc:
+            log("reload_failed", error=repr(exc))
+
     def wait(self) -> None:
         """Return once a stop is asked for."""
         self.stopping.wait()
--- a/src/persimmonhitch/planner/main.py
+++ b/src/persimmonhitch/planner/main.py
@@ -23,7 +23,7 @@
 from ..entry.directory import SidecarInfo
 from ..ids import ConfigVersion, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
-from ..observe.logs import log, start_logs
+from ..observe.logs import flush_logs, log, start_logs
 from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
 from ..store.objects import Kind
@@ -135,13 +135,15 @@
     cfg = load_or_exit(PlannerSettings, Path(args["--settings"]))
     if args["--check"]:
         return 0
-    start_logs("planner", cfg.vm)
     life = Lifecycle()
+    # Before the logs: their thread would take the signals by their default.
     life.install_signals()
+    start_logs("planner", cfg.vm)
     planner = PlannerProcess.from_config(cfg)
     planner.start()
     print("started", flush=True)
     life.on_stop("planner", planner.stop)
     life.wait()
     life.stop()
+    flush_logs()
     return 0
--- a/src/persimmonhitch/sidecar/main.py
+++ b/src/persimmonhitch/sidecar/main.py
@@ -16,7 +16,7 @@
 
 from ..ids import Model, new_incarnation
 from ..kernel import Lifecycle
-from ..observe.logs import log, start_logs
+from ..observe.logs import announce, flush_logs, log, start_logs
 from ..observe.traces import Traces
 from ..platform.store_client import StoreClient
 from ..settings import load_or_exit
@@ -76,7 +76,7 @@
         self.server.start()
         self.registration.start(self._spec())
         log("started", upstream=self.cfg.upstream, port=self.server.port)
-        print(f"listening link={self.server.port}", flush=True)
+        announce(f"listening link={self.server.port}")
 
     def _copies_changed(self) -> None:
         self.server.report()
@@ -126,12 +126,14 @@
     cfg = load_or_exit(SidecarSettings, Path(args["--settings"]))
     if args["--check"]:
         return 0
-    start_logs("sidecar", cfg.vm)
     life = Lifecycle()
+    # Before the logs: their thread would take the signals by their default.
     life.install_signals()
+    start_logs("sidecar", cfg.vm)
     sidecar = Sidecar.from_config(cfg, life)
     sidecar.start()
     life.on_stop("sidecar", lambda: sidecar.stop(life))
     life.wait()
     life.stop()
+    flush_logs()
     return 0
--- a/src/persimmonhitch/standin/main.py
+++ b/src/persimmonhitch/standin/main.py
@@ -25,6 +25,7 @@
 from docopt import docopt
 
 from ..kernel import Lifecycle
+from ..observe.logs import announce
 from ..web import WebServer
 from ..web.server import App
 from .engine import EngineApp, EngineSpeed
@@ -56,7 +57,7 @@
     life.install_signals()
     server = WebServer(_app(args), args["--host"], int(args["--port"]), THREADS)
     server.start()
-    print(f"listening port={server.port}", flush=True)
+    announce(f"listening port={server.port}")
     life.wait()
     server.close()
     return 0
