Rare models load on a third of the engines; models not asked for yet stay

Staging left engines without what they held at first when callers came. Ruled out: lost orders, the lease (handed over in 0.1 s), unreachable engines.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -20,7 +20,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from ..fleet.config import ModelSpec
@@ -30,15 +30,24 @@
 """Times the demand that the last copy of a model is worth."""
 GAIN: Final = 1.5
 """Times by which the relief of a further copy must exceed what it displaces."""
-LOAD_FLOOR: Final = 40.0
-"""Tokens a second of relief that a second of loading must bring; a fortieth of what one
-engine reads, so that loads for a handful of calls don't take its place."""
+LOAD_FLOOR: Final = 400.0
+"""Tokens a second of relief that a second of loading must bring for a further copy: a
+load from the weight store has to serve a third of what an engine reads comfortably."""
+URGENT: Final = 6_000.0
+"""Relief from which a load may begin on any engine: the last copy of a model that gets
+a call a second. Others leave two thirds of the engines free of loads, since a load for
+a rare model would else keep a busy one waiting that is asked for a moment later."""
+RARE_PART: Final = 3
+"""One in so many engines may load at a time what is not urgent."""
 DISTURB: Final = 0.05
 """Part of the demand for models with adapters that a second of loading disturbs: an
 engine takes no order for an adapter while it loads a model."""
 IDLE_VALUE: Final = 100.0
-"""Tokens a second that a last copy is worth without any demand. It is little, since an
-engine that had a model before has it back from its disk within two seconds."""
+"""Tokens a second that a last copy is worth once its demand has ended. It is little,
+since an engine that had a model before has it back from its disk within two seconds."""
+FRESH_VALUE: Final = 2_000.0
+"""Tokens a second that a last copy is worth which nobody has asked for yet: one call a
+second. Demand moves on to such models; those it has left come back later."""
 COMFORT: Final = 12_000.0
 """Tokens a second that one copy serves without a wait: half of what an engine reads."""
 SPREAD_VALUE: Final = 0.3
@@ -88,6 +97,10 @@
             for model in (engine.models | engine.coming) - engine.leaving:
                 self.copies[model] = self.copies.get(model, 0) + 1
 
+    def loading(self) -> int:
+        """Return the engines that load a model now."""
+        return sum(bool(engine.coming) for engine in self.engines)
+
     def relief(self, model: Model) -> float:
         """Return what one more copy of a model is worth."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
@@ -99,7 +112,8 @@
         """Return what one copy of a model is worth."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
         if count <= 1:
-            return max(IDLE_VALUE, demand * LAST_COPY)
+            idle = IDLE_VALUE if model in self.demand else FRESH_VALUE
+            return max(idle, demand * LAST_COPY)
         more = _waiting(demand, count - 1) - _waiting(demand, count)
         return more + SPREAD_VALUE * demand / count
 
@@ -131,6 +145,8 @@
 def _best(board: _Board, model: Model, cold_allowed: bool) -> Move | None:
     best: tuple[float, Move] | None = None
     relief = board.relief(model)
+    if relief < URGENT and board.loading() >= max(1, len(board.engines) // RARE_PART):
+        return None
     near = _near_in(board, model)
     for engine in board.engines:
         if engine.busy_for > 0 or model in engine.models | engine.coming:
@@ -138,7 +154,8 @@
         move = _move(board, engine, model)
         if move is None or (move.cold and not cold_allowed):
             continue
-        if move.cold and near < move.seconds:
+        far = near == math.inf
+        if move.cold and (near < move.seconds or (relief < URGENT and not far)):
             # A load from the weight store keeps an engine from taking other orders
             # for several times as long; a place near the weights comes free sooner.
             continue
@@ -167,10 +184,13 @@
 def next_staging(
     specs: Mapping[Model, ModelSpec],
     demand: Mapping[Model, float],
+    able: Iterable[EngineView],
     engines: Iterable[EngineView],
 ) -> Move | None:
     """Return a load for a model whose weights are near no engine, while one is idle.
 
+    ``able`` are those of the engines that may be used for it.
+
     Its first callers would else wait for a load from the weight store, which takes
     several times as long as one from a disk, and longer than many of them have.
     """
@@ -180,7 +200,7 @@
         for model in specs
         if not board.copies.get(model) and _near_in(board, model) == math.inf
     ]
-    idle = [e for e in board.engines if e.busy_for <= 0 and _is_idle(board, e)]
+    idle = [e for e in able if e.busy_for <= 0 and _is_idle(board, e)]
     for model in far:
         moves = [move for e in idle if (move := _move(board, e, model)) is not None]
         if moves:
@@ -188,6 +208,33 @@
     return None
 
 
+def next_return(
+    specs: Mapping[Model, ModelSpec],
+    demand: Mapping[Model, float],
+    engines: Iterable[EngineView],
+    homes: Mapping[Upstream, frozenset[Model]],
+) -> Move | None:
+    """Return a load that brings back what staging took from its place.
+
+    What engines held when they were first seen was put there by whoever knows which
+    models are busy. Only while nobody asks for anything; demand decides after that.
+    """
+    board = _Board(specs, demand, list(engines))
+    if any(demand.values()):
+        return None
+    for engine in board.engines:
+        home = homes.get(engine.upstream, frozenset())
+        if engine.busy_for > 0:
+            continue
+        guests = engine.models - home
+        trimmed = replace(engine, settling=engine.models - guests)
+        for model in sorted(home - engine.models):
+            move = _move(board, trimmed, model) if model in specs else None
+            if move is not None and not move.cold:
+                return move
+    return None
+
+
 def _is_idle(board: _Board, engine: EngineView) -> bool:
     return not any(board.demand.get(m, 0.0) for m in engine.models | engine.coming)
 
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -13,7 +13,14 @@
 
 from ..decide.bursts import LoadRate
 from ..decide.demand import Demand
-from ..decide.residency import SETTLED, EngineView, Move, next_move, next_staging
+from ..decide.residency import (
+    SETTLED,
+    EngineView,
+    Move,
+    next_move,
+    next_return,
+    next_staging,
+)
 from ..fleet.config import EngineSpec, FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
@@ -106,6 +113,10 @@
         self._in_use: dict[Vm, tuple[float, frozenset[str]]] = {}
         self._active = False
         self._refreshing: set[Upstream] = set()
+        self._homes: dict[Upstream, frozenset[Model]] = {}
+        self._staged: set[Upstream] = set()
+        """Engines that have loaded a far model while idle; once is enough for each,
+        since callers may come at any moment."""
         self._told_at = 0.0
         self._heard_at = -HOLDER_SILENT
         self._lock = threading.Lock()
@@ -391,14 +402,31 @@
             views = [_view(desk, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
             move = next_move(spec.models, demand, views, cold)
-            if move is None and cold:
-                move = next_staging(spec.models, demand, views)
+            if move is None:
+                move = self._idle_move(spec, demand, views, cold)
             if move is None:
                 return
             if move.cold:
                 self._rate.take(spec.loads_per_second, now)
             self._begin_load(by_name[move.upstream], move, demand)
 
+    def _idle_move(
+        self,
+        spec: EngineSpec,
+        demand: dict[Model, float],
+        views: list[EngineView],
+        cold: bool,
+    ) -> Move | None:
+        for view in views:
+            if view.models:
+                self._homes.setdefault(view.upstream, view.models)
+        unstaged = [v for v in views if v.upstream not in self._staged]
+        staging = next_staging(spec.models, demand, unstaged, views) if cold else None
+        if staging is not None:
+            self._staged.add(staging.upstream)
+            return staging
+        return next_return(spec.models, demand, views, self._homes)
+
     def _begin_load(self, desk: Desk, move: Move, demand: dict[Model, float]) -> None:
         desk.engine.loading = move.model
         desk.engine.leaving = frozenset(move.victims)
