--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -23,7 +23,7 @@
 
 FETCH_COST: Final = 0.08
 """Seconds of waiting that a call takes on to stay where its adapter is."""
-ZONE_COST: Final = 0.01
+ZONE_COST: Final = 0.04
 """Seconds; see the module."""
 READ_RATE: Final = 15_000.0
 """Prompt tokens a second that an engine reads; a third less than the published rate of
--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -204,7 +204,7 @@
     for model in far:
         moves = [move for e in idle if (move := _move(board, e, model)) is not None]
         if moves:
-            return min(moves, key=lambda m: _staging_cost(board, m))
+            return min(moves, key=lambda move: len(move.victims))
     return None
 
 
@@ -239,12 +239,6 @@
     return not any(board.demand.get(m, 0.0) for m in engine.models | engine.coming)
 
 
-def _staging_cost(board: _Board, move: Move) -> tuple[int, int]:
-    """Prefer few victims, and models with one copy: more copies were put there."""
-    spread = sum(board.copies.get(victim, 1) for victim in move.victims)
-    return len(move.victims), spread
-
-
 def _disturbed(board: _Board, engine: EngineView, move: Move) -> float:
     """Return the demand at an engine for models whose adapters it could not load."""
     staying = engine.models - engine.leaving - frozenset(move.victims)
--- a/src/persimmonhitch/decide/trust.py
+++ b/src/persimmonhitch/decide/trust.py
@@ -8,8 +8,12 @@
 A connection that is refused or times out takes an upstream out at once, since no call
 can run there: for ``OUT_FIRST``, doubled at each repeat up to ``OUT_MOST``. Answers
 that fail take it out after ``FAILURES`` of the last ``WINDOW``, as one that loses a
-part of its requests answers others between them. It returns by ``RETURN_SECONDS`` of a
-rising part, so that one that is still failing is found out with few calls.
+part of its requests answers others between them. One that is silent while calls run
+there, for ``SILENT`` seconds, gets no more of them: a VM without power refuses nothing,
+and each call that it gets is lost only when its caller gives up.
+
+It returns with one call at a time, and from the first good answer by a part that rises
+over ``RETURN_SECONDS``, so that one that still fails is found out with few calls.
 """
 
 from dataclasses import dataclass, field
@@ -24,7 +28,10 @@
 """Failures among the last calls; an upstream that fails one in ten by chance reaches
 four of ten in one of a hundred windows."""
 RETURN_SECONDS: Final = 2.0
-RETURN_LEAST: Final = 0.1
+RETURN_LEAST: Final = 0.01
+"""Part of its work that is one call at a time."""
+SILENT: Final = 0.7
+"""Seconds; engines send tokens each 10 to 50 ms, plain services answer in as many."""
 
 
 @dataclass
@@ -34,14 +41,16 @@
     _recent: list[bool] = field(default_factory=list)
     _out_until: float = 0.0
     _out_for: float = 0.0
-    _returned: bool = True
+    _good_from: float | None = None
+    """When the first good answer came since it was taken out."""
 
-    def ok(self) -> None:
+    def ok(self, now: float) -> None:
         """Note an answer that is as it should be."""
         self._note(False)
-        if sum(self._recent) == 0:
+        if self._good_from is None:
+            self._good_from = now
+        elif now - self._good_from > RETURN_SECONDS and sum(self._recent) == 0:
             self._out_for = 0.0
-            self._returned = True
 
     def failed(self, now: float) -> bool:
         """Note an answer that failed; return whether it takes the upstream out."""
@@ -66,13 +75,28 @@
         self._out_for = min(OUT_MOST, max(OUT_FIRST, self._out_for * 2))
         self._out_until = now + self._out_for
         self._recent.clear()
-        self._returned = False
+        self._good_from = None
 
     def part(self, now: float) -> float:
         """Return the part of its usual work that it gets now, from 0 to 1."""
         if now < self._out_until:
             return 0.0
-        if self._returned:
+        if self._out_for == 0.0:
             return 1.0
-        risen = (now - self._out_until) / RETURN_SECONDS
+        if self._good_from is None:
+            return RETURN_LEAST
+        risen = (now - self._good_from) / RETURN_SECONDS
         return min(1.0, max(RETURN_LEAST, risen))
+
+
+def is_silent(running: int, heard_at: float, oldest_at: float, now: float) -> bool:
+    """Return whether an upstream has said nothing to the calls that run there.
+
+    Parameters
+    ----------
+    running : int
+        Calls of this entry there.
+    heard_at, oldest_at : float
+        When it last said anything, and when it was last without a call.
+    """
+    return running > 0 and now - max(heard_at, oldest_at) > SILENT
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -57,6 +57,10 @@
         self._was_read = False
         self._released = False
 
+    def heard(self) -> None:
+        """Note that the upstream has said something."""
+        self._owner.heard(self.record)
+
     def first_token(self) -> None:
         """Note that the upstream has read the prompt."""
         if not self._was_read:
@@ -244,10 +248,18 @@
 
     def ok(self, record: UpstreamRecord) -> None:
         """Note an answer that is as it should be."""
+        now = self._clock()
         with self._lock:
             known = self._lanes.get(record.name)
             if known is not None:
-                known.trust.ok()
+                known.heard_at = now
+                known.trust.ok(now)
+
+    def heard(self, record: UpstreamRecord) -> None:
+        """Note a sign of life; without the lock, since each token is one."""
+        known = self._lanes.get(record.name)
+        if known is not None:
+            known.heard_at = self._clock()
 
     def news(self) -> NodeNews:
         """Return this entry's work for its peers; what it spent is left empty."""
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -417,6 +417,8 @@
             try:
                 splitter = EventSplitter()
                 for part in reply.parts():
+                    if flight.permit is not None:
+                        flight.permit.heard()
                     for event in splitter.take(part):
                         if first:
                             first = False
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..decide.dispatch import READ_RATE, Lane, Need
-from ..decide.trust import Trust
+from ..decide.trust import Trust, is_silent
 from ..fleet.call import Load
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import Holding, UpstreamRecord
@@ -39,6 +39,8 @@
     tokens: int = 0
     unread: int = 0
     adapters: dict[tuple[Model, Adapter], int] = field(default_factory=dict)
+    idle_until: float = 0.0
+    """When the first of the calls that run now was sent."""
 
 
 @dataclass
@@ -52,6 +54,8 @@
     busy_until: float = 0.0
     """Until when it loads a model and takes no other order."""
     trust: Trust = field(default_factory=Trust)
+    heard_at: float = 0.0
+    """When it last said anything to a call of this entry."""
     read_rate: float = READ_RATE
     missing: dict[tuple[Model, Adapter | None], float] = field(default_factory=dict)
     load: Load | None = None
@@ -143,6 +147,8 @@
     def start(self, upstream: Upstream, need: Need) -> None:
         """Count a call that is sent."""
         work = self._mine[upstream]
+        if not work.requests:
+            work.idle_until = self._clock()
         work.requests += 1
         work.tokens += need.tokens
         work.unread += need.prompt
@@ -200,6 +206,7 @@
         mine = self._mine[name]
         others = list(self._others(name))
         model = need.model
+        silent = is_silent(mine.requests, known.heard_at, mine.idle_until, now)
         return Lane(
             upstream=name,
             zone=known.record.zone,
@@ -212,7 +219,7 @@
             adapter_here=model is not None and known.has(model, need.adapter, now),
             fetches=now >= known.busy_until,
             read_rate=known.read_rate,
-            trust=known.trust.part(now),
+            trust=0.0 if silent else known.trust.part(now),
         )
 
     def running(self) -> tuple[Running, ...]:
