A failure that all engines share takes none of them out

Found by the lines upstream_out and the reasons of refusals. Ruled out: the lease (handed over in 0.1 s), loads (few before second 20).

--- a/src/persimmonhitch/decide/trust.py
+++ b/src/persimmonhitch/decide/trust.py
@@ -16,6 +16,7 @@
 over ``RETURN_SECONDS``, so that one that still fails is found out with few calls.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -30,6 +31,10 @@
 RETURN_SECONDS: Final = 2.0
 RETURN_LEAST: Final = 0.01
 """Part of its work that is one call at a time."""
+MOST_FAILING: Final = 0.34
+"""Part of a service's upstreams that may be kept from work because their answers fail.
+Where more of them fail the cause is not the upstream, and those that are left could
+not take the calls of all."""
 SILENT: Final = 0.7
 """Seconds; engines send tokens each 10 to 50 ms, plain services answer in as many."""
 
@@ -41,6 +46,8 @@
     _recent: list[bool] = field(default_factory=list)
     _out_until: float = 0.0
     _out_for: float = 0.0
+    reachable: bool = True
+    """Whether it took connections when it was last taken out."""
     _good_from: float | None = None
     """When the first good answer came since it was taken out."""
 
@@ -58,6 +65,7 @@
         if sum(self._recent) < FAILURES or now < self._out_until:
             return False
         self._take_out(now)
+        self.reachable = True
         return True
 
     def unreachable(self, now: float) -> bool:
@@ -65,6 +73,7 @@
         if now < self._out_until:
             return False
         self._take_out(now)
+        self.reachable = False
         return True
 
     def _note(self, failure: bool) -> None:
@@ -89,6 +98,23 @@
         return min(1.0, max(RETURN_LEAST, risen))
 
 
+def parts(trusts: Sequence[Trust], now: float) -> list[float]:
+    """Return the parts of their usual work that the upstreams of a service get.
+
+    Parameters
+    ----------
+    trusts : sequence of Trust
+        One for each upstream.
+    now : float
+        Monotonic seconds.
+    """
+    found = [trust.part(now) for trust in trusts]
+    failing = [t.reachable and p < 1.0 for t, p in zip(trusts, found, strict=True)]
+    if sum(failing) <= len(trusts) * MOST_FAILING:
+        return found
+    return [1.0 if f else p for f, p in zip(failing, found, strict=True)]
+
+
 def is_silent(running: int, heard_at: float, oldest_at: float, now: float) -> bool:
     """Return whether an upstream has said nothing to the calls that run there.
 
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..decide.dispatch import READ_RATE, Lane, Need
-from ..decide.trust import Trust, is_silent
+from ..decide.trust import Trust, is_silent, parts
 from ..fleet.call import Load
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import Holding, UpstreamRecord
@@ -195,13 +195,17 @@
         spec = self._cfg.services.get(need.service) if self._cfg else None
         kv_tokens = spec.engine.kv_tokens if spec and spec.engine else 0
         now = self._clock()
+        every = self._by_service[need.service]
+        trusted = parts([known.trust for known in every], now)
         return [
-            self._lane(known, need, kv_tokens, now)
-            for known in self._by_service[need.service]
+            self._lane(known, need, kv_tokens, part, now)
+            for known, part in zip(every, trusted, strict=True)
             if known.record.name not in excluded
         ]
 
-    def _lane(self, known: Known, need: Need, kv_tokens: int, now: float) -> Lane:
+    def _lane(
+        self, known: Known, need: Need, kv_tokens: int, part: float, now: float
+    ) -> Lane:
         name = known.record.name
         mine = self._mine[name]
         others = list(self._others(name))
@@ -219,7 +223,7 @@
             adapter_here=model is not None and known.has(model, need.adapter, now),
             fetches=now >= known.busy_until,
             read_rate=known.read_rate,
-            trust=0.0 if silent else known.trust.part(now),
+            trust=0.0 if silent else part,
         )
 
     def running(self) -> tuple[Running, ...]:
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -21,6 +21,7 @@
     SILENT,
     Trust,
     is_silent,
+    parts,
 )
 from persimmonhitch.fleet.config import ModelSpec
 from persimmonhitch.ids import Adapter, Model, Service, Upstream, Vm, Zone
@@ -131,6 +132,33 @@
     assert trust.part(back + RETURN_SECONDS) == 1.0
 
 
+def test_a_failure_that_all_share_takes_nobody_out():
+    """All engines fail every second request for some seconds. Taken out one after the
+    other, none would be left, and all calls would be refused for longer than the
+    failure lasts; callers saw ten seconds of refusals.
+    """
+    trusts = [Trust() for _ in range(6)]
+    for trust in trusts:
+        for _ in range(FAILURES):
+            trust.failed(0.0)
+    assert parts(trusts, 0.1) == [1.0] * 6
+
+
+def test_a_failure_of_a_few_takes_them_out():
+    trusts = [Trust() for _ in range(6)]
+    for trust in trusts[:2]:
+        for _ in range(FAILURES):
+            trust.failed(0.0)
+    assert parts(trusts, 0.1) == [0.0, 0.0, 1.0, 1.0, 1.0, 1.0]
+
+
+def test_what_cannot_be_reached_is_out_however_many_there_are():
+    trusts = [Trust() for _ in range(3)]
+    for trust in trusts:
+        trust.unreachable(0.0)
+    assert parts(trusts, 0.1) == [0.0, 0.0, 0.0]
+
+
 def test_one_that_fails_again_stays_out_longer():
     trust = Trust()
     trust.unreachable(0.0)
