--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -66,6 +66,8 @@
     read_rate: float = READ_RATE
     trust: float = 1.0
     """Part of its usual work that it gets while it returns from failures; 0 is none."""
+    silent: bool = False
+    """Whether it says nothing to the calls that run there."""
 
 
 class Step(Enum):
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -197,11 +197,30 @@
         now = self._clock()
         every = self._by_service[need.service]
         trusted = parts([known.trust for known in every], now)
-        return [
+        able = {
+            known.record.name
+            for known in every
+            if need.model is None or known.has(need.model, None, now)
+        }
+        lanes = [
             self._lane(known, need, kv_tokens, part, now)
             for known, part in zip(every, trusted, strict=True)
             if known.record.name not in excluded
         ]
+        self._trust_the_last(lanes, able)
+        return lanes
+
+    def _trust_the_last(self, lanes: list[Lane], able: set[Upstream]) -> None:
+        """Let failing upstreams work that are all there are for a call.
+
+        An answer in two is more than none: their callers would be refused at once.
+        """
+        left = [lane for lane in lanes if lane.upstream in able]
+        if any(lane.trust >= 1.0 for lane in left):
+            return
+        for lane in left:
+            if self._known[lane.upstream].trust.reachable and not lane.silent:
+                lane.trust = 1.0
 
     def _lane(
         self, known: Known, need: Need, kv_tokens: int, part: float, now: float
@@ -224,6 +243,7 @@
             fetches=now >= known.busy_until,
             read_rate=known.read_rate,
             trust=0.0 if silent else part,
+            silent=silent,
         )
 
     def running(self) -> tuple[Running, ...]:
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from persimmonhitch.decide.dispatch import Need
+from persimmonhitch.decide.trust import FAILURES
 from persimmonhitch.direct.abort import Abort
 from persimmonhitch.direct.dispatcher import Dispatcher
 from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
@@ -90,3 +91,21 @@
     made.update([record("e1", draining=True), record("e2")])
     for _ in range(2):
         assert made.acquire(need(), abort()).unwrap().record.name == "e2"
+
+
+def test_the_only_engine_with_a_model_is_used_though_its_answers_fail():
+    """One engine alone holds a model, and some of its answers fail. Kept from work for
+    that, every caller of the model is refused, where most would have been served.
+    """
+    other = Model("other")
+    made = dispatcher(record("e1"), *(record(f"e{n}", (other,)) for n in (2, 3, 4)))
+    for _ in range(FAILURES):
+        made.failed(record("e1"), unreachable=False)
+    assert made.acquire(need(), abort()).unwrap().record.name == "e1"
+
+
+def test_an_engine_that_takes_no_connection_is_not_used():
+    made = dispatcher(record("e1"), record("e2"))
+    made.failed(record("e1"), unreachable=True)
+    for _ in range(2):
+        assert made.acquire(need(), abort()).unwrap().record.name == "e2"
