--- a/src/persimmonhitch/observe/logs.py
+++ b/src/persimmonhitch/observe/logs.py
@@ -15,8 +15,8 @@
 FLUSH_LIMIT: Final = 0.5
 """Seconds that the end of a process waits for its last lines."""
 SAMPLED_LINES: Final = 50
-"""Lines a second of answers that went well: enough to see a process at work, and a bound
-on what they cost however many requests come."""
+"""Lines a second of answers that went well: enough to see a process at work, and a
+bound on what they cost however many requests come."""
 QUOTED: Final = frozenset(' "=\n\t\r')
 
 
