--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -273,6 +273,9 @@
 
     def tick(self) -> None:
         """Look again at what waits; upstreams return to trust with time alone."""
+        now = self._clock()
         with self._lock:
+            wanted = self._wanted.items()
+            self._wanted = {w: at for w, at in wanted if now - at < WANT_AGAIN}
             if self._waiters:
                 self._match()
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -106,6 +106,9 @@
             old.record = record
             known[record.name] = old
         self._known = known
+        mine = self._mine.items()
+        kept = {name: w for name, w in mine if w.requests or name in known}
+        self._mine = defaultdict(Work, kept)
         self._by_service = defaultdict(list)
         for item in known.values():
             if not item.record.draining:
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -109,3 +109,24 @@
     made.failed(record("e1"), unreachable=True)
     for _ in range(2):
         assert made.acquire(need(), abort()).unwrap().record.name == "e2"
+
+
+def test_nothing_is_kept_of_upstreams_that_are_gone():
+    """Upstreams are replaced day and night, each under a new name. An entry that keeps
+    something of each grows until it is ended for its memory, with all of its calls.
+    """
+    made = dispatcher(record("e0"))
+    for number in range(50):
+        name = f"e{number}"
+        made.update([record(name, models=())])
+        assert made.acquire(need(deadline=0.01), abort()).failure()
+        made.update([record(name)])
+        made.acquire(need(), abort()).unwrap().release()
+    made.update([record("last")])
+    assert len(made._lanes._mine) <= 1
+
+    def forgotten():
+        made.tick()
+        return not made._wanted
+
+    wait_for(forgotten, "what was asked for to be forgotten")
