A soak of real entries; orders wait where their history is not known

A link that had ended also counted as proof that the holder had; it may be cut. Ruled out: orders carried out late (the engine judges when they arrive). Now a released lease tells who held it, and a young process waits unless the process before it on its VM had held the lease for the whole guard. Before: four new cases of test_direct_lease fail. After: they pass. Soak: entries as processes, faults by relays and signals, checks from what callers and upstreams saw.

--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -1,27 +1,89 @@
-"""A relay of TCP connections that a test can cut."""
+"""A relay of TCP connections that a test can cut, hold up, silence and reset."""
 
 import contextlib
 import socket
+import struct
 import threading
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Linger of no time: a close then resets the connection."""
+BLOCK: Final = 65536
+
+
+class Way(Enum):
+    """Direction in which bytes pass."""
+
+    IN = "in"
+    """From whoever connects to the target."""
+    OUT = "out"
+
+
+@dataclass(eq=False)
+class _Pair:
+    client: socket.socket
+    server: socket.socket
+    muted: threading.Event = field(default_factory=threading.Event)
+
+    def reset(self) -> None:
+        for sock in (self.client, self.server):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            with contextlib.suppress(OSError):
+                # A close alone would not wake the thread that waits in a read.
+                sock.shutdown(socket.SHUT_RD)
+            sock.close()
 
 
 class Relay:
-    """Passes connections on to a port; while it is cut, nothing passes."""
+    """Passes connections on to a port, as far as its faults let them.
 
-    def __init__(self, port: int) -> None:
-        self.target = ("127.0.0.1", port)
+    ``delay`` is seconds before each block of bytes. Bytes of a stalled way are held
+    back and pass when it is free again; those of a muted connection never pass.
+    """
+
+    def __init__(self, port: int, host: str = "127.0.0.1") -> None:
+        self.target = (host, port)
         self.cut = False
-        self._open: set[socket.socket] = set()
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.delay = 0.0
+        self._free = {way: threading.Event() for way in Way}
+        self.free()
+        self._open: set[_Pair] = set()
+        self._listener = socket.create_server((host, 0))
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
     def set_cut(self, cut: bool) -> None:
         """Cut the way, with what is open on it, or mend it."""
         self.cut = cut
-        for sock in list(self._open) if cut else ():
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        for pair in list(self._open) if cut else ():
+            for sock in (pair.client, pair.server):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+    def stall(self, *ways: Way) -> None:
+        """Hold back the bytes of some ways, of new connections too."""
+        for way in ways or Way:
+            self._free[way].clear()
+
+    def free(self) -> None:
+        """Let bytes pass again, without delay."""
+        self.delay = 0.0
+        for event in self._free.values():
+            event.set()
+
+    def mute(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        for pair in list(self._open):
+            pair.muted.set()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for pair in list(self._open):
+            pair.reset()
 
     def close(self) -> None:
         """Cut all and listen no more."""
@@ -37,15 +99,39 @@
             if self.cut:
                 client.close()
                 continue
+            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+
+    def _connect(self, client: socket.socket) -> None:
+        try:
             server = socket.create_connection(self.target)
-            for pair in ((client, server), (server, client)):
-                threading.Thread(target=self._pass, args=pair, daemon=True).start()
-
-    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
-        self._open.add(source)
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                sink.sendall(data)
-        self._open.discard(source)
-        with contextlib.suppress(OSError):
-            sink.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # As if the caller had met the closed port itself.
+            _Pair(client, client).reset()
+            return
+        for sock in (client, server):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = _Pair(client, server)
+        self._open.add(pair)
+        args = (pair, server, client, Way.OUT)
+        threading.Thread(target=self._pass, args=args, daemon=True).start()
+        self._pass(pair, client, server, Way.IN)
+
+    def _pass(
+        self, pair: _Pair, source: socket.socket, sink: socket.socket, way: Way
+    ) -> None:
+        try:
+            while data := source.recv(BLOCK):
+                time.sleep(self.delay)
+                self._free[way].wait()
+                if not pair.muted.is_set():
+                    sink.sendall(data)
+            self._free[way].wait()
+            if not pair.muted.is_set():
+                sink.shutdown(socket.SHUT_WR)
+        except ConnectionResetError:
+            pair.reset()
+        except OSError:
+            with contextlib.suppress(OSError):
+                sink.shutdown(socket.SHUT_RDWR)
+        if way is Way.OUT:
+            self._open.discard(pair)
--- a/src/persimmonhitch/direct/handover.py
+++ b/src/persimmonhitch/direct/handover.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from ..ids import Upstream, Vm
+from ..planner.lease import Predecessor
 
 
 @dataclass(frozen=True)
@@ -23,10 +24,12 @@
     """Orders of other entries, as they told them; times are monotonic seconds."""
 
     def __init__(
-        self, guard: float, clock: Callable[[], float] = time.monotonic
+        self, vm: Vm, guard: float, clock: Callable[[], float] = time.monotonic
     ) -> None:
+        self._vm = vm
         self._guard = guard
         self._clock = clock
+        self._started_at = clock()
         self._last: dict[Upstream, _LastOrder] = {}
         self._resigned: set[Vm] = set()
 
@@ -45,7 +48,11 @@
             self._last[upstream] = _LastOrder(vm, -1, now - age)
 
     def free_from(
-        self, upstream: Upstream, began_at: float, before: Vm | None, ended: bool
+        self,
+        upstream: Upstream,
+        began_at: float,
+        before: Predecessor | None,
+        ended: bool,
     ) -> float:
         """Return the time from which an engine may be ordered.
 
@@ -53,13 +60,28 @@
         ----------
         began_at : float
             When the lease was taken.
-        before : Vm or None
-            Who held it before; None for this VM itself or nobody.
+        before : Predecessor or None
+            Who held it before; None if nobody ever did.
         ended : bool
             Whether the process of ``before`` is known to have ended. Where it is not
             and did not resign, it may have sent orders until its lease was over.
         """
-        if before is not None and not ended and before not in self._resigned:
+        if before is None:
+            return began_at
+        if before.vm != self._vm and not ended and before.vm not in self._resigned:
             return began_at + self._guard
         last = self._last.get(upstream)
-        return began_at if last is None else last.at + self._guard
+        free = began_at if last is None else last.at + self._guard
+        return max(free, self._complete_from(before))
+
+    def _complete_from(self, before: Predecessor) -> float:
+        """Return the time from which this history holds all orders that still count.
+
+        A process that has just started was told of none of those before, however
+        properly their sender resigned: in a restart of all entries in turn it would
+        order engines moments after the last holder.
+        """
+        if before.vm == self._vm and before.held_for >= self._guard:
+            # For so long, nobody but the last process on this VM gave orders.
+            return self._started_at
+        return self._started_at + self._guard
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -184,7 +184,13 @@
             self._desks = {}
         self._rate = LoadRate()
         self._active = True
-        log("orders_begin", epoch=self.lease.epoch(), before=self.lease.before or "-")
+        before = self.lease.before
+        log(
+            "orders_begin",
+            epoch=self.lease.epoch(),
+            before=before.vm if before else "-",
+            held_for=before.held_for if before else 0.0,
+        )
 
     def _open_desks(self) -> None:
         with self._lock:
--- a/src/persimmonhitch/direct/leaseholder.py
+++ b/src/persimmonhitch/direct/leaseholder.py
@@ -6,9 +6,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final, Protocol
 
-from ..ids import Epoch, Upstream, Vm
+from ..ids import Epoch, Incarnation, Upstream, Vm
 from ..observe.logs import log
-from ..planner.lease import LeaseKeeper
+from ..planner.lease import LeaseKeeper, Predecessor
 from ..store.objects import Version
 from .handover import OrderHistory
 from .news import HoldingNews, Renewed, Resigned, StoreAnswer, StoreAsk
@@ -34,8 +34,8 @@
     def listed(self) -> frozenset[Vm]:
         """Return all other entries, in reach or not."""
 
-    def linked(self, vm: Vm) -> bool:
-        """Return whether a link to an entry is open."""
+    def restarted(self, vm: Vm, old: Incarnation) -> bool:
+        """Return whether another process than ``old`` has greeted from a VM."""
 
 
 class LeaseHolder:
@@ -43,6 +43,8 @@
 
     Parameters
     ----------
+    vm : Vm
+        This VM.
     lease : LeaseKeeper
         The lease in the store.
     peers : Peers
@@ -55,6 +57,7 @@
 
     def __init__(
         self,
+        vm: Vm,
         lease: LeaseKeeper,
         peers: Peers,
         last_orders: Callable[[], Mapping[Upstream, float]],
@@ -65,7 +68,7 @@
         self._peers = peers
         self._last_orders = last_orders
         self._clock = clock
-        self._history = OrderHistory(guard, clock)
+        self._history = OrderHistory(vm, guard, clock)
         self._away: dict[Vm, float] = {}
         self._heard_at = -HOLDER_SILENT
         self._kick = threading.Event()
@@ -74,8 +77,8 @@
         self._thread = threading.Thread(target=self._run, name="lease", daemon=True)
 
     @property
-    def before(self) -> Vm | None:
-        """Return who held the lease before; None for this VM or nobody."""
+    def before(self) -> Predecessor | None:
+        """Return who held the lease before; None for nobody."""
         return self._lease.before
 
     def start(self) -> None:
@@ -109,7 +112,10 @@
     def free_from(self, upstream: Upstream, began_at: float) -> float:
         """Return the time from which an engine may be ordered from here."""
         before = self._lease.before
-        ended = before is not None and not self._peers.linked(before)
+        # A link that has ended says nothing: it may be cut while the process goes on.
+        ended = before is not None and self._peers.restarted(
+            before.vm, before.incarnation
+        )
         return self._history.free_from(upstream, began_at, before, ended)
 
     def _run(self) -> None:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -23,7 +23,7 @@
 from ..fleet.config import NOTHING, FleetConfig
 from ..fleet.routes import RouteTable
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Vm, Zone, new_incarnation
+from ..ids import Incarnation, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..kernel.service import run_service
 from ..limits.pooled import NEWS_EVERY
@@ -114,7 +114,7 @@
         guard = cfg.order_guard_ms / 1000
         self.leader = Leader(
             self.vm,
-            lambda last_orders: LeaseHolder(lease, self, last_orders, guard),
+            lambda last_orders: LeaseHolder(self.vm, lease, self, last_orders, guard),
             self._tell_holding,
         )
         self.lease = self.leader.lease
@@ -242,9 +242,9 @@
         """Return all other entries."""
         return self.peers
 
-    def linked(self, vm: Vm) -> bool:
-        """Return whether a link to an entry is open."""
-        return any(peer.vm == vm for peer in self.mesh.peers())
+    def restarted(self, vm: Vm, old: Incarnation) -> bool:
+        """Return whether another process than ``old`` has greeted from a VM."""
+        return self.mesh.incarnation(vm) not in (None, old)
 
     def _want(self, msg: Want) -> None:
         self.leader.hear_want(msg)
@@ -263,12 +263,14 @@
         for server in (self.server, *self.status):
             server.start()
         host, _ = self.cfg.link[0]
+        own = (host, self.mesh.port)
+        link_host, link_port = (*self.cfg.advertised, own)[0]
         self.registration.start(
             {
                 "zone": self.cfg.zone,
                 "region": self.cfg.region,
-                "link_host": host,
-                "link_port": self.mesh.port,
+                "link_host": link_host,
+                "link_port": link_port,
             }
         )
         threading.Thread(target=self._tick, name="tick", daemon=True).start()
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -20,6 +20,9 @@
     link: Addresses = setting("link", "address", "address that other entries reach")
     secret: str = setting("link", "secret", "shared secret of the fleet")
     store: str = setting("store", "url", "base address of the platform's store")
+    advertised: Addresses = setting(
+        "link", "advertised", "address told to other entries, if not the link's own", ()
+    )
     threads: int = setting(
         "http", "threads", "most requests at a time, a thread for each", 192, 8, 1024
     )
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -8,7 +8,7 @@
 
 from returns.result import Success
 
-from ..ids import Region, Vm, Zone
+from ..ids import Incarnation, Region, Vm, Zone
 from ..observe.logs import log
 from ..store.objects import StoredObject
 from ..store.watcher import View
@@ -82,6 +82,7 @@
         self._infos: dict[Vm, PeerInfo] = {}
         self._links: dict[Vm, Link] = {}
         self._greeted: dict[Link, Hello] = {}
+        self._incarnations: dict[Vm, Incarnation] = {}
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._handling = ThreadPoolExecutor(1, thread_name_prefix="peer-messages")
@@ -130,6 +131,11 @@
             unlisted = others.keys() - self._infos.keys() - {self.vm}
             return (*linked, *(PeerInfo.from_hello(others[vm]) for vm in unlisted))
 
+    def incarnation(self, vm: Vm) -> Incarnation | None:
+        """Return the newest process that has greeted from a VM, gone or not."""
+        with self._lock:
+            return self._incarnations.get(vm)
+
     def send(self, vm: Vm, msg: Any) -> bool:
         """Send a message to one entry; False when no link to it is open."""
         with self._lock:
@@ -223,6 +229,7 @@
         with self._lock:
             if not link.ended.is_set():
                 self._greeted[link] = msg
+                self._incarnations[msg.vm] = msg.incarnation
         return True
 
     def on_close(self, link: Link) -> None:
--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -17,7 +17,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from returns.result import Success
@@ -46,6 +46,8 @@
     epoch: int
     renewals: int
     duration: float
+    last: str = NOBODY
+    """Who held it before it was released; whoever is next has to know."""
 
     @classmethod
     def from_object(cls, obj: StoredObject) -> "LeaseSpec":
@@ -57,6 +59,7 @@
             int(spec["epoch"]),
             int(spec["renewals"]),
             float(spec["duration"]),
+            str(spec.get("last", NOBODY)),
         )
 
     def spec(self) -> dict[str, Any]:
@@ -64,6 +67,16 @@
         return dict(vars(self))
 
 
+@dataclass(frozen=True)
+class Predecessor:
+    """Who held the lease before, as the store's object tells it."""
+
+    vm: Vm
+    incarnation: Incarnation
+    held_for: float
+    """Seconds for which it held the lease at least."""
+
+
 class LeaseKeeper:
     """Takes, renews and releases the lease; ``epoch`` may be called by any thread.
 
@@ -108,8 +121,8 @@
         self._away = False
         self._stepped_at = 0.0
         self._resigned: tuple[str, int] | None = None
-        self.before: Vm | None = None
-        """Who held the lease before it was ours; None for this VM or nobody."""
+        self.before: Predecessor | None = None
+        """Who held the lease before it was ours, this VM included; None for nobody."""
 
     @property
     def step_every(self) -> float:
@@ -203,7 +216,7 @@
         if held is None:
             return
         spec = LeaseSpec.from_object(held)
-        freed = LeaseSpec(NOBODY, NOBODY, spec.epoch, spec.renewals + 1, spec.duration)
+        freed = replace(spec, holder=NOBODY, renewals=spec.renewals + 1, last=self._vm)
         self._store.update(held, freed.spec())
 
     def _lapse(self, held: StoredObject, paused: bool) -> None:
@@ -234,10 +247,14 @@
         if self._is_lost_answer(obj, old):
             return
         if self._free(obj, old):
-            before = None if old.holder in (NOBODY, self._vm) else Vm(old.holder)
-            self.before = before
+            self.before = self._predecessor(old)
             self._write(obj, max(old.epoch, self._least_epoch) + 1, 0)
 
+    def _predecessor(self, old: LeaseSpec) -> Predecessor:
+        renewed = max(0, old.renewals - 1) * self.step_every
+        vm = old.last if old.holder == NOBODY else old.holder
+        return Predecessor(Vm(vm), Incarnation(old.incarnation), renewed)
+
     def _free(self, obj: StoredObject, old: LeaseSpec) -> bool:
         now = self._clock()
         # A process that starts on a VM is proof that the one before it has ended.
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real entries as processes, faults from outside them."""
--- /dev/null
+++ b/tests/soak/entries.py
@@ -0,0 +1,149 @@
+"""Entries as processes, with relays before their callers, their store and links."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from relay import Relay
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START_LIMIT = 20.0
+GRACE = 8.0
+STOP_SLACK = 2.0
+"""Seconds beyond the grace period for the end of the process itself."""
+
+
+def free_port():
+    """Return a port that nobody listens on now."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+class Entry:
+    """One entry VM: a process that is started anew whenever it has ended."""
+
+    def __init__(self, name, zone, store_port, folder, records):
+        self.name = name
+        self.records = records
+        self.incarnation = 0
+        self.popen = None
+        self.paused = False
+        self.terming = False
+        self._folder = folder
+        ports = {key: free_port() for key in ("callers", "ready", "metrics", "link")}
+        self.ready_port = ports["ready"]
+        self.relays = {
+            "store": Relay(store_port),
+            "link": Relay(ports["link"]),
+            "callers": Relay(ports["callers"]),
+        }
+        self.port = self.relays["callers"].port
+        self.settings = folder / f"{name}.ini"
+        self.settings.write_text(self._ini(zone, ports))
+        self.lock = threading.RLock()
+
+    def _ini(self, zone, ports):
+        return f"""
+[vm]
+name = {self.name}
+zone = {zone}
+region = r1
+[http]
+callers = 127.0.0.1:{ports["callers"]}
+ready = 127.0.0.1:{ports["ready"]}
+metrics = 127.0.0.1:{ports["metrics"]}
+threads = 48
+[link]
+address = 127.0.0.1:{ports["link"]}
+advertised = 127.0.0.1:{self.relays["link"].port}
+secret = soak
+[store]
+url = http://127.0.0.1:{self.relays["store"].port}
+"""
+
+    def start(self):
+        """Start the process."""
+        with self.lock:
+            self.incarnation += 1
+            log = (self._folder / f"{self.name}.log").open("a")
+            args = [sys.executable, "-m", "persimmonhitch.direct"]
+            self.popen = subprocess.Popen(
+                [*args, f"--settings={self.settings}"],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                cwd=ROOT,
+            )
+
+    def signal(self, signum):
+        """Send a signal, if the process is there."""
+        with self.lock:
+            if self.popen is not None and self.popen.poll() is None:
+                self.popen.send_signal(signum)
+
+    def kill(self):
+        """End the process without notice."""
+        with self.lock:
+            if self.popen is not None:
+                self.popen.kill()
+                self.popen.wait()
+
+    def term(self):
+        """Stop the process as planned and judge how it ended."""
+        popen = self.popen
+        self.terming = True
+        self.signal(signal.SIGTERM)
+        end = time.monotonic() + GRACE + STOP_SLACK
+        while popen.poll() is None and time.monotonic() < end:
+            if self.paused:
+                end += 0.05
+            time.sleep(0.05)
+        self.terming = False
+        if popen.poll() is None:
+            self.records.break_promise(f"stop: {self.name} did not end in its time")
+            self.kill()
+        elif popen.returncode not in (0, -signal.SIGKILL):
+            code = popen.returncode
+            self.records.break_promise(f"stop: {self.name} ended with {code}")
+
+    def pause(self, seconds):
+        """Stop the process for a while, as a VM that is suspended."""
+        self.paused = True
+        self.signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.signal(signal.SIGCONT)
+        self.paused = False
+
+    def alive(self):
+        """Return whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def is_ready(self):
+        """Ask it as the balancer does."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.ready_port), 0.5) as sock:
+                sock.settimeout(0.5)
+                sock.sendall(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                return sock.recv(64).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def memory_mb(self):
+        """Return the resident memory of the process."""
+        try:
+            pages = Path(f"/proc/{self.popen.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0.0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def close(self):
+        """End the process and its relays."""
+        self.kill()
+        for relay in self.relays.values():
+            relay.free()
+            relay.close()
--- /dev/null
+++ b/tests/soak/platform.py
@@ -0,0 +1,250 @@
+"""The platform around the entries: store, upstreams that enter themselves, operator."""
+
+import threading
+import time
+
+from returns.result import Success
+from soak.upstreams import HEARTBEAT, Spec, Upstream, seeded
+
+from persimmonhitch.platform.names import CONFIG_NAME
+from persimmonhitch.standin.store_server import StoreApp
+from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.store.objects import Kind, StoreError
+from persimmonhitch.web import WebServer
+
+HOST = "soak.example"
+MODELS = tuple(f"m{n}" for n in range(6))
+ADAPTERS = tuple(f"a{n}" for n in range(1, 4))
+ZONES = ("z1", "z2")
+LAPSE = 3 * HEARTBEAT
+DRAIN_SERVES = 2.5
+"""Seconds for which an upstream serves after the store knows that it leaves."""
+THREADS = 96
+LEDGER, LLM = "ledger", "llm"
+RATES = {"large": (40_000, 80_000), "small": (2_500, 5_000), "plain": (0, 0)}
+"""Tokens a second, and at once, of each account; the small one asks for more."""
+KEYS_EACH = 6
+
+
+def ledger_spec(name, number):
+    """Return the spec of a plain upstream."""
+    return Spec(name, LEDGER, ZONES[number % len(ZONES)], 6)
+
+
+def engine_spec(name, number):
+    """Return the spec of an engine that holds two models."""
+    first = number % len(MODELS)
+    models = (MODELS[first], MODELS[(first + 1) % (len(MODELS) - 1)])
+    return Spec(name, LLM, ZONES[number % len(ZONES)], 8, tuple(set(models)))
+
+
+class Operator:
+    """Writes configurations; each has a route that only it has."""
+
+    def __init__(self, state, records):
+        self._state = state
+        self._records = records
+        self.version = 0
+        self.acknowledged = {}
+        """When the store acknowledged each version."""
+        self.sent = {}
+        """When each version was sent to the store."""
+        self.keys = {
+            account: [f"{account}-key-{n}" for n in range(KEYS_EACH)]
+            for account in RATES
+        }
+        self.revoked = {}
+        """The version that first lacked each withdrawn key."""
+        self._lock = threading.Lock()
+
+    def change(self):
+        """Write the next configuration; return whether the store took it."""
+        with self._lock:
+            version = self.version + 1
+            self.sent[version] = time.monotonic()
+            if not self._write(version):
+                return False
+            self.version = version
+            self.acknowledged[version] = time.monotonic()
+            return True
+
+    def revoke(self, account):
+        """Withdraw a key of an account, if it has more than one."""
+        with self._lock:
+            if len(self.keys[account]) < 2:
+                return
+            key = self.keys[account].pop()
+            self.revoked[key] = self.version + 1
+        end = time.monotonic() + 20
+        while not self.change() and time.monotonic() < end:
+            time.sleep(0.1)
+
+    def _write(self, version):
+        spec = self._spec(version)
+        found = self._state.get(Kind.FLEET, CONFIG_NAME)
+        if isinstance(found, Success):
+            if found.unwrap().spec["version"] >= version:
+                # Written before, though its answer was lost.
+                return True
+            return isinstance(self._state.update(found.unwrap(), spec), Success)
+        if found.failure().error is not StoreError.NOT_FOUND:
+            return False
+        return isinstance(self._state.create(Kind.FLEET, CONFIG_NAME, spec), Success)
+
+    def _spec(self, version):
+        return {
+            "version": version,
+            "limits": {},
+            "tenants": [
+                {
+                    "name": account,
+                    "api_keys": list(self.keys[account]),
+                    "rate_per_s": rate,
+                    "burst_size": burst,
+                    "unit": "tokens",
+                    "uncached_tokens": 50,
+                }
+                for account, (rate, burst) in RATES.items()
+            ],
+            "services": [_ledger_service(), _llm_service()],
+            "routes": [
+                _route("book", "non_idempotent", LEDGER, 1500),
+                _route("read", "idempotent", LEDGER, 1500),
+                _route("chat", "streaming", LLM, 4000),
+                _route(f"v{version}", "idempotent", LEDGER, 1500),
+            ],
+        }
+
+
+def _route(name, kind, service, timeout):
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "service": service,
+        "timeout_ms": timeout,
+        "target_latency_ms": timeout // 3,
+        "max_attempts": 2,
+        "priority": 1,
+    }
+
+
+def _ledger_service():
+    return {"name": LEDGER, "health_check_path": "/health", "connection_limit": 96}
+
+
+def _llm_service():
+    models = [
+        {
+            "name": name,
+            "weights_mb": 80.0,
+            "load_time_s": 1.0,
+            "disk_load_s": 0.3,
+            "warm_s": 0.3,
+            "adapters": len(ADAPTERS),
+            "adapter_size_mb": 0.5,
+        }
+        for name in MODELS
+    ]
+    engine = {
+        "slots": 8,
+        "kv_capacity": 60_000,
+        "weights_mb": 200.0,
+        "adapter_slots": 4,
+        "loads_per_s": 3,
+        "models": models,
+    }
+    return {"name": LLM, "health_check_path": "/health", "engine": engine}
+
+
+class Platform:
+    """Store, upstreams and operator; the store is reached over HTTP by the entries."""
+
+    def __init__(self, records, rng, engines, ledgers):
+        self.state = StoreState()
+        self.server = WebServer(StoreApp(self.state), "127.0.0.1", 0, THREADS)
+        self.server.start()
+        self.records = records
+        self.operator = Operator(self.state, records)
+        self.upstreams = {}
+        self.drained = {}
+        """When the store acknowledged that each upstream leaves."""
+        self._rng = rng
+        self._beats = {}
+        self._made = 0
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        for number in range(engines):
+            self.add(LLM, number)
+        for number in range(ledgers):
+            self.add(LEDGER, number)
+        self.operator.change()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def stop(self):
+        """End everything."""
+        self._stopped.set()
+        for upstream in list(self.upstreams.values()):
+            upstream.close()
+        self.server.close()
+
+    def add(self, service, number, name=None):
+        """Start an upstream."""
+        with self._lock:
+            self._made += 1
+            name = name or f"{service}-{self._made}"
+            make = engine_spec if service == LLM else ledger_spec
+            upstream = Upstream(make(name, number), self.records, seeded(self._rng))
+            self.upstreams[name] = upstream
+        return upstream
+
+    def crash(self, upstream):
+        """End an upstream without a word; its entry lapses."""
+        with self._lock:
+            self.upstreams.pop(upstream.spec.name, None)
+        upstream.close()
+
+    def drain(self, upstream):
+        """Have an upstream leave as planned."""
+        upstream.leaving = True
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            if self._write(upstream, {**upstream.entry(), "state": "draining"}):
+                break
+            time.sleep(0.1)
+        upstream.draining_since = time.monotonic()
+        self.drained[upstream.spec.name] = upstream.draining_since
+        time.sleep(DRAIN_SERVES)
+        with self._lock:
+            self.upstreams.pop(upstream.spec.name, None)
+        time.sleep(0.5)
+        upstream.close()
+
+    def _beat(self):
+        while not self._stopped.wait(HEARTBEAT / 4):
+            now = time.monotonic()
+            for name, upstream in list(self.upstreams.items()):
+                if now - self._beats.get(name, 0.0) >= HEARTBEAT:
+                    if self._write(upstream, upstream.entry()):
+                        self._beats[name] = now
+            self._sweep(now)
+
+    def _sweep(self, now):
+        """Remove the entries of those that have been silent for three heartbeats."""
+        for name, at in list(self._beats.items()):
+            if name not in self.upstreams and now - at > LAPSE:
+                found = self.state.get(Kind.UPSTREAM, name)
+                if isinstance(found, Success):
+                    if not isinstance(self.state.delete(found.unwrap()), Success):
+                        continue
+                del self._beats[name]
+
+    def _write(self, upstream, spec):
+        name = upstream.spec.name
+        found = self.state.get(Kind.UPSTREAM, name)
+        if isinstance(found, Success):
+            return isinstance(self.state.update(found.unwrap(), spec), Success)
+        if found.failure().error is not StoreError.NOT_FOUND:
+            return False
+        return isinstance(self.state.create(Kind.UPSTREAM, name, spec), Success)
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,101 @@
+"""What upstreams, callers and the fault plan saw, for the checks."""
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Run:
+    """One request as an upstream took it; times are monotonic seconds."""
+
+    request: str
+    upstream: str
+    service: str
+    path: str
+    account: str
+    tokens: int
+    key_seen: bool
+    deadline_ms: float | None
+    at: float
+    draining_since: float | None
+    ended_at: float | None = None
+    broken_by_us: bool = False
+    """Whether the upstream itself spoiled the answer, as a fault."""
+
+
+@dataclass
+class Call:
+    """One request as its caller saw it."""
+
+    request: str
+    kind: str
+    path: str
+    entry: str
+    account: str
+    patience: float
+    sent_at: float
+    fresh: bool
+    """Whether it was the first on its connection."""
+    incarnation: int
+    """How often its entry had been started when it was sent."""
+    withdrawn_in: int | None = None
+    """The version of the configuration that withdrew its key, if one did."""
+    status: int | None = None
+    whole: bool = False
+    right: bool = False
+    """Whether the answer is the one that the upstream made for this request."""
+    retry_after: float | None = None
+    left_at: float | None = None
+    """When the caller gave it up, if it did."""
+    ended_at: float = 0.0
+    error: str = ""
+
+
+@dataclass(frozen=True)
+class Span:
+    """Something that went on for a while."""
+
+    what: str
+    where: str
+    planned: bool
+    begin: float
+    end: float
+
+
+@dataclass
+class Records:
+    """Everything that was seen; safe to add to from many threads."""
+
+    runs: list[Run] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    """Promises that were seen broken on the spot, each as a line."""
+    _open: dict[int, tuple[str, str, bool, float]] = field(default_factory=dict)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+    began: float = field(default_factory=time.monotonic)
+
+    def begin(self, what, where, planned=False):
+        """Note that a fault begins; return what ends it."""
+        item = (what, where, planned, time.monotonic())
+        key = id(item)
+        with self._lock:
+            self._open[key] = item
+
+        def end():
+            with self._lock:
+                if self._open.pop(key, None) is not None:
+                    self.spans.append(Span(*item, time.monotonic()))
+
+        return end
+
+    def all_spans(self):
+        """Return the spans, with those that are still open up to now."""
+        now = time.monotonic()
+        with self._lock:
+            return [*self.spans, *(Span(*i, now) for i in self._open.values())]
+
+    def break_promise(self, text):
+        """Note a broken promise."""
+        self.broken.append(f"{time.monotonic() - self.began:7.2f} {text}")
--- a/tests/test_direct_lease.py
+++ b/tests/test_direct_lease.py
@@ -4,7 +4,7 @@
 
 from persimmonhitch.direct.handover import OrderHistory
 from persimmonhitch.ids import Incarnation, Upstream, Vm
-from persimmonhitch.planner.lease import LeaseKeeper
+from persimmonhitch.planner.lease import LeaseKeeper, Predecessor
 from persimmonhitch.standin.store_state import Faults, StoreState
 
 A, B, E1, E2 = Vm("a"), Vm("b"), Upstream("e1"), Upstream("e2")
@@ -41,7 +41,7 @@
     clock.now += 0.1
     second.step()
     assert second.epoch() == epoch + 1
-    assert second.before == A
+    assert second.before.vm == A
 
 
 def test_a_resigned_epoch_is_not_taken_up_again():
@@ -93,31 +93,68 @@
     again = LeaseKeeper(store, "orders", A, Incarnation("new"), 1.5, clock)
     again.step()
     assert again.epoch() == 2
-    assert again.before is None
+    assert again.before.vm == A
+    assert again.before.held_for < GUARD
+
+
+def test_a_release_tells_who_held_the_lease():
+    """The holder stops as planned and leaves the lease free. A process that starts
+    just then finds a lease of nobody, and would order engines at once that had an
+    order a moment ago.
+    """
+    clock, store, first, second = keepers()
+    first.step()
+    first.release()
+    second.step()
+    assert second.epoch() == 2
+    assert second.before.vm == A
+
+
+def test_a_lease_that_nobody_ever_held_has_no_predecessor():
+    _clock, _store, first, _second = keepers()
+    first.step()
+    assert first.before is None
+
+
+def before(vm, held_for=0.0):
+    """Return a predecessor."""
+    return Predecessor(vm, Incarnation(f"i-{vm}"), held_for)
+
+
+OLD, YOUNG = 10.0, 1.0
+"""Seconds since the start of the process that takes the lease."""
 
 
 @pytest.mark.parametrize(
-    ("before", "ended", "resigned", "upstream", "wait"),
+    ("age", "last", "ended", "resigned", "upstream", "wait"),
     [
-        (None, False, False, E1, GUARD - 1.0),
-        (None, False, False, E2, 0.0),
-        (A, False, False, E2, GUARD),
-        (A, True, False, E1, GUARD - 1.0),
-        (A, True, False, E2, 0.0),
-        (A, False, True, E1, GUARD - 0.5),
-        (A, False, True, E2, 0.0),
+        (OLD, None, False, False, E1, 0.0),
+        (OLD, before(B), False, False, E1, GUARD - 1.0),
+        (OLD, before(B), False, False, E2, 0.0),
+        (OLD, before(A), False, False, E2, GUARD),
+        (OLD, before(A), True, False, E1, GUARD - 1.0),
+        (OLD, before(A), True, False, E2, 0.0),
+        (OLD, before(A), False, True, E1, GUARD - 0.5),
+        (OLD, before(A), False, True, E2, 0.0),
+        (YOUNG, None, False, False, E2, 0.0),
+        (YOUNG, before(A), False, True, E2, GUARD - YOUNG),
+        (YOUNG, before(A), True, False, E2, GUARD - YOUNG),
+        (YOUNG, before(B), False, False, E2, GUARD - YOUNG),
+        (YOUNG, before(B, held_for=GUARD), False, False, E2, 0.0),
     ],
 )
-def test_when_an_engine_may_be_ordered(before, ended, resigned, upstream, wait):
-    """Engine e1 was ordered a second ago by the last holder, e2 never. Orders of two
-    holders that come close together could undo each other.
+def test_when_an_engine_may_be_ordered(age, last, ended, resigned, upstream, wait):
+    """Engine e1 was ordered a second ago by VM a, e2 by nobody of whom this process was
+    told. Orders of two holders that come close together could undo each other; and a
+    process that has just started was told of no order before its start.
     """
     clock = Clock()
-    history = OrderHistory(GUARD, clock)
+    history = OrderHistory(B, GUARD, clock)
+    clock.now += age - 1.0
     history.hear(A, E1, 4)
     clock.now += 1.0
     history.hear(A, E1, 4)
     if resigned:
         history.hear_resigned(A, {E1: 0.5})
-    free = history.free_from(upstream, clock.now, before, ended)
+    free = history.free_from(upstream, clock.now, last, ended)
     assert max(0.0, free - clock.now) == pytest.approx(wait)
