--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 
 from docopt import docopt
+
 from soak.run import Size, soak
 
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,6 +5,7 @@
 import time
 
 from relay import Way
+
 from soak.platform import LEDGER, LLM, RATES
 from soak.upstreams import Faults
 
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -4,13 +4,13 @@
 import time
 
 from returns.result import Success
-from soak.upstreams import HEARTBEAT, Spec, Upstream, seeded
 
 from persimmonhitch.platform.names import CONFIG_NAME
 from persimmonhitch.standin.store_server import StoreApp
 from persimmonhitch.standin.store_state import StoreState
 from persimmonhitch.store.objects import Kind, StoreError
 from persimmonhitch.web import WebServer
+from soak.upstreams import HEARTBEAT, Spec, Upstream, seeded
 
 HOST = "soak.example"
 MODELS = tuple(f"m{n}" for n in range(6))
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from relay import Relay
+
 from soak.records import Run
 
 HEARTBEAT = 0.6
