--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -27,6 +27,8 @@
     client: socket.socket
     server: socket.socket
     muted: threading.Event = field(default_factory=threading.Event)
+    ended: int = 0
+    """Ways on which no more bytes come."""
 
     def reset(self) -> None:
         for sock in (self.client, self.server):
@@ -133,5 +135,8 @@
         except OSError:
             with contextlib.suppress(OSError):
                 sink.shutdown(socket.SHUT_RDWR)
-        if way is Way.OUT:
+        pair.ended += 1
+        if pair.ended == len(Way):
             self._open.discard(pair)
+            pair.client.close()
+            pair.server.close()
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -115,7 +115,9 @@
         self, flight: Flight, last_event: str | None
     ) -> Result[Reply, Failure]:
         found = flight.admitted
+        asked_at = self._clock()
         place = self._dispatcher.acquire(found.need, flight.abort, flight.excluded)
+        flight.waited += self._clock() - asked_at
         if not isinstance(place, Success):
             return Err(place.failure())
         flight.permit = place.unwrap()
--- a/src/persimmonhitch/direct/flight.py
+++ b/src/persimmonhitch/direct/flight.py
@@ -29,6 +29,13 @@
     settled: bool = False
     reply: Reply | None = None
     """The answer that is being passed on."""
+    waited: float = 0.0
+    """Seconds for which its attempts waited for a place."""
+    first_event: float | None = None
+    """Seconds from its arrival to the first event of its stream."""
+    event_at: float = 0.0
+    longest_gap: float = 0.0
+    """Seconds of the longest pause between two events."""
 
     @property
     def request(self) -> RequestId:
@@ -65,15 +72,25 @@
         self._metrics.request_started(flight.route)
         self._watchdog.add(flight.abort)
 
-    def first_event(self, flight: Flight) -> None:
+    def _first_event(self, flight: Flight) -> None:
         """Note the first event of a stream."""
         if flight.permit is not None:
             flight.permit.first_token()
         account = flight.admitted.account
+        seconds = self._clock() - flight.admitted.need.arrived
+        flight.first_event = seconds
         if account is not None:
-            seconds = self._clock() - flight.admitted.need.arrived
             self._metrics.first_token(account.name, seconds)
 
+    def event(self, flight: Flight) -> None:
+        """Note one event of a stream."""
+        now = self._clock()
+        if flight.first_event is None:
+            self._first_event(flight)
+        else:
+            flight.longest_gap = max(flight.longest_gap, now - flight.event_at)
+        flight.event_at = now
+
     def settle(self, flight: Flight, failure: Failure | None, status: int) -> None:
         """Note the end of a request, once."""
         if flight.settled:
@@ -111,6 +128,9 @@
             "attempts": flight.attempts,
             "refusals": flight.refusals,
             "seconds": seconds,
+            "waited": flight.waited,
+            "first": flight.first_event,
+            "gap": flight.longest_gap,
             "config": self._version(),
         }
         if failure is None and status < 400:
