--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -1,6 +1,7 @@
 """Entries as processes, with relays before their callers, their store and links."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,10 +19,21 @@
 """Seconds beyond the grace period for the end of the process itself."""
 
 
+FIRST_PORT, LAST_PORT = 15_000, 30_000
+"""Below the ports that the system hands out by itself: one of those may go to any
+connection while the entry that is to listen on it starts anew."""
+
+
 def free_port():
-    """Return a port that nobody listens on now."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """Return a port that nobody uses now and that nobody is given by chance."""
+    while True:
+        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            # Taken; the next draw will be another.
+            continue
 
 
 class Entry:
