--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -45,6 +45,8 @@
     rank: int
     arrived: float
     aim_at: float
+    event_by: float
+    """When its caller leaves if nothing has come of a stream."""
     deadline_at: float
 
 
--- a/src/persimmonhitch/decide/patience.py
+++ b/src/persimmonhitch/decide/patience.py
@@ -28,6 +28,9 @@
 LOAD_PART: Final = 0.6
 """Part of its time that a call spends on a load: what is left has to do for the wait
 behind the others that waited for it, and for its answer."""
+EVENT_TIME: Final = 0.4
+"""Seconds from the end of a load to the first event: the adapter's order, the prompt,
+and those of others that waited for the same load."""
 SPREAD: Final = 0.5
 """Part of a retry time by which it is lengthened at random."""
 
@@ -39,8 +42,13 @@
 
 
 def load_limit(need: Need) -> float:
-    """Return the monotonic time up to which a call waits for a model's load."""
-    return need.arrived + (need.deadline_at - need.arrived) * LOAD_PART
+    """Return the monotonic time up to which a call waits for a model's load.
+
+    A caller leaves a stream of which nothing comes, often long before its deadline. One
+    that waits for a load that ends after that gets no answer and no time to come back.
+    """
+    part = need.arrived + (need.deadline_at - need.arrived) * LOAD_PART
+    return min(part, need.event_by - EVENT_TIME)
 
 
 def refusal(step: Step, need: Need, load_time: float = FULL_RETRY) -> Failure:
--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -4,13 +4,14 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..decide.dispatch import Need
 from ..fleet.call import CallerHeaders
-from ..fleet.config import AccountSpec, FleetConfig, Route
+from ..fleet.config import AccountSpec, CallKind, FleetConfig, Route
 from ..fleet.routes import RouteTable
 from ..ids import Service, Tokens
 from ..verdict import ErrorCode, Failure
@@ -19,6 +20,13 @@
 NO_PATIENCE = 600.0
 """Seconds for a caller that states none; its route's timeout ends it sooner."""
 
+LEAST_PATIENCE: Final = 2.0
+AIMS_WAITED: Final = 4.0
+GAPS_WAITED: Final = 8.0
+"""Callers leave a stream of which nothing comes for the longest of these: seconds,
+times its route's aim for the first event, times that for its pauses. By the platform's
+interface."""
+
 
 @dataclass(frozen=True)
 class InForce:
@@ -108,10 +116,18 @@
         rank=route.rank if rank is None else rank,
         arrived=arrived,
         aim_at=arrived + route.aim,
+        event_by=_event_by(route, arrived, end_at),
         deadline_at=end_at,
     )
 
 
+def _event_by(route: Route, arrived: float, end_at: float) -> float:
+    if route.kind is not CallKind.STREAM:
+        return end_at
+    patience = max(LEAST_PATIENCE, AIMS_WAITED * route.aim, GAPS_WAITED * route.gap_aim)
+    return min(end_at, arrived + patience)
+
+
 def _service(route: Route) -> Service:
     if len(route.targets) == 1:
         return route.targets[0].service
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -30,8 +30,19 @@
 M1 = Model("m1")
 
 
-def need(model=M1, adapter=None, prompt=1000, tokens=1100):
-    return Need(Service("llm"), model, adapter, prompt, tokens, 1, 0.0, 1.0, 5.0)
+def need(model=M1, adapter=None, prompt=1000, tokens=1100, event_by=5.0):
+    return Need(
+        service=Service("llm"),
+        model=model,
+        adapter=adapter,
+        prompt=prompt,
+        tokens=tokens,
+        rank=1,
+        arrived=0.0,
+        aim_at=1.0,
+        event_by=event_by,
+        deadline_at=5.0,
+    )
 
 
 def lane(name="e1", zone=Z1, **more):
@@ -190,6 +201,14 @@
     assert load_limit(need()) == pytest.approx(3.0)
 
 
+def test_no_call_waits_for_a_load_until_its_caller_leaves():
+    """A caller leaves a stream of which nothing has come after two seconds, though its
+    deadline is five. Its model is ready after two and a half: it is to be told so at
+    once, while it can still come back.
+    """
+    assert load_limit(need(event_by=2.0)) == pytest.approx(1.6)
+
+
 def test_those_refused_together_do_not_come_back_together():
     times = {refusal(Step.WAIT, need()).retry_after for _ in range(50)}
     assert len(times) > 40
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -27,7 +27,8 @@
 
 def need(rank=1, aim=5.0, deadline=10.0, model=BIG, adapter=None):
     now = time.monotonic()
-    return Need(LLM, model, adapter, 100, 120, rank, now, now + aim, now + deadline)
+    end = now + deadline
+    return Need(LLM, model, adapter, 100, 120, rank, now, now + aim, end, end)
 
 
 def abort():
