An entry that is full names the request that it refuses

Cause: a request that was refused before it was looked at (no thread left, entry about to stop) was answered under a new id, and its line had none; found while writing the soak's check that each refused request's id leads to a reason in its entry's log. Ruled out: refusals of the gateway, which have the id. Before: test_a_full_entry_names_the_request_that_it_refuses fails.

--- a/src/persimmonhitch/direct/app.py
+++ b/src/persimmonhitch/direct/app.py
@@ -4,12 +4,13 @@
 
 from returns.result import Success
 
-from ..ids import new_request_id
+from ..ids import RequestId, new_request_id
 from ..observe.logs import log
 from ..observe.metrics import CONTENT_TYPE, Metrics
+from ..platform.headers import read_caller
 from ..platform.names import READINESS_PATH
 from ..verdict import ErrorCode, Failure, Verdict
-from ..web import Answer, Body, json_answer, read_request
+from ..web import Answer, Body, Request, json_answer, read_request
 from ..web.http import Environ, StartResponse
 from .gateway import Gateway, refuse
 
@@ -29,12 +30,13 @@
         try:
             result = read_request(environ)
             if not isinstance(result, Success):
-                return refuse(result.failure(), new_request_id())
+                return _refused(result.failure(), new_request_id())
+            req: Request = result.unwrap()
             full = self._refusal()
             if full is not None:
-                log("request_refused", code=full.code.value, reason=full.message)
-                return refuse(full, new_request_id())
-            return self._gateway.handle(result.unwrap())
+                caller = read_caller(req.headers)
+                return _refused(full, caller.request or new_request_id())
+            return self._gateway.handle(req)
         except Exception as exc:
             log("request_failed", error=repr(exc))
             reason = "the entry failed"
@@ -42,6 +44,21 @@
             return refuse(failure, new_request_id())
 
 
+def _refused(failure: Failure, request: RequestId) -> Answer:
+    """Refuse a request before it is looked at; its id leads to the reason all the same.
+
+    Without the id a caller's complaint finds no line, and looks like a lost request.
+    """
+    log(
+        "request_refused",
+        request=request,
+        code=failure.code.value,
+        reason=failure.message,
+        retry_after=failure.retry_after,
+    )
+    return refuse(failure, request)
+
+
 class StatusApp:
     """Answers the balancer, and whoever reads the metrics."""
 
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -203,7 +203,7 @@
 class Served:
     """An entry's gateway behind its web server."""
 
-    def __init__(self, *upstreams, cfg=None):
+    def __init__(self, *upstreams, cfg=None, full=None):
         cfg = cfg or config()
         self.upstreams = upstreams
         self.quota = Quota(frozenset)
@@ -221,7 +221,7 @@
             self.watchdog,
             Metrics("direct", "test"),
         )
-        app = CallerApp(gateway, lambda: None)
+        app = CallerApp(gateway, lambda: full)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
         self.server.start()
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,10 +19,14 @@
 
 
 class Evidence:
-    """Records with the look-ups that the checks share."""
+    """Records with the look-ups that the checks share.
 
-    def __init__(self, records, operator, drained):
+    ``explained`` holds the requests that each entry's log gives a reason for.
+    """
+
+    def __init__(self, records, operator, drained, explained):
         self.records = records
+        self.explained = explained
         self.operator = operator
         self.drained = drained
         self.runs = defaultdict(list)
@@ -74,6 +78,7 @@
         _nothing_cut,
         _answered_in_time,
         _nothing_after_leaving,
+        _refusals_explained,
     )
     lines = list(found.records.broken)
     for check in checks:
@@ -235,3 +240,19 @@
         for run in found.runs[call.request]:
             if run.at - call.left_at > 0.5 + SLACK:
                 yield found.told(call)
+
+
+def _refusals_explained(found):
+    """Yield requests that an entry refused or failed without a line that says why.
+
+    A process that is killed takes its last lines along.
+    """
+    for call in found.records.calls:
+        if call.status in (None, 200, 500) or not call.whole:
+            continue
+        killed = any(
+            span.what == "kill" and span.begin - 1.0 <= call.ended_at <= span.end
+            for span in found.spans[call.entry]
+        )
+        if call.request not in found.explained[call.entry] and not killed:
+            yield found.told(call)
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -15,6 +16,9 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_LIMIT = 20.0
 GRACE = 8.0
+EXPLAINED = re.compile(
+    r"event=request_(?:refused|failed) (?:.* )?request=(\S+) .*reason=\S"
+)
 STOP_SLACK = 2.0
 """Seconds beyond the grace period for the end of the process itself."""
 
@@ -158,6 +162,11 @@
         self.was_ready = self.was_ready or ready
         return ready
 
+    def explained(self):
+        """Return the requests of which its log says why they were refused or failed."""
+        text = (self._folder / f"{self.name}.log").read_text(errors="replace")
+        return set(EXPLAINED.findall(text))
+
     def memory_mb(self):
         """Return the resident memory of the process."""
         try:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -171,7 +171,12 @@
     def _found(self, recovered_in):
         if self.most_memory > MEMORY_MOST:
             self.records.break_promise(f"memory: {self.most_memory:.0f} MB")
-        evidence = Evidence(self.records, self.platform.operator, self.platform.drained)
+        evidence = Evidence(
+            self.records,
+            self.platform.operator,
+            self.platform.drained,
+            {entry.name: entry.explained() for entry in self.entries},
+        )
         broken = check_all(evidence)
         calls = [call for call in self.records.calls if call.left_at is None]
         served = sum(call.status == 200 and call.whole for call in calls)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,21 +7,17 @@
 import struct
 import threading
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from relay import Relay
 
+from soak.holding import Holding
 from soak.records import Run
 
 HEARTBEAT = 0.6
 STEP = 0.02
 EVENTS = 8
 RESET = struct.pack("ii", 1, 0)
-GUARD = 3.0
-"""Seconds that must lie between the orders of two holders to one engine."""
-THAW = 0.4
-"""Seconds after a fault of an entry in which its orders are not judged."""
-LOAD_TIME, DISK_TIME = 1.0, 0.3
 
 
 def answer_of(request):
@@ -64,16 +60,6 @@
     body: bytes
 
 
-@dataclass
-class _Held:
-    models: dict[str, set[str]] = field(default_factory=dict)
-    disk: set[str] = field(default_factory=set)
-    orders: int = 0
-    loading: str | None = None
-    ready_at: float = 0.0
-    ending: set[tuple[str, str]] = field(default_factory=set)
-
-
 class Upstream:
     """One upstream on a port of its own, behind a relay."""
 
@@ -86,9 +72,8 @@
         self._records = records
         self._rng = rng
         self._running = {}
-        self._held = _Held({name: set() for name in spec.models}, set(spec.models))
-        self._last_order = None
         self._lock = threading.RLock()
+        self.holding = Holding(spec, records, self._lock, self._in_use)
         self._socks = set()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.relay = Relay(self._listener.getsockname()[1])
@@ -105,10 +90,13 @@
         for sock in list(self._socks):
             self._break(sock)
 
+    def _in_use(self):
+        """Return the models and adapters that calls use, as they were named."""
+        return set(self._running.values())
+
     def entry(self):
         """Return what it says of itself in the store."""
         with self._lock:
-            self._settle()
             spec = {
                 "service": self.spec.service,
                 "address": f"127.0.0.1:{self.relay.port}",
@@ -119,16 +107,7 @@
                 "sequence": int(time.monotonic() * 10),
                 "born": self.born,
             }
-            if self.spec.models:
-                spec["models"] = self._models()
-                spec["available"] = {"in_memory": [], "on_disk": list(self._held.disk)}
-            return spec
-
-    def _models(self):
-        return [
-            {"name": name, "version": 1, "adapters": sorted(adapters)}
-            for name, adapters in self._held.models.items()
-        ]
+            return {**spec, **self.holding.told()} if self.spec.models else spec
 
     # -- connections -------------------------------------------------------------
 
@@ -188,7 +167,7 @@
             return self._say(sock, 421, **name)
         path = req.line[1]
         if path == "/api/report":
-            return self._say(sock, 200, json.dumps(self._report()).encode())
+            return self._say(sock, 200, json.dumps(self.holding.report()).encode())
         if path == "/api/order":
             return self._take_order(json.loads(req.body), sock)
         return self._call(req, sock)
@@ -208,21 +187,15 @@
             run.ended_at = time.monotonic()
             with self._lock:
                 self._running.pop(id(run), None)
-                self._settle()
 
     def _refusal(self, req):
         model = req.headers.get("x-persimmonhitch-model")
         with self._lock:
-            self._settle()
             if len(self._running) >= self.spec.slots + 2:
                 return 503
             if model is None:
                 return None
-            name, _, adapter = model.partition("/")
-            held = self._held.models.get(name)
-            if held is None or (adapter and adapter not in held):
-                return 421
-        return None
+        return None if self.holding.has(*model.split("/", 1)) else 421
 
     def _start(self, req, request):
         headers = req.headers
@@ -291,32 +264,8 @@
 
     # -- orders ------------------------------------------------------------------
 
-    def _report(self):
-        with self._lock:
-            self._settle()
-            held = self._held
-            return {
-                "stage": "colocated",
-                "models": self._models(),
-                "busy": held.loading is not None,
-                "sequence": held.orders,
-                "available": {"in_memory": [], "on_disk": sorted(held.disk)},
-            }
-
-    def _settle(self):
-        held = self._held
-        if held.loading is not None and time.monotonic() >= held.ready_at:
-            held.models[held.loading] = set()
-            held.disk.add(held.loading)
-            held.loading = None
-        used = set(self._running.values())
-        for model, adapter in list(held.ending):
-            if f"{model}/{adapter}" not in used:
-                held.models.get(model, set()).discard(adapter)
-                held.ending.discard((model, adapter))
-
     def _take_order(self, order, sock):
-        self._judge(order)
+        self.holding.judge(order)
         if self._rng.random() < self.faults.late_orders:
             delay = self._rng.uniform(1.0, 4.0)
             threading.Timer(delay, self._carry_out, (order,)).start()
@@ -324,82 +273,8 @@
             return False
         return self._say(sock, self._carry_out(order))
 
-    def _judge(self, order):
-        """Note orders of two holders that come too close to each other."""
-        now, holder = time.monotonic(), order["holder"]
-        token = order["fencing_token"]
-        with self._lock:
-            last, self._last_order = self._last_order, (now, holder, token)
-        if last is None or last[1] == holder:
-            return
-        close = now - last[0] < GUARD
-        if (token <= last[2] or close) and not self._excused(holder, now):
-            self._records.break_promise(
-                f"one orderer: {self.spec.name} got epoch {token} of {holder} "
-                f"{now - last[0]:.2f} s after epoch {last[2]} of {last[1]}"
-            )
-
-    def _excused(self, entry, now):
-        return any(
-            span.where == entry and span.begin <= now <= span.end + THAW
-            for span in self._records.all_spans()
-        )
-
     def _carry_out(self, order):
-        with self._lock:
-            self._settle()
-            held = self._held
-            if self.closed.is_set() or held.loading is not None:
-                return 409
-            if order.get("precondition", held.orders) != held.orders:
-                return 409
-            if "adapter" in order:
-                return self._adapter(order)
-            return self._model(order)
-
-    def _adapter(self, order):
-        held = self._held
-        model, adapter = order["model"], order["adapter"]
-        names = held.models.get(model)
-        if names is None:
-            return 421
-        if order["operation"] == "unload":
-            held.orders += 1
-            if f"{model}/{adapter}" in self._running.values():
-                held.ending.add((model, adapter))
-                return 202
-            names.discard(adapter)
-            return 200
-        if adapter in names:
-            return 200
-        held.orders += 1
-        names.add(adapter)
-        places = sum(len(found) for found in held.models.values())
-        if places > self.spec.adapter_slots:
-            self._overfull(f"{places} adapters")
-        return 202
-
-    def _model(self, order):
-        held, model = self._held, order["model"]
-        if order["operation"] == "unload":
-            if model not in held.models:
-                return 200
-            held.orders += 1
-            del held.models[model]
-            return 202
-        if model in held.models:
-            return 200
-        held.orders += 1
-        taken = (len(held.models) + 1) * self.spec.model_memory
-        if taken > self.spec.memory:
-            self._overfull(f"{taken:g} MB of models")
-        held.loading = model
-        time_taken = DISK_TIME if model in held.disk else LOAD_TIME
-        held.ready_at = time.monotonic() + time_taken
-        return 202
-
-    def _overfull(self, what):
-        self._records.break_promise(f"memory: {self.spec.name} was ordered {what}")
+        return 409 if self.closed.is_set() else self.holding.carry_out(order)
 
 
 def seeded(rng):
--- a/tests/test_direct_gateway.py
+++ b/tests/test_direct_gateway.py
@@ -1,5 +1,6 @@
 """One request through an entry that calls upstreams directly."""
 
+import json
 import time
 
 import pytest
@@ -15,8 +16,11 @@
     resets,
     says,
 )
+from eliot import add_destinations, remove_destination
 from fleet import wait_for
 
+from persimmonhitch.verdict import ErrorCode, Failure
+
 NOT_RUN = "X-Persimmonhitch-Not-Executed: 1\r\n"
 
 
@@ -53,6 +57,24 @@
     assert all("x-persimmonhitch-tenant" not in got.headers for got in up.got)
 
 
+def test_a_full_entry_names_the_request_that_it_refuses():
+    """An entry has no thread left, or is about to stop, and refuses requests before it
+    looks at them. A caller complains with the id that it sent, and no line has it.
+    """
+    lines = []
+    full = Failure(ErrorCode.OVERLOADED, "no thread is left", retry_after=0.5)
+    add_destinations(lines.append)
+    try:
+        with Served(full=full) as served:
+            reply = served.call("/book/x")
+    finally:
+        remove_destination(lines.append)
+    assert reply.status == 503
+    assert json.loads(reply.body)["error"]["request_id"] == "q1"
+    (line,) = [ln for ln in lines if ln.get("reason") == full.message]
+    assert (line["message_type"], line["request"]) == ("request_refused", "q1")
+
+
 def test_a_refusal_of_one_upstream_is_tried_at_another():
     """One upstream is full and says that it has not run the request."""
     full = FakeUpstream("u1", says(answer(503, b"", NOT_RUN)))
