--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -77,15 +77,15 @@
         return self._rng.choices(list(weights), list(weights.values()))[0]
 
     def _connect(self, patience):
+        """Keep the open connection, or open one to an entry that takes new ones."""
         if self._conn is not None and self._rng.random() >= NEW_CONNECTION:
-            return False
+            return
         self._drop()
         self._entry = self._rng.choice(self._balancer.ready())
         limit = patience + OVERDUE
         self._conn = http.client.HTTPConnection(
             "127.0.0.1", self._entry.port, timeout=limit
         )
-        return True
 
     def _key(self, account):
         draw = self._rng.random()
@@ -100,7 +100,7 @@
     def _call(self):
         kind, account = self._pick(KINDS), self._pick(ACCOUNTS)
         patience = 4.0 if kind == "chat" else 1.5
-        fresh = self._connect(patience)
+        self._connect(patience)
         key, account = self._key(account)
         version = max(1, self._operator.version - self._rng.choice((0, 0, 1)))
         path = f"/v{version}/x" if kind == "version" else f"/{kind}/x"
@@ -125,7 +125,6 @@
             account,
             patience,
             time.monotonic(),
-            fresh,
             self._entry.incarnation,
             self._operator.revoked.get(key),
         )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -79,6 +79,7 @@
         _answered_in_time,
         _nothing_after_leaving,
         _refusals_explained,
+        _refusals_say_when,
     )
     lines = list(found.records.broken)
     for check in checks:
@@ -256,3 +257,10 @@
         )
         if call.request not in found.explained[call.entry] and not killed:
             yield found.told(call)
+
+
+def _refusals_say_when(found):
+    """Yield refusals of what has not run that don't say when to come back."""
+    for call in found.records.calls:
+        if call.status in (429, 503) and call.whole and call.retry_after is None:
+            yield found.told(call)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -176,10 +176,12 @@
         seconds = self._rng.uniform(0.5, 5.0)
         healthy = type(faults)()
 
+        def begin():
+            setattr(faults, name, value)
+
         def end():
             setattr(faults, name, getattr(healthy, name))
 
-        begin = lambda: setattr(faults, name, value)  # noqa: E731
         return self._lasting(name, "store", seconds, begin, end)
 
     # -- upstreams ---------------------------------------------------------------
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -18,8 +18,6 @@
     key_seen: bool
     deadline_ms: float | None
     at: float
-    draining_since: float | None
-    ended_at: float | None = None
     broken_by_us: bool = False
     """Whether the upstream itself spoiled the answer, as a fault."""
 
@@ -35,8 +33,6 @@
     account: str
     patience: float
     sent_at: float
-    fresh: bool
-    """Whether it was the first on its connection."""
     incarnation: int
     """How often its entry had been started when it was sent."""
     withdrawn_in: int | None = None
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -184,7 +184,6 @@
         try:
             return self._work(req, run, sock)
         finally:
-            run.ended_at = time.monotonic()
             with self._lock:
                 self._running.pop(id(run), None)
 
@@ -212,7 +211,6 @@
             key_seen="authorization" in headers,
             deadline_ms=float(deadline) if deadline else None,
             at=time.monotonic(),
-            draining_since=self.draining_since,
         )
         self._records.runs.append(run)
         with self._lock:
