A rare model is loaded in the end, whatever it displaces

The promise that every model stays reachable was broken. Now a model that is asked for and on no engine for 6 s goes first, one at a time, from near if it can, where it displaces least.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -52,6 +52,11 @@
 """Tokens a second that one copy serves without a wait: half of what an engine reads."""
 SPREAD_VALUE: Final = 0.3
 """Part of a copy's demand that a copy beyond need is worth."""
+OVERDUE: Final = 6.0
+"""Seconds after which a model is loaded that is asked for and that nobody holds,
+whatever it displaces: two thirds of a load from the weight store. By its worth alone a
+model with a call each second or two never gets a place while others are asked for more
+than the engines can give, and all of its callers are refused for as long."""
 SETTLED: Final = 3.0
 """Seconds that a model stays after its load, twice the time of a load from disk."""
 
@@ -142,6 +147,35 @@
     return None
 
 
+def next_overdue(
+    specs: Mapping[Model, ModelSpec],
+    demand: Mapping[Model, float],
+    engines: Iterable[EngineView],
+    missing_for: Mapping[Model, float],
+    cold_allowed: bool,
+) -> Move | None:
+    """Return a load for the model whose callers have been refused for longest.
+
+    ``missing_for`` are the seconds since each model was asked for that nobody holds. A
+    load from near goes first, and what displaces least; None if none is overdue.
+    """
+    board = _Board(specs, demand, list(engines))
+    overdue = [m for m, passed in missing_for.items() if passed >= OVERDUE]
+    for model in sorted(overdue, key=lambda m: -missing_for[m]):
+        if model not in specs or board.copies.get(model):
+            continue
+        free = [engine for engine in board.engines if engine.busy_for <= 0]
+        found = [_move(board, engine, model) for engine in free]
+        moves = [mv for mv in found if mv and (cold_allowed or not mv.cold)]
+        if moves:
+            return min(moves, key=lambda mv: (mv.cold, _displaced(board, mv)))
+    return None
+
+
+def _displaced(board: _Board, move: Move) -> float:
+    return sum(board.value(victim) for victim in move.victims)
+
+
 def _best(board: _Board, model: Model, cold_allowed: bool) -> Move | None:
     best: tuple[float, Move] | None = None
     relief = board.relief(model)
@@ -159,7 +193,7 @@
             # A load from the weight store keeps an engine from taking other orders
             # for several times as long; a place near the weights comes free sooner.
             continue
-        displaced = sum(board.value(victim) for victim in move.victims)
+        displaced = _displaced(board, move)
         floor = LOAD_FLOOR * move.seconds if board.copies.get(model) else 0.0
         gain = relief - GAIN * displaced - floor
         gain -= DISTURB * move.seconds * _disturbed(board, engine, move)
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -18,6 +18,7 @@
     EngineView,
     Move,
     next_move,
+    next_overdue,
     next_return,
     next_staging,
 )
@@ -41,6 +42,9 @@
 LEARN_TIME: Final = 2.0
 """Seconds at most in which a new holder learns what engines hold before it has models
 loaded; one that does not answer its report in that time may answer none."""
+LEAST_DEMAND: Final = 100.0
+"""Tokens a second below which nobody asks for a model any more: what the slow average
+still shows half a minute after a single call."""
 PUBLISH_EVERY: Final = 0.5
 """Seconds after which holdings are told again, for entries that have started since."""
 
@@ -81,6 +85,10 @@
         self._staged: set[Upstream] = set()
         """Engines that have loaded a far model while idle; once is enough for each,
         since callers may come at any moment."""
+        self._missing: dict[Model, float] = {}
+        """When each model was first asked for that no engine holds or loads."""
+        self._forced: Model | None = None
+        """The overdue model that is being loaded; one at a time."""
         self._told_at = 0.0
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -294,7 +302,9 @@
         for _ in range(len(desks)):
             views = [_view(desk, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
-            move = next_move(spec.models, demand, views, cold)
+            move = self._overdue_move(spec, demand, views, cold)
+            if move is None:
+                move = next_move(spec.models, demand, views, cold)
             if move is None:
                 move = self._idle_move(spec, demand, views, cold)
             if move is None:
@@ -303,6 +313,30 @@
                 self._rate.take(spec.loads_per_second, now)
             self._begin_load(by_name[move.upstream], move, demand)
 
+    def _overdue_move(
+        self,
+        spec: EngineSpec,
+        demand: dict[Model, float],
+        views: list[EngineView],
+        cold: bool,
+    ) -> Move | None:
+        now = self._clock()
+        loading = {model for view in views for model in view.coming}
+        held = {model for view in views for model in view.models}
+        for model in spec.models:
+            if model in held | loading or demand.get(model, 0.0) < LEAST_DEMAND:
+                self._missing.pop(model, None)
+            else:
+                self._missing.setdefault(model, now)
+        if self._forced in loading:
+            return None
+        missing_for = {model: now - at for model, at in self._missing.items()}
+        move = next_overdue(spec.models, demand, views, missing_for, cold)
+        self._forced = move.model if move is not None else None
+        if move is not None:
+            log("model_overdue", model=move.model, missing_for=missing_for[move.model])
+        return move
+
     def _idle_move(
         self,
         spec: EngineSpec,
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -9,8 +9,10 @@
 from persimmonhitch.decide.dispatch import Lane, Need, Step, choose
 from persimmonhitch.decide.patience import give_up_at, load_limit, refusal
 from persimmonhitch.decide.residency import (
+    OVERDUE,
     EngineView,
     next_move,
+    next_overdue,
     next_return,
     next_staging,
 )
@@ -265,6 +267,29 @@
     assert move is not None and move.model == "d"
 
 
+def test_a_rare_model_is_loaded_in_the_end():
+    """All engines are full of models that are asked for more than they can serve. One
+    that is asked for now and then is worth less than any of them, and all of its
+    callers were refused for three quarters of a minute.
+    """
+    engines = [
+        engine("e1", "a", "b", disk=("a", "b", "c")),
+        engine("e2", "a", "d"),
+    ]
+    demand = asked(a=40_000, b=20_000, d=20_000, c=900)
+    assert next_move(SPECS, demand, engines, True) is None
+    c = Model("c")
+    assert next_overdue(SPECS, demand, engines, {c: OVERDUE - 1}, True) is None
+    move = next_overdue(SPECS, demand, engines, {c: OVERDUE}, True)
+    assert (move.model, move.upstream, move.cold) == ("c", "e1", False)
+
+
+def test_an_overdue_model_that_is_coming_is_not_loaded_twice():
+    engines = [engine("e1", "a", coming=frozenset({Model("c")})), engine("e2", "a")]
+    missing = {Model("c"): OVERDUE * 2}
+    assert next_overdue(SPECS, asked(c=900), engines, missing, True) is None
+
+
 def test_what_is_asked_for_stays():
     """Two models are asked for about as much and one place is left: they must not
     take it from each other without end.
