--- a/src/persimmonhitch/decide/patience.py
+++ b/src/persimmonhitch/decide/patience.py
@@ -51,15 +51,21 @@
     return min(part, need.event_by - EVENT_TIME)
 
 
-def refusal(step: Step, need: Need, load_time: float = FULL_RETRY) -> Failure:
-    """Return what a caller is told whose call found no place."""
+def refusal(step: Step, need: Need, load_time: float | None = None) -> Failure:
+    """Return what a caller is told whose call found no place.
+
+    ``load_time`` are the seconds until its model is loaded, None if no load has begun.
+    """
     spread = 1.0 + random.random() * SPREAD
     if step is Step.NONE:
         reason = f"no upstream of {need.service} is known"
         return Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=FULL_RETRY * spread)
+    if step is Step.LOAD and load_time is None:
+        reason = f"no upstream has {need.model}, and none loads it yet"
+        return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=FULL_RETRY * spread)
     if step is Step.LOAD:
         reason = f"{need.model} is being loaded, ready in {load_time:.1f} s"
-        after = max(FULL_RETRY, load_time)
+        after = max(FULL_RETRY, load_time or 0.0)
         return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=after * spread)
     if step is Step.FETCH:
         reason = f"an adapter of {need.model} is being loaded"
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -121,10 +121,12 @@
         if not isinstance(place, Success):
             return Err(place.failure())
         flight.permit = place.unwrap()
-        if flight.abort.reason is not None:
-            return Err(Failure(ErrorCode.DEADLINE, "given up before it was sent"))
         record = flight.permit.record
         left = found.end_at - self._clock()
+        if flight.abort.reason is not None or left <= 0:
+            flight.release()
+            reason = "its time was over before it was sent"
+            return Err(Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_SOON))
         out = self._outgoing(found, record.name, left, last_event)
         sent = self._exchange.send((record.host, record.port), out, flight.abort, left)
         if not isinstance(sent, Success):
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -217,6 +217,17 @@
     assert max(times) / min(times) > 1.2
 
 
+def test_callers_are_told_what_is_known_of_a_load():
+    """Nobody has begun to load a model. Told that it is ready in half a second, callers
+    come back to be refused again, and whoever looks for the cause looks for a load.
+    """
+    unknown = refusal(Step.LOAD, need())
+    known = refusal(Step.LOAD, need(), 2.0)
+    assert "ready in" not in unknown.message
+    assert "ready in 2.0 s" in known.message
+    assert 2.0 <= known.retry_after <= 3.0
+
+
 # -- placement ---------------------------------------------------------------------
 
 SPECS = {
--- a/tests/test_direct_gateway.py
+++ b/tests/test_direct_gateway.py
@@ -57,6 +57,20 @@
     assert all("x-persimmonhitch-tenant" not in got.headers for got in up.got)
 
 
+def test_a_request_whose_time_is_over_is_refused_and_not_sent():
+    """A call has waited for a place up to the last moment of its time and gets one. No
+    connection can be opened in no time; its caller was told that the entry had failed
+    and that the call may have run, so a booking was not made again.
+    """
+    up = FakeUpstream("u1", says(answer()))
+    with Served(up) as served:
+        reply = served.call("/book/x", X_Persimmonhitch_Request_Deadline="0")
+    assert reply.status == 503
+    assert json.loads(reply.body)["error"]["verdict"] == "not_run"
+    assert float(reply.headers["retry-after"]) > 0
+    assert up.got == []
+
+
 def test_a_full_entry_names_the_request_that_it_refuses():
     """An entry has no thread left, or is about to stop, and refuses requests before it
     looks at them. A caller complains with the id that it sent, and no line has it.
