--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -5,15 +5,15 @@
 that nobody holds refuses all of its callers until a load has ended; one whose only copy
 is on a full engine makes its callers wait while other engines are idle.
 
-Demand is in tokens a second. A copy serves up to ``COMFORT`` of it; what more is asked
-of a model waits. The relief that a further copy gives is the demand that no longer
-waits, and what it costs is the demand that does once others have made room for it. A
-model's last copy counts for its whole demand, ``LAST_COPY`` times, since all of its
-callers are refused without it. Copies beyond what the demand needs are worth the little
-by which they spread it, a last copy without demand ``IDLE_VALUE``.
+Demand is in parts of what one engine reads. A copy serves up to ``COMFORT`` of it;
+what more is asked of a model waits. The relief that a further copy gives is the demand
+that no longer waits, and what it costs is the demand that does once others have made
+room for it. A model's last copy counts for its whole demand, ``LAST_COPY`` times, since
+all of its callers are refused without it. Copies beyond what the demand needs are worth
+the little by which they spread it, a last copy without demand ``IDLE_VALUE``.
 
 A move is made only if the relief is ``GAIN`` times the cost, and above a floor that
-grows with the time of the load; and a model that has just been loaded stays for
+grows with the time until it serves; a model that has just been loaded stays for
 ``SETTLED``. Else models that are asked for now and then take each other's place
 without end, and each is on its way whenever a call comes for it.
 """
@@ -30,10 +30,9 @@
 """Times the demand that the last copy of a model is worth."""
 GAIN: Final = 1.5
 """Times by which the relief of a further copy must exceed what it displaces."""
-LOAD_FLOOR: Final = 400.0
-"""Tokens a second of relief that a second of loading must bring for a further copy: a
-load from the weight store has to serve a third of what an engine reads comfortably."""
-URGENT: Final = 6_000.0
+LOAD_FLOOR: Final = 0.016
+"""Relief that a second of loading must bring for a further copy."""
+URGENT: Final = 0.25
 """Relief from which a load may begin on any engine: the last copy of a model that gets
 a call a second. Others leave two thirds of the engines free of loads, since a load for
 a rare model would else keep a busy one waiting that is asked for a moment later."""
@@ -42,14 +41,14 @@
 DISTURB: Final = 0.05
 """Part of the demand for models with adapters that a second of loading disturbs: an
 engine takes no order for an adapter while it loads a model."""
-IDLE_VALUE: Final = 100.0
-"""Tokens a second that a last copy is worth once its demand has ended. It is little,
+IDLE_VALUE: Final = 0.004
+"""Part of an engine that a last copy is worth once its demand has ended. It is little,
 since an engine that had a model before has it back from its disk within two seconds."""
-FRESH_VALUE: Final = 2_000.0
-"""Tokens a second that a last copy is worth which nobody has asked for yet: one call a
-second. Demand moves on to such models; those it has left come back later."""
-COMFORT: Final = 12_000.0
-"""Tokens a second that one copy serves without a wait: half of what an engine reads."""
+FRESH_VALUE: Final = 0.08
+"""Part of an engine that a last copy is worth which nobody has asked for yet: one call
+a second. Demand moves on to such models; those it has left come back later."""
+COMFORT: Final = 0.5
+"""Part of what an engine reads that one copy serves without a wait."""
 SPREAD_VALUE: Final = 0.3
 """Part of a copy's demand that a copy beyond need is worth."""
 OVERDUE: Final = 6.0
@@ -76,6 +75,9 @@
     on_disk: frozenset[Model] = frozenset()
     settling: frozenset[Model] = frozenset()
     """Models that were loaded less than ``SETTLED`` ago."""
+    running: frozenset[Model] = frozenset()
+    """Models that calls use; their unload waits for these, for ``drain`` seconds."""
+    drain: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -88,6 +90,13 @@
     cold: bool
     """Whether the weights come from the weight store, whose rate is limited."""
     seconds: float
+    drain: float = 0.0
+    """Seconds before the load in which victims wait for their calls to end."""
+
+    @property
+    def takes(self) -> float:
+        """Return the seconds until the model serves."""
+        return self.drain + self.seconds
 
 
 @dataclass
@@ -136,15 +145,10 @@
 ) -> Move | None:
     """Return the load that helps most now, or None if none is worth its cost."""
     board = _Board(specs, demand, list(engines))
-    wanted = sorted(
-        (m for m in demand if m in specs and demand[m] > 0),
-        key=lambda m: -board.relief(m),
-    )
-    for model in wanted:
-        move = _best(board, model, cold_allowed)
-        if move is not None:
-            return move
-    return None
+    wanted = [m for m in demand if m in specs and board.relief(m) > 0]
+    found = [_best(board, model, cold_allowed) for model in wanted]
+    gains = [gain for gain in found if gain is not None]
+    return max(gains, key=lambda gain: gain.gain).move if gains else None
 
 
 def next_overdue(
@@ -176,8 +180,15 @@
     return sum(board.value(victim) for victim in move.victims)
 
 
-def _best(board: _Board, model: Model, cold_allowed: bool) -> Move | None:
-    best: tuple[float, Move] | None = None
+@dataclass(frozen=True)
+class _Gain:
+    gain: float
+    move: Move
+
+
+def _best(board: _Board, model: Model, cold_allowed: bool) -> _Gain | None:
+    """Return the best load of one model, if any is worth its cost."""
+    best: _Gain | None = None
     relief = board.relief(model)
     if relief < URGENT and board.loading() >= max(1, len(board.engines) // RARE_PART):
         return None
@@ -194,14 +205,14 @@
             # for several times as long; a place near the weights comes free sooner.
             continue
         displaced = _displaced(board, move)
-        floor = LOAD_FLOOR * move.seconds if board.copies.get(model) else 0.0
+        floor = LOAD_FLOOR * move.takes if board.copies.get(model) else 0.0
         gain = relief - GAIN * displaced - floor
-        gain -= DISTURB * move.seconds * _disturbed(board, engine, move)
+        gain -= DISTURB * move.takes * _disturbed(board, engine, move)
         # The sooner of two equal places: callers wait for its load.
-        gain /= 1.0 + move.seconds
-        if gain > 0 and (best is None or gain > best[0]):
-            best = (gain, move)
-    return best[1] if best else None
+        gain /= 1.0 + move.takes
+        if gain > 0 and (best is None or gain > best.gain):
+            best = _Gain(gain, move)
+    return best
 
 
 def _near_in(board: _Board, model: Model) -> float:
@@ -309,8 +320,9 @@
             free += board.specs[victim].memory
     if free < spec.memory:
         return None
-    if model in engine.in_memory:
-        return Move(model, engine.upstream, tuple(victims), False, spec.load_memory)
-    if model in engine.on_disk:
-        return Move(model, engine.upstream, tuple(victims), False, spec.load_disk)
-    return Move(model, engine.upstream, tuple(victims), True, spec.load_cold)
+    drain = engine.drain if engine.running.intersection(victims) else 0.0
+    near = model in engine.in_memory | engine.on_disk
+    seconds = spec.load_cold
+    if near:
+        seconds = spec.load_memory if model in engine.in_memory else spec.load_disk
+    return Move(model, engine.upstream, tuple(victims), not near, seconds, drain)
--- a/src/persimmonhitch/direct/desk.py
+++ b/src/persimmonhitch/direct/desk.py
@@ -8,6 +8,7 @@
 
 from returns.result import Success
 
+from ..decide.drains import DrainTime
 from ..fleet.config import EngineSpec, ModelSpec
 from ..fleet.upstream import Holding, UpstreamRecord
 from ..ids import Adapter, Epoch, Model
@@ -34,6 +35,12 @@
 """Seconds without orders to an address at which another instance answers."""
 TRIES: Final = 3
 """Tries of one order; each further one has first read the engine's state anew."""
+SOON: Final = 0.05
+"""Seconds between two tries of a load whose place is about to be free."""
+SOON_TRIES: Final = 5
+LOAD_MARGIN: Final = 0.03
+"""Seconds beyond its time after which a load from near counts as done; the report that
+shows it comes some hundred ms later, and callers wait for it."""
 KEPT_BACK: Final = 0.03
 """Seconds between the news that a model leaves and the order: calls that are on their
 way to it would be refused there."""
@@ -54,6 +61,7 @@
     loaded_at: dict[Model, float] = field(default_factory=dict)
     loading: Model | None = None
     ready_at: float = 0.0
+    drains: DrainTime = field(default_factory=DrainTime)
     leaving: frozenset[Model] = frozenset()
 
     def memory_taken(self) -> float:
@@ -287,18 +295,30 @@
 
     # -- models ------------------------------------------------------------------
 
-    def load(self, model: Model, victims: tuple[Model, ...], seconds: float) -> None:
-        """Load a model after others have made room for it; returns at its end."""
+    def load(
+        self,
+        model: Model,
+        victims: tuple[Model, ...],
+        seconds: float,
+        drain: float = 0.0,
+    ) -> None:
+        """Load a model after others have made room for it; returns at its end.
+
+        ``seconds`` is the time of the load, ``drain`` that of the unloads before it.
+        """
         engine = self.engine
         with self.lock:
             engine.leaving = frozenset(victims)
             engine.loading = model
-            engine.ready_at = self._clock() + seconds
+            engine.ready_at = self._clock() + drain + seconds
             self._publish(self)
         try:
             if victims:
                 self._sleep(KEPT_BACK)
-            if all(self._unload(victim) for victim in victims):
+            began = self._clock()
+            if all(self._unload(victim, drain > 0) for victim in victims):
+                if drain:
+                    engine.drains.saw(self._clock() - began)
                 self._load(model, seconds)
         finally:
             with self.lock:
@@ -316,18 +336,43 @@
                 if engine.memory_taken() > engine.spec.memory:
                     log("no_room", upstream=engine.record.name, model=model)
                     return
-                outcome = self._send(Order(True, model))
+                outcome = self._send_soon(Order(True, model))
                 if outcome not in (Outcome.ACCEPTED, Outcome.HOLDS):
                     if self._recover(outcome):
                         continue
                     return
                 engine.ready_at = self._clock() + seconds
                 self._publish(self)
+            if seconds < engine.spec.models[model].load_cold:
+                self._sleep(seconds + LOAD_MARGIN)
+                self._expect(model)
+                seconds = 0.0
             if self._await(lambda held: held.has(model, None), seconds):
                 engine.loaded_at[model] = self._clock()
             return
 
-    def _unload(self, model: Model) -> bool:
+    def _send_soon(self, order: Order) -> Outcome:
+        """Send an order that the engine refuses until the one before is done."""
+        for _ in range(SOON_TRIES):
+            outcome = self._send(order)
+            if outcome is not Outcome.CONFLICT:
+                return outcome
+            self._sleep(SOON)
+        return outcome
+
+    def _expect(self, model: Model) -> None:
+        """Tell that a model serves whose load takes no longer than is known."""
+        with self.lock:
+            holding = self.engine.holding
+            if holding is None or model in holding.models:
+                return
+            models = dict(holding.models)
+            models[model] = frozenset()
+            self.engine.holding = replace(holding, models=models)
+            self._publish(self)
+
+    def _unload(self, model: Model, runs: bool) -> bool:
+        """Unload a model; ``runs`` says whether its calls are to be waited for."""
         for _ in range(TRIES):
             with self.lock:
                 holding = self.engine.holding
@@ -340,9 +385,20 @@
                     if self._recover(outcome):
                         continue
                     return False
+                if not runs:
+                    # It is gone at once, and if a call is left that nobody has told of,
+                    # the engine refuses the next order until it has ended.
+                    self._forget(model)
+                    return True
             return self._await(lambda held: model not in held.models, 0.0)
         return False
 
+    def _forget(self, model: Model) -> None:
+        holding = self.engine.holding
+        assert holding is not None
+        models = {name: held for name, held in holding.models.items() if name != model}
+        self.engine.holding = replace(holding, models=models)
+
     def _await(self, reached: Callable[[Holding], bool], seconds: float) -> bool:
         """Wait until the engine's report shows what an order asked for."""
         self._sleep(max(seconds, REPORT_AGE))
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -12,7 +12,7 @@
 from ..decide.patience import LOAD_WORD, give_up_at, load_limit, refusal
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Model, Upstream, Vm, Zone
+from ..ids import Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
@@ -268,9 +268,14 @@
                 {},
                 dict(self._asked),
                 self._lanes.running(),
-                self._lanes.adapters_in_use(),
+                self._lanes.in_use(),
             )
 
+    def read_rate(self, service: Service) -> float:
+        """Return the prompt tokens a second that an engine of a service reads."""
+        with self._lock:
+            return self._lanes.speed(service)
+
     def tick(self) -> None:
         """Look again at what waits; upstreams return to trust with time alone."""
         now = self._clock()
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from statistics import median
 from typing import Final
 
 from ..decide.dispatch import READ_RATE, Lane, Need
@@ -12,7 +13,8 @@
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import Holding, UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm
-from .news import HoldingNews, NodeNews, Running
+from .news import HoldingNews, InUse, NodeNews, Running
+from .work import Work, in_use
 
 PEER_NEWS_LIFE: Final = 1.0
 """Seconds after which a silent peer's work counts as done; five missed messages."""
@@ -25,24 +27,19 @@
 BUSY_MARGIN: Final = 0.3
 """Seconds beyond a load's expected end at which orders are tried again; the holder of
 the lease tells its end at once."""
+SPEED_UP: Final = 0.2
+SPEED_DOWN: Final = 0.05
+"""Weights of a sample above and below what is taken for an engine's speed: samples are
+low where others' prompts were read between, hardly ever high."""
+SPEED_SAMPLE: Final = 2000
+"""Prompt tokens below which the time to a first token is mostly that of other things
+than reading."""
 RATE_WEIGHT: Final = 0.2
 """Weight of the newest sample in an engine's rate of reading."""
 LEAST_SAMPLE: Final = 200
 """Prompt tokens below which the time to a first token says little of that rate."""
 
 
-@dataclass
-class Work:
-    """Work of this entry at one upstream."""
-
-    requests: int = 0
-    tokens: int = 0
-    unread: int = 0
-    adapters: dict[tuple[Model, Adapter], int] = field(default_factory=dict)
-    idle_until: float = 0.0
-    """When the first of the calls that run now was sent."""
-
-
 @dataclass
 class Known:
     """One upstream with what was learned of it."""
@@ -57,9 +54,19 @@
     heard_at: float = 0.0
     """When it last said anything to a call of this entry."""
     read_rate: float = READ_RATE
+    speed: float | None = None
+    """Prompt tokens a second that it reads while it reads all the time."""
     missing: dict[tuple[Model, Adapter | None], float] = field(default_factory=dict)
     load: Load | None = None
 
+    def sample_speed(self, sample: float) -> None:
+        """Take one sample of its speed of reading."""
+        if self.speed is None:
+            self.speed = sample
+            return
+        weight = SPEED_UP if sample > self.speed else SPEED_DOWN
+        self.speed += weight * (sample - self.speed)
+
     def has(self, model: Model, adapter: Adapter | None, now: float) -> bool:
         """Return whether a call for a model and adapter can run there now."""
         holding = self._holding(now)
@@ -149,15 +156,7 @@
 
     def start(self, upstream: Upstream, need: Need) -> None:
         """Count a call that is sent."""
-        work = self._mine[upstream]
-        if not work.requests:
-            work.idle_until = self._clock()
-        work.requests += 1
-        work.tokens += need.tokens
-        work.unread += need.prompt
-        if need.model is not None and need.adapter is not None:
-            key = (need.model, need.adapter)
-            work.adapters[key] = work.adapters.get(key, 0) + 1
+        self._mine[upstream].start(need, self._clock())
 
     def read(self, upstream: Upstream, need: Need, seconds: float, before: int) -> None:
         """Count a call whose first token came, ``seconds`` after it was sent.
@@ -168,19 +167,17 @@
         known = self._known.get(upstream)
         if known is not None and before >= LEAST_SAMPLE and seconds > 0:
             known.read_rate += RATE_WEIGHT * (before / seconds - known.read_rate)
+            if before >= SPEED_SAMPLE:
+                known.sample_speed(before / seconds)
+
+    def speed(self, service: Service) -> float:
+        """Return the prompt tokens a second that an engine of a service reads."""
+        speeds = [k.speed for k in self._by_service[service] if k.speed is not None]
+        return median(speeds) if speeds else READ_RATE
 
     def finish(self, upstream: Upstream, need: Need, was_read: bool) -> None:
         """Count a call that has ended."""
-        work = self._mine[upstream]
-        work.requests -= 1
-        work.tokens -= need.tokens
-        if not was_read:
-            work.unread -= need.prompt
-        if need.model is not None and need.adapter is not None:
-            key = (need.model, need.adapter)
-            work.adapters[key] -= 1
-            if not work.adapters[key]:
-                del work.adapters[key]
+        self._mine[upstream].finish(need, was_read)
 
     def unread(self, upstream: Upstream) -> int:
         """Return the prompt tokens that an upstream has yet to read, of all entries."""
@@ -257,10 +254,6 @@
             if work.requests
         )
 
-    def adapters_in_use(self) -> tuple[str, ...]:
-        """Return the adapters that running calls use, for the peers."""
-        return tuple(
-            f"{name}/{model}/{adapter}"
-            for name, work in self._mine.items()
-            for model, adapter in work.adapters
-        )
+    def in_use(self) -> tuple[InUse, ...]:
+        """Return the models and adapters that calls use, for the peers."""
+        return in_use(self._mine.items())
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -13,6 +13,7 @@
 
 from ..decide.bursts import LoadRate
 from ..decide.demand import Demand
+from ..decide.drains import DrainTime
 from ..decide.residency import (
     SETTLED,
     EngineView,
@@ -29,7 +30,7 @@
 from .desk import Desk, Engine, held_models
 from .engine_client import EngineClient
 from .leaseholder import LeaseHolder
-from .news import HoldingNews, NodeNews, Want
+from .news import HoldingNews, InUse, NodeNews, Want
 
 LastOrders = Callable[[], Mapping[Upstream, float]]
 
@@ -42,8 +43,8 @@
 LEARN_TIME: Final = 2.0
 """Seconds at most in which a new holder learns what engines hold before it has models
 loaded; one that does not answer its report in that time may answer none."""
-LEAST_DEMAND: Final = 100.0
-"""Tokens a second below which nobody asks for a model any more: what the slow average
+LEAST_DEMAND: Final = 0.004
+"""Part of an engine below which nobody asks for a model any more: what the slow average
 still shows half a minute after a single call."""
 PUBLISH_EVERY: Final = 0.5
 """Seconds after which holdings are told again, for entries that have started since."""
@@ -58,6 +59,8 @@
         Makes the holder of the lease, given when each engine was last ordered.
     tell : callable
         Takes what an engine holds, for this entry and all others.
+    read_rate : callable
+        Returns the prompt tokens a second that an engine of a service reads.
     """
 
     def __init__(
@@ -65,10 +68,12 @@
         vm: Vm,
         holder: Callable[[LastOrders], LeaseHolder],
         tell: Callable[[HoldingNews], None],
+        read_rate: Callable[[Service], float],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.lease = holder(self._last_orders)
         self._tell = tell
+        self._read_rate = read_rate
         self._began_at = 0.0
         self._clock = clock
         self._client = EngineClient(vm)
@@ -78,7 +83,8 @@
         self._demand = Demand()
         self._rates: dict[Model, float] = {}
         self._rate = LoadRate()
-        self._in_use: dict[Vm, tuple[float, frozenset[str]]] = {}
+        self._in_use: dict[Vm, tuple[float, frozenset[InUse]]] = {}
+        self._drains = DrainTime()
         self._active = False
         self._refreshing: set[Upstream] = set()
         self._homes: dict[Upstream, frozenset[Model]] = {}
@@ -92,6 +98,8 @@
         self._told_at = 0.0
         self._lock = threading.Lock()
         self._stopping = threading.Event()
+        self._look_now = threading.Event()
+        """Set when calls wait for a model that no engine has."""
         self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
         self._thread = threading.Thread(target=self._run, name="leader", daemon=True)
 
@@ -103,6 +111,7 @@
     def stop(self) -> None:
         """Give no more orders and let the next entry have the lease."""
         self._stopping.set()
+        self._look_now.set()
         self.lease.stop()
 
     def _last_orders(self) -> dict[Upstream, float]:
@@ -138,12 +147,15 @@
         """Take what an entry runs and what is asked of it."""
         now = self._clock()
         with self._lock:
-            self._in_use[vm] = (now, frozenset(msg.adapters))
+            self._in_use[vm] = (now, frozenset(msg.in_use))
             self._demand.hear(vm, msg.asked, now)
 
     def hear_want(self, msg: Want) -> None:
         """Take what an entry is missing."""
-        if not self._is_active() or msg.upstream is None or msg.adapter is None:
+        if not self._is_active():
+            return
+        if msg.upstream is None or msg.adapter is None:
+            self._look_now.set()
             return
         with self._lock:
             desk = self._desks.get(msg.upstream)
@@ -159,7 +171,9 @@
         return self._active and not self._stopping.is_set()
 
     def _run(self) -> None:
-        while not self._stopping.wait(PERIOD):
+        while not self._stopping.is_set():
+            self._look_now.wait(PERIOD)
+            self._look_now.clear()
             self._guarded(self.round)
 
     def _guarded(self, step: Callable[..., object], *args: object) -> None:
@@ -211,7 +225,9 @@
                     continue
                 desk = self._desks.get(name)
                 if desk is None or _restarted(desk, record):
-                    self._desks[name] = self._desk(Engine(record, spec))
+                    self._desks[name] = self._desk(
+                        Engine(record, spec, drains=self._drains)
+                    )
                 else:
                     desk.engine.record = record
             # An order of the last holder may be under way: what it loads takes memory
@@ -245,15 +261,19 @@
         desk.free_from = self.lease.free_from(engine.record.name, self._began_at)
         return desk
 
-    def _runs(self, engine: Engine, model: Model, adapter: Adapter) -> bool:
-        name = f"{engine.record.name}/{model}/{adapter}"
+    def _used(self) -> frozenset[InUse]:
+        """Return what calls of all entries use."""
         now = self._clock()
         with self._lock:
-            return any(
-                name in names
-                for heard_at, names in self._in_use.values()
+            told = [
+                used
+                for heard_at, used in self._in_use.values()
                 if now - heard_at <= PEER_NEWS_LIFE
-            )
+            ]
+        return frozenset().union(*told)
+
+    def _runs(self, engine: Engine, model: Model, adapter: Adapter) -> bool:
+        return InUse(engine.record.name, model, adapter) in self._used()
 
     def _publish(self, desk: Desk) -> None:
         engine = desk.engine
@@ -277,7 +297,7 @@
         now = self._clock()
         with self._lock:
             cfg = self._cfg
-            demand = self._rates
+            rates = self._rates
             desks = list(self._desks.values())
         if cfg is None:
             return
@@ -285,6 +305,8 @@
             if service.engine is None:
                 continue
             mine = [d for d in desks if d.engine.record.service == service.name]
+            engine_reads = self._read_rate(service.name)
+            demand = {model: rate / engine_reads for model, rate in rates.items()}
             self._place_service(service.engine, demand, mine, now)
 
     def _place_service(
@@ -299,8 +321,11 @@
             # What no known engine holds may well be on one that is still unknown.
             return
         by_name = {desk.engine.record.name: desk for desk in desks}
+        used: dict[Upstream, set[Model]] = {}
+        for item in self._used():
+            used.setdefault(item.upstream, set()).add(item.model)
         for _ in range(len(desks)):
-            views = [_view(desk, now) for desk in desks]
+            views = [_view(desk, used, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
             move = self._overdue_move(spec, demand, views, cold)
             if move is None:
@@ -363,10 +388,16 @@
             model=move.model,
             instead=",".join(move.victims) or "-",
             cold=move.cold,
+            drain=move.drain,
             demand=demand.get(move.model, 0.0),
         )
         self._pool.submit(
-            self._guarded, desk.load, move.model, move.victims, move.seconds
+            self._guarded,
+            desk.load,
+            move.model,
+            move.victims,
+            move.seconds,
+            move.drain,
         )
 
 
@@ -374,7 +405,7 @@
     return record.born != desk.engine.record.born
 
 
-def _view(desk: Desk, now: float) -> EngineView:
+def _view(desk: Desk, used: Mapping[Upstream, set[Model]], now: float) -> EngineView:
     engine = desk.engine
     loaded = engine.loaded_at.items()
     holding = engine.holding
@@ -390,4 +421,6 @@
         in_memory=holding.in_memory if holding else frozenset(),
         on_disk=holding.on_disk if holding else frozenset(),
         settling=frozenset(model for model, at in loaded if now - at < SETTLED),
+        running=frozenset(used.get(engine.record.name, ())),
+        drain=engine.drains.expected,
     )
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -100,6 +100,9 @@
         self.refusing = threading.Event()
         """Set when too little time is left at a stop for another request."""
         self._stopped = threading.Event()
+        self._tick_due = threading.Event()
+        self._missing: set[Want] = set()
+        """Models that calls wait for and no upstream has; told with the next news."""
         store = StoreClient(cfg.store, cfg.store_timeout)
         host, port = cfg.link[0]
         self.mesh = PeerMesh(self.vm, host, port, cfg.secret.encode(), self.hello)
@@ -116,6 +119,7 @@
             self.vm,
             lambda last_orders: LeaseHolder(self.vm, lease, self, last_orders, guard),
             self._tell_holding,
+            self.dispatcher.read_rate,
         )
         self.lease = self.leader.lease
         self.upstreams = UpstreamList(self._on_upstreams)
@@ -247,6 +251,15 @@
         return self.mesh.incarnation(vm) not in (None, old)
 
     def _want(self, msg: Want) -> None:
+        if msg.upstream is None:
+            # With the news of what is asked, by which its load is decided; callers wait
+            # for as long as these are late.
+            self._missing.add(msg)
+            self._tick_due.set()
+        else:
+            self._tell_want(msg)
+
+    def _tell_want(self, msg: Want) -> None:
         self.leader.hear_want(msg)
         if self.leader_vm is None or not self.mesh.send(self.leader_vm, msg):
             self.tell_all(msg)
@@ -278,13 +291,18 @@
 
     def _tick(self) -> None:
         told_at = 0.0
-        while not self._stopped.wait(TICK):
+        while not self._stopped.is_set():
+            self._tick_due.wait(TICK)
+            self._tick_due.clear()
             try:
                 self.upstreams.expire()
                 self.dispatcher.tick()
-                if time.monotonic() - told_at >= NEWS_EVERY:
+                missing, self._missing = self._missing, set()
+                if missing or time.monotonic() - told_at >= NEWS_EVERY:
                     told_at = time.monotonic()
                     self._tell_node()
+                for want in missing:
+                    self._tell_want(want)
             except Exception as exc:
                 log("tick_failed", error=repr(exc))
 
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -18,6 +18,15 @@
     """Prompt tokens of requests whose first token has not come yet."""
 
 
+@dataclass(frozen=True)
+class InUse:
+    """A model, and its adapter if there is one, that calls at an upstream use."""
+
+    upstream: Upstream
+    model: Model
+    adapter: Adapter | None
+
+
 @message(60)
 @dataclass(frozen=True)
 class NodeNews:
@@ -30,8 +39,7 @@
     used: dict[Account, float]
     asked: dict[Model, float]
     running: tuple[Running, ...]
-    adapters: tuple[str, ...]
-    """Adapters in use, each as upstream, model and adapter with slashes between."""
+    in_use: tuple[InUse, ...]
 
 
 @message(61)
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -1,7 +1,5 @@
 """An engine in memory that takes orders as the platform's interface says."""
 
-import json
-
 from returns.result import Failure as Err
 from returns.result import Success
 
@@ -47,7 +45,10 @@
         self.running = set()
         """Adapters that calls use: their unload waits for these to end."""
         self.ending = set()
+        self.leaving = set()
+        """Models whose unload waits for the calls that use them."""
         self.lose_answers = 0
+        self.load_time = 1.7
         self.late = []
         self.record = UpstreamRecord(
             Upstream("e1"),
@@ -84,7 +85,7 @@
         self.late = []
 
     def take(self, order, orders):
-        if orders != self.orders or self.loading is not None:
+        if orders != self.orders or self.loading is not None or self.leaving:
             return Outcome.CONFLICT
         self.orders += 1
         if order.adapter is not None:
@@ -106,23 +107,30 @@
 
     def _model(self, order):
         if not order.load:
-            self.models.pop(order.model, None)
+            if order.model in self.running:
+                self.leaving.add(order.model)
+            else:
+                self.models.pop(order.model, None)
             return Outcome.ACCEPTED
         memory = sum(SPECS[name].memory for name in self.models)
         if memory + SPECS[order.model].memory > SPEC.memory:
             self.overfull.append(order)
-        self.loading, self.busy_until = order.model, self.clock() + 1.7
+        self.loading, self.busy_until = order.model, self.clock() + self.load_time
         return Outcome.ACCEPTED
 
     def end_runs(self):
         for held in self.models.values():
             held -= self.ending
+        for model in self.leaving:
+            self.models.pop(model, None)
+        self.leaving = set()
         self.running, self.ending = set(), set()
 
     def report(self, _record):
         self._settle()
         models = {name: frozenset(names) for name, names in self.models.items()}
-        return Success(Holding(self.orders, models, busy=self.loading is not None))
+        busy = self.loading is not None or bool(self.leaving)
+        return Success(Holding(self.orders, models, busy=busy))
 
 
 class DeadEngine(FakeEngine):
@@ -139,7 +147,7 @@
         Engine(engine.record, SPEC),
         engine,
         epoch,
-        lambda d: told.append(json.dumps(sorted(d.engine.holding.models))),
+        lambda d: told.append((clock(), sorted(d.engine.holding.models))),
         in_use,
         clock,
         clock.sleep,
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -243,8 +243,12 @@
     return EngineView(Upstream(name), 200.0, 1.0, held, on_disk=disk, **more)
 
 
+READS = 24_000.0
+"""Tokens a second that an engine reads."""
+
+
 def asked(**rates):
-    return {Model(name): float(rate) for name, rate in rates.items()}
+    return {Model(name): rate / READS for name, rate in rates.items()}
 
 
 def test_a_missing_model_is_loaded_where_its_weights_are_near():
@@ -348,7 +352,7 @@
 
 def test_models_near_no_engine_are_staged_while_nobody_asks():
     engines = [engine("e1", "a", "b"), engine("e2", "a", "c")]
-    move = next_staging(SPECS, {}, engines, engines)
+    move = next_staging(SPECS, asked(), engines, engines)
     assert move is not None and move.model in ("d", "e", "f")
     assert move.victims == ("a",), "every model keeps a copy"
     assert next_staging(SPECS, asked(a=1, b=1, c=1), engines, engines) is None
@@ -360,7 +364,7 @@
     """
     home = {Upstream("e1"): frozenset({Model("a"), Model("b")})}
     engines = [engine("e1", "a", "d", disk=("a", "b", "d"))]
-    move = next_return(SPECS, {}, engines, home)
+    move = next_return(SPECS, asked(), engines, home)
     assert (move.model, move.victims) == ("b", ("d",))
     assert next_return(SPECS, asked(d=5), engines, home) is None
 
--- a/tests/test_direct_desk.py
+++ b/tests/test_direct_desk.py
@@ -69,6 +69,55 @@
     assert [order.load for order, _ in engine.log] == [False, True]
 
 
+def test_callers_wait_for_the_load_alone():
+    """A model that runs nothing makes room for one that callers wait for. The engine's
+    reports show each step some hundred ms late; waited for twice, they take as long as
+    the load itself, and callers whose aim is not much more get their answers late.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other"))
+    desk, told = desk_of(engine, clock)
+    desk.refresh()
+    began = clock()
+    desk.load(SMALL, (BIG,), 1.7)
+    serves_at = next(at for at, models in told if "small" in models)
+    assert serves_at - began < 1.7 + 0.1
+
+
+def test_a_load_from_the_weight_store_counts_when_it_is_seen():
+    """How long it takes depends on the loads of all engines; told too soon, callers
+    are sent to it and refused there.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other"))
+    desk, told = desk_of(engine, clock)
+    desk.refresh()
+    engine.load_time = 12.0
+    began = clock()
+    desk.load(SMALL, (BIG,), 8.0)
+    serves_at = next(at for at, models in told if "small" in models)
+    assert serves_at - began > 12.0
+
+
+def test_a_call_that_nobody_told_of_holds_back_the_load():
+    """An entry is cut off while its calls use the model that is to make room. The
+    engine accepts the unload and waits for them. A load that it took before they have
+    ended would be more than it has room for, and it would crash with all its calls.
+    """
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other"))
+    engine.running = {BIG}
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    desk.load(SMALL, (BIG,), 1.7)
+    assert set(engine.models) == {"big", "other"}
+    engine.end_runs()
+    desk.refresh()
+    desk.load(SMALL, (), 1.7)
+    assert set(engine.models) == {"other", "small"}
+    assert engine.overfull == []
+
+
 def test_no_model_is_loaded_into_memory_that_is_taken():
     """The plan counted on room that another load has taken meanwhile."""
     clock = Clock()
