--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -49,6 +49,7 @@
         """Models whose unload waits for the calls that use them."""
         self.lose_answers = 0
         self.load_time = 1.7
+        self.on_disk = set()
         self.late = []
         self.record = UpstreamRecord(
             Upstream("e1"),
@@ -130,7 +131,9 @@
         self._settle()
         models = {name: frozenset(names) for name, names in self.models.items()}
         busy = self.loading is not None or bool(self.leaving)
-        return Success(Holding(self.orders, models, busy=busy))
+        return Success(
+            Holding(self.orders, models, on_disk=frozenset(self.on_disk), busy=busy)
+        )
 
 
 class DeadEngine(FakeEngine):
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -7,6 +7,7 @@
 from persimmonhitch.decide.bursts import AT_ONCE, LoadRate
 from persimmonhitch.decide.demand import Demand
 from persimmonhitch.decide.dispatch import Lane, Need, Step, choose
+from persimmonhitch.decide.drains import DrainTime
 from persimmonhitch.decide.patience import give_up_at, load_limit, refusal
 from persimmonhitch.decide.residency import (
     OVERDUE,
@@ -320,6 +321,31 @@
     assert move is None
 
 
+def test_a_place_that_is_free_at_once_goes_before_one_that_calls_hold():
+    """Two engines could take a model. At one of them the model that would leave runs
+    streams of seconds, and its unload waits for these; the engine takes no other order
+    meanwhile, and callers of the new model are refused for as long.
+    """
+    running = frozenset({Model("b")})
+    disk = ("a", "b", "c")
+    engines = [
+        engine("e1", "a", "b", disk=disk, running=running, drain=4.0),
+        engine("e2", "a", "b", disk=disk),
+    ]
+    demand = asked(a=5000, b=0, c=9000)
+    move = next_move(SPECS, demand, engines, True)
+    assert (move.upstream, move.takes) == ("e2", 2.0)
+    move = next_move(SPECS, demand, engines[:1], True)
+    assert (move.upstream, move.takes) == ("e1", 6.0)
+
+
+def test_the_wait_for_calls_is_learned_from_unloads():
+    drains = DrainTime()
+    for _ in range(20):
+        drains.saw(7.0)
+    assert 6.5 < drains.expected <= 7.0
+
+
 def test_a_busy_model_gets_a_second_copy():
     engines = [engine("e1", "a", "b"), engine("e2", "c", "d", disk=("a", "c", "d"))]
     move = next_move(SPECS, asked(a=30_000, b=9000, c=0, d=0), engines, True)
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import pytest
 from fleet import wait_for
 from returns.result import Success
 
@@ -10,6 +11,7 @@
 from persimmonhitch.decide.trust import FAILURES
 from persimmonhitch.direct.abort import Abort
 from persimmonhitch.direct.dispatcher import Dispatcher
+from persimmonhitch.direct.lanes import Lanes
 from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
 from persimmonhitch.ids import Model, Service, Upstream, Zone
 from persimmonhitch.verdict import ErrorCode, Failure
@@ -131,3 +133,28 @@
         return not made._wanted
 
     wait_for(forgotten, "what was asked for to be forgotten")
+
+
+@pytest.mark.parametrize(
+    ("samples", "least", "most"),
+    [
+        ((), 15_000, 15_000),
+        (((400, 0.1),), 15_000, 15_000),
+        (((4000, 0.1),), 40_000, 40_000),
+        (((4000, 0.1),) * 20 + ((4000, 0.4),), 36_000, 40_000),
+    ],
+)
+def test_an_engine_s_speed_is_what_it_reads_while_nothing_else_is_read(
+    samples, least, most
+):
+    """Demand counts in parts of what an engine reads. By the rate of other machines,
+    or by one that others' prompts made slow, copies are loaded that nobody needs.
+    """
+    lanes = Lanes()
+    lanes.update([record("e1")])
+    for tokens, seconds in samples:
+        call = need()
+        lanes.start(Upstream("e1"), call)
+        lanes.read(Upstream("e1"), call, seconds, tokens)
+        lanes.finish(Upstream("e1"), call, True)
+    assert least <= lanes.speed(LLM) <= most
