--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -30,7 +30,7 @@
 SPEED_UP: Final = 0.2
 SPEED_DOWN: Final = 0.05
 """Weights of a sample above and below what is taken for an engine's speed: samples are
-low where others' prompts were read between, hardly ever high."""
+low where prompts were read between that nobody had told of, and not high."""
 SPEED_SAMPLE: Final = 2000
 """Prompt tokens below which the time to a first token is mostly that of other things
 than reading."""
@@ -167,7 +167,8 @@
         known = self._known.get(upstream)
         if known is not None and before >= LEAST_SAMPLE and seconds > 0:
             known.read_rate += RATE_WEIGHT * (before / seconds - known.read_rate)
-            if before >= SPEED_SAMPLE:
+            # Alone: of what others sent some was read by then, and was told as unread.
+            if before == need.prompt >= SPEED_SAMPLE:
                 known.sample_speed(before / seconds)
 
     def speed(self, service: Service) -> float:
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -36,6 +36,9 @@
 
 PERIOD: Final = 0.1
 """Seconds between two looks at what should be loaded."""
+LEAST_PERIOD: Final = 0.05
+"""Seconds between two looks at the word of callers; many models may be missing at once,
+and every entry tells of each."""
 WORKERS: Final = 24
 """Orders under way at a time, each waiting for an engine most of its time."""
 PEER_NEWS_LIFE: Final = 1.0
@@ -175,6 +178,7 @@
             self._look_now.wait(PERIOD)
             self._look_now.clear()
             self._guarded(self.round)
+            self._stopping.wait(LEAST_PERIOD)
 
     def _guarded(self, step: Callable[..., object], *args: object) -> None:
         try:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -259,8 +259,23 @@
         else:
             self._tell_want(msg)
 
+    def _tell_missing(self, missing: set[Want]) -> None:
+        """Tell the holder of the lease at once, and nobody else, what calls wait for.
+
+        Told to all, each missing model would cost every entry a message from each other
+        one, and most of their processor time where there are dozens.
+        """
+        news = self._node_news()
+        self.leader.hear_node(self.vm, news)
+        if self.leader_vm is not None:
+            self.mesh.send(self.leader_vm, news)
+        for want in missing:
+            self._tell_want(want)
+
     def _tell_want(self, msg: Want) -> None:
         self.leader.hear_want(msg)
+        if self.lease.epoch() is not None:
+            return
         if self.leader_vm is None or not self.mesh.send(self.leader_vm, msg):
             self.tell_all(msg)
 
@@ -298,19 +313,22 @@
                 self.upstreams.expire()
                 self.dispatcher.tick()
                 missing, self._missing = self._missing, set()
-                if missing or time.monotonic() - told_at >= NEWS_EVERY:
+                if missing:
+                    self._tell_missing(missing)
+                if time.monotonic() - told_at >= NEWS_EVERY:
                     told_at = time.monotonic()
                     self._tell_node()
-                for want in missing:
-                    self._tell_want(want)
             except Exception as exc:
                 log("tick_failed", error=repr(exc))
 
     def _tell_node(self) -> None:
-        news = replace(self.dispatcher.news(), used=self.quota.used())
+        news = self._node_news()
         self.leader.hear_node(self.vm, news)
         self.tell_all(news)
 
+    def _node_news(self) -> NodeNews:
+        return replace(self.dispatcher.news(), used=self.quota.used())
+
     def reload(self, path: Path) -> None:
         """Read the settings anew; those of a stop are taken while the process runs."""
         result = load(DirectSettings, path)
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 from fleet import wait_for
@@ -139,22 +140,24 @@
     ("samples", "least", "most"),
     [
         ((), 15_000, 15_000),
-        (((400, 0.1),), 15_000, 15_000),
-        (((4000, 0.1),), 40_000, 40_000),
-        (((4000, 0.1),) * 20 + ((4000, 0.4),), 36_000, 40_000),
+        (((400, 400, 0.1),), 15_000, 15_000),
+        (((4000, 4000, 0.1),), 40_000, 40_000),
+        (((4000, 4000, 0.1),) * 20 + ((4000, 4000, 0.4),), 36_000, 40_000),
+        (((4000, 4000, 0.1),) * 20 + ((4000, 20_000, 0.1),) * 20, 36_000, 40_000),
     ],
 )
 def test_an_engine_s_speed_is_what_it_reads_while_nothing_else_is_read(
     samples, least, most
 ):
     """Demand counts in parts of what an engine reads. By the rate of other machines,
-    or by one that others' prompts made slow, copies are loaded that nobody needs.
+    or by one that others' prompts made slow, copies are loaded that nobody needs; by
+    one that counts prompts which were long read, busy models get too few.
     """
     lanes = Lanes()
     lanes.update([record("e1")])
-    for tokens, seconds in samples:
-        call = need()
+    for prompt, before, seconds in samples:
+        call = replace(need(), prompt=prompt)
         lanes.start(Upstream("e1"), call)
-        lanes.read(Upstream("e1"), call, seconds, tokens)
+        lanes.read(Upstream("e1"), call, seconds, before)
         lanes.finish(Upstream("e1"), call, True)
     assert least <= lanes.speed(LLM) <= most
