Logs tell since when a model is missing and why no adapter could be had

Evidence needed: three hypotheses on models never served could not be told apart. Now model_missing and model_missing_ended (why=held or not_asked) frame the time in which a model counts as missing. A call whose adapter could not be loaded since the engines of its model load another one was refused as 'all upstreams ... are full'; it has a reason of its own, WAIT_TO_FETCH. No decision changes: such a call waits and is refused as before.

Test changed: the row of test_where_a_call_goes for this case expected WAIT, it expects WAIT_TO_FETCH now; a row was added for a second engine that is only full (WAIT).

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -82,6 +82,8 @@
     """No upstream has the model."""
     WAIT = "wait"
     """All upstreams that could run it are full."""
+    WAIT_TO_FETCH = "wait_to_fetch"
+    """Its adapter is nowhere, and all upstreams of its model load another model."""
     NONE = "none"
     """There is no upstream."""
 
@@ -128,6 +130,8 @@
     if not able:
         return Choice(Step.LOAD)
     able = [ln for ln in able if need.adapter is None or ln.adapter_here or ln.fetches]
+    if not able:
+        return Choice(Step.WAIT_TO_FETCH)
     open_lanes = [lane for lane in able if has_room(lane, need)]
     if not open_lanes:
         return Choice(Step.WAIT)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -187,7 +187,7 @@
         elif choice.step is Step.NONE:
             waiter.failure = refusal(Step.NONE, need)
             waiter.decided.set()
-        elif choice.step is not Step.WAIT and need.model is not None:
+        elif choice.step in (Step.FETCH, Step.LOAD) and need.model is not None:
             adapter = need.adapter if choice.step is Step.FETCH else None
             self._ask(Want(need.model, adapter, choice.upstream))
 
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -353,10 +353,13 @@
         loading = {model for view in views for model in view.coming}
         held = {model for view in views for model in view.models}
         for model in spec.models:
-            if model in held | loading or demand.get(model, 0.0) < LEAST_DEMAND:
-                self._missing.pop(model, None)
-            else:
-                self._missing.setdefault(model, now)
+            if model in held | loading:
+                self._end_missing(model, "held", now)
+            elif demand.get(model, 0.0) < LEAST_DEMAND:
+                self._end_missing(model, "not_asked", now)
+            elif model not in self._missing:
+                self._missing[model] = now
+                log("model_missing", model=model, demand=demand[model])
         if self._forced in loading:
             return None
         missing_for = {model: now - at for model, at in self._missing.items()}
@@ -366,6 +369,11 @@
             log("model_overdue", model=move.model, missing_for=missing_for[move.model])
         return move
 
+    def _end_missing(self, model: Model, why: str, now: float) -> None:
+        since = self._missing.pop(model, None)
+        if since is not None:
+            log("model_missing_ended", model=model, why=why, missing_for=now - since)
+
     def _idle_move(
         self,
         spec: EngineSpec,
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -77,6 +77,12 @@
         (
             [lane(adapter_here=False, fetches=False)],
             need(adapter=Adapter("a")),
+            Step.WAIT_TO_FETCH,
+            None,
+        ),
+        (
+            [lane(adapter_here=False, fetches=False), lane("e2", trust=0.0)],
+            need(adapter=Adapter("a")),
             Step.WAIT,
             None,
         ),
