Overdue models load on a third of the engines, not one after the other

Cause: the holder of the orders lease had one overdue model loaded at a time over all engines.

Class: a guarantee for each model, rationed by a constant that does not grow with the fleet. Now as many engines load overdue models as may load what is not urgent (RARE_PART). The row of test_rare_models for 24 engines failed before (4 of 12 never loaded) and passes.

--- a/src/persimmonhitch/decide/patience.py
+++ b/src/persimmonhitch/decide/patience.py
@@ -71,7 +71,9 @@
         reason = f"an adapter of {need.model} is being loaded"
         return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=FULL_RETRY * spread)
     if step is Step.WAIT_TO_FETCH:
-        reason = f"the upstreams with {need.model} load no adapter until a load has ended"
+        reason = (
+            f"the upstreams with {need.model} load no adapter until a load has ended"
+        )
         return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=FULL_RETRY * spread)
     reason = f"all upstreams of {need.service} that can run this are full"
     return Failure(ErrorCode.OVERLOADED, reason, retry_after=FULL_RETRY * spread)
--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -19,7 +19,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -115,6 +115,10 @@
         """Return the engines that load a model now."""
         return sum(bool(engine.coming) for engine in self.engines)
 
+    def rare_most(self) -> int:
+        """Return the engines that may load at a time what is not urgent."""
+        return max(1, len(self.engines) // RARE_PART)
+
     def relief(self, model: Model) -> float:
         """Return what one more copy of a model is worth."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
@@ -157,13 +161,20 @@
     engines: Iterable[EngineView],
     missing_for: Mapping[Model, float],
     cold_allowed: bool,
+    forced: Collection[Model] = (),
 ) -> Move | None:
     """Return a load for the model whose callers have been refused for longest.
 
-    ``missing_for`` are the seconds since each model was asked for that nobody holds. A
-    load from near goes first, and what displaces least; None if none is overdue.
+    ``missing_for`` are the seconds since each model was asked for that nobody holds,
+    ``forced`` the overdue models that engines load already. A load from near goes
+    first, and what displaces least; None if none is overdue.
+
+    As many engines load overdue models at a time as may load what is not urgent. One
+    after the other, callers of the last would wait for the loads of all before it.
     """
     board = _Board(specs, demand, list(engines))
+    if sum(not e.coming.isdisjoint(forced) for e in board.engines) >= board.rare_most():
+        return None
     overdue = [m for m, passed in missing_for.items() if passed >= OVERDUE]
     for model in sorted(overdue, key=lambda m: -missing_for[m]):
         if model not in specs or board.copies.get(model):
@@ -190,7 +201,7 @@
     """Return the best load of one model, if any is worth its cost."""
     best: _Gain | None = None
     relief = board.relief(model)
-    if relief < URGENT and board.loading() >= max(1, len(board.engines) // RARE_PART):
+    if relief < URGENT and board.loading() >= board.rare_most():
         return None
     near = _near_in(board, model)
     for engine in board.engines:
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -96,8 +96,8 @@
         since callers may come at any moment."""
         self._missing: dict[Model, float] = {}
         """When each model was first asked for that no engine holds or loads."""
-        self._forced: Model | None = None
-        """The overdue model that is being loaded; one at a time."""
+        self._forced: set[Model] = set()
+        """Overdue models that are being loaded."""
         self._told_at = 0.0
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -360,12 +360,11 @@
             elif model not in self._missing:
                 self._missing[model] = now
                 log("model_missing", model=model, demand=demand[model])
-        if self._forced in loading:
-            return None
+        self._forced &= loading
         missing_for = {model: now - at for model, at in self._missing.items()}
-        move = next_overdue(spec.models, demand, views, missing_for, cold)
-        self._forced = move.model if move is not None else None
+        move = next_overdue(spec.models, demand, views, missing_for, cold, self._forced)
         if move is not None:
+            self._forced.add(move.model)
             log("model_overdue", model=move.model, missing_for=missing_for[move.model])
         return move
 
