A missing model is known by its calls, not by an average of its demand

Callers saw: the same refusals, for models with a call every three to eight seconds.

Cause: the time for which a model was missing started anew whenever the average of what is asked of it fell below LEAST_DEMAND, 0.4 in 100 of what an engine reads. A short call falls below it within two seconds, a long one within five, before the six seconds at which a model is overdue.

Now a model is missing from its first call until an engine holds it, and for ASKED_FOR after its last call.

--- a/src/persimmonhitch/decide/demand.py
+++ b/src/persimmonhitch/decide/demand.py
@@ -33,6 +33,7 @@
     _sums: dict[tuple[Vm, Model], float] = field(default_factory=dict)
     _fresh: dict[Model, float] = field(default_factory=dict)
     _tracks: dict[Model, _Track] = field(default_factory=dict)
+    _asked_at: dict[Model, float] = field(default_factory=dict)
     _at: float | None = None
 
     def hear(self, vm: Vm, asked: Mapping[Model, float], now: float) -> None:
@@ -42,6 +43,12 @@
             new = total - last if total >= last else total
             self._sums[vm, model] = total
             self._fresh[model] = self._fresh.get(model, 0.0) + new
+            if new > 0:
+                self._asked_at[model] = now
+
+    def asked_at(self) -> dict[Model, float]:
+        """Return when each model was last asked for."""
+        return dict(self._asked_at)
 
     def rates(self, now: float) -> dict[Model, float]:
         """Return the tokens a second of every model that was asked for."""
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -7,6 +7,7 @@
 import math
 import threading
 import time
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
@@ -14,6 +15,7 @@
 from ..decide.bursts import LoadRate
 from ..decide.demand import Demand
 from ..decide.drains import DrainTime
+from ..decide.missing import MissingModels, Standing
 from ..decide.residency import (
     SETTLED,
     EngineView,
@@ -46,9 +48,6 @@
 LEARN_TIME: Final = 2.0
 """Seconds at most in which a new holder learns what engines hold before it has models
 loaded; one that does not answer its report in that time may answer none."""
-LEAST_DEMAND: Final = 0.004
-"""Part of an engine below which nobody asks for a model any more: what the slow average
-still shows half a minute after a single call."""
 PUBLISH_EVERY: Final = 0.5
 """Seconds after which holdings are told again, for entries that have started since."""
 
@@ -85,6 +84,7 @@
         self._desks: dict[Upstream, Desk] = {}
         self._demand = Demand()
         self._rates: dict[Model, float] = {}
+        self._asked_at: dict[Model, float] = {}
         self._rate = LoadRate()
         self._in_use: dict[Vm, tuple[float, frozenset[InUse]]] = {}
         self._drains = DrainTime()
@@ -94,8 +94,7 @@
         self._staged: set[Upstream] = set()
         """Engines that have loaded a far model while idle; once is enough for each,
         since callers may come at any moment."""
-        self._missing: dict[Model, float] = {}
-        """When each model was first asked for that no engine holds or loads."""
+        self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
         self._forced: set[Model] = set()
         """Overdue models that are being loaded."""
         self._told_at = 0.0
@@ -190,6 +189,7 @@
         """Look once at what should be loaded."""
         with self._lock:
             self._rates = self._demand.rates(self._clock())
+            self._asked_at = self._demand.asked_at()
         if self.lease.epoch() is None:
             if self._active:
                 log("orders_ended")
@@ -311,11 +311,13 @@
             mine = [d for d in desks if d.engine.record.service == service.name]
             engine_reads = self._read_rate(service.name)
             demand = {model: rate / engine_reads for model, rate in rates.items()}
-            self._place_service(service.engine, demand, mine, now)
+            missing = self._missing[service.name]
+            self._place_service(service.engine, missing, demand, mine, now)
 
     def _place_service(
         self,
         spec: EngineSpec,
+        missing: MissingModels,
         demand: dict[Model, float],
         desks: list[Desk],
         now: float,
@@ -331,7 +333,9 @@
         for _ in range(len(desks)):
             views = [_view(desk, used, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
-            move = self._overdue_move(spec, demand, views, cold)
+            self._note_missing(spec, missing, views, now)
+            missing_for = missing.missing_for(now)
+            move = self._overdue_move(spec, missing_for, demand, views, cold)
             if move is None:
                 move = next_move(spec.models, demand, views, cold)
             if move is None:
@@ -342,37 +346,41 @@
                 self._rate.take(spec.loads_per_second, now)
             self._begin_load(by_name[move.upstream], move, demand)
 
+    def _note_missing(
+        self,
+        spec: EngineSpec,
+        missing: MissingModels,
+        views: list[EngineView],
+        now: float,
+    ) -> None:
+        asked_at = {m: at for m, at in self._asked_at.items() if m in spec.models}
+        held = frozenset().union(*(view.models for view in views))
+        for change in missing.update(asked_at, held, now):
+            if change.now is Standing.MISSING:
+                log("model_missing", model=change.model)
+                continue
+            log(
+                "model_missing_ended",
+                model=change.model,
+                why=change.now.value,
+                missing_for=change.missing_for,
+            )
+
     def _overdue_move(
         self,
         spec: EngineSpec,
+        missing_for: Mapping[Model, float],
         demand: dict[Model, float],
         views: list[EngineView],
         cold: bool,
     ) -> Move | None:
-        now = self._clock()
-        loading = {model for view in views for model in view.coming}
-        held = {model for view in views for model in view.models}
-        for model in spec.models:
-            if model in held | loading:
-                self._end_missing(model, "held", now)
-            elif demand.get(model, 0.0) < LEAST_DEMAND:
-                self._end_missing(model, "not_asked", now)
-            elif model not in self._missing:
-                self._missing[model] = now
-                log("model_missing", model=model, demand=demand[model])
-        self._forced &= loading
-        missing_for = {model: now - at for model, at in self._missing.items()}
+        self._forced &= frozenset().union(*(view.coming for view in views))
         move = next_overdue(spec.models, demand, views, missing_for, cold, self._forced)
         if move is not None:
             self._forced.add(move.model)
             log("model_overdue", model=move.model, missing_for=missing_for[move.model])
         return move
 
-    def _end_missing(self, model: Model, why: str, now: float) -> None:
-        since = self._missing.pop(model, None)
-        if since is not None:
-            log("model_missing_ended", model=model, why=why, missing_for=now - since)
-
     def _idle_move(
         self,
         spec: EngineSpec,
