Idle engines load what callers ask for before what nobody asks for

Callers saw: refusals for a model that no engine holds, while an engine that had just come up loaded a model without a single caller.

Cause: staging, which puts models far from every engine onto idle ones, takes them in the order of the configuration. What is asked for a little is held back from loads, so that engines stay free for busy models, and staging passed it.

Now staging takes the models that are missing first. test_idle_engines_load_what_is_asked_for_first failed before and passes.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -242,16 +242,19 @@
     demand: Mapping[Model, float],
     able: Iterable[EngineView],
     engines: Iterable[EngineView],
+    missing: Iterable[Model] = (),
 ) -> Move | None:
     """Return a load for a model whose weights are near no engine, while one is idle.
 
-    ``able`` are those of the engines that may be used for it.
+    ``able`` are those of the engines that may be used for it. What callers ask for and
+    nobody holds, ``missing``, goes first.
 
     Its first callers would else wait for a load from the weight store, which takes
     several times as long as one from a disk, and longer than many of them have.
     """
     board = _Board(specs, demand, list(engines))
-    far = [
+    asked = [m for m in missing if m in specs and not board.copies.get(m)]
+    far = asked or [
         model
         for model in specs
         if not board.copies.get(model) and _near_in(board, model) == math.inf
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -339,7 +339,7 @@
             if move is None:
                 move = next_move(spec.models, demand, views, cold)
             if move is None:
-                move = self._idle_move(spec, demand, views, cold)
+                move = self._idle_move(spec, missing_for, demand, views, cold)
             if move is None:
                 return
             if move.cold:
@@ -384,6 +384,7 @@
     def _idle_move(
         self,
         spec: EngineSpec,
+        missing: Iterable[Model],
         demand: dict[Model, float],
         views: list[EngineView],
         cold: bool,
@@ -392,7 +393,11 @@
             if view.models:
                 self._homes.setdefault(view.upstream, view.models)
         unstaged = [v for v in views if v.upstream not in self._staged]
-        staging = next_staging(spec.models, demand, unstaged, views) if cold else None
+        staging = (
+            next_staging(spec.models, demand, unstaged, views, missing)
+            if cold
+            else None
+        )
         if staging is not None:
             self._staged.add(staging.upstream)
             return staging
