A call whose adapter has to wait for a load is refused at once, with its end

Callers saw: 'all upstreams are full', after half a second, up to eight times in a row for one adapter; they came back within a second, while the engine was still loading a model.

Cause: an engine takes no order for an adapter while it loads a model, for 8 s from the weight store, and the holder of the lease tells when that ends. The call waited all the same, and its refusal named the half second that a full engine needs.

--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -241,7 +241,7 @@
             unread=mine.unread + sum(item.unread for item in others),
             model_here=model is not None and known.has(model, None, now),
             adapter_here=model is not None and known.has(model, need.adapter, now),
-            fetches=now >= known.busy_until,
+            fetches_in=max(0.0, known.busy_until - now),
             read_rate=known.read_rate,
             trust=0.0 if silent else part,
             silent=silent,
