Overdue loads of each service count by themselves

Found while reading: the set of overdue models that are being loaded was kept for all services and cut down to those of the service looked at, so that with two services that run models each would forget the other's and load one after the other again, or too many. The set is kept with the service's missing models.

--- a/src/persimmonhitch/decide/missing.py
+++ b/src/persimmonhitch/decide/missing.py
@@ -39,6 +39,8 @@
 class MissingModels:
     """The models of one service that are missing; times are monotonic seconds."""
 
+    loading: set[Model] = field(default_factory=set)
+    """Overdue models that engines load."""
     _since: dict[Model, float] = field(default_factory=dict)
 
     def update(
@@ -57,6 +59,9 @@
         return changes
 
     def missing_for(self, now: float) -> dict[Model, float]:
-        """Return the seconds for which each model has been missing, longest first."""
-        by_time = sorted(self._since.items(), key=lambda item: item[1])
-        return {model: now - since for model, since in by_time}
+        """Return the seconds for which each model has been missing."""
+        return {model: now - since for model, since in self._since.items()}
+
+    def longest_first(self) -> list[Model]:
+        """Return the models in the order in which they began to be missing."""
+        return sorted(self._since, key=self._since.__getitem__)
--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -161,19 +161,22 @@
     engines: Iterable[EngineView],
     missing_for: Mapping[Model, float],
     cold_allowed: bool,
-    forced: Collection[Model] = (),
+    loading: Collection[Model] = (),
 ) -> Move | None:
     """Return a load for the model whose callers have been refused for longest.
 
     ``missing_for`` are the seconds since each model was asked for that nobody holds,
-    ``forced`` the overdue models that engines load already. A load from near goes
+    ``loading`` the overdue models that engines load already. A load from near goes
     first, and what displaces least; None if none is overdue.
 
     As many engines load overdue models at a time as may load what is not urgent. One
     after the other, callers of the last would wait for the loads of all before it.
     """
     board = _Board(specs, demand, list(engines))
-    if sum(not e.coming.isdisjoint(forced) for e in board.engines) >= board.rare_most():
+    if (
+        sum(not e.coming.isdisjoint(loading) for e in board.engines)
+        >= board.rare_most()
+    ):
         return None
     overdue = [m for m, passed in missing_for.items() if passed >= OVERDUE]
     for model in sorted(overdue, key=lambda m: -missing_for[m]):
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -95,8 +95,6 @@
         """Engines that have loaded a far model while idle; once is enough for each,
         since callers may come at any moment."""
         self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
-        self._forced: set[Model] = set()
-        """Overdue models that are being loaded."""
         self._told_at = 0.0
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -334,12 +332,11 @@
             views = [_view(desk, used, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
             self._note_missing(spec, missing, views, now)
-            missing_for = missing.missing_for(now)
-            move = self._overdue_move(spec, missing_for, demand, views, cold)
+            move = self._overdue_move(spec, missing, demand, views, cold)
             if move is None:
                 move = next_move(spec.models, demand, views, cold)
             if move is None:
-                move = self._idle_move(spec, missing_for, demand, views, cold)
+                move = self._idle_move(spec, missing, demand, views, cold)
             if move is None:
                 return
             if move.cold:
@@ -369,22 +366,25 @@
     def _overdue_move(
         self,
         spec: EngineSpec,
-        missing_for: Mapping[Model, float],
+        missing: MissingModels,
         demand: dict[Model, float],
         views: list[EngineView],
         cold: bool,
     ) -> Move | None:
-        self._forced &= frozenset().union(*(view.coming for view in views))
-        move = next_overdue(spec.models, demand, views, missing_for, cold, self._forced)
+        missing.loading &= frozenset().union(*(view.coming for view in views))
+        missing_for = missing.missing_for(self._clock())
+        move = next_overdue(
+            spec.models, demand, views, missing_for, cold, missing.loading
+        )
         if move is not None:
-            self._forced.add(move.model)
+            missing.loading.add(move.model)
             log("model_overdue", model=move.model, missing_for=missing_for[move.model])
         return move
 
     def _idle_move(
         self,
         spec: EngineSpec,
-        missing: Iterable[Model],
+        missing: MissingModels,
         demand: dict[Model, float],
         views: list[EngineView],
         cold: bool,
@@ -394,7 +394,7 @@
                 self._homes.setdefault(view.upstream, view.models)
         unstaged = [v for v in views if v.upstream not in self._staged]
         staging = (
-            next_staging(spec.models, demand, unstaged, views, missing)
+            next_staging(spec.models, demand, unstaged, views, missing.longest_first())
             if cold
             else None
         )
