Models of an engine that is leaving are loaded elsewhere at once

Callers saw: 'no upstream has it, and none loads it yet' while the log counts the model as held.

Cause: calls are sent to no engine that is draining, but its models counted as held until its entry was gone, some seconds later, so neither their time missing nor a load began. Found in the same logs (engines taken away one after the other). test_models_of_a_leaving_engine_are_loaded_before_it_has_gone failed before and passes.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -4,7 +4,6 @@
 is asked of them and what runs; it tells them what each engine holds.
 """
 
-import math
 import threading
 import time
 from collections import defaultdict
@@ -306,7 +305,7 @@
         for service in cfg.services.values():
             if service.engine is None:
                 continue
-            mine = [d for d in desks if d.engine.record.service == service.name]
+            mine = [d for d in desks if _stays(d, service.name)]
             engine_reads = self._read_rate(service.name)
             demand = {model: rate / engine_reads for model, rate in rates.items()}
             missing = self._missing[service.name]
@@ -425,6 +424,16 @@
         )
 
 
+def _stays(desk: Desk, service: Service) -> bool:
+    """Return whether an engine is one of a service's that calls may still go to.
+
+    Counted in, the models of one that is leaving would be loaded elsewhere only once it
+    has gone, and callers be refused from the moment at which it gets no more calls.
+    """
+    record = desk.engine.record
+    return record.service == service and not record.draining
+
+
 def _restarted(desk: Desk, record: UpstreamRecord) -> bool:
     return record.born != desk.engine.record.born
 
@@ -439,7 +448,7 @@
         memory=engine.spec.memory,
         adapters_memory=engine.adapters_memory(),
         models=frozenset(holding.models) if holding else frozenset(),
-        busy_for=math.inf if engine.record.draining else desk.busy_for(),
+        busy_for=desk.busy_for(),
         coming=coming,
         leaving=engine.leaving,
         in_memory=holding.in_memory if holding else frozenset(),
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -109,9 +109,13 @@
     def report(self, record):
         return Success(self.holdings[record.name])
 
-    def _record(self, name):
+    def _record(self, name, draining=False):
         holding = self.holdings[name]
-        return UpstreamRecord(name, LLM, "h", 80, Zone("z1"), 64, False, 1, holding)
+        return UpstreamRecord(name, LLM, "h", 80, Zone("z1"), 64, draining, 1, holding)
+
+    def drain(self, name):
+        """Have an engine tell that it is leaving."""
+        self.leader.update([self._record(n, n == name) for n in self.holdings])
 
     def run(self, seconds):
         """Play some seconds; return the models whose calls found an engine."""
@@ -185,3 +189,14 @@
     fleet.run(1.0)
     loads = {move.model for _, move in fleet.leader.begun}
     assert {caller.model for caller in rare} <= loads
+
+
+def test_models_of_a_leaving_engine_are_loaded_before_it_has_gone():
+    """Guards against models that count as held by an engine that gets no more calls."""
+    busy = names("busy", 2)
+    callers = [Caller(model, BUSY_RATE / 10, 0.1) for model in busy]
+    fleet = Fleet(2, callers, {0: (busy[0],), 1: (busy[1],)}, busy)
+    fleet.drain(Upstream("e0"))
+    fleet.run(1.0)
+    loads = [(desk.engine.record.name, move.model) for desk, move in fleet.leader.begun]
+    assert (Upstream("e1"), busy[0]) in loads
