Adapters do not wait for loads of models

Looked for elsewhere: work rationed by a constant that does not grow with the fleet. Loads of models, orders for adapters and questions to engines shared 24 threads; a load holds one for up to 8.6 s. Once 24 engines load, no adapter is ordered and no engine learned of until a load ends.

Loads have a thread each, one an engine at most. test_adapters_do_not_wait_for_loads_of_models failed before with one worker and passes.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -41,7 +41,7 @@
 """Seconds between two looks at the word of callers; many models may be missing at once,
 and every entry tells of each."""
 WORKERS: Final = 24
-"""Orders under way at a time, each waiting for an engine most of its time."""
+"""Orders for adapters and questions to engines under way at a time."""
 PEER_NEWS_LIFE: Final = 1.0
 """Seconds after which what a silent entry runs counts as done."""
 LEARN_TIME: Final = 2.0
@@ -414,14 +414,14 @@
             drain=move.drain,
             demand=demand.get(move.model, 0.0),
         )
-        self._pool.submit(
-            self._guarded,
-            desk.load,
-            move.model,
-            move.victims,
-            move.seconds,
-            move.drain,
-        )
+        # A thread of its own, one an engine at most: loads take seconds, and orders for
+        # adapters would wait for them once as many engines load as there are workers.
+        threading.Thread(
+            target=self._guarded,
+            args=(desk.load, move.model, move.victims, move.seconds, move.drain),
+            name="load",
+            daemon=True,
+        ).start()
 
 
 def _stays(desk: Desk, service: Service) -> bool:
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -1,5 +1,8 @@
 """The holder of the orders lease, from the word of a caller to the order."""
 
+import math
+from contextlib import contextmanager
+
 import pytest
 from fake_engine import SPEC, FakeEngine
 from fleet import wait_for
@@ -10,6 +13,7 @@
 from persimmonhitch.fleet.config import FleetConfig, ServiceSpec
 from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
 from persimmonhitch.ids import (
+    Adapter,
     ConfigVersion,
     Epoch,
     Model,
@@ -53,10 +57,10 @@
         return self.now
 
 
-def record():
+def record(name="e1"):
     held = Holding(ORDERS_UNKNOWN, {BIG: frozenset()})
     return UpstreamRecord(
-        Upstream("e1"), LLM, "10.0.0.1", 80, Zone("z1"), 64, False, 1, held
+        Upstream(name), LLM, "10.0.0.1", 80, Zone("z1"), 64, False, 1, held
     )
 
 
@@ -64,22 +68,32 @@
     return NodeNews({}, asked, (), in_use)
 
 
-@pytest.fixture
-def held(monkeypatch):
-    """Yield a holder that looks at what is to be loaded only when it is told to."""
-    monkeypatch.setattr(leader_module, "PERIOD", 60.0)
+@contextmanager
+def holder(upstreams=("e1",)):
+    """Return a holder that looks at what is to be loaded only when it is told to."""
     made = Leader(Vm("a"), lambda _last: Held(), lambda _msg: None, lambda _s: READS)
     made._client = FakeEngine(Clock(), models=("big",))
     made._client.on_disk = {SMALL}
     made.configure(CFG)
-    made.update([record()])
+    made.update([record(name) for name in upstreams])
     made.round()
-    wait_for(lambda: not made._refreshing, "the engine's state to be learned")
+    wait_for(lambda: not made._refreshing, "the engines' state to be learned")
     made.start()
     yield made
     made.stop()
 
 
+@pytest.fixture(autouse=True)
+def _no_period(monkeypatch):
+    monkeypatch.setattr(leader_module, "PERIOD", 60.0)
+
+
+@pytest.fixture
+def held():
+    with holder() as made:
+        yield made
+
+
 def test_a_model_that_callers_wait_for_is_ordered_at_their_word(held):
     """Calls come for a model that no engine has, and wait for half a second for the
     word that it is being loaded. A look at what is asked that comes by its period only
@@ -91,6 +105,21 @@
     wait_for(lambda: any(o.model == SMALL for o, _ in engine.log), "the order")
 
 
+def test_adapters_do_not_wait_for_loads_of_models(monkeypatch):
+    """Guards against adapters refused for seconds while many engines load models."""
+    monkeypatch.setattr(leader_module, "WORKERS", 1)
+    with holder(("e1", "e2")) as made:
+        engine = made._client
+        engine.load_time = math.inf
+        made.hear_node(Vm("b"), news({SMALL: 9000.0}))
+        made.hear_want(Want(SMALL, None, None))
+        wait_for(lambda: any(o.model == SMALL for o, _ in engine.log), "the load")
+        loading = made._desks[Upstream("e1")].engine.loading
+        other = Upstream("e1" if loading is None else "e2")
+        made.hear_want(Want(BIG, Adapter("a1"), other))
+        wait_for(lambda: any(o.adapter for o, _ in engine.log), "the order", 1.0)
+
+
 def test_what_calls_use_is_known_by_model(held):
     """Calls run at an engine that use no adapter. Taken for idle, their model would be
     unloaded first, and the engine would load nothing until they have ended.
