Only while few engines load anything do several load overdue models

The fleet loads all the time there: each overdue load keeps an engine from one that is asked for far more.

Now one overdue model may always load, and more of them while fewer engines load than may load what is not urgent. The tests of rare models pass as before, with 24 engines that load nothing else.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -169,14 +169,12 @@
     ``loading`` the overdue models that engines load already. A load from near goes
     first, and what displaces least; None if none is overdue.
 
-    As many engines load overdue models at a time as may load what is not urgent. One
-    after the other, callers of the last would wait for the loads of all before it.
+    While few engines load anything, several load overdue models at a time. One after
+    the other, callers of the last would wait for the loads of all before it; while many
+    engines load, more of them would keep models waiting that are asked for far more.
     """
     board = _Board(specs, demand, list(engines))
-    if (
-        sum(not e.coming.isdisjoint(loading) for e in board.engines)
-        >= board.rare_most()
-    ):
+    if loading and board.loading() >= board.rare_most():
         return None
     overdue = [m for m, passed in missing_for.items() if passed >= OVERDUE]
     for model in sorted(overdue, key=lambda m: -missing_for[m]):
