Adapters have their turn between two loads of an engine

Callers saw: 'the upstreams with M load no adapter until a load has ended', up to eight times in a row, through several loads of the same engine.

Cause: an engine takes no order for an adapter while it loads a model, and its next load was begun at the next look, within a tenth of a second.

An engine begins no load for ADAPTER_TURN (0.5 s) after one; callers that were refused come back within that. test_adapters_have_their_turn_between_two_loads failed before (busy for 0 s) and passes.

--- a/src/persimmonhitch/direct/desk.py
+++ b/src/persimmonhitch/direct/desk.py
@@ -41,6 +41,10 @@
 LOAD_MARGIN: Final = 0.03
 """Seconds beyond its time after which a load from near counts as done; the report that
 shows it comes some hundred ms later, and callers wait for it."""
+ADAPTER_TURN: Final = 0.5
+"""Seconds after the load of a model in which its engine begins no other one. It takes
+no order for an adapter during a load, and where loads follow each other at once, calls
+for adapters that it lacks are refused through all of them."""
 KEPT_BACK: Final = 0.03
 """Seconds between the news that a model leaves and the order: calls that are on their
 way to it would be refused there."""
@@ -115,6 +119,8 @@
         self._sleep = sleep
         self.free_from = 0.0
         """Until then an order of another entry may be too recent."""
+        self.load_from = 0.0
+        """Until then adapters go before another load."""
         self.ordered_at: float | None = None
         self.asked_at: float | None = None
 
@@ -126,7 +132,7 @@
             return max(POLL, engine.ready_at - now)
         if engine.holding is None or engine.holding.busy:
             return max(UNKNOWN_FOR, self.free_from - now)
-        return max(0.0, self.free_from - now)
+        return max(0.0, self.free_from - now, self.load_from - now)
 
     def to_be_learned(self) -> bool:
         """Return whether the engine's state is unknown and due to be asked for."""
@@ -322,6 +328,8 @@
                 self._load(model, seconds)
         finally:
             with self.lock:
+                if engine.spec.adapter_slots:
+                    self.load_from = self._clock() + ADAPTER_TURN
                 engine.loading = None
                 engine.leaving = frozenset()
                 self._publish(self)
--- a/tests/test_direct_desk.py
+++ b/tests/test_direct_desk.py
@@ -3,6 +3,7 @@
 import pytest
 from fake_engine import Clock, FakeEngine, desk_of
 
+from persimmonhitch.direct.desk import ADAPTER_TURN
 from persimmonhitch.ids import Adapter, Model
 
 BIG, OTHER, SMALL = Model("big"), Model("other"), Model("small")
@@ -170,3 +171,16 @@
         desk.fetch(BIG, Adapter("a3"))
         clock.now += 0.25
     assert [order.load for order, _ in engine.log] == [False]
+
+
+def test_adapters_have_their_turn_between_two_loads():
+    """Guards against adapters that are refused while an engine loads model on model."""
+    clock = Clock()
+    engine = FakeEngine(clock)
+    desk, _told = desk_of(engine, clock)
+    desk.refresh()
+    desk.load(SMALL, (), 1.7)
+    assert 0.0 < desk.busy_for() <= ADAPTER_TURN
+    assert desk.fetch(BIG, Adapter("a1"))
+    clock.now += ADAPTER_TURN
+    assert desk.busy_for() == 0.0
