A late overdue load holds back no other

A load that has not come about in its time no longer counts; and a load's end is known from the moment at which it is chosen.

Rows of test_overdue_loads_grow_with_the_fleet_... play the bounds.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -70,6 +70,8 @@
     models: frozenset[Model]
     busy_for: float = 0.0
     coming: frozenset[Model] = frozenset()
+    late: bool = False
+    """Whether what it loads should have been there by now."""
     leaving: frozenset[Model] = frozenset()
     in_memory: frozenset[Model] = frozenset()
     on_disk: frozenset[Model] = frozenset()
@@ -171,10 +173,12 @@
 
     While few engines load anything, several load overdue models at a time. One after
     the other, callers of the last would wait for the loads of all before it; while many
-    engines load, more of them would keep models waiting that are asked for far more.
+    engines load, more of them would keep models waiting that are asked for far more. A
+    load that is late, such as one whose order was lost, holds back no other.
     """
     board = _Board(specs, demand, list(engines))
-    if loading and board.loading() >= board.rare_most():
+    under_way = [e for e in board.engines if not e.late and e.coming & set(loading)]
+    if under_way and board.loading() >= board.rare_most():
         return None
     overdue = [m for m, passed in missing_for.items() if passed >= OVERDUE]
     for model in sorted(overdue, key=lambda m: -missing_for[m]):
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -405,6 +405,7 @@
     def _begin_load(self, desk: Desk, move: Move, demand: dict[Model, float]) -> None:
         desk.engine.loading = move.model
         desk.engine.leaving = frozenset(move.victims)
+        desk.engine.ready_at = self._clock() + move.takes
         log(
             "load_begins",
             upstream=move.upstream,
@@ -450,6 +451,7 @@
         models=frozenset(holding.models) if holding else frozenset(),
         busy_for=desk.busy_for(),
         coming=coming,
+        late=engine.loading is not None and now >= engine.ready_at,
         leaving=engine.leaving,
         in_memory=holding.in_memory if holding else frozenset(),
         on_disk=holding.on_disk if holding else frozenset(),
--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -2,6 +2,8 @@
 
 import math
 
+import pytest
+
 from persimmonhitch.decide.drains import DrainTime
 from persimmonhitch.decide.residency import (
     OVERDUE,
@@ -89,6 +91,36 @@
     assert next_overdue(SPECS, asked(c=900), engines, missing, True) is None
 
 
+@pytest.mark.parametrize(
+    ("engines", "overdue_loads", "other_loads", "late", "begins"),
+    [
+        (9, 0, 5, False, True),
+        (9, 1, 5, False, False),
+        (9, 1, 5, True, True),
+        (9, 1, 1, False, True),
+        (24, 7, 0, False, True),
+        (24, 8, 0, False, False),
+        (24, 3, 5, False, False),
+    ],
+)
+def test_overdue_loads_grow_with_the_fleet_and_leave_it_room(
+    engines, overdue_loads, other_loads, late, begins
+):
+    """Guards against one overdue load at a time, and against a fleet full of them."""
+    rare = [Model(f"r{n}") for n in range(overdue_loads)]
+    specs = {m: ModelSpec(m, 80.0, 8.0, 2.0, 0.6, 0, 0.0) for m in rare}
+    coming = [*rare, *[Model("f")] * other_loads]
+    views = [engine(f"e{n}", "a", "b") for n in range(engines - len(coming))]
+    views += [
+        engine(f"l{n}", "a", coming=frozenset({model}), busy_for=5.0, late=late)
+        for n, model in enumerate(coming)
+    ]
+    demand = asked(a=900_000, b=900_000, c=900)
+    missing = {Model("c"): OVERDUE}
+    move = next_overdue(specs | SPECS, demand, views, missing, True, rare)
+    assert (move is not None) is begins
+
+
 def test_what_is_asked_for_stays():
     """Two models are asked for about as much and one place is left: they must not
     take it from each other without end.
