The end of a web server writes to no closed pipe

Cause: the close of the server is a step that its own thread runs when it is woken by a byte in a pipe. The step is queued before the byte is written; if an earlier byte has just woken the thread, it runs the step and closes the pipe, and the byte goes to a descriptor that is closed, or by then another connection's.

Now the step waits until the byte has been written. The new test puts an earlier byte before each and failed before with the same error.

--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -197,5 +197,13 @@
         self._server.task_dispatcher.shutdown(timeout=0.1)
         for channel in list(self._server.active_channels.values()):
             channel.will_close = True
-        self._server.trigger.pull_trigger(lambda: self._server.trigger.close())
+        pulled = threading.Event()
+
+        def close_trigger() -> None:
+            # It may run for an earlier pull, before this one has written to the pipe.
+            pulled.wait(1.0)
+            self._server.trigger.close()
+
+        self._server.trigger.pull_trigger(close_trigger)
+        pulled.set()
         self._thread.join(1.0)
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -33,3 +33,22 @@
     assert app.calls == 1
     assert server.drain(1.0, threading.Event()) == 0
     server.close()
+
+
+def test_the_end_of_a_server_writes_to_no_closed_pipe(monkeypatch):
+    """Guards against a wake-up that is written after the server has closed its pipe."""
+    server = WebServer(App(), "127.0.0.1", 0, 4)
+    server.start()
+    trigger = server._server.trigger
+    pull, closed = trigger._physical_pull, threading.Event()
+    close = trigger.close
+    monkeypatch.setattr(trigger, "close", lambda: (close(), closed.set()))
+
+    def pull_after_an_earlier_one():
+        pull()
+        closed.wait(0.2)
+        pull()
+
+    monkeypatch.setattr(trigger, "_physical_pull", pull_after_an_earlier_one)
+    server.close()
+    assert closed.is_set()
