--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -47,12 +47,14 @@
     model: Model
     tokens: float
     every: float
-    since: float = 0.0
     asked: float = 0.0
+    """Tokens asked for so far."""
 
     def call(self, passed):
-        calls = max(0, int((passed - self.since) / self.every) + 1)
-        self.asked = calls * self.tokens if passed >= self.since else 0.0
+        """Ask for what is due after some seconds; return whether that is a call."""
+        before = self.asked
+        self.asked = (int(passed / self.every) + 1) * self.tokens
+        return self.asked > before
 
 
 class OrdersTaken(Leader):
@@ -71,7 +73,10 @@
 
 @dataclass
 class Fleet:
-    """Engines with room for two models that take each load's time, by a clock."""
+    """Engines with room for two models, whose loads take their time by a clock.
+
+    ``held`` are the models of each engine by its number.
+    """
 
     engines: int
     callers: list
@@ -124,9 +129,7 @@
             self.clock.sleep(LOOK_EVERY)
             passed = self.clock.now - self.began_at
             for caller in self.callers:
-                before = caller.asked
-                caller.call(passed)
-                if caller.asked > before and self._is_held(caller.model):
+                if caller.call(passed) and self._is_held(caller.model):
                     self.served.add(caller.model)
             asked = {caller.model: caller.asked for caller in self.callers}
             self.leader.hear_node(Vm("b"), NodeNews({}, asked, (), ()))
