Soak: a call whose connection was silenced for good is not due

Traced: both calls were sent at 4.63 and 4.80 s; the entry's log has their answers done at status 200 after 0.26 and 0.18 s; at 4.91 s the fault 'mute callers path' silenced the open connections of that entry for good, which lets nothing through, and the callers' own time-out ended them. The check looked at faults in the three seconds before the end of the call alone.

Narrowed to this case: a call that was sent before such a fault and had not ended when it began. All other calls are judged as before.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -16,6 +16,8 @@
 WINDOW, OVERAGE, RATE_SLACK = 8.0, 1.1, 17_000
 REFUSALS = frozenset({408, 421, 429, 503})
 DENIALS = frozenset({400, 401, 403, 404})
+SILENCED = "mute callers path"
+"""The fault after which answers on open connections of callers get nowhere."""
 
 
 class Evidence:
@@ -230,10 +232,18 @@
     for call in found.records.calls:
         took = call.ended_at - call.sent_at
         if call.left_at is None and took > call.patience + 0.5 + SLACK:
-            if found.in_touch(call.entry, call.ended_at):
+            if found.in_touch(call.entry, call.ended_at) and not _silenced(found, call):
                 yield f"{took:.2f} s: {found.told(call)}"
 
 
+def _silenced(found, call):
+    """Return whether connections of callers went silent for good during a call."""
+    return any(
+        span.what == SILENCED and call.sent_at <= span.begin <= call.ended_at
+        for span in found.spans[call.entry]
+    )
+
+
 def _nothing_after_leaving(found):
     for call in found.records.calls:
         if call.left_at is None or not found.in_touch(call.entry, call.left_at):
