Soak: a call on a connection that was silenced before it is not due

Cause: the check excused calls during which connections of callers were silenced for good, by the time of the call. A call sent 0.01 s after that on a connection kept from before gets no answer either, whatever the entry does (the entry's log has its answer in time); the check did not know when a connection had been opened. Callers note it now, and only a connection that was open when it was silenced excuses its calls: one that is opened afterwards excuses none, so the check is narrowed to the case that the trace showed. The new test of the check fails on the old one (row 95.0-100.01).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import math
 import threading
 import time
 
@@ -62,6 +63,7 @@
         self._stopped = stopped
         self._conn = None
         self._entry = None
+        self._opened_at = math.inf
 
     def run(self):
         while not self._stopped.wait(self._rng.expovariate(1 / PAUSE)):
@@ -126,7 +128,7 @@
             patience,
             time.monotonic(),
             self._entry.incarnation,
-            self._operator.revoked.get(key),
+            withdrawn_in=self._operator.revoked.get(key),
         )
         leaves = kind != "book" and self._rng.random() < LEAVES
         self._records.calls.append(call)
@@ -138,6 +140,10 @@
         call.ended_at = time.monotonic()
 
     def _exchange(self, call, headers, leaves):
+        if self._conn.sock is None:
+            self._conn.connect()
+            self._opened_at = time.monotonic()
+        call.opened_at = self._opened_at
         self._conn.request("POST", call.path, body=b"hello", headers=headers)
         if leaves:
             time.sleep(self._rng.uniform(0.0, 0.2))
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -237,9 +237,9 @@
 
 
 def _silenced(found, call):
-    """Return whether connections of callers went silent for good during a call."""
+    """Return whether a call's connection went silent for good before its end."""
     return any(
-        span.what == SILENCED and call.sent_at <= span.begin <= call.ended_at
+        span.what == SILENCED and call.opened_at <= span.begin <= call.ended_at
         for span in found.spans[call.entry]
     )
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -1,5 +1,6 @@
 """What upstreams, callers and the fault plan saw, for the checks."""
 
+import math
 import threading
 import time
 from dataclasses import dataclass, field
@@ -35,6 +36,8 @@
     sent_at: float
     incarnation: int
     """How often its entry had been started when it was sent."""
+    opened_at: float = math.inf
+    """When its connection was opened; infinite if it never was."""
     withdrawn_in: int | None = None
     """The version of the configuration that withdrew its key, if one did."""
     status: int | None = None
