Web server: threads for requests are started as requests need them

Cause: the server started its limit of threads at once. It now starts one when a request finds none idle, up to the same limit, so the queue before the application is as empty as before.

--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -1,5 +1,6 @@
 """The HTTP server: waitress, bounded, with a graceful stop of our own."""
 
+import itertools
 import logging
 import threading
 import time
@@ -10,7 +11,7 @@
 import waitress
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from .http import MAX_BODY, Answer, Body, Environ, StartResponse, json_answer
 
@@ -89,6 +90,34 @@
             self.server.pull_trigger()
 
 
+class _ThreadsOnDemand(ThreadedTaskDispatcher):  # type: ignore[misc]
+    """Starts a thread when a request finds none idle, up to a limit.
+
+    Threads that wait for requests that never come cost a process its start and its
+    memory.
+    """
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self._most = most
+
+    def add_task(self, task: Any) -> None:
+        """Queue a request for the next thread that is free."""
+        with self.lock:
+            self.queue.append(task)
+            running = len(self.threads) - self.stop_count
+            idle = running - self.active_count
+            if len(self.queue) > idle and running < self._most:
+                self._start_one()
+            self.queue_cv.notify()
+
+    def _start_one(self) -> None:
+        number = next(n for n in itertools.count() if n not in self.threads)
+        self.threads.add(number)
+        self.active_count += 1
+        self.start_new_thread(self.handler_thread, number)
+
+
 class WebServer:
     """Serves one WSGI application on a thread of its own.
 
@@ -96,7 +125,7 @@
     application sees them. No deadline and no bound would apply to what waits
     there: a caller sees late answers, and nothing shows in any metric. With as
     many threads as connections that queue is always empty, and the limit on
-    connections is the bound.
+    connections is the bound. Threads are started as requests need them.
     """
 
     def __init__(
@@ -115,6 +144,7 @@
             app,
             host=host,
             port=port,
+            _dispatcher=_ThreadsOnDemand(threads),
             threads=threads,
             connection_limit=conns + INTERNAL_SOCKETS,
             channel_request_lookahead=LOOKAHEAD,
