News reach the fleet over a few neighbours of each entry, as far as they have changed

Cause: each entry told each other one everything it knows five times a second, encoded once a peer, and looked at all waiting calls again at each such message, adding up all peers at each upstream: entries x entries x (models + engines), and calls x engines x peers. The holder of the lease told each holding to each entry, twice a second.

Now (decide/overlay.py, direct/broadcast.py): the entries of a zone tell the first of them that is alive, those that have no such parent tell each other across the zones, and each message goes on over the neighbours once, numbered by its origin's process. The VM with most processor time comes first, which the list of entries alone decides. Only what has changed is told, as absolute values, with everything again each 2 s; a message to many is encoded once; sums over peers are kept as they change (direct/peer_work.py); what waits is looked at when its upstream has a place or by the tick, not at each message. The holder of the lease answers the entry that asked for an adapter at once, the others by the way of all news; holdings bear the lease's epoch and a number, so that a later one stands. Entries with more processor time seek a free lease first, four at a time.

Ways weighed: asking one entry per engine for a place (true state, but each call waits for a second entry, and what it keeps has to survive its death: not built); one collector for the whole fleet (its link carries all zones).

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -12,7 +12,7 @@
 from ..decide.patience import LOAD_WORD, give_up_at, load_limit, refusal
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Model, Service, Upstream, Vm, Zone
+from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
@@ -89,7 +89,7 @@
         self._lock = threading.Lock()
         self._lanes = Lanes(clock)
         self._waiters: list[_Waiter] = []
-        self._wanted: dict[Want, float] = {}
+        self._wanted: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         self._coming: dict[Model, float] = {}
         self._asked: dict[Model, float] = {}
         self._cfg: FleetConfig | None = None
@@ -156,7 +156,7 @@
         """Count the end of an attempt and let the next one in."""
         with self._lock:
             self._lanes.finish(record.name, need, was_read)
-            self._match()
+            self._match(record)
 
     def close(self, failure: Failure) -> None:
         """Refuse what waits, and what comes; it has time left to go elsewhere."""
@@ -166,11 +166,17 @@
                 waiter.failure = failure
                 waiter.decided.set()
 
-    def _match(self) -> None:
-        """Give every place that is free to the first that can use it."""
+    def _match(self, freed: UpstreamRecord | None = None) -> None:
+        """Give every place that is free to the first that can use it.
+
+        Where it is known that only ``freed`` has a place more than before, calls that
+        can't run there are not looked at.
+        """
         for waiter in sorted(self._waiters, key=_Waiter.order):
             if waiter.decided.is_set():
                 continue
+            if freed is not None and not self._lanes.serves(freed, waiter.need):
+                continue
             lanes = self._lanes.lanes(waiter.need, waiter.excluded)
             waiter.last = choose(lanes, waiter.need, self._zone)
             self._act(waiter, waiter.last)
@@ -189,13 +195,16 @@
             waiter.decided.set()
         elif choice.step in (Step.FETCH, Step.LOAD) and need.model is not None:
             adapter = need.adapter if choice.step is Step.FETCH else None
-            self._ask(Want(need.model, adapter, choice.upstream))
+            self._ask(need.model, adapter, choice.upstream)
 
-    def _ask(self, want: Want) -> None:
+    def _ask(
+        self, model: Model, adapter: Adapter | None, upstream: Upstream | None
+    ) -> None:
         now = self._clock()
-        if now - self._wanted.get(want, -WANT_AGAIN) >= WANT_AGAIN:
-            self._wanted[want] = now
-            self._want(want)
+        wanted = model, adapter, upstream
+        if now - self._wanted.get(wanted, -WANT_AGAIN) >= WANT_AGAIN:
+            self._wanted[wanted] = now
+            self._want(Want(*wanted, self._asked.get(model, 0.0)))
 
     # -- what is known -----------------------------------------------------------
 
@@ -224,10 +233,13 @@
                     self._refuse_hopeless(waiter, now)
 
     def hear_node(self, vm: Vm, msg: NodeNews) -> None:
-        """Take what a peer has at each upstream."""
+        """Take what a peer has at each upstream; what waits is looked at by ``tick``.
+
+        Dozens of peers tell more often than their places change, and a look at all
+        that waits at each message would take all of a small VM's time.
+        """
         with self._lock:
             self._lanes.hear_node(vm, msg)
-            self._match()
 
     def missing(self, record: UpstreamRecord, need: Need) -> None:
         """Note that an engine lacks what its records say it has."""
@@ -264,12 +276,7 @@
     def news(self) -> NodeNews:
         """Return this entry's work for its peers; what it spent is left empty."""
         with self._lock:
-            return NodeNews(
-                {},
-                dict(self._asked),
-                self._lanes.running(),
-                self._lanes.in_use(),
-            )
+            return NodeNews({}, dict(self._asked), self._lanes.running())
 
     def read_rate(self, service: Service) -> float:
         """Return the prompt tokens a second that an engine of a service reads."""
@@ -282,5 +289,6 @@
         with self._lock:
             wanted = self._wanted.items()
             self._wanted = {w: at for w, at in wanted if now - at < WANT_AGAIN}
+            self._lanes.expire()
             if self._waiters:
                 self._match()
--- a/src/persimmonhitch/direct/lanes.py
+++ b/src/persimmonhitch/direct/lanes.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from statistics import median
 from typing import Final
@@ -13,11 +13,10 @@
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import Holding, UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm
-from .news import HoldingNews, InUse, NodeNews, Running
-from .work import Work, in_use
+from .news import HoldingNews, NodeNews, Running
+from .peer_work import PeerWork
+from .work import Work
 
-PEER_NEWS_LIFE: Final = 1.0
-"""Seconds after which a silent peer's work counts as done; five missed messages."""
 MISSING_LIFE: Final = 1.0
 """Seconds for which an engine's word that it lacks something stands against older
 news that say it has it."""
@@ -48,6 +47,7 @@
     told: Holding | None = None
     """What the holder of the lease says that it holds, at ``told_at``."""
     told_at: float = 0.0
+    told_order: tuple[int, int] = (0, 0)
     busy_until: float = 0.0
     """Until when it loads a model and takes no other order."""
     trust: Trust = field(default_factory=Trust)
@@ -90,7 +90,7 @@
         self._known: dict[Upstream, Known] = {}
         self._by_service: defaultdict[Service, list[Known]] = defaultdict(list)
         self._mine: defaultdict[Upstream, Work] = defaultdict(Work)
-        self._peers: dict[Vm, tuple[float, dict[Upstream, Running]]] = {}
+        self._peers = PeerWork()
 
     def configure(self, cfg: FleetConfig) -> None:
         """Take a new configuration."""
@@ -126,6 +126,9 @@
         known = self._known.get(msg.upstream)
         if known is None or known.record.born != msg.born:
             return
+        if (msg.epoch, msg.number) < known.told_order:
+            return
+        known.told_order = msg.epoch, msg.number
         models = {model: frozenset(names) for model, names in msg.models.items()}
         for model, names in models.items():
             known.missing.pop((model, None), None)
@@ -138,7 +141,11 @@
 
     def hear_node(self, vm: Vm, msg: NodeNews) -> None:
         """Take what a peer has at each upstream."""
-        self._peers[vm] = (self._clock(), {item.upstream: item for item in msg.running})
+        self._peers.hear(vm, msg, self._clock())
+
+    def expire(self) -> None:
+        """Forget the work of peers that have gone silent."""
+        self._peers.expire(self._clock())
 
     def missing(self, upstream: Upstream, need: Need) -> None:
         """Note that an engine said that it lacks a model or adapter."""
@@ -150,6 +157,13 @@
         """Return what is known of one upstream."""
         return self._known.get(upstream)
 
+    def serves(self, record: UpstreamRecord, need: Need) -> bool:
+        """Return whether an upstream can run a call once it has a place."""
+        known = self._known.get(record.name)
+        if known is None or record.service != need.service:
+            return False
+        return need.model is None or known.has(need.model, None, self._clock())
+
     def serving(self, service: Service) -> list[Known]:
         """Return the upstreams of a service that are not leaving."""
         return self._by_service[service]
@@ -182,14 +196,7 @@
 
     def unread(self, upstream: Upstream) -> int:
         """Return the prompt tokens that an upstream has yet to read, of all entries."""
-        others = sum(item.unread for item in self._others(upstream))
-        return self._mine[upstream].unread + others
-
-    def _others(self, upstream: Upstream) -> Iterator[Running]:
-        now = self._clock()
-        for heard_at, running in self._peers.values():
-            if now - heard_at <= PEER_NEWS_LIFE and upstream in running:
-                yield running[upstream]
+        return self._mine[upstream].unread + self._peers.at(upstream).unread
 
     def lanes(self, need: Need, excluded: frozenset[Upstream]) -> list[Lane]:
         """Return the upstreams that a call may go to."""
@@ -228,7 +235,7 @@
     ) -> Lane:
         name = known.record.name
         mine = self._mine[name]
-        others = list(self._others(name))
+        others = self._peers.at(name)
         model = need.model
         silent = is_silent(mine.requests, known.heard_at, mine.idle_until, now)
         return Lane(
@@ -236,9 +243,9 @@
             zone=known.record.zone,
             slots=known.record.slots,
             kv_tokens=kv_tokens,
-            running=mine.requests + sum(item.requests for item in others),
-            tokens=mine.tokens + sum(item.tokens for item in others),
-            unread=mine.unread + sum(item.unread for item in others),
+            running=mine.requests + others.requests,
+            tokens=mine.tokens + others.tokens,
+            unread=mine.unread + others.unread,
             model_here=model is not None and known.has(model, None, now),
             adapter_here=model is not None and known.has(model, need.adapter, now),
             fetches=now >= known.busy_until,
@@ -250,11 +257,5 @@
     def running(self) -> tuple[Running, ...]:
         """Return this entry's work at each upstream, for its peers."""
         return tuple(
-            Running(name, work.requests, work.tokens, max(0, work.unread))
-            for name, work in self._mine.items()
-            if work.requests
+            work.running(name) for name, work in self._mine.items() if work.requests
         )
-
-    def in_use(self) -> tuple[InUse, ...]:
-        """Return the models and adapters that calls use, for the peers."""
-        return in_use(self._mine.items())
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -4,6 +4,7 @@
 is asked of them and what runs; it tells them what each engine holds.
 """
 
+import itertools
 import threading
 import time
 from collections import defaultdict
@@ -31,7 +32,8 @@
 from .desk import Desk, Engine, held_models
 from .engine_client import EngineClient
 from .leaseholder import LeaseHolder
-from .news import HoldingNews, InUse, NodeNews, Want
+from .news import HoldingNews, NodeNews, Use, Want
+from .peer_work import PeerWork
 
 LastOrders = Callable[[], Mapping[Upstream, float]]
 
@@ -42,8 +44,6 @@
 and every entry tells of each."""
 WORKERS: Final = 24
 """Orders for adapters and questions to engines under way at a time."""
-PEER_NEWS_LIFE: Final = 1.0
-"""Seconds after which what a silent entry runs counts as done."""
 LEARN_TIME: Final = 2.0
 """Seconds at most in which a new holder learns what engines hold before it has models
 loaded; one that does not answer its report in that time may answer none."""
@@ -62,6 +62,8 @@
         Takes what an engine holds, for this entry and all others.
     read_rate : callable
         Returns the prompt tokens a second that an engine of a service reads.
+    answer : callable
+        Tells one entry at once what an engine holds that it has asked about.
     """
 
     def __init__(
@@ -71,10 +73,12 @@
         tell: Callable[[HoldingNews], None],
         read_rate: Callable[[Service], float],
         clock: Callable[[], float] = time.monotonic,
+        answer: Callable[[Vm, HoldingNews], object] = lambda _vm, _news: None,
     ) -> None:
         self.lease = holder(self._last_orders)
         self._tell = tell
         self._read_rate = read_rate
+        self._answer = answer
         self._began_at = 0.0
         self._clock = clock
         self._client = EngineClient(vm)
@@ -85,7 +89,8 @@
         self._rates: dict[Model, float] = {}
         self._asked_at: dict[Model, float] = {}
         self._rate = LoadRate()
-        self._in_use: dict[Vm, tuple[float, frozenset[InUse]]] = {}
+        self._work = PeerWork()
+        """What all entries run, this one too."""
         self._drains = DrainTime()
         self._active = False
         self._refreshing: set[Upstream] = set()
@@ -95,6 +100,8 @@
         since callers may come at any moment."""
         self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
         self._told_at = 0.0
+        self._told_epoch = Epoch(0)
+        self._told_numbers = itertools.count()
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._look_now = threading.Event()
@@ -146,20 +153,30 @@
         """Take what an entry runs and what is asked of it."""
         now = self._clock()
         with self._lock:
-            self._in_use[vm] = (now, frozenset(msg.in_use))
+            self._work.hear(vm, msg, now)
             self._demand.hear(vm, msg.asked, now)
 
-    def hear_want(self, msg: Want) -> None:
+    def hear_want(self, vm: Vm, msg: Want) -> None:
         """Take what an entry is missing."""
         if not self._is_active():
             return
         if msg.upstream is None or msg.adapter is None:
+            if msg.asked:
+                with self._lock:
+                    self._demand.hear(vm, {msg.model: msg.asked}, self._clock())
             self._look_now.set()
             return
         with self._lock:
             desk = self._desks.get(msg.upstream)
         if desk is not None:
-            self._pool.submit(self._guarded, desk.fetch, msg.model, msg.adapter)
+            self._pool.submit(self._guarded, self._fetch, vm, desk, msg)
+
+    def _fetch(self, vm: Vm, desk: Desk, msg: Want) -> None:
+        assert msg.adapter is not None
+        if desk.fetch(msg.model, msg.adapter):
+            news = self._holding_news(desk)
+            if news is not None:
+                self._answer(vm, news)
 
     # -- rounds ----------------------------------------------------------------------
 
@@ -185,6 +202,7 @@
     def round(self) -> None:
         """Look once at what should be loaded."""
         with self._lock:
+            self._work.expire(self._clock())
             self._rates = self._demand.rates(self._clock())
             self._asked_at = self._demand.asked_at()
         if self.lease.epoch() is None:
@@ -206,6 +224,7 @@
         with self._lock:
             self._desks = {}
         self._rate = LoadRate()
+        self._told_epoch = self.lease.epoch() or self._told_epoch
         self._active = True
         before = self.lease.before
         log(
@@ -262,36 +281,39 @@
         desk.free_from = self.lease.free_from(engine.record.name, self._began_at)
         return desk
 
-    def _used(self) -> frozenset[InUse]:
-        """Return what calls of all entries use."""
-        now = self._clock()
+    def _used(self) -> dict[Upstream, set[Use]]:
+        """Return what calls of all entries use at each engine."""
+        used: defaultdict[Upstream, set[Use]] = defaultdict(set)
         with self._lock:
-            told = [
-                used
-                for heard_at, used in self._in_use.values()
-                if now - heard_at <= PEER_NEWS_LIFE
-            ]
-        return frozenset().union(*told)
+            for item in self._work.running():
+                used[item.upstream].update(item.uses)
+        return used
 
     def _runs(self, engine: Engine, model: Model, adapter: Adapter) -> bool:
-        return InUse(engine.record.name, model, adapter) in self._used()
+        with self._lock:
+            return Use(model, adapter) in self._work.uses(engine.record.name)
 
     def _publish(self, desk: Desk) -> None:
+        news = self._holding_news(desk)
+        if news is not None:
+            self._tell(news)
+
+    def _holding_news(self, desk: Desk) -> HoldingNews | None:
         engine = desk.engine
         if engine.holding is None:
-            return
+            return None
         now = self._clock()
         coming = {}
         if engine.loading is not None:
             coming[engine.loading] = max(0.0, engine.ready_at - now)
-        self._tell(
-            HoldingNews(
-                engine.record.name,
-                engine.record.born,
-                engine.holding.orders,
-                dict(held_models(engine)),
-                coming,
-            )
+        return HoldingNews(
+            engine.record.name,
+            engine.record.born,
+            engine.holding.orders,
+            dict(held_models(engine)),
+            coming,
+            self._told_epoch,
+            next(self._told_numbers),
         )
 
     def _place(self) -> None:
@@ -324,9 +346,9 @@
             # What no known engine holds may well be on one that is still unknown.
             return
         by_name = {desk.engine.record.name: desk for desk in desks}
-        used: dict[Upstream, set[Model]] = {}
-        for item in self._used():
-            used.setdefault(item.upstream, set()).add(item.model)
+        used = {
+            name: {use.model for use in uses} for name, uses in self._used().items()
+        }
         for _ in range(len(desks)):
             views = [_view(desk, used, now) for desk in desks]
             cold = self._rate.allowed(spec.loads_per_second, now)
--- a/src/persimmonhitch/direct/leaseholder.py
+++ b/src/persimmonhitch/direct/leaseholder.py
@@ -18,6 +18,10 @@
 messages have been missed then."""
 ANSWER_LIFE: Final = 1.5
 """Seconds for which a peer's word that the store is away holds; three of its looks."""
+SEEKERS: Final = 4
+"""Entries that seek a free lease at the same moment."""
+TURNS_MOST: Final = 3
+"""Turns after which all that are left seek it."""
 ANSWERERS: Final = 2
 """Threads that look at the store for others; such a look waits for its timeout."""
 
@@ -53,6 +57,8 @@
         Returns when each engine was last ordered from here.
     guard : float
         Seconds that have to pass between orders of two entries.
+    place : callable
+        Returns how many entries are to seek the lease before this one.
     """
 
     def __init__(
@@ -63,14 +69,16 @@
         last_orders: Callable[[], Mapping[Upstream, float]],
         guard: float,
         clock: Callable[[], float] = time.monotonic,
+        place: Callable[[], int] = lambda: 0,
     ) -> None:
         self._lease = lease
+        self._place = place
         self._peers = peers
         self._last_orders = last_orders
         self._clock = clock
         self._history = OrderHistory(vm, guard, clock)
         self._away: dict[Vm, float] = {}
-        self._heard_at = -HOLDER_SILENT
+        self._heard_at = self._clock() - HOLDER_SILENT
         self._kick = threading.Event()
         self._stopping = threading.Event()
         self._answering = ThreadPoolExecutor(ANSWERERS, thread_name_prefix="store-ask")
@@ -134,7 +142,8 @@
     def _step(self) -> None:
         # Another holder's news are proof enough of its life; without this the others'
         # looks at the lease would be most calls to the store.
-        if self._clock() - self._heard_at <= HOLDER_SILENT:
+        silent = self._clock() - self._heard_at
+        if self._lease.epoch() is None and silent <= HOLDER_SILENT + self._patience():
             return
         self._lease.step()
         renewal = self._lease.renewal()
@@ -144,6 +153,14 @@
         if self._lease.failing and epoch is not None:
             self._peers.tell_all(StoreAsk(epoch))
 
+    def _patience(self) -> float:
+        """Return the seconds for which a free lease is left to those before.
+
+        Dozens of entries that all seek it at once cost the store as many calls at each
+        look, and it is better held by a VM with processor time to spare.
+        """
+        return min(self._place() // SEEKERS, TURNS_MOST) * self._lease.step_every
+
     def hear_ask(self, vm: Vm, msg: StoreAsk) -> None:
         """Look whether the store can be reached from here, for the lease's holder."""
         self._answering.submit(self._answer, vm, msg.epoch)
@@ -172,12 +189,13 @@
         """Seek the lease that another entry has given up."""
         self._lease.hear_resigned(vm, msg.epoch)
         self._history.hear_resigned(vm, msg.ages)
-        self._heard_at = -HOLDER_SILENT
+        self._heard_at = self._clock() - HOLDER_SILENT
         self._kick.set()
 
-    def hear_renewed(self, msg: Renewed) -> None:
-        """Note when the lease's holder has renewed it."""
-        self._lease.hear_renewal(Version(msg.version), msg.age)
+    def hear_renewed(self, msg: Renewed, as_of: float) -> None:
+        """Note when the lease's holder has renewed it, as it told at ``as_of``."""
+        late = max(0.0, self._clock() - as_of)
+        self._lease.hear_renewal(Version(msg.version), msg.age + late)
 
     def hear_holding(self, vm: Vm, msg: HoldingNews) -> None:
         """Note the life and the orders of the lease's holder."""
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -19,7 +19,8 @@
 from returns.result import Success
 
 from ..decide.admission import connections_full
-from ..entry.peers import PeerMesh
+from ..decide.overlay import Member, Overlay
+from ..entry.peers import PeerInfo, PeerMesh
 from ..fleet.config import NOTHING, FleetConfig
 from ..fleet.routes import RouteTable
 from ..fleet.upstream import UpstreamRecord
@@ -44,6 +45,8 @@
 from .abort import Watchdog
 from .admit import InForce
 from .app import CallerApp, StatusApp
+from .broadcast import Broadcast
+from .changes import NewsChanges
 from .conns import Conns
 from .dispatcher import Dispatcher
 from .exchange import Exchange
@@ -51,6 +54,7 @@
 from .leader import Leader
 from .leaseholder import LeaseHolder
 from .news import (
+    Bundle,
     HoldingNews,
     NodeNews,
     Renewed,
@@ -100,12 +104,20 @@
         self.refusing = threading.Event()
         """Set when too little time is left at a stop for another request."""
         self._stopped = threading.Event()
-        self._tick_due = threading.Event()
-        self._missing: set[Want] = set()
-        """Models that calls wait for and no upstream has; told with the next news."""
         store = StoreClient(cfg.store, cfg.store_timeout)
         host, port = cfg.link[0]
-        self.mesh = PeerMesh(self.vm, host, port, cfg.secret.encode(), self.hello)
+        cores = cfg.cpu_share * cfg.cpu_cores
+        self.overlay = Overlay(Member(self.vm, Zone(cfg.zone), cores))
+        self.mesh = PeerMesh(
+            self.vm,
+            host,
+            port,
+            cfg.secret.encode(),
+            self.hello,
+            wanted=self._wanted_links,
+        )
+        self.broadcast = Broadcast(self.incarnation, self.overlay, self.mesh.send_frame)
+        self.changes = NewsChanges()
         self.peers: frozenset[Vm] = frozenset()
         self.leader_vm: Vm | None = None
         self.quota = Quota(lambda: self.peers)
@@ -117,14 +129,23 @@
         guard = cfg.order_guard_ms / 1000
         self.leader = Leader(
             self.vm,
-            lambda last_orders: LeaseHolder(self.vm, lease, self, last_orders, guard),
+            lambda last_orders: LeaseHolder(
+                self.vm, lease, self, last_orders, guard, place=self.overlay.place
+            ),
             self._tell_holding,
             self.dispatcher.read_rate,
+            answer=self.mesh.send,
         )
         self.lease = self.leader.lease
         self.upstreams = UpstreamList(self._on_upstreams)
         self.watchers = (
-            Watcher(store, Kind.FLEET, self._on_config, WATCH, RETRY_MOST),
+            Watcher(
+                store,
+                Kind.FLEET,
+                self._on_config,
+                WATCH,
+                RETRY_MOST,
+            ),
             Watcher(
                 store,
                 Kind.UPSTREAM,
@@ -134,7 +155,12 @@
                 self.upstreams.away,
                 COALESCE,
             ),
-            Watcher(store, Kind.ENTRY, self._on_entries, retry_most=RETRY_MOST),
+            Watcher(
+                store,
+                Kind.ENTRY,
+                self._on_entries,
+                retry_most=RETRY_MOST,
+            ),
         )
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self._hear()
@@ -146,13 +172,18 @@
         return cls(cfg)
 
     def _hear(self) -> None:
-        self.mesh.on(NodeNews, self._on_node)
-        self.mesh.on(Want, lambda _vm, msg: self.leader.hear_want(msg))
+        self.mesh.on(Bundle, self.broadcast.hear)
+        self.mesh.on(Want, self.leader.hear_want)
         self.mesh.on(HoldingNews, self._on_holding)
-        self.mesh.on(StoreAsk, self.lease.hear_ask)
         self.mesh.on(StoreAnswer, self.lease.hear_answer)
-        self.mesh.on(Resigned, self.lease.hear_resigned)
-        self.mesh.on(Renewed, lambda _vm, msg: self.lease.hear_renewed(msg))
+        for_all = self.broadcast.on
+        for_all(NodeNews, self._on_node)
+        for_all(HoldingNews, lambda vm, msg, _at: self._on_holding(vm, msg))
+        for_all(Want, lambda vm, msg, _at: self.leader.hear_want(vm, msg))
+        for_all(StoreAsk, lambda vm, msg, _at: self.lease.hear_ask(vm, msg))
+        for_all(StoreAnswer, lambda vm, msg, _at: self.lease.hear_answer(vm, msg))
+        for_all(Resigned, lambda vm, msg, _at: self.lease.hear_resigned(vm, msg))
+        for_all(Renewed, lambda _vm, msg, at: self.lease.hear_renewed(msg, at))
 
     def _serve(self) -> None:
         cfg = self.cfg
@@ -217,9 +248,19 @@
     def _on_entries(self, view: View) -> None:
         self.peers = frozenset(Vm(name) for name in view.objects) - {self.vm}
         self.mesh.update(view)
+        found = (PeerInfo.from_object(obj) for obj in view.objects.values())
+        self.overlay.update(
+            Member(info.vm, info.zone, info.cores)
+            for info in found
+            if info is not None and info.vm != self.vm
+        )
+
+    def _wanted_links(self) -> frozenset[Vm]:
+        links = self.broadcast.routes.links()
+        return links if self.leader_vm is None else links | {self.leader_vm}
 
-    def _on_node(self, vm: Vm, msg: NodeNews) -> None:
-        self.quota.hear(vm, msg.used)
+    def _on_node(self, vm: Vm, msg: NodeNews, as_of: float) -> None:
+        self.quota.hear(vm, msg.used, as_of)
         self.dispatcher.hear_node(vm, msg)
         self.leader.hear_node(vm, msg)
 
@@ -234,13 +275,14 @@
         self.tell_all(msg)
 
     def send(self, vm: Vm, msg: object) -> bool:
-        """Send a message to one entry."""
-        return self.mesh.send(vm, msg)
+        """Send a message to one entry, by way of others if there is no link to it."""
+        if not self.mesh.send(vm, msg):
+            self.broadcast.publish(msg)
+        return True
 
     def tell_all(self, msg: object) -> None:
         """Send a message to all entries in reach."""
-        for peer in self.mesh.peers():
-            self.mesh.send(peer.vm, msg)
+        self.broadcast.publish(msg)
 
     def listed(self) -> frozenset[Vm]:
         """Return all other entries."""
@@ -248,36 +290,14 @@
 
     def restarted(self, vm: Vm, old: Incarnation) -> bool:
         """Return whether another process than ``old`` has greeted from a VM."""
-        return self.mesh.incarnation(vm) not in (None, old)
+        return self.broadcast.incarnation(vm) not in (None, old)
 
     def _want(self, msg: Want) -> None:
-        if msg.upstream is None:
-            # With the news of what is asked, by which its load is decided; callers wait
-            # for as long as these are late.
-            self._missing.add(msg)
-            self._tick_due.set()
-        else:
-            self._tell_want(msg)
-
-    def _tell_missing(self, missing: set[Want]) -> None:
-        """Tell the holder of the lease at once, and nobody else, what calls wait for.
-
-        Told to all, each missing model would cost every entry a message from each other
-        one, and most of their processor time where there are dozens.
-        """
-        news = self._node_news()
-        self.leader.hear_node(self.vm, news)
-        if self.leader_vm is not None:
-            self.mesh.send(self.leader_vm, news)
-        for want in missing:
-            self._tell_want(want)
-
-    def _tell_want(self, msg: Want) -> None:
-        self.leader.hear_want(msg)
+        self.leader.hear_want(self.vm, msg)
         if self.lease.epoch() is not None:
             return
         if self.leader_vm is None or not self.mesh.send(self.leader_vm, msg):
-            self.tell_all(msg)
+            self.broadcast.publish(msg)
 
     # -- life ------------------------------------------------------------------------
 
@@ -299,6 +319,7 @@
                 "region": self.cfg.region,
                 "link_host": link_host,
                 "link_port": link_port,
+                "cores": self.overlay.me.cores,
             }
         )
         threading.Thread(target=self._tick, name="tick", daemon=True).start()
@@ -307,27 +328,21 @@
     def _tick(self) -> None:
         told_at = 0.0
         while not self._stopped.is_set():
-            self._tick_due.wait(TICK)
-            self._tick_due.clear()
+            self._stopped.wait(TICK)
             try:
                 self.upstreams.expire()
                 self.dispatcher.tick()
-                missing, self._missing = self._missing, set()
-                if missing:
-                    self._tell_missing(missing)
                 if time.monotonic() - told_at >= NEWS_EVERY:
                     told_at = time.monotonic()
                     self._tell_node()
+                self.broadcast.flush()
             except Exception as exc:
                 log("tick_failed", error=repr(exc))
 
     def _tell_node(self) -> None:
-        news = self._node_news()
+        news = replace(self.dispatcher.news(), used=self.quota.used())
         self.leader.hear_node(self.vm, news)
-        self.tell_all(news)
-
-    def _node_news(self) -> NodeNews:
-        return replace(self.dispatcher.news(), used=self.quota.used())
+        self.broadcast.publish(self.changes.take(news, time.monotonic()))
 
     def reload(self, path: Path) -> None:
         """Read the settings anew; those of a stop are taken while the process runs."""
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -2,10 +2,19 @@
 
 from dataclasses import dataclass
 
-from ..ids import Account, Adapter, Epoch, Model, Upstream
+from ..decide.overlay import Way
+from ..ids import Account, Adapter, Epoch, Incarnation, Model, Upstream, Vm
 from ..wire.codec import message
 
 
+@dataclass(frozen=True)
+class Use:
+    """A model, and its adapter if there is one, that calls use."""
+
+    model: Model
+    adapter: Adapter | None
+
+
 @dataclass(frozen=True)
 class Running:
     """Work that one entry has at one upstream at this moment."""
@@ -16,33 +25,26 @@
     """Prompt and most output of its requests, as memory they may take."""
     unread: int
     """Prompt tokens of requests whose first token has not come yet."""
+    uses: tuple[Use, ...] = ()
 
 
-@dataclass(frozen=True)
-class InUse:
-    """A model, and its adapter if there is one, that calls at an upstream use."""
-
-    upstream: Upstream
-    model: Model
-    adapter: Adapter | None
-
-
-@message(60)
+@message(67)
 @dataclass(frozen=True)
 class NodeNews:
-    """What one entry spends, runs and is asked for; sent a few times a second.
+    """What one entry spends, runs and is asked for, as far as it has changed.
 
-    ``used`` and ``asked`` are sums since the start of the process, so that a lost
-    message loses nothing.
+    ``used`` and ``asked`` are sums since the start of the process, and ``running`` is
+    what runs now, so that a lost or doubled message counts nothing twice.
     """
 
     used: dict[Account, float]
     asked: dict[Model, float]
     running: tuple[Running, ...]
-    in_use: tuple[InUse, ...]
+    whole: bool = True
+    """Whether this is all; what is not in it is then nothing."""
 
 
-@message(61)
+@message(68)
 @dataclass(frozen=True)
 class Want:
     """Asks the holder of the orders lease for a model, or an adapter somewhere."""
@@ -50,6 +52,8 @@
     model: Model
     adapter: Adapter | None
     upstream: Upstream | None
+    asked: float = 0.0
+    """What callers have asked of the model at the sender, as in ``NodeNews``."""
 
 
 @message(62)
@@ -63,6 +67,9 @@
     models: dict[Model, tuple[Adapter, ...]]
     coming: dict[Model, float]
     """Models that are being loaded, with the seconds left."""
+    epoch: Epoch = Epoch(0)
+    number: int = 0
+    """Rises with each message under an epoch; they reach an entry by several ways."""
 
 
 @message(63)
@@ -101,3 +108,25 @@
 
     epoch: Epoch
     ages: dict[Upstream, float]
+
+
+@dataclass(frozen=True)
+class Item:
+    """One message that goes to all entries, by whatever way it reaches them."""
+
+    origin: Vm
+    incarnation: Incarnation
+    number: int
+    """Rises with each message of its origin's process."""
+    age_ms: int
+    """How long it has waited in entries that passed it on."""
+    body: bytes
+
+
+@message(69)
+@dataclass(frozen=True)
+class Bundle:
+    """Messages for all, from one neighbour to another; an empty one tells it lives."""
+
+    way: Way
+    items: tuple[Item, ...]
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -23,6 +23,12 @@
     advertised: Addresses = setting(
         "link", "advertised", "address told to other entries, if not the link's own", ()
     )
+    cpu_share: float = setting(
+        "vm", "cpu_share", "part of its processor that this VM has", 1.0, 0.001
+    )
+    cpu_cores: float = setting(
+        "vm", "cpu_cores", "speed of its processor against others", 1.0, 0.001
+    )
     threads: int = setting(
         "http", "threads", "most requests at a time, a thread for each", 192, 8, 1024
     )
--- a/src/persimmonhitch/direct/work.py
+++ b/src/persimmonhitch/direct/work.py
@@ -1,11 +1,10 @@
 """The calls of this entry that one upstream runs now."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..decide.dispatch import Need
 from ..ids import Adapter, Model, Upstream
-from .news import InUse
+from .news import Running, Use
 
 
 @dataclass
@@ -44,11 +43,8 @@
             if not self.models[key]:
                 del self.models[key]
 
-
-def in_use(work: Iterable[tuple[Upstream, Work]]) -> tuple[InUse, ...]:
-    """Return the models and adapters that calls use."""
-    return tuple(
-        InUse(name, model, adapter)
-        for name, at_upstream in work
-        for model, adapter in at_upstream.models
-    )
+    def running(self, upstream: Upstream) -> Running:
+        """Return it as the peers are told."""
+        uses = tuple(Use(model, adapter) for model, adapter in self.models)
+        unread = max(0, self.unread)
+        return Running(upstream, self.requests, self.tokens, unread, uses)
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -1,6 +1,7 @@
 """Links between entries, for loans of tokens and pushes of configuration."""
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -12,11 +13,16 @@
 from ..observe.logs import log
 from ..store.objects import StoredObject
 from ..store.watcher import View
+from ..wire.codec import encode
 from ..wire.link import Link, LinkServer, open_link
 from ..wire.messages import PROTOCOL, Hello, Role
 
 M = TypeVar("M")
 RELINK_EVERY: Final = 0.3
+OPENERS: Final = 4
+"""Links that are opened at a time; one to a VM without power takes seconds to fail."""
+UNUSED_FOR: Final = 5.0
+"""Seconds after which a link is closed that is no longer wanted."""
 
 Handler = Callable[[Vm, Any], None]
 Address = tuple[str, int]
@@ -31,6 +37,8 @@
     region: Region
     host: str
     port: int
+    cores: float = 1.0
+    """Processor time of its VM."""
 
     @classmethod
     def from_object(cls, obj: StoredObject) -> "PeerInfo | None":
@@ -43,6 +51,7 @@
                 Region(spec["region"]),
                 str(spec["link_host"]),
                 int(spec["link_port"]),
+                float(spec.get("cores", 1.0)),
             )
         except (KeyError, ValueError, TypeError) as exc:
             log("entry_object_broken", name=obj.name, error=repr(exc))
@@ -61,6 +70,9 @@
     accepted, so that a link has one writer of requests and the two directions
     fail apart. One that is not in the store's list is answered on its own link:
     it started while the store was away, and found the others by its seeds.
+
+    Where ``wanted`` is given, links are opened only to the entries that it returns;
+    messages to others go on links that these have opened, if there are any.
     """
 
     def __init__(
@@ -71,9 +83,14 @@
         secret: bytes,
         hello: Callable[[], Hello],
         seeds: tuple[Address, ...] = (),
+        wanted: Callable[[], frozenset[Vm]] | None = None,
     ) -> None:
         self.vm = vm
         self._seeds = seeds
+        self._wanted = wanted
+        self._wanted_at: dict[Vm, float] = {}
+        self._opening: set[Vm] = set()
+        self._openers = ThreadPoolExecutor(OPENERS, thread_name_prefix="peer-links")
         self._seed_links: dict[Address, Link] = {}
         self._own: set[Address] = set()
         self._secret = secret
@@ -82,6 +99,7 @@
         self._infos: dict[Vm, PeerInfo] = {}
         self._links: dict[Vm, Link] = {}
         self._greeted: dict[Link, Hello] = {}
+        self._greeted_by: dict[Vm, Link] = {}
         self._incarnations: dict[Vm, Incarnation] = {}
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -115,6 +133,7 @@
         for link in links:
             link.close()
         self._handling.shutdown(wait=False, cancel_futures=True)
+        self._openers.shutdown(wait=False, cancel_futures=True)
 
     def update(self, view: View) -> None:
         """Take the store's list of entries."""
@@ -138,24 +157,29 @@
 
     def send(self, vm: Vm, msg: Any) -> bool:
         """Send a message to one entry; False when no link to it is open."""
-        with self._lock:
-            link = self._links.get(vm) or self._greeted_by(vm)
-        return link is not None and link.send(msg)
+        return self.send_frame(vm, encode(msg))
 
-    def _greeted_by(self, vm: Vm) -> Link | None:
-        found = (link for link, msg in self._greeted.items() if msg.vm == vm)
-        return next(found, None)
+    def send_frame(self, vm: Vm, frame: bytes) -> bool:
+        """Send an encoded message to one entry; False when no link to it is open."""
+        with self._lock:
+            link = self._links.get(vm) or self._greeted_by.get(vm)
+        return link is not None and link.send_frame(frame)
 
     def _run(self) -> None:
         while not self._stopping.wait(RELINK_EVERY):
             with self._lock:
                 infos = dict(self._infos)
                 links = dict(self._links)
-            for vm, info in infos.items():
-                if vm not in links:
-                    self._open(info)
+            wanted = infos.keys() if self._wanted is None else self._wanted()
+            now = time.monotonic()
+            self._wanted_at.update(dict.fromkeys(wanted, now))
+            for vm in wanted:
+                if vm in infos and vm not in links and vm not in self._opening:
+                    self._opening.add(vm)
+                    self._openers.submit(self._open, infos[vm])
             for vm, link in links.items():
-                if vm not in infos:
+                unused = now - self._wanted_at.get(vm, now) > UNUSED_FOR
+                if vm not in infos or unused:
                     link.close()
             self._ask_seeds(bool(infos))
 
@@ -178,6 +202,12 @@
                         self._seed_links[address] = result.unwrap()
 
     def _open(self, info: PeerInfo) -> None:
+        try:
+            self._open_one(info)
+        finally:
+            self._opening.discard(info.vm)
+
+    def _open_one(self, info: PeerInfo) -> None:
         result = open_link(
             info.host, info.port, self._secret, _Opened(self), self._hello()
         )
@@ -229,17 +259,26 @@
         with self._lock:
             if not link.ended.is_set():
                 self._greeted[link] = msg
+                self._greeted_by[msg.vm] = link
                 self._incarnations[msg.vm] = msg.incarnation
         return True
 
     def on_close(self, link: Link) -> None:
         """Forget a link that has ended."""
         with self._lock:
-            self._greeted.pop(link, None)
+            msg = self._greeted.pop(link, None)
+            if msg is not None and self._greeted_by.get(msg.vm) is link:
+                self._forget_greeting(msg.vm)
             self._links = {vm: ln for vm, ln in self._links.items() if ln is not link}
             seeds = self._seed_links.items()
             self._seed_links = {a: ln for a, ln in seeds if ln is not link}
 
+    def _forget_greeting(self, vm: Vm) -> None:
+        del self._greeted_by[vm]
+        for link, msg in self._greeted.items():
+            if msg.vm == vm:
+                self._greeted_by[vm] = link
+
 
 class _Opened:
     """Handler of a link that this entry opened: its greeting gets no answer."""
--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -68,9 +68,12 @@
         It never waits. A peer that is frozen but not yet known to be would
         otherwise hold up whoever sends to it, and with it every other caller.
         """
+        return self.send_frame(encode(msg))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Queue an encoded message; one that goes to many is encoded once."""
         if self.ended.is_set():
             return False
-        frame = encode(msg)
         with self._lock:
             idle = not self._unsent
             self._unsent.append(frame)
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -9,7 +9,7 @@
 
 from persimmonhitch.direct import leader as leader_module
 from persimmonhitch.direct.leader import Leader
-from persimmonhitch.direct.news import InUse, NodeNews, Want
+from persimmonhitch.direct.news import NodeNews, Running, Use, Want
 from persimmonhitch.fleet.config import FleetConfig, ServiceSpec
 from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
 from persimmonhitch.ids import (
@@ -64,8 +64,8 @@
     )
 
 
-def news(asked, in_use=()):
-    return NodeNews({}, asked, (), in_use)
+def news(asked, running=()):
+    return NodeNews({}, asked, running)
 
 
 @contextmanager
@@ -100,7 +100,7 @@
     takes a good part of that from them.
     """
     held.hear_node(Vm("b"), news({SMALL: 9000.0}))
-    held.hear_want(Want(SMALL, None, None))
+    held.hear_want(Vm("b"), Want(SMALL, None, None))
     engine = held._client
     wait_for(lambda: any(o.model == SMALL for o, _ in engine.log), "the order")
 
@@ -112,11 +112,11 @@
         engine = made._client
         engine.load_time = math.inf
         made.hear_node(Vm("b"), news({SMALL: 9000.0}))
-        made.hear_want(Want(SMALL, None, None))
+        made.hear_want(Vm("b"), Want(SMALL, None, None))
         wait_for(lambda: any(o.model == SMALL for o, _ in engine.log), "the load")
         loading = made._desks[Upstream("e1")].engine.loading
         other = Upstream("e1" if loading is None else "e2")
-        made.hear_want(Want(BIG, Adapter("a1"), other))
+        made.hear_want(Vm("b"), Want(BIG, Adapter("a1"), other))
         wait_for(lambda: any(o.adapter for o, _ in engine.log), "the order", 1.0)
 
 
@@ -124,5 +124,6 @@
     """Calls run at an engine that use no adapter. Taken for idle, their model would be
     unloaded first, and the engine would load nothing until they have ended.
     """
-    held.hear_node(Vm("b"), news({}, (InUse(Upstream("e1"), BIG, None),)))
-    assert {item.model for item in held._used()} == {BIG}
+    at_e1 = Running(Upstream("e1"), 1, 100, 0, (Use(BIG, None),))
+    held.hear_node(Vm("b"), news({}, (at_e1,)))
+    assert {use.model for use in held._used()[Upstream("e1")]} == {BIG}
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -132,7 +132,7 @@
                 if caller.call(passed) and self._is_held(caller.model):
                     self.served.add(caller.model)
             asked = {caller.model: caller.asked for caller in self.callers}
-            self.leader.hear_node(Vm("b"), NodeNews({}, asked, (), ()))
+            self.leader.hear_node(Vm("b"), NodeNews({}, asked, ()))
             self._end_loads()
             self.leader.round()
         return self.served
