One entry of a zone watches the store and pushes what it sees

Now an entry whose neighbour pushes what its watch brings (store/pushes.py) makes no watches of its own while the pushes are fresh: 1.6 s without one, or a contact of the other with the store that is older than its watch, and it lists and watches itself, at once and within the bounds. Versions only rise; a gap is made up for by a list; an object beyond 4 KiB, the configuration, is read and not pushed. That the store was away is passed on too, since entries that lapse in an outage are not gone. Across zones only the first entry watches. Where a change has to be in force sooner than a follower can notice that its source has died (stale_most_ms), everyone watches as before.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -37,6 +37,7 @@
 from ..platform.store_client import StoreClient
 from ..settings import load
 from ..store.objects import Kind
+from ..store.pushes import Pushes, StorePush, may_follow
 from ..store.registration import Registration
 from ..store.watcher import View, Watcher
 from ..verdict import ErrorCode, Failure
@@ -77,6 +78,8 @@
 is leaving."""
 RETRY_MOST: Final = 1.0
 """Seconds between tries while the store is away."""
+ENTRIES_PAUSE: Final = 1.0
+"""Seconds between two watches of the entries, which start and stop many at a time."""
 TICK: Final = 0.05
 STATUS_THREADS: Final = 3
 LEASE_NAME: Final = "orders"
@@ -117,6 +120,7 @@
             wanted=self._wanted_links,
         )
         self.broadcast = Broadcast(self.incarnation, self.overlay, self.mesh.send_frame)
+        self.pushes = Pushes(self.mesh.send_frame)
         self.changes = NewsChanges()
         self.peers: frozenset[Vm] = frozenset()
         self.leader_vm: Vm | None = None
@@ -145,6 +149,7 @@
                 self._on_config,
                 WATCH,
                 RETRY_MOST,
+                changed=self.pushes.changed,
             ),
             Watcher(
                 store,
@@ -154,14 +159,19 @@
                 RETRY_MOST,
                 self.upstreams.away,
                 COALESCE,
+                self.pushes.changed,
             ),
             Watcher(
                 store,
                 Kind.ENTRY,
                 self._on_entries,
                 retry_most=RETRY_MOST,
+                pause=ENTRIES_PAUSE,
+                changed=self.pushes.changed,
             ),
         )
+        kinds = (Kind.FLEET, Kind.UPSTREAM, Kind.ENTRY)
+        self.pushes.serve(dict(zip(kinds, self.watchers, strict=True)))
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self._hear()
         self._serve()
@@ -173,6 +183,7 @@
 
     def _hear(self) -> None:
         self.mesh.on(Bundle, self.broadcast.hear)
+        self.mesh.on(StorePush, lambda _vm, msg: self.pushes.hear(msg))
         self.mesh.on(Want, self.leader.hear_want)
         self.mesh.on(HoldingNews, self._on_holding)
         self.mesh.on(StoreAnswer, self.lease.hear_answer)
@@ -336,9 +347,17 @@
                     told_at = time.monotonic()
                     self._tell_node()
                 self.broadcast.flush()
+                self.pushes.flush(self._followers())
             except Exception as exc:
                 log("tick_failed", error=repr(exc))
 
+    def _followers(self) -> frozenset[Vm]:
+        """Return the entries that need not watch the store while this one does."""
+        if not may_follow(self.cfg.stale_most_ms / 1000):
+            return frozenset()
+        routes = self.broadcast.routes
+        return routes.children | (routes.across if routes.leads else frozenset())
+
     def _tell_node(self) -> None:
         news = replace(self.dispatcher.news(), used=self.quota.used())
         self.leader.hear_node(self.vm, news)
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -38,6 +38,13 @@
     order_guard_ms: int = setting(
         "orders", "guard_ms", "milliseconds between orders of two entries", 3000, 0
     )
+    stale_most_ms: int = setting(
+        "store",
+        "stale_most_ms",
+        "milliseconds in which a change there has to be in force here",
+        2000,
+        0,
+    )
     lease: float = setting(
         "orders", "lease", "seconds that the lease of orders lasts", 1.5, 0.3, 30
     )
--- /dev/null
+++ b/src/persimmonhitch/store/pushes.py
@@ -0,0 +1,159 @@
+"""What one process sees in the store, pushed to others that then need not watch it."""
+
+import json
+import math
+import threading
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from ..ids import Vm
+from ..wire.codec import encode, message
+from .objects import Changes, Event, EventType, Kind, StoredObject, Version
+from .watcher import PUSHED_LIFE, Watcher
+
+PUSH_EVERY: Final = 0.4
+"""Seconds after which those that follow are told that nothing has changed."""
+LIST_TIME: Final = 1.0
+"""Seconds that a list may take, with its call's timeout."""
+AWAY_TOLD: Final = 5.0
+"""Seconds for which those that follow are told that the store did not answer."""
+MOST_PUSHED: Final = 4096
+"""Bytes of an object beyond which those that follow read it themselves: the link of a
+small VM would carry it once for each of them."""
+
+
+@dataclass(frozen=True)
+class PushedObject:
+    """One object that changed."""
+
+    name: str
+    version: int
+    deleted: bool
+    spec: bytes | None
+    """As JSON; None if it is too large."""
+
+
+@message(70)
+@dataclass(frozen=True)
+class StorePush:
+    """What came after the version ``since``, up to ``version``."""
+
+    kind: Kind
+    since: int
+    version: int
+    age_ms: int
+    """How long ago the store last answered."""
+    away_ms: int | None
+    """How long ago it last did not, if that was lately."""
+    objects: tuple[PushedObject, ...]
+
+
+def may_follow(stale_most: float) -> bool:
+    """Return whether pushes are soon enough where changes have ``stale_most`` seconds.
+
+    One that pushes may die; those that follow notice it after ``PUSHED_LIFE``, and
+    have to list then.
+    """
+    return stale_most >= PUSHED_LIFE + LIST_TIME
+
+
+class Pushes:
+    """Pushes what watchers see, and hands them what others push.
+
+    Parameters
+    ----------
+    send : callable
+        Sends an encoded message to one entry.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[Vm, bytes], object],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._send = send
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._watchers: dict[Kind, Watcher] = {}
+        self._waiting: dict[Kind, list[tuple[Version, Changes]]] = {}
+        self._pushed_at: dict[Kind, float] = {}
+        self._told: dict[Kind, Version] = {}
+        """The version up to which those that follow have been told."""
+
+    def serve(self, watchers: Mapping[Kind, Watcher]) -> None:
+        """Push what these see."""
+        self._watchers = dict(watchers)
+
+    def changed(self, kind: Kind, since: Version, changes: Changes) -> None:
+        """Take what a watcher has seen."""
+        with self._lock:
+            self._waiting.setdefault(kind, []).append((since, changes))
+
+    def hear(self, msg: StorePush) -> None:
+        """Take a push of another process."""
+        watcher = self._watchers.get(msg.kind)
+        if watcher is None:
+            return
+        whole = all(obj.deleted or obj.spec is not None for obj in msg.objects)
+        events = [_event(msg.kind, obj) for obj in msg.objects] if whole else []
+        changes = Changes(Version(msg.version), tuple(events))
+        now = self._clock()
+        away_at = -math.inf if msg.away_ms is None else now - msg.away_ms / 1000
+        contact_at = now - msg.age_ms / 1000
+        watcher.hear(Version(msg.since), changes, contact_at, away_at, whole)
+
+    def flush(self, followers: Iterable[Vm]) -> None:
+        """Push what has changed, and from time to time that nothing has."""
+        targets = tuple(followers)
+        now = self._clock()
+        for kind, watcher in self._watchers.items():
+            with self._lock:
+                waiting = self._waiting.pop(kind, [])
+            due = now - self._pushed_at.get(kind, 0.0) >= PUSH_EVERY
+            if waiting:
+                self._told[kind] = waiting[-1][1].version
+            if not targets or not watcher.ready.is_set() or not (waiting or due):
+                continue
+            self._pushed_at[kind] = now
+            frame = encode(self._push(kind, watcher, waiting, now))
+            for vm in targets:
+                self._send(vm, frame)
+
+    def _push(
+        self,
+        kind: Kind,
+        watcher: Watcher,
+        waiting: list[tuple[Version, Changes]],
+        now: float,
+    ) -> StorePush:
+        version = self._told.setdefault(kind, watcher.version)
+        since = waiting[0][0] if waiting else version
+        for earlier, later in zip(waiting, waiting[1:], strict=False):
+            if later[0] > earlier[1].version:
+                # What came between was listed and not seen one by one.
+                since = later[0]
+        events = [event for _, changes in waiting for event in changes.events]
+        away = now - watcher.away_at
+        return StorePush(
+            kind,
+            since,
+            version,
+            age_ms=max(0, int((now - watcher.contact_at) * 1000)),
+            away_ms=int(away * 1000) if away < AWAY_TOLD else None,
+            objects=tuple(map(_pushed, events)),
+        )
+
+
+def _pushed(event: Event) -> PushedObject:
+    obj, deleted = event.object, event.type is EventType.DELETED
+    spec = b"" if deleted else json.dumps(obj.spec).encode()
+    fits = len(spec) <= MOST_PUSHED
+    return PushedObject(obj.name, obj.version, deleted, spec if fits else None)
+
+
+def _event(kind: Kind, obj: PushedObject) -> Event:
+    spec = json.loads(obj.spec) if obj.spec else {}
+    stored = StoredObject(kind, obj.name, Version(obj.version), spec)
+    return Event(EventType.DELETED if obj.deleted else EventType.MODIFIED, stored)
