Calls are spread over engines that late news can't tell apart

Seen: on the large deployment 68 entries find the same engine the soonest, and the engine that has just been added empty gets all calls of a model until the next news. Cause: each call went to the one engine with the least expected wait by news some tenths of a second old, and all entries look at the same news.

Now a call goes to the best engine or, by exp(-difference / 0.1 s), to another one that differs from it in nothing but its wait; zone and adapter decide as before.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -12,9 +12,17 @@
 where their adapter is until the other engines are clearly sooner. ``ZONE_COST`` is what
 a trip between availability zones costs, a few milliseconds there and back with the
 bytes that are paid for. ``READ_RATE`` stands in until an engine's own rate is known.
+
+Dozens of entries that look at the same news all find the same engine the soonest, and
+send it everything that comes before the next news; the engine that has just come, or
+come back, gets all of it. So a call goes to the best engine or, the more likely the
+closer it is, to another one that is as good but for its wait: news that are late by a
+fraction of a second don't tell waits apart that differ by less than ``DOUBT``.
 """
 
-from collections.abc import Iterable
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -28,6 +36,9 @@
 READ_RATE: Final = 15_000.0
 """Prompt tokens a second that an engine reads; a third less than the published rate of
 an engine that does nothing else."""
+DOUBT: Final = 0.1
+"""Seconds by which the wait at an engine may be other than news say: what all entries
+send to one in the time that news take."""
 KV_PART: Final = 0.97
 """Part of an engine's memory for tokens that calls may fill: prompts that are shared
 are counted once too often, outputs mostly end before their limit."""
@@ -121,8 +132,13 @@
     return wait / max(lane.trust, 0.05)
 
 
-def choose(lanes: Iterable[Lane], need: Need, zone: Zone) -> Choice:
-    """Return what to do for a call now."""
+def choose(
+    lanes: Iterable[Lane],
+    need: Need,
+    zone: Zone,
+    draw: Callable[[], float] = random.random,
+) -> Choice:
+    """Return what to do for a call now; ``draw`` returns a number from 0 to 1."""
     every = list(lanes)
     if not every:
         return Choice(Step.NONE)
@@ -135,7 +151,30 @@
     open_lanes = [lane for lane in able if has_room(lane, need)]
     if not open_lanes:
         return Choice(Step.WAIT)
-    best = min(open_lanes, key=lambda lane: cost(lane, need, zone))
+    best = _spread(open_lanes, need, zone, draw())
     if need.adapter is not None and not best.adapter_here:
         return Choice(Step.FETCH, best.upstream)
     return Choice(Step.SEND, best.upstream)
+
+
+def _spread(lanes: Sequence[Lane], need: Need, zone: Zone, drawn: float) -> Lane:
+    """Return the best lane, or one as good but for a wait that is in doubt."""
+    costs = [cost(lane, need, zone) for lane in lanes]
+    least = min(costs)
+    best = lanes[costs.index(least)]
+    weights = [
+        math.exp((least - seconds) / DOUBT) if _is_like(lane, best, zone) else 0.0
+        for lane, seconds in zip(lanes, costs, strict=True)
+    ]
+    left = drawn * sum(weights)
+    for lane, weight in zip(lanes, weights, strict=True):
+        left -= weight
+        if left < 0:
+            return lane
+    return best
+
+
+def _is_like(lane: Lane, best: Lane, zone: Zone) -> bool:
+    """Return whether a lane differs from the best one in nothing but its wait."""
+    near = (lane.zone == zone) == (best.zone == zone)
+    return near and lane.adapter_here == best.adapter_here
--- a/src/persimmonhitch/direct/broadcast.py
+++ b/src/persimmonhitch/direct/broadcast.py
@@ -52,6 +52,8 @@
         Decides whom this entry tells.
     send : callable
         Sends an encoded message to one neighbour.
+    observe_age : callable
+        Takes the seconds that the oldest news of a bundle were on their way.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         overlay: Overlay,
         send: SendFrame,
         clock: Callable[[], float] = time.monotonic,
+        observe_age: Callable[[float], None] = lambda _seconds: None,
     ) -> None:
+        self._observe_age = observe_age
         self._vm = overlay.me.vm
         self._incarnation = incarnation
         self._overlay = overlay
@@ -101,6 +105,8 @@
             fresh = [item for item in msg.items if self._is_new(item)]
             across = msg.way is Way.ACROSS
             self._queue += [_Queued(item, vm, across, now) for item in fresh]
+        if fresh:
+            self._observe_age(max(item.age_ms for item in fresh) / 1000)
         for item in fresh:
             self._handle(item, now - item.age_ms / 1000)
 
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -119,7 +119,12 @@
             self.hello,
             wanted=self._wanted_links,
         )
-        self.broadcast = Broadcast(self.incarnation, self.overlay, self.mesh.send_frame)
+        self.broadcast = Broadcast(
+            self.incarnation,
+            self.overlay,
+            self.mesh.send_frame,
+            observe_age=self.metrics.news_age,
+        )
         self.pushes = Pushes(self.mesh.send_frame)
         self.changes = NewsChanges()
         self.peers: frozenset[Vm] = frozenset()
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -119,6 +119,13 @@
     "Generation of the share record that this process spends under.",
     ("account",),
 )
+NEWS_AGE: Final = Instrument(
+    "persimmonhitch.news.age",
+    "s",
+    "Age of the oldest news of another entry in a message that brought some.",
+    (),
+    SECONDS,
+)
 INSTRUMENTS: Final = (
     REQUESTS,
     REFUSALS,
@@ -132,6 +139,7 @@
     BORROWED,
     CONFIG_VERSION,
     SHARE_GENERATION,
+    NEWS_AGE,
 )
 
 
@@ -195,6 +203,7 @@
         self._queue_time = self._histogram(QUEUE_TIME)
         self._first_token = self._histogram(FIRST_TOKEN)
         self._token_gap = self._histogram(TOKEN_GAP)
+        self._news_age = self._histogram(NEWS_AGE)
         self._active = self._meter.create_up_down_counter(
             ACTIVE.name, ACTIVE.unit, ACTIVE.help
         )
@@ -254,6 +263,10 @@
         """Record the time between two parts of an answer."""
         self._token_gap.record(seconds)
 
+    def news_age(self, seconds: float) -> None:
+        """Record how old the news of another entry were when they came."""
+        self._news_age.record(seconds)
+
     def tokens_used(self, account: Account, tokens: float) -> None:
         """Count tokens charged to an account."""
         self._tokens.add(tokens, self._of(account))
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -36,6 +36,7 @@
     metrics.queued(account, 0.1)
     metrics.first_token(account, 0.3)
     metrics.token_gap(0.02)
+    metrics.news_age(0.2)
     metrics.tokens_used(account, 12.0)
     metrics.retried(REFUSED)
     metrics.borrowed(account, 5.0)
