--- a/src/persimmonhitch/direct/broadcast.py
+++ b/src/persimmonhitch/direct/broadcast.py
@@ -16,6 +16,8 @@
 
 FLUSH_EVERY: Final = 0.1
 """Seconds between two bundles to a neighbour, while there is something to tell."""
+URGENT_EVERY: Final = 0.03
+"""Seconds between two of them while callers wait for what is told."""
 BEAT_EVERY: Final = 0.2
 """Seconds after which a neighbour is told that this entry lives."""
 
@@ -73,6 +75,7 @@
         self._lock = threading.Lock()
         self._number = 0
         self._queue: list[_Queued] = []
+        self._urgent = False
         self._heard: dict[Vm, _Heard] = {}
         self._handlers: dict[type, Handler] = {}
         self._flushed_at = self._beat_at = self._probed_at = 0.0
@@ -83,14 +86,18 @@
         """Hand every message of a kind to ``handler``."""
         self._handlers[kind] = handler
 
-    def publish(self, msg: Any) -> None:
-        """Tell a message to all other entries; it goes out with the next flush."""
+    def publish(self, msg: Any, urgent: bool = False) -> None:
+        """Tell a message to all other entries; it goes out with the next flush.
+
+        ``urgent`` says that callers wait for it.
+        """
         body = encode(msg)
         now = self._clock()
         with self._lock:
             self._number += 1
             item = Item(self._vm, self._incarnation, self._number, 0, body)
             self._queue.append(_Queued(item, None, False, now))
+            self._urgent |= urgent
 
     def incarnation(self, vm: Vm) -> Incarnation | None:
         """Return the newest process that was heard from a VM."""
@@ -148,9 +155,10 @@
         now = self._clock()
         with self._lock:
             beat = now - self._beat_at >= BEAT_EVERY
-            if not beat and (not self._queue or now - self._flushed_at < FLUSH_EVERY):
+            pause = URGENT_EVERY if self._urgent else FLUSH_EVERY
+            if not beat and (not self._queue or now - self._flushed_at < pause):
                 return
-            self._flushed_at = now
+            self._flushed_at, self._urgent = now, False
             self._beat_at = now if beat else self._beat_at
             probe = now - self._probed_at >= PROBE_EVERY
             self._probed_at = now if probe else self._probed_at
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -24,7 +24,7 @@
 from ..fleet.config import NOTHING, FleetConfig
 from ..fleet.routes import RouteTable
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Incarnation, Vm, Zone, new_incarnation
+from ..ids import Incarnation, Model, Upstream, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..kernel.service import run_service
 from ..limits.pooled import NEWS_EVERY
@@ -107,6 +107,11 @@
         self.refusing = threading.Event()
         """Set when too little time is left at a stop for another request."""
         self._stopped = threading.Event()
+        self._tick_due = threading.Event()
+        self._told_models: dict[
+            Upstream, tuple[frozenset[Model], frozenset[Model]]
+        ] = {}
+        """What models all others were told last of each engine, there and coming."""
         store = StoreClient(cfg.store, cfg.store_timeout)
         host, port = cfg.link[0]
         cores = cfg.cpu_share * cfg.cpu_cores
@@ -288,7 +293,12 @@
     def _tell_holding(self, msg: HoldingNews) -> None:
         self.leader_vm = None
         self.dispatcher.hear_holding(msg)
-        self.tell_all(msg)
+        models = frozenset(msg.models), frozenset(msg.coming)
+        changed = self._told_models.get(msg.upstream) != models
+        self._told_models[msg.upstream] = models
+        self.broadcast.publish(msg, urgent=changed)
+        if changed:
+            self._tick_due.set()
 
     def send(self, vm: Vm, msg: object) -> bool:
         """Send a message to one entry, by way of others if there is no link to it."""
@@ -344,7 +354,8 @@
     def _tick(self) -> None:
         told_at = 0.0
         while not self._stopped.is_set():
-            self._stopped.wait(TICK)
+            self._tick_due.wait(TICK)
+            self._tick_due.clear()
             try:
                 self.upstreams.expire()
                 self.dispatcher.tick()
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -56,7 +56,7 @@
     """What callers have asked of the model at the sender, as in ``NodeNews``."""
 
 
-@message(62)
+@message(71)
 @dataclass(frozen=True)
 class HoldingNews:
     """What an engine holds, from the one that gives it orders."""
