Calls are spread by the doubt that the load leaves, not by a fixed one

Cause: a fixed doubt of 0.1 s sends calls to an engine that reads a prompt while others are idle, though news are as good as new when little is sent. The doubt is now the mean of what the engines have to read.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -16,8 +16,9 @@
 Dozens of entries that look at the same news all find the same engine the soonest, and
 send it everything that comes before the next news; the engine that has just come, or
 come back, gets all of it. So a call goes to the best engine or, the more likely the
-closer it is, to another one that is as good but for its wait: news that are late by a
-fraction of a second don't tell waits apart that differ by less than ``DOUBT``.
+closer it is, to another one that is as good but for its wait. Waits that differ by less
+than the mean of all are in doubt: with so much to read, about as much again has been
+sent that nobody has heard of. Where engines are idle, news are as good as new.
 """
 
 import math
@@ -25,6 +26,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from statistics import fmean as mean
 from typing import Final
 
 from ..ids import Adapter, Model, Service, Upstream, Zone
@@ -36,9 +38,8 @@
 READ_RATE: Final = 15_000.0
 """Prompt tokens a second that an engine reads; a third less than the published rate of
 an engine that does nothing else."""
-DOUBT: Final = 0.1
-"""Seconds by which the wait at an engine may be other than news say: what all entries
-send to one in the time that news take."""
+LEAST_DOUBT: Final = 0.005
+"""Seconds by which waits always are in doubt: a step of an engine."""
 KV_PART: Final = 0.97
 """Part of an engine's memory for tokens that calls may fill: prompts that are shared
 are counted once too often, outputs mostly end before their limit."""
@@ -160,10 +161,11 @@
 def _spread(lanes: Sequence[Lane], need: Need, zone: Zone, drawn: float) -> Lane:
     """Return the best lane, or one as good but for a wait that is in doubt."""
     costs = [cost(lane, need, zone) for lane in lanes]
+    doubt = max(LEAST_DOUBT, mean(lane.unread / lane.read_rate for lane in lanes))
     least = min(costs)
     best = lanes[costs.index(least)]
     weights = [
-        math.exp((least - seconds) / DOUBT) if _is_like(lane, best, zone) else 0.0
+        math.exp((least - seconds) / doubt) if _is_like(lane, best, zone) else 0.0
         for lane, seconds in zip(lanes, costs, strict=True)
     ]
     left = drawn * sum(weights)
