Attempts log what makes two requests the same call

Each attempt of a caller has a new request id, so the logs of the incident can't tell whether one request, sent again, was at each engine that crashed, or whether engines crash by themselves. Lines of attempts and of failed requests carry a fingerprint of path, client account and body.

--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -10,10 +10,10 @@
 from returns.result import Result, Success
 
 from ..decide.dispatch import Need
-from ..fleet.call import CallerHeaders
+from ..fleet.call import CallerHeaders, fingerprint
 from ..fleet.config import AccountSpec, CallKind, FleetConfig, Route
 from ..fleet.routes import RouteTable
-from ..ids import Service, Tokens
+from ..ids import Fingerprint, Service, Tokens
 from ..verdict import ErrorCode, Failure
 from ..web import Request
 
@@ -48,6 +48,8 @@
     need: Need
     end_at: float
     """Monotonic time at which its caller or its route gives it up."""
+    call: Fingerprint
+    """The same for all attempts of this call, at any entry."""
 
 
 def admit(
@@ -80,6 +82,7 @@
             cost=_cost(caller, account),
             need=_need(caller, route, account, arrived, end_at),
             end_at=end_at,
+            call=fingerprint(_path(req), account.name if account else None, req.body),
         )
     )
 
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -220,6 +220,7 @@
         log(
             event,
             request=flight.request,
+            call=flight.admitted.call,
             upstream=permit.record.name if permit else "-",
             code=failure.code.value,
             verdict=failure.verdict.value,
--- a/src/persimmonhitch/direct/flight.py
+++ b/src/persimmonhitch/direct/flight.py
@@ -119,6 +119,7 @@
         found = flight.admitted
         fields: dict[str, object] = {
             "request": flight.request,
+            "call": found.call,
             "route": flight.route,
             "account": found.account.name if found.account else "-",
             "model": found.caller.model or "-",
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -1,8 +1,20 @@
 """One call as its caller describes it, and what an upstream's answer says."""
 
+import hashlib
 from dataclasses import dataclass
+from typing import Final
 
-from ..ids import Adapter, Model, RequestId, Upstream
+from ..ids import Account, Adapter, Fingerprint, Model, RequestId, Upstream
+
+FINGERPRINT_BYTES: Final = 12
+
+
+def fingerprint(path: str, account: Account | None, body: bytes) -> Fingerprint:
+    """Return what a call has in common with its repeats under other request ids."""
+    digest = hashlib.blake2b(body, digest_size=FINGERPRINT_BYTES)
+    # Neither a path nor an account holds the byte that ends them here.
+    digest.update(b"\0".join((b"", path.encode(), (account or "").encode())))
+    return Fingerprint(digest.hexdigest())
 
 
 @dataclass(frozen=True)
--- a/src/persimmonhitch/ids.py
+++ b/src/persimmonhitch/ids.py
@@ -15,6 +15,8 @@
 Region = NewType("Region", str)
 KeyHash = NewType("KeyHash", str)
 LoanId = NewType("LoanId", str)
+Fingerprint = NewType("Fingerprint", str)
+"""What is the same in all attempts of a call: its path, client account and body."""
 Incarnation = NewType("Incarnation", str)
 """One life of one process; a restarted process has another."""
 Epoch = NewType("Epoch", int)
