Calls that crash upstreams are found by all entries, and blocked

Cause: nothing remembers which calls were at an upstream when it crashed. A request id is new at each attempt, so every attempt looked like a new call, at every entry, and an entry repeated it elsewhere by itself at once.

Why it works: calls are known by path, client account and body. Entries tell each other at once which calls they lost with an upstream, whether it takes connections (asked once, 0.1 s later), and which of the suspected calls came to their end. A call is blocked after three crashes that no other blocked call explains, once all entries have had the time to tell (0.6 s). From the second crash on it runs apart from other suspects and in one copy, announced before it is sent, so that what only ran beside is told apart and cleared by its own answer. An entry that hears nobody repeats no suspect. Blocked calls are objects in the store, for entries that start or are cut off, and written again if it loses them. All of it is bounded, and old evidence lapses.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -29,7 +29,7 @@
 from statistics import fmean as mean
 from typing import Final
 
-from ..ids import Adapter, Model, Service, Upstream, Zone
+from ..ids import Adapter, Fingerprint, Model, Service, Upstream, Zone
 
 FETCH_COST: Final = 0.08
 """Seconds of waiting that a call takes on to stay where its adapter is."""
@@ -60,6 +60,7 @@
     event_by: float
     """When its caller leaves if nothing has come of a stream."""
     deadline_at: float
+    call: Fingerprint = Fingerprint("")
 
 
 @dataclass
--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -48,8 +48,6 @@
     need: Need
     end_at: float
     """Monotonic time at which its caller or its route gives it up."""
-    call: Fingerprint
-    """The same for all attempts of this call, at any entry."""
 
 
 def admit(
@@ -73,6 +71,7 @@
     arrived = clock()
     patience = NO_PATIENCE if caller.patience is None else caller.patience
     end_at = arrived + min(route.timeout, patience)
+    call = fingerprint(_path(req), account.name if account else None, req.body)
     return Success(
         Admitted(
             req=req,
@@ -80,9 +79,8 @@
             route=route,
             account=account,
             cost=_cost(caller, account),
-            need=_need(caller, route, account, arrived, end_at),
+            need=_need(caller, route, account, arrived, end_at, call),
             end_at=end_at,
-            call=fingerprint(_path(req), account.name if account else None, req.body),
         )
     )
 
@@ -108,6 +106,7 @@
     account: AccountSpec | None,
     arrived: float,
     end_at: float,
+    call: Fingerprint,
 ) -> Need:
     rank = account.rank if account is not None and account.rank is not None else None
     return Need(
@@ -121,6 +120,7 @@
         aim_at=arrived + route.aim,
         event_by=_event_by(route, arrived, end_at),
         deadline_at=end_at,
+        call=call,
     )
 
 
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -7,7 +7,10 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decide.poison import FRESH
 from ..decide.retries import RetryBudget
+from ..fleet.config import CallKind
+from ..fleet.upstream import UpstreamRecord
 from ..ids import Upstream
 from ..observe.logs import log
 from ..platform import headers as wire
@@ -17,6 +20,7 @@
 from .dispatcher import Dispatcher
 from .exchange import Broken, Exchange, Outgoing, Reply
 from .flight import Flight
+from .poison import PoisonGuard
 
 REFUSALS_MOST: Final = 3
 """Upstreams that may refuse a request before it is refused itself; each further one
@@ -33,9 +37,11 @@
         self,
         dispatcher: Dispatcher,
         exchange: Exchange,
+        poison: PoisonGuard,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
+        self._poison = poison
         self._exchange = exchange
         self._clock = clock
         self._retries = RetryBudget()
@@ -128,6 +134,7 @@
             reason = "its time was over before it was sent"
             return Err(Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_SOON))
         out = self._outgoing(found, record.name, left, last_event)
+        flight.sent_at, flight.head_at = self._clock(), None
         sent = self._exchange.send((record.host, record.port), out, flight.abort, left)
         if not isinstance(sent, Success):
             return Err(self._not_answered(flight, sent.failure()))
@@ -158,6 +165,7 @@
         unreachable = failure.verdict is Verdict.NOT_RUN
         if not unreachable:
             flight.attempts += 1
+            self._note_lost(flight, record)
         flight.excluded |= {record.name}
         self._dispatcher.failed(record, unreachable)
         self._tell(flight, "attempt_failed", failure)
@@ -168,6 +176,9 @@
         assert flight.permit is not None
         record = flight.permit.record
         marks = reply.marks
+        flight.head_at = self._clock()
+        if marks.instance in (None, record.name) and reply.status != wire.MISDIRECTED:
+            self._poison.answered(record, flight.sent_at)
         if marks.not_run:
             return Err(self._not_run(flight, reply))
         flight.attempts += 1
@@ -182,6 +193,7 @@
             self._dispatcher.ok(record)
             return Success(reply)
         self._dispatcher.failed(record, False)
+        self._poison.completed(flight.call)
         if flight.attempts < flight.admitted.route.max_attempts and self._may_repeat(
             flight
         ):
@@ -220,7 +232,7 @@
         log(
             event,
             request=flight.request,
-            call=flight.admitted.call,
+            call=flight.call,
             upstream=permit.record.name if permit else "-",
             code=failure.code.value,
             verdict=failure.verdict.value,
@@ -236,11 +248,23 @@
         failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
         if flight.permit is not None:
             record = flight.permit.record
+            self._note_lost(flight, record)
             self._dispatcher.failed(record, False)
             flight.excluded |= {record.name}
         self._tell(flight, "answer_cut", failure)
         return failure
 
+    def _note_lost(self, flight: Flight, record: UpstreamRecord) -> None:
+        """Have it known that a call may have crashed its upstream.
+
+        A stream that has no head yet has not begun to run; a plain answer has its head
+        at its end.
+        """
+        fresh = flight.admitted.route.kind is not CallKind.STREAM
+        if not fresh and flight.head_at is not None:
+            fresh = self._clock() - flight.head_at <= FRESH
+        self._poison.lost(flight.call, record, fresh)
+
     def _ended(self, flight: Flight, failure: Failure) -> Failure:
         """Return what a request is told that was ended by its watch."""
         reason = flight.abort.reason
--- /dev/null
+++ b/src/persimmonhitch/direct/crash_checks.py
@@ -0,0 +1,45 @@
+"""Finds out whether upstreams that lost calls have ended."""
+
+import threading
+import time
+from typing import Final
+
+from ..fleet.upstream import UpstreamRecord
+from .conns import Conns
+from .poison import PoisonGuard
+
+LOOK_EVERY: Final = 0.05
+CONNECT_TIME: Final = 0.5
+"""Seconds after which an upstream that takes no connection counts as ended."""
+
+
+class CrashChecks:
+    """Connects to upstreams once after a loss, each on a thread of its own."""
+
+    def __init__(self, guard: PoisonGuard, conns: Conns) -> None:
+        self._guard = guard
+        self._conns = conns
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Check from now on."""
+        threading.Thread(target=self._run, name="crash-checks", daemon=True).start()
+
+    def stop(self) -> None:
+        """Check no more."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(LOOK_EVERY):
+            for record in self._guard.due_checks():
+                threading.Thread(
+                    target=self._check, args=(record,), name="crash-check", daemon=True
+                ).start()
+
+    def _check(self, record: UpstreamRecord) -> None:
+        address = record.host, record.port
+        began = time.monotonic()
+        conn = self._conns.open(address, CONNECT_TIME)
+        self._guard.checked(record, conn is not None, began)
+        if conn is not None:
+            self._conns.give(address, conn, None)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -18,6 +18,7 @@
 from .abort import Abort
 from .lanes import Lanes
 from .news import HoldingNews, NodeNews, Want
+from .poison import PoisonGuard
 
 WANT_AGAIN = 0.25
 """Seconds after which something that is still missing is asked for again; an order for
@@ -81,10 +82,12 @@
         self,
         zone: Zone,
         want: Callable[[Want], None],
+        poison: PoisonGuard,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._zone = zone
         self._want = want
+        self._poison = poison
         self._clock = clock
         self._lock = threading.Lock()
         self._lanes = Lanes(clock)
@@ -119,11 +122,17 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
             if waiter.upstream is None:
-                return Err(waiter.failure or refusal(waiter.last.step, need))
+                return Err(waiter.failure or self._no_place(waiter))
             unread = self._lanes.unread(waiter.upstream.name)
             sent_at = self._clock()
         return Success(Permit(self, waiter.upstream, need, sent_at, unread))
 
+    def _no_place(self, waiter: _Waiter) -> Failure:
+        held_back = None
+        if waiter.last.step is Step.WAIT:
+            held_back = self._poison.held_back(waiter.need.call)
+        return held_back or refusal(waiter.last.step, waiter.need)
+
     def _refuse_hopeless(self, waiter: _Waiter, now: float) -> None:
         """Refuse at once what waits for a load that ends too late."""
         need = waiter.need
@@ -156,6 +165,7 @@
         """Count the end of an attempt and let the next one in."""
         with self._lock:
             self._lanes.finish(record.name, need, was_read)
+            self._poison.ended(need.call, record.name)
             self._match(record)
 
     def close(self, failure: Failure) -> None:
@@ -177,7 +187,12 @@
                 continue
             if freed is not None and not self._lanes.serves(freed, waiter.need):
                 continue
+            waiter.failure = self._poison.refusal(waiter.need.call)
+            if waiter.failure is not None:
+                waiter.decided.set()
+                continue
             lanes = self._lanes.lanes(waiter.need, waiter.excluded)
+            self._poison.hold_back(waiter.need, lanes)
             waiter.last = choose(lanes, waiter.need, self._zone)
             self._act(waiter, waiter.last)
 
@@ -187,6 +202,7 @@
             known = self._lanes.get(choice.upstream)
             assert known is not None
             self._lanes.start(choice.upstream, need)
+            self._poison.started(need.call, choice.upstream)
             waiter.upstream = known.record
             self._waiters.remove(waiter)
             waiter.decided.set()
@@ -255,6 +271,8 @@
                 return
             trust = known.trust
             out = trust.unreachable(now) if unreachable else trust.failed(now)
+        if unreachable:
+            self._poison.unreachable(record)
         if out:
             log("upstream_out", upstream=record.name, unreachable=unreachable)
 
--- a/src/persimmonhitch/direct/flight.py
+++ b/src/persimmonhitch/direct/flight.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..ids import ConfigVersion, RequestId, Upstream
+from ..ids import ConfigVersion, Fingerprint, RequestId, Upstream
 from ..observe.logs import Sampled, log
 from ..observe.metrics import Metrics
 from ..verdict import Failure, Verdict
@@ -27,6 +27,9 @@
     refusals: int = 0
     excluded: frozenset[Upstream] = frozenset()
     settled: bool = False
+    sent_at: float = 0.0
+    """When its newest attempt was sent, and when the head of its answer came."""
+    head_at: float | None = None
     reply: Reply | None = None
     """The answer that is being passed on."""
     waited: float = 0.0
@@ -42,6 +45,11 @@
         """Return the id that the caller gave it."""
         return self.admitted.caller.request
 
+    @property
+    def call(self) -> Fingerprint:
+        """Return what it has in common with its repeats under other ids."""
+        return self.admitted.need.call
+
     def release(self) -> None:
         """Give its place at an upstream back, if it has one."""
         permit, self.permit = self.permit, None
@@ -119,7 +127,7 @@
         found = flight.admitted
         fields: dict[str, object] = {
             "request": flight.request,
-            "call": found.call,
+            "call": flight.call,
             "route": flight.route,
             "account": found.account.name if found.account else "-",
             "model": found.caller.model or "-",
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -22,6 +22,7 @@
 from .events import EventSplitter
 from .exchange import Broken, Exchange, Reply
 from .flight import Ends, Flight
+from .poison import PoisonGuard
 from .quota import Quota
 
 CALLER_LEFT: Final = Failure(
@@ -50,13 +51,15 @@
         exchange: Exchange,
         watchdog: Watchdog,
         metrics: Metrics,
+        poison: PoisonGuard,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._in_force = in_force
         self._quota = quota
         self._dispatcher = dispatcher
         self._clock = clock
-        self._attempts = Attempts(dispatcher, exchange, clock)
+        self._poison = poison
+        self._attempts = Attempts(dispatcher, exchange, poison, clock)
         self._ends = Ends(
             quota, watchdog, metrics, lambda: in_force().cfg.version, clock
         )
@@ -69,9 +72,9 @@
         if not isinstance(admitted, Success):
             return self._turned_away(admitted.failure(), caller, in_force)
         found: Admitted = admitted.unwrap()
-        over = self._over_rate(found)
-        if over is not None:
-            return self._turned_away(over, caller, in_force)
+        refused = self._poison.refusal(found.need.call) or self._over_rate(found)
+        if refused is not None:
+            return self._turned_away(refused, caller, in_force)
         if found.need.model is not None:
             self._dispatcher.asked(found.need.model, found.need.tokens)
         flight = Flight(found, Abort(req.disconnected, found.end_at), found.route.name)
@@ -133,6 +136,7 @@
                 reply = again.unwrap()
         headers = wire.caller_headers(reply.headers)
         headers["content-length"] = str(len(body))
+        self._poison.completed(flight.call)
         self._ends.settle(flight, None, reply.status)
         return Answer(reply.status, headers, [body])
 
@@ -157,6 +161,7 @@
                         yield event.data
                 if splitter.rest:
                     yield splitter.rest
+                self._poison.completed(flight.call)
                 self._ends.settle(flight, None, reply.status)
                 return
             except Broken as exc:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -46,9 +46,11 @@
 from .abort import Watchdog
 from .admit import InForce
 from .app import CallerApp, StatusApp
+from .blocked_calls import BlockedCalls
 from .broadcast import Broadcast
 from .changes import NewsChanges
 from .conns import Conns
+from .crash_checks import CrashChecks
 from .dispatcher import Dispatcher
 from .exchange import Exchange
 from .gateway import Gateway
@@ -56,6 +58,7 @@
 from .leaseholder import LeaseHolder
 from .news import (
     Bundle,
+    CrashNews,
     HoldingNews,
     NodeNews,
     Renewed,
@@ -64,6 +67,7 @@
     StoreAsk,
     Want,
 )
+from .poison import PoisonGuard
 from .quota import Quota
 from .settings import DirectSettings
 from .upstreams import UpstreamList
@@ -80,6 +84,8 @@
 """Seconds between tries while the store is away."""
 ENTRIES_PAUSE: Final = 1.0
 """Seconds between two watches of the entries, which start and stop many at a time."""
+BLOCKED_WATCH: Final = 5.0
+"""Seconds of a watch of blocked calls, which other entries tell sooner."""
 TICK: Final = 0.05
 STATUS_THREADS: Final = 3
 LEASE_NAME: Final = "orders"
@@ -136,7 +142,13 @@
         self.leader_vm: Vm | None = None
         self.quota = Quota(lambda: self.peers)
         self.watchdog = Watchdog()
-        self.dispatcher = Dispatcher(Zone(cfg.zone), self._want)
+        self.poison = PoisonGuard(
+            self.vm, changed=self._tick_due.set, alone=self.quota.hears_nobody
+        )
+        self.blocked_calls = BlockedCalls(store, self.poison, self.overlay.place)
+        self.conns = Conns()
+        self.crash_checks = CrashChecks(self.poison, self.conns)
+        self.dispatcher = Dispatcher(Zone(cfg.zone), self._want, self.poison)
         # Its renewals must be known to have failed well before the lease is over.
         quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART)
         lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
@@ -179,8 +191,16 @@
                 pause=ENTRIES_PAUSE,
                 changed=self.pushes.changed,
             ),
+            Watcher(
+                store,
+                Kind.BLOCKED,
+                self.blocked_calls.update,
+                BLOCKED_WATCH,
+                RETRY_MOST,
+                changed=self.pushes.changed,
+            ),
         )
-        kinds = (Kind.FLEET, Kind.UPSTREAM, Kind.ENTRY)
+        kinds = (Kind.FLEET, Kind.UPSTREAM, Kind.ENTRY, Kind.BLOCKED)
         self.pushes.serve(dict(zip(kinds, self.watchers, strict=True)))
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self._hear()
@@ -199,6 +219,7 @@
         self.mesh.on(StoreAnswer, self.lease.hear_answer)
         for_all = self.broadcast.on
         for_all(NodeNews, self._on_node)
+        for_all(CrashNews, self.poison.hear)
         for_all(HoldingNews, lambda vm, msg, _at: self._on_holding(vm, msg))
         for_all(Want, lambda vm, msg, _at: self.leader.hear_want(vm, msg))
         for_all(StoreAsk, lambda vm, msg, _at: self.lease.hear_ask(vm, msg))
@@ -212,9 +233,10 @@
             lambda: self.in_force,
             self.quota,
             self.dispatcher,
-            Exchange(Conns(), read_reply),
+            Exchange(self.conns, read_reply),
             self.watchdog,
             self.metrics,
+            self.poison,
         )
         callers = CallerApp(gateway, self._full)
         status = StatusApp(self._ready, self.metrics)
@@ -333,6 +355,8 @@
             watcher.start()
         self.mesh.start()
         self.watchdog.start()
+        self.crash_checks.start()
+        self.blocked_calls.start()
         self.leader.start()
         for server in (self.server, *self.status):
             server.start()
@@ -362,6 +386,9 @@
                 if time.monotonic() - told_at >= NEWS_EVERY:
                     told_at = time.monotonic()
                     self._tell_node()
+                crash_news = self.poison.news()
+                if crash_news is not None:
+                    self.broadcast.publish(crash_news, urgent=True)
                 self.broadcast.flush()
                 self.pushes.flush(self._followers())
             except Exception as exc:
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -3,7 +3,16 @@
 from dataclasses import dataclass
 
 from ..decide.overlay import Way
-from ..ids import Account, Adapter, Epoch, Incarnation, Model, Upstream, Vm
+from ..ids import (
+    Account,
+    Adapter,
+    Epoch,
+    Fingerprint,
+    Incarnation,
+    Model,
+    Upstream,
+    Vm,
+)
 from ..wire.codec import message
 
 
@@ -130,3 +139,51 @@
 
     way: Way
     items: tuple[Item, ...]
+
+
+@dataclass(frozen=True)
+class Crashed:
+    """An upstream that may have crashed, and the calls that were lost there."""
+
+    upstream: Upstream
+    born: int
+    age_ms: int
+    confirmed: bool
+    """Whether the upstream takes no connections any more."""
+    calls: dict[Fingerprint, bool]
+    """Whether each had just begun to run, or not answered yet."""
+
+
+@dataclass(frozen=True)
+class SeenAlive:
+    """An upstream that lived some milliseconds ago."""
+
+    upstream: Upstream
+    born: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class Trial:
+    """A suspected call that runs at an upstream, or is about to run at one."""
+
+    call: Fingerprint
+    upstream: Upstream | None
+
+
+@message(72)
+@dataclass(frozen=True)
+class CrashNews:
+    """What one entry saw of crashes and of the calls that may be to blame.
+
+    ``crashes``, ``alive`` and ``completed`` are told again for a while, and count once.
+    """
+
+    crashes: tuple[Crashed, ...]
+    alive: tuple[SeenAlive, ...]
+    completed: dict[Fingerprint, int]
+    """Milliseconds since suspected calls came to their end."""
+    trials: tuple[Trial, ...]
+    """All that run at the sender now, or are about to."""
+    blocked: dict[Fingerprint, int]
+    """Seconds for which calls stay blocked."""
--- a/src/persimmonhitch/direct/quota.py
+++ b/src/persimmonhitch/direct/quota.py
@@ -1,5 +1,6 @@
 """Holds every account to its rate together with the other entries."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -56,6 +57,15 @@
             late = sum(a for a in ages if a <= SILENT_AFTER) / max(1, len(ages))
             return bucket.take(cost, late)
 
+    def hears_nobody(self) -> bool:
+        """Return whether all other entries are silent, if there are any."""
+        now = self._clock()
+        peers = self._peers()
+        with self._lock:
+            return bool(peers) and all(
+                now - self._heard.get(vm, -math.inf) > SILENT_AFTER for vm in peers
+            )
+
     def refund(self, account: Account, cost: Tokens) -> None:
         """Give back the tokens of a request that has not run."""
         with self._lock:
--- a/src/persimmonhitch/store/objects.py
+++ b/src/persimmonhitch/store/objects.py
@@ -22,6 +22,8 @@
     LEASE = "leases"
     CALL = "calls"
     VM = "vms"
+    BLOCKED = "blocked-calls"
+    """Calls that crashed upstreams, and until when they are sent to none."""
     UPSTREAM = "upstreams"
     """Upstreams as they report themselves; written by the platform."""
     FLEET = "fleet"
--- a/src/persimmonhitch/verdict.py
+++ b/src/persimmonhitch/verdict.py
@@ -27,6 +27,7 @@
     NO_UPSTREAM = "no_upstream"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     STALE_CONFIG = "stale_config"
     STALE_INCARNATION = "stale_incarnation"
     SHUTTING_DOWN = "shutting_down"
@@ -54,6 +55,7 @@
     ErrorCode.OVERLOADED: 503,
     ErrorCode.MODEL_LOADING: 503,
     ErrorCode.NO_UPSTREAM: 503,
+    ErrorCode.CRASHES_UPSTREAMS: 503,
     ErrorCode.STALE_CONFIG: 503,
     ErrorCode.STALE_INCARNATION: 503,
     ErrorCode.SHUTTING_DOWN: 503,
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -9,9 +9,11 @@
 from persimmonhitch.direct.admit import InForce
 from persimmonhitch.direct.app import CallerApp
 from persimmonhitch.direct.conns import Conns
+from persimmonhitch.direct.crash_checks import CrashChecks
 from persimmonhitch.direct.dispatcher import Dispatcher
 from persimmonhitch.direct.exchange import Exchange
 from persimmonhitch.direct.gateway import Gateway
+from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.quota import Quota
 from persimmonhitch.fleet.config import (
     AccountSpec,
@@ -32,6 +34,7 @@
     Service,
     Tokens,
     Upstream,
+    Vm,
     Zone,
 )
 from persimmonhitch.observe.metrics import Metrics
@@ -208,27 +211,41 @@
         self.upstreams = upstreams
         self.quota = Quota(frozenset)
         self.quota.update(cfg)
-        self.dispatcher = Dispatcher(Zone("z1"), lambda _want: None)
+        self.poison = PoisonGuard(Vm("e1"))
+        conns = Conns()
+        self.checks = CrashChecks(self.poison, conns)
+        self.checks.start()
+        self.dispatcher = Dispatcher(Zone("z1"), lambda _want: None, self.poison)
         self.dispatcher.configure(cfg)
         self.dispatcher.update([upstream.record for upstream in upstreams])
+        self._ended = threading.Event()
+        threading.Thread(target=self._tick, daemon=True).start()
         self.watchdog = Watchdog()
         self.watchdog.start()
         gateway = Gateway(
             lambda: InForce(cfg, RouteTable(cfg.routes)),
             self.quota,
             self.dispatcher,
-            Exchange(Conns(), read_reply),
+            Exchange(conns, read_reply),
             self.watchdog,
             Metrics("direct", "test"),
+            self.poison,
         )
         app = CallerApp(gateway, lambda: full)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
         self.server.start()
 
+    def _tick(self):
+        while not self._ended.wait(0.05):
+            self.poison.news()
+            self.dispatcher.tick()
+
     def __enter__(self):
         return self
 
     def __exit__(self, *_exc):
+        self._ended.set()
+        self.checks.stop()
         self.watchdog.stop()
         self.server.close()
         for upstream in self.upstreams:
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -13,8 +13,9 @@
 from persimmonhitch.direct.abort import Abort
 from persimmonhitch.direct.dispatcher import Dispatcher
 from persimmonhitch.direct.lanes import Lanes
+from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.fleet.upstream import ORDERS_UNKNOWN, Holding, UpstreamRecord
-from persimmonhitch.ids import Model, Service, Upstream, Zone
+from persimmonhitch.ids import Model, Service, Upstream, Vm, Zone
 from persimmonhitch.verdict import ErrorCode, Failure
 
 LLM, Z1, BIG = Service("llm"), Zone("z1"), Model("big")
@@ -39,7 +40,7 @@
 
 
 def dispatcher(*records):
-    made = Dispatcher(Z1, lambda _want: None)
+    made = Dispatcher(Z1, lambda _want: None, PoisonGuard(Vm("e1")))
     made.update(list(records))
     return made
 
