--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -18,15 +18,13 @@
 from .abort import AbortReason
 from .admit import Admitted
 from .dispatcher import Dispatcher
-from .exchange import Broken, Exchange, Outgoing, Reply
+from .exchange import RETRY_SOON, Broken, Exchange, Outgoing, Reply
 from .flight import Flight
 from .poison import PoisonGuard
 
 REFUSALS_MOST: Final = 3
 """Upstreams that may refuse a request before it is refused itself; each further one
 costs the fleet's budget of retries and the caller time."""
-RETRY_SOON: Final = 0.3
-"""Seconds after which another try may find a place: the time of a short answer."""
 FAILED_STATUS: Final = 500
 
 
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -23,6 +23,8 @@
 READ_SIZE: Final = 65536
 ANSWER_MOST: Final = 16 * 1024 * 1024
 """Bytes of an answer that is passed on whole; no plain service sends as much."""
+RETRY_SOON: Final = 0.3
+"""Seconds after which another try may find a place: the time of a short answer."""
 FRESH_ONLY: Final = 1.0
 """Seconds that a connection may have been idle for a call that must not be repeated.
 Upstreams close idle connections after several; a call that meets the close is lost."""
@@ -122,7 +124,8 @@
             conn = self._conns.open(address, left)
         if conn is None:
             reason = f"{address[0]}:{address[1]} takes no connection"
-            return Err(Failure(ErrorCode.NO_UPSTREAM, reason))
+            failure = Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=RETRY_SOON)
+            return Err(failure)
         abort.on_fire(lambda: _shut(conn))
         try:
             return self._exchange(address, conn, out, left)
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -97,6 +97,11 @@
     def close(self):
         self._listener.close()
 
+    def end(self):
+        """Take no more connections; a close alone leaves a waiting accept open."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _accept(self):
         while True:
             try:
--- a/tests/test_direct_gateway.py
+++ b/tests/test_direct_gateway.py
@@ -57,6 +57,17 @@
     assert all("x-persimmonhitch-tenant" not in got.headers for got in up.got)
 
 
+def test_a_refusal_for_upstreams_that_take_no_connection_says_when_to_come_back():
+    """Guards against callers of a service that is gone who come back at once."""
+    ups = [FakeUpstream(f"u{n}", says(answer())) for n in range(2)]
+    with Served(*ups) as served:
+        for up in ups:
+            up.end()
+        reply = served.call("/book/x")
+    assert (reply.status, b"not_run" in reply.body) == (503, True)
+    assert float(reply.headers["retry-after"]) > 0
+
+
 def test_a_request_whose_time_is_over_is_refused_and_not_sent():
     """A call has waited for a place up to the last moment of its time and gets one. No
     connection can be opened in no time; its caller was told that the entry had failed
--- a/tests/test_poison_gateway.py
+++ b/tests/test_poison_gateway.py
@@ -45,9 +45,7 @@
         return "x-persimmonhitch-model" in req.headers
 
     def _crash(self, _sock):
-        # A close alone leaves the port open while a thread waits in accept.
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self.end()
         self._ended.set()
         for sock in self._socks:
             sock.shutdown(socket.SHUT_RDWR)
