An upstream that takes connections again may still have crashed

Calls that crashed it were then not counted. Only an answer of the same life of an upstream to a later request refutes a crash now; a refused connection, or an entry in the store with another start under its name or address, confirms it; what neither confirms lapses after 5 s.

--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -38,7 +38,7 @@
 """Seconds after the begin of its answer within which a call counts as just begun."""
 BLOCKED_LIFE: Final = 3600.0
 """Seconds; after that a new version of an upstream may run the call."""
-CLAIM_LIFE: Final = 3.0
+CLAIM_LIFE: Final = 5.0
 """Seconds for which a crash is believed that nobody has confirmed."""
 CRASH_LIFE: Final = 3600.0
 EVIDENCE_LIFE: Final = 60.0
--- a/src/persimmonhitch/direct/crash_checks.py
+++ b/src/persimmonhitch/direct/crash_checks.py
@@ -1,7 +1,6 @@
 """Finds out whether upstreams that lost calls have ended."""
 
 import threading
-import time
 from typing import Final
 
 from ..fleet.upstream import UpstreamRecord
@@ -38,8 +37,9 @@
 
     def _check(self, record: UpstreamRecord) -> None:
         address = record.host, record.port
-        began = time.monotonic()
         conn = self._conns.open(address, CONNECT_TIME)
-        self._guard.checked(record, conn is not None, began)
-        if conn is not None:
+        if conn is None:
+            self._guard.unreachable(record)
+        else:
+            # It lives, or has started anew; its answers or its entry will tell.
             self._conns.give(address, conn, None)
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -285,6 +285,7 @@
         log("config_in_force", version=cfg.version, routes=len(cfg.routes))
 
     def _on_upstreams(self, records: list[UpstreamRecord]) -> None:
+        self.poison.listed(records)
         self.dispatcher.update(records)
         self.leader.update(records)
 
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -196,7 +196,7 @@
             if not self._history.crashed(start):
                 return
             if self._history.alive(start, sent_at):
-                self._refuted(start, sent_at, "answered")
+                self._refuted(start, sent_at)
 
     def completed(self, call: Fingerprint) -> None:
         """Note that a call came to its end."""
@@ -227,14 +227,19 @@
                 seen.check_at = math.inf
         return [seen.record for seen in due if not seen.confirmed]
 
-    def checked(self, record: UpstreamRecord, accepts: bool, at: float) -> None:
-        """Take whether an upstream took a connection that was begun at a time."""
-        start = start_of(record)
+    def listed(self, records: Iterable[UpstreamRecord]) -> None:
+        """Take the list of upstreams; one that started anew has ended before."""
         with self._lock:
-            if not accepts:
-                self._confirm(start)
-            elif self._history.alive(start, at):
-                self._refuted(start, at, "takes connections")
+            if not self._seen:
+                return
+            found = list(records)
+            by_name = {record.name: record for record in found}
+            by_address = {(record.host, record.port): record for record in found}
+            for start, seen in list(self._seen.items()):
+                address = seen.record.host, seen.record.port
+                now = by_name.get(start.name) or by_address.get(address)
+                if now is not None and start_of(now) != start:
+                    self._confirm(start)
 
     def _confirm(self, start: UpstreamStart) -> None:
         if start in self._seen:
@@ -245,8 +250,8 @@
         self._note_change(start)
         self._judge()
 
-    def _refuted(self, start: UpstreamStart, at: float, why: str) -> None:
-        log("crash_refuted", upstream=start.name, born=start.born, why=why)
+    def _refuted(self, start: UpstreamStart, at: float) -> None:
+        log("crash_refuted", upstream=start.name, born=start.born)
         self._seen.pop(start, None)
         self._alive[start] = at
         self._note_change(start)
--- a/tests/test_poison_fleet.py
+++ b/tests/test_poison_fleet.py
@@ -202,7 +202,8 @@
         alive = {e.record.name for e in self.engines if e.back_at <= self.now}
         for guard in self.guards.values():
             for record in guard.due_checks():
-                guard.checked(record, record.name in alive, self.now)
+                if record.name not in alive:
+                    guard.unreachable(record)
 
     def step(self):
         """Play one step."""
--- /dev/null
+++ b/tests/test_poison_guard.py
@@ -0,0 +1,82 @@
+"""What one entry makes of lost answers."""
+
+from dataclasses import replace
+
+import pytest
+
+from persimmonhitch.decide.poison import CRASHES, SETTLED
+from persimmonhitch.direct.poison import PoisonGuard
+from persimmonhitch.fleet.upstream import UpstreamRecord
+from persimmonhitch.ids import Fingerprint, Service, Upstream, Vm, Zone
+
+BAD = Fingerprint("bad")
+
+
+def record(number, born=1):
+    name = Upstream(f"u{number}")
+    return UpstreamRecord(
+        name, Service("s"), "h", number, Zone("z1"), 8, False, born, None
+    )
+
+
+class Entry:
+    """An entry's guard, with a clock that is moved by hand."""
+
+    def __init__(self, vm="e1"):
+        self.now = 0.0
+        self.guard = PoisonGuard(Vm(vm), lambda: self.now)
+
+    def lose(self, number):
+        """Lose a call together with the connection to an upstream."""
+        self.now += 1.0
+        self.guard.started(BAD, record(number).name)
+        self.guard.lost(BAD, record(number), True)
+        self.guard.ended(BAD, record(number).name)
+
+    def blocks(self):
+        self.now += SETTLED + 0.01
+        self.told = self.guard.news()
+        return self.guard.refusal(BAD) is not None
+
+
+@pytest.mark.parametrize(
+    "others",
+    [
+        [replace(record(n), born=2) for n in range(CRASHES)],
+        [replace(record(n), name=Upstream(f"new{n}")) for n in range(CRASHES)],
+    ],
+)
+def test_an_upstream_that_starts_anew_at_once_has_crashed(others):
+    """Guards against crashes taken for lost answers, as connections go on."""
+    entry = Entry()
+    for number in range(CRASHES):
+        entry.lose(number)
+    assert [up.name for up in entry.guard.due_checks()] == ["u0", "u1"]
+    assert not entry.blocks()
+    entry.guard.listed(others)
+    assert entry.blocks()
+
+
+def test_an_upstream_that_answers_later_requests_has_not_crashed():
+    """Guards against blame for calls whose answers an upstream loses."""
+    entry = Entry()
+    for number in range(CRASHES):
+        entry.lose(number)
+        entry.guard.answered(record(number), entry.now + 0.1)
+        entry.guard.unreachable(record(number))
+    assert not entry.blocks()
+
+
+def test_an_entry_takes_what_another_saw():
+    """Guards against one entry's part of the evidence being too little."""
+    first, second = Entry("e1"), Entry("e2")
+    for number, entry in enumerate([first, second, first]):
+        entry.lose(number)
+        entry.guard.unreachable(record(number))
+    first.now = second.now = 5.0
+    assert not first.blocks()
+    first.guard.hear(Vm("e2"), second.guard.news(), 5.0)
+    assert first.blocks()
+    assert second.guard.refusal(BAD) is None
+    second.guard.hear(Vm("e1"), first.told, first.now)
+    assert second.guard.refusal(BAD) is not None
