Soak: calls that crash each upstream that runs them

Checked: no more than three runs of one later than 3 s after its third crash, from entries in touch, and nobody else is blocked. The relay's port closes at once.

--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -90,6 +90,9 @@
     def close(self) -> None:
         """Cut all and listen no more."""
         self.set_cut(True)
+        with contextlib.suppress(OSError):
+            # A close alone leaves the port open while a thread waits in accept.
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import json
 import math
 import threading
 import time
@@ -64,6 +65,7 @@
         self._conn = None
         self._entry = None
         self._opened_at = math.inf
+        self.body = b"hello"
 
     def run(self):
         while not self._stopped.wait(self._rng.expovariate(1 / PAUSE)):
@@ -99,8 +101,12 @@
         # The last key of the list is the next to be withdrawn.
         return self._rng.choice(self._operator.keys[account][:2]), account
 
+    def _draw(self):
+        """Return the kind and account of the next call."""
+        return self._pick(KINDS), self._pick(ACCOUNTS)
+
     def _call(self):
-        kind, account = self._pick(KINDS), self._pick(ACCOUNTS)
+        kind, account = self._draw()
         patience = 4.0 if kind == "chat" else 1.5
         self._connect(patience)
         key, account = self._key(account)
@@ -128,6 +134,7 @@
             patience,
             time.monotonic(),
             self._entry.incarnation,
+            body=self.body,
             withdrawn_in=self._operator.revoked.get(key),
         )
         leaves = kind != "book" and self._rng.random() < LEAVES
@@ -144,7 +151,7 @@
             self._conn.connect()
             self._opened_at = time.monotonic()
         call.opened_at = self._opened_at
-        self._conn.request("POST", call.path, body=b"hello", headers=headers)
+        self._conn.request("POST", call.path, body=self.body, headers=headers)
         if leaves:
             time.sleep(self._rng.uniform(0.0, 0.2))
             call.left_at = time.monotonic()
@@ -156,12 +163,21 @@
         call.retry_after = float(after) if after else None
         body = answer.read()
         call.whole = True
+        if answer.status != 200:
+            call.code = _code(body)
         signature = answer.getheader("X-Persimmonhitch-Response-Signature")
         call.right = signature == f"s.{call.request}" and body == _expected(call)
         if answer.getheader("Connection", "").lower() == "close":
             self._drop()
 
 
+def _code(body):
+    try:
+        return json.loads(body)["error"]["code"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def _expected(call):
     if call.kind == "chat":
         numbers = range(1, EVENTS + 1)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 
 from soak.callers import UNKNOWN, WITHDRAWN
 from soak.platform import RATES
+from soak.upstreams import POISON
 
 CONTACT = 3.0
 """Seconds without a fault after which an entry has to keep bounds of time."""
@@ -14,6 +15,9 @@
 CLOSE_CROSSED = 0.2
 REGRESS_SLACK = 0.25
 WINDOW, OVERAGE, RATE_SLACK = 8.0, 1.1, 17_000
+BLOCKED = "crashes_upstreams"
+CRASHES, LATE_RUNS = 3, 3
+"""Upstreams that one call may crash, and its runs later than ``CONTACT`` after that."""
 REFUSALS = frozenset({408, 421, 429, 503})
 DENIALS = frozenset({400, 401, 403, 404})
 SILENCED = "mute callers path"
@@ -82,6 +86,7 @@
         _nothing_after_leaving,
         _refusals_explained,
         _refusals_say_when,
+        _crashes_contained,
     )
     lines = list(found.records.broken)
     for check in checks:
@@ -274,3 +279,23 @@
     for call in found.records.calls:
         if call.status in (429, 503) and call.whole and call.retry_after is None:
             yield found.told(call)
+
+
+def _crashes_contained(found):
+    """Yield calls that went on crashing upstreams, and others blamed for it."""
+    runs = defaultdict(list)
+    for run in sorted(found.records.runs, key=lambda run: run.at):
+        if run.body.startswith(POISON):
+            runs[run.body].append(run)
+    for body, crashes in runs.items():
+        if len(crashes) <= CRASHES:
+            continue
+        until = crashes[CRASHES - 1].at + CONTACT + SLACK
+        late = [run for run in crashes if run.at > until]
+        calls = [found.calls[run.request] for run in late]
+        calm = [call for call in calls if found.in_touch(call.entry, call.sent_at)]
+        if len(calm) > LATE_RUNS:
+            yield f"{body!r} crashed {len(crashes)}, {len(calm)} of them late"
+    for call in found.records.calls:
+        if call.code == BLOCKED and not call.body.startswith(POISON):
+            yield f"blocked: {found.told(call)}"
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -173,6 +173,8 @@
         self.records = records
         self.operator = Operator(self.state, records)
         self.upstreams = {}
+        self.on_poison = None
+        """Takes each upstream that runs a call that crashes it."""
         self.drained = {}
         """When the store acknowledged that each upstream leaves."""
         self._rng = rng
@@ -201,6 +203,7 @@
             name = name or f"{service}-{self._made}"
             make = engine_spec if service == LLM else ledger_spec
             upstream = Upstream(make(name, number), self.records, seeded(self._rng))
+            upstream.on_poison = lambda crashed: self.on_poison(crashed)
             self.upstreams[name] = upstream
         return upstream
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -19,6 +19,7 @@
     key_seen: bool
     deadline_ms: float | None
     at: float
+    body: bytes = b""
     broken_by_us: bool = False
     """Whether the upstream itself spoiled the answer, as a fault."""
 
@@ -36,11 +37,14 @@
     sent_at: float
     incarnation: int
     """How often its entry had been started when it was sent."""
+    body: bytes = b""
     opened_at: float = math.inf
     """When its connection was opened; infinite if it never was."""
     withdrawn_in: int | None = None
     """The version of the configuration that withdrew its key, if one did."""
     status: int | None = None
+    code: str = ""
+    """Of the entry's own refusal or failure."""
     whole: bool = False
     right: bool = False
     """Whether the answer is the one that the upstream made for this request."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,8 +11,9 @@
 from soak.entries import Entry
 from soak.plan import RESTART_AFTER, Plan
 from soak.platform import ZONES, Platform
+from soak.poison import Crashes, PoisonCaller
 from soak.records import Records
-from soak.upstreams import seeded
+from soak.upstreams import POISON, seeded
 
 CALM = 2.0
 """Seconds of calls before the first fault."""
@@ -34,6 +35,8 @@
     engines: int = 4
     ledgers: int = 3
     callers: int = 12
+    poison: int = 2
+    """Calls that crash each upstream that runs them."""
 
 
 @dataclass(frozen=True)
@@ -70,6 +73,8 @@
         self.platform = Platform(
             self.records, seeded(self.rng), size.engines, size.ledgers
         )
+        self.platform.on_poison = Crashes(self.platform, self.records, seed).crash
+        self.seed = seed
         self.entries = [
             Entry(
                 f"entry-{n}",
@@ -107,6 +112,11 @@
             )
             for _ in range(self.size.callers)
         ]
+        operator, records = self.platform.operator, self.records
+        callers += [
+            PoisonCaller(balancer, operator, records, self.seed, n, self.stopped)
+            for n in range(self.size.poison)
+        ]
         for caller in callers:
             caller.start()
         time.sleep(CALM)
@@ -152,6 +162,7 @@
                 for call in list(self.records.calls)
                 if call.ended_at >= since > began - 1 and call.account == "large"
                 if call.kind != "version" and call.left_at is None
+                if not call.body.startswith(POISON)
             ]
             served = sum(call.status == 200 and call.whole for call in calls)
             if len(calls) >= 5 and served >= SERVED_PART * len(calls):
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -17,6 +17,8 @@
 HEARTBEAT = 0.6
 STEP = 0.02
 EVENTS = 8
+POISON = b"poison"
+"""Begin of a body that crashes whoever runs it."""
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -67,6 +69,8 @@
         self.spec = spec
         self.faults = Faults()
         self.born = int(time.time() * 1000)
+        self.on_poison = None
+        """Takes this upstream when it runs a call that crashes it."""
         self.draining_since = None
         self.leaving = False
         self._records = records
@@ -85,8 +89,8 @@
     def close(self):
         """Crash: everything ends at once."""
         self.closed.set()
-        self._listener.close()
         self.relay.close()
+        self._listener.close()
         for sock in list(self._socks):
             self._break(sock)
 
@@ -121,8 +125,12 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        reader = sock.makefile("rb")
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            reader = sock.makefile("rb")
+        except OSError:
+            # The upstream crashed while the connection came.
+            return
         try:
             while not self.closed.is_set():
                 req = self._read(reader)
@@ -181,6 +189,10 @@
             extra = {"X_Persimmonhitch_Not_Executed": "1"}
             return self._say(sock, refusal, **extra)
         run = self._start(req, request)
+        if req.body.startswith(POISON):
+            run.broken_by_us = True
+            self.on_poison(self)
+            return False
         try:
             return self._work(req, run, sock)
         finally:
@@ -211,6 +223,7 @@
             key_seen="authorization" in headers,
             deadline_ms=float(deadline) if deadline else None,
             at=time.monotonic(),
+            body=req.body,
         )
         self._records.runs.append(run)
         with self._lock:
