Logs tell when an upstream names, changes and ends a limit of requests

The header is read under both forms that names here have; one that can't be read is not taken for none. A limit ends with an answer without it to a request that was sent after it was named.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -21,6 +21,7 @@
 from .exchange import RETRY_SOON, Broken, Exchange, Outgoing, Reply
 from .flight import Flight
 from .poison import PoisonGuard
+from .upstream_limits import UpstreamLimits
 
 REFUSALS_MOST: Final = 3
 """Upstreams that may refuse a request before it is refused itself; each further one
@@ -36,10 +37,12 @@
         dispatcher: Dispatcher,
         exchange: Exchange,
         poison: PoisonGuard,
+        limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
         self._poison = poison
+        self._limits = limits
         self._exchange = exchange
         self._clock = clock
         self._retries = RetryBudget()
@@ -177,6 +180,7 @@
         flight.head_at = self._clock()
         if marks.instance in (None, record.name) and reply.status != wire.MISDIRECTED:
             self._poison.answered(record, flight.sent_at)
+            self._limits.answered(record, marks.limit, flight.sent_at)
         if marks.not_run:
             return Err(self._not_run(flight, reply))
         flight.attempts += 1
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -24,6 +24,7 @@
 from .flight import Ends, Flight
 from .poison import PoisonGuard
 from .quota import Quota
+from .upstream_limits import UpstreamLimits
 
 CALLER_LEFT: Final = Failure(
     ErrorCode.DEADLINE, "the caller left", Verdict.MAY_HAVE_RUN
@@ -52,6 +53,7 @@
         watchdog: Watchdog,
         metrics: Metrics,
         poison: PoisonGuard,
+        limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._in_force = in_force
@@ -59,7 +61,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._poison = poison
-        self._attempts = Attempts(dispatcher, exchange, poison, clock)
+        self._attempts = Attempts(dispatcher, exchange, poison, limits, clock)
         self._ends = Ends(
             quota, watchdog, metrics, lambda: in_force().cfg.version, clock
         )
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -70,6 +70,7 @@
 from .poison import PoisonGuard
 from .quota import Quota
 from .settings import DirectSettings
+from .upstream_limits import UpstreamLimits
 from .upstreams import UpstreamList
 
 WATCH: Final = 2.0
@@ -145,6 +146,7 @@
         self.poison = PoisonGuard(
             self.vm, changed=self._tick_due.set, alone=self.quota.hears_nobody
         )
+        self.limits = UpstreamLimits()
         self.blocked_calls = BlockedCalls(store, self.poison, self.overlay.place)
         self.conns = Conns()
         self.crash_checks = CrashChecks(self.poison, self.conns)
@@ -237,6 +239,7 @@
             self.watchdog,
             self.metrics,
             self.poison,
+            self.limits,
         )
         callers = CallerApp(gateway, self._full)
         status = StatusApp(self._ready, self.metrics)
@@ -286,6 +289,7 @@
 
     def _on_upstreams(self, records: list[UpstreamRecord]) -> None:
         self.poison.listed(records)
+        self.limits.listed(records)
         self.dispatcher.update(records)
         self.leader.update(records)
 
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -51,6 +51,16 @@
     slots: int
 
 
+@dataclass(frozen=True)
+class RequestLimit:
+    """Requests a second that an upstream takes from all entries together.
+
+    ``per_second`` is None if what it says can't be read.
+    """
+
+    per_second: float | None
+
+
 @dataclass(frozen=True)
 class ReplyMarks:
     """What the headers of an upstream's answer say besides its content."""
@@ -61,6 +71,8 @@
     request: RequestId | None
     instance: Upstream | None
     load: Load | None
+    limit: RequestLimit | None
+    """None if it names no limit."""
     retry_after: float | None
     idle_limit: float | None
     """Seconds after which the upstream closes an idle connection."""
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from ..fleet.call import CallerHeaders, Load, PromptPart, ReplyMarks
+from ..fleet.call import CallerHeaders, Load, PromptPart, ReplyMarks, RequestLimit
 from ..ids import Account, Adapter, Model, RequestId, Upstream
 from . import names
 
@@ -102,6 +102,14 @@
     return Load(running, waiting, slots)
 
 
+def read_limit(headers: Headers) -> RequestLimit | None:
+    """Return the limit of requests that an upstream's answer names."""
+    for name in names.SERVER_LIMIT:
+        if name in headers:
+            return RequestLimit(_number(headers[name].strip()))
+    return None
+
+
 def read_reply(status: int, headers: Headers) -> ReplyMarks:
     """Return what the headers of an upstream's answer say."""
     idle = TIMEOUT_TEXT.search(headers.get(names.KEEP_ALIVE, ""))
@@ -113,6 +121,7 @@
         request=RequestId(request) if request else None,
         instance=Upstream(instance) if instance else None,
         load=_load(headers.get(names.SERVER_LOAD, "")),
+        limit=read_limit(headers),
         retry_after=_number(headers.get(names.RETRY_AFTER)),
         idle_limit=float(idle[1]) if idle else None,
     )
--- a/src/persimmonhitch/platform/names.py
+++ b/src/persimmonhitch/platform/names.py
@@ -35,6 +35,9 @@
 NOT_EXECUTED: Final = "x-persimmonhitch-not-executed"
 INSTANCE: Final = "x-persimmonhitch-instance-id"
 SERVER_LOAD: Final = "x-persimmonhitch-server-load"
+SERVER_LIMIT: Final = ("server-limit", "x-persimmonhitch-server-limit")
+"""Requests a second that an upstream takes from all entries; under either name, since
+headers of its kind have both forms."""
 RETRY_AFTER: Final = "retry-after"
 KEEP_ALIVE: Final = "keep-alive"
 
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -15,6 +15,7 @@
 from persimmonhitch.direct.gateway import Gateway
 from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.quota import Quota
+from persimmonhitch.direct.upstream_limits import UpstreamLimits
 from persimmonhitch.fleet.config import (
     AccountSpec,
     CallKind,
@@ -235,6 +236,7 @@
             self.watchdog,
             Metrics("direct", "test"),
             self.poison,
+            UpstreamLimits(),
         )
         app = CallerApp(gateway, lambda: full)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -3,6 +3,7 @@
 import pytest
 from returns.result import Success
 
+from persimmonhitch.fleet.call import RequestLimit
 from persimmonhitch.fleet.config import CallKind
 from persimmonhitch.fleet.routes import RouteTable
 from persimmonhitch.ids import Account, Adapter, Model, Service, Upstream
@@ -237,3 +238,20 @@
 )
 def test_only_an_engine_s_own_word_means_not_run(status, fields, not_run):
     assert headers.read_reply(status, fields).not_run is not_run
+
+
+@pytest.mark.parametrize(
+    ("fields", "limit"),
+    [
+        ({}, None),
+        ({"server-limit": "2.5"}, RequestLimit(2.5)),
+        ({"x-persimmonhitch-server-limit": " 3 "}, RequestLimit(3.0)),
+        ({"server-limit": "0"}, RequestLimit(0.0)),
+        ({"server-limit": "-1"}, RequestLimit(None)),
+        ({"server-limit": "nan"}, RequestLimit(None)),
+        ({"server-limit": "few"}, RequestLimit(None)),
+        ({"server-limit": ""}, RequestLimit(None)),
+    ],
+)
+def test_the_limit_of_an_upstream(fields, limit):
+    assert headers.read_limit(fields) == limit
