--- /dev/null
+++ b/tests/test_limit_gateway.py
@@ -0,0 +1,63 @@
+"""An upstream in need that names how many requests it takes, through one entry."""
+
+import time
+
+import pytest
+from direct_help import LAST, LEDGER, LLM, SIGNED, FakeUpstream, Served, event
+
+LIMIT = 2.0
+WINDOW, OVERAGE, SLACK = 4.0, 1.5, 5
+PLAIN = "HTTP/1.1 200 X\r\n{}Content-Length: 4\r\n\r\ndone"
+STREAMED = "HTTP/1.1 200 X\r\n{}Transfer-Encoding: chunked\r\n\r\n"
+
+
+class InNeed(FakeUpstream):
+    """Names a limit in its answers, and notes when requests come."""
+
+    def __init__(self, name, service=LEDGER, limit=str(LIMIT)):
+        self.limit = limit
+        self.came = []
+        super().__init__(name, self._answer, service)
+
+    def _answer(self, req, sock):
+        self.came.append(time.monotonic())
+        named = f"Server-Limit: {self.limit}\r\n" if self.limit is not None else ""
+        if "x-persimmonhitch-model" in req.headers:
+            sock.sendall(STREAMED.format(SIGNED + named).encode() + event(1) + LAST)
+        else:
+            sock.sendall(PLAIN.format(SIGNED + named).encode())
+        return True
+
+    def most(self):
+        """Return the most requests within a window."""
+        return max(
+            sum(at <= other < at + WINDOW for other in self.came) for at in self.came
+        )
+
+
+@pytest.mark.parametrize(("path", "service"), [("/read/x", LEDGER), ("/chat/x", LLM)])
+def test_an_upstream_in_need_gets_no_more_than_it_takes(path, service):
+    """Guards against an upstream that is overrun though it says what it takes."""
+    up = InNeed("u1", service)
+    refused = []
+    with Served(up) as served:
+        served.call(path)
+        end = time.monotonic() + WINDOW
+        while time.monotonic() < end:
+            reply = served.call(path)
+            if reply.status != 200:
+                refused.append(reply)
+    assert up.most() <= LIMIT * WINDOW * OVERAGE + SLACK
+    assert len(up.came) >= LIMIT * WINDOW / 2
+    assert {reply.status for reply in refused} == {503}
+    assert all(b"not_run" in reply.body for reply in refused)
+    assert all(float(reply.headers["retry-after"]) > 0 for reply in refused)
+
+
+def test_what_does_not_fit_goes_to_another_upstream():
+    """Guards against refusals of calls that another upstream can take."""
+    ups = InNeed("u1"), InNeed("u2", limit=None)
+    with Served(*ups) as served:
+        statuses = {served.call("/read/x").status for _ in range(60)}
+    assert statuses == {200}
+    assert len(ups[0].came) <= LIMIT * WINDOW * OVERAGE + SLACK
