Of two calls with three crashes the clearer one is judged first

A call that ran beside one that crashed two upstreams, and then beside another, could be blocked in its place: both had three crashes that nothing explained yet, and the order was that of a set. The call whose crashes accuse fewest others is judged first, and nobody while that one's newest crash is not settled; what it explains then clears the others. tests/test_decide_poison.py (crashes7) failed in about half of the runs.

--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -67,6 +67,8 @@
     confirmed: int = 0
     own: int = 0
     """Confirmed ones that no blocked call explains."""
+    weight: float = 0.0
+    """Those, each divided by the calls that it accuses."""
     newest_at: float = -math.inf
 
 
@@ -156,11 +158,15 @@
         return found
 
     def _guilty(self, now: float) -> Fingerprint | None:
-        for call, blame in self._blames().items():
-            if call in self._blocked or now - blame.newest_at < SETTLED:
-                continue
-            if blame.own < CRASHES:
-                continue
+        candidates = [
+            (-blame.weight, call, blame)
+            for call, blame in self._blames().items()
+            if blame.own >= CRASHES and call not in self._blocked
+        ]
+        # The clearest first: what it explains may be all there is against others.
+        for _, call, blame in sorted(candidates, key=lambda c: c[:2]):
+            if now - blame.newest_at < SETTLED:
+                return None
             if blame.own >= TIED_CRASHES or not self._rivals(call, blame):
                 return call
         return None
@@ -184,12 +190,14 @@
             self._blame = {}
             for crash in self._crashes.values():
                 own = crash.confirmed and not self._explained(crash)
-                for call in self._accused(crash):
+                accused = self._accused(crash)
+                for call in accused:
                     old = self._blame.get(call, Blame())
                     self._blame[call] = Blame(
                         old.claimed + 1,
                         old.confirmed + crash.confirmed,
                         old.own + own,
+                        old.weight + own / len(accused),
                         max(old.newest_at, crash.at),
                     )
         return self._blame
