--- a/tests/test_blocked_calls.py
+++ b/tests/test_blocked_calls.py
@@ -93,7 +93,7 @@
         third.block()
         third.calls.look()
         assert stored(store) == []
-        third.now += 2 * PLACE_DELAY
+        third.now += 2 * PLACE_DELAY + 0.01
         third.calls.look()
         assert stored(store) == [BAD]
 
