Entries keep to the request limits of upstreams, all together

What callers and operators saw: engines in need that named 2 to 3 requests a second went on getting up to 16; their streams took seconds.

Cause: nothing read the limit.

Evidence: tests/test_limit_gateway.py failed before (over 2,000 requests in 4 s where 17 are allowed).

Why it works: whatever an upstream says reaches all entries at once, the newest answer counts. While it names a limit, a call goes there only with a place that the holder of the lease of orders has granted, from one bucket of the upstream's rate; its own orders and reports are taken from the same bucket. A denied entry is told when to ask again, so calls go elsewhere or are refused at once with that time.

--- a/src/persimmonhitch/decide/patience.py
+++ b/src/persimmonhitch/decide/patience.py
@@ -25,6 +25,9 @@
 LOAD_WORD: Final = 0.5
 """Seconds within which the holder of the lease of orders says that a load has begun;
 without its word none may come, since every place may hold what is asked for more."""
+LIMIT_WORD: Final = 0.3
+"""Seconds within which a call is told whether there is a place for it at an upstream
+that limits its requests."""
 LOAD_PART: Final = 0.6
 """Part of its time that a call spends on a load: what is left has to do for the wait
 behind the others that waited for it, and for its answer."""
@@ -51,6 +54,17 @@
     return min(part, need.event_by - EVENT_TIME)
 
 
+def limited(need: Need, wait: float | None) -> Failure:
+    """Return what a caller is told if all upstreams for its call limit their requests.
+
+    ``wait`` are the seconds until one of them takes another, None if not known.
+    """
+    spread = 1.0 + random.random() * SPREAD
+    reason = f"all upstreams of {need.service} that can run this limit their requests"
+    after = max(wait or FULL_RETRY, LEAST_WAIT) * spread
+    return Failure(ErrorCode.OVERLOADED, reason, retry_after=after)
+
+
 def refusal(step: Step, need: Need, load_time: float | None = None) -> Failure:
     """Return what a caller is told whose call found no place.
 
--- a/src/persimmonhitch/direct/desk.py
+++ b/src/persimmonhitch/direct/desk.py
@@ -465,7 +465,7 @@
             # Until its entry is removed; an order a moment later meets the same.
             self.engine.holding = None
             self.free_from = self._clock() + GONE_FOR
-        if outcome in (Outcome.FENCED, Outcome.GONE):
+        if outcome in (Outcome.FENCED, Outcome.GONE, Outcome.LIMITED):
             return False
         self._sleep(REPORT_AGE)
         self.engine.holding = None
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -8,8 +8,15 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..decide.dispatch import Choice, Need, Step, choose
-from ..decide.patience import LOAD_WORD, give_up_at, load_limit, refusal
+from ..decide.dispatch import Choice, Lane, Need, Step, choose
+from ..decide.patience import (
+    LIMIT_WORD,
+    LOAD_WORD,
+    give_up_at,
+    limited,
+    load_limit,
+    refusal,
+)
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
@@ -19,6 +26,7 @@
 from .lanes import Lanes
 from .news import HoldingNews, NodeNews, Want
 from .poison import PoisonGuard
+from .upstream_limits import UpstreamLimits
 
 WANT_AGAIN = 0.25
 """Seconds after which something that is still missing is asked for again; an order for
@@ -34,6 +42,8 @@
     upstream: UpstreamRecord | None = None
     failure: Failure | None = None
     last: Choice = Choice(Step.WAIT)
+    limited: frozenset[Upstream] = frozenset()
+    """All upstreams that could run it, if all of them take no more requests now."""
 
     def order(self) -> tuple[int, float]:
         return self.need.rank, self.need.arrived
@@ -83,11 +93,13 @@
         zone: Zone,
         want: Callable[[Want], None],
         poison: PoisonGuard,
+        limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._zone = zone
         self._want = want
         self._poison = poison
+        self._limits = limits
         self._clock = clock
         self._lock = threading.Lock()
         self._lanes = Lanes(clock)
@@ -131,6 +143,8 @@
         held_back = None
         if waiter.last.step is Step.WAIT:
             held_back = self._poison.held_back(waiter.need.call)
+        if held_back is None and waiter.limited:
+            return limited(waiter.need, self._limits.wait(waiter.limited))
         return held_back or refusal(waiter.last.step, waiter.need)
 
     def _refuse_hopeless(self, waiter: _Waiter, now: float) -> None:
@@ -193,8 +207,26 @@
                 continue
             lanes = self._lanes.lanes(waiter.need, waiter.excluded)
             self._poison.hold_back(waiter.need, lanes)
+            waiter.limited = self._all_limited(waiter.need, lanes)
             waiter.last = choose(lanes, waiter.need, self._zone)
             self._act(waiter, waiter.last)
+            if waiter.limited and not waiter.decided.is_set():
+                self._refuse_limited(waiter)
+
+    def _all_limited(self, need: Need, lanes: list[Lane]) -> frozenset[Upstream]:
+        closed = self._limits.hold_back(lanes)
+        able = {ln.upstream for ln in lanes if need.model is None or ln.model_here}
+        return closed & able if closed and able <= closed else frozenset()
+
+    def _refuse_limited(self, waiter: _Waiter) -> None:
+        """Refuse at once what finds no place in its time."""
+        wait = self._limits.wait(waiter.limited)
+        now = self._clock()
+        if wait is None:
+            waiter.give_up_at = min(waiter.give_up_at, now + LIMIT_WORD)
+        elif now + wait > waiter.give_up_at:
+            waiter.failure = limited(waiter.need, wait)
+            waiter.decided.set()
 
     def _act(self, waiter: _Waiter, choice: Choice) -> None:
         need = waiter.need
@@ -203,6 +235,7 @@
             assert known is not None
             self._lanes.start(choice.upstream, need)
             self._poison.started(need.call, choice.upstream)
+            self._limits.sent(choice.upstream)
             waiter.upstream = known.record
             self._waiters.remove(waiter)
             waiter.decided.set()
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -13,6 +13,7 @@
 from ..ids import Adapter, Epoch, Model, Vm
 from ..platform import headers, names
 from ..platform.upstream_format import decode_report, encode_order
+from .upstream_limits import UpstreamLimits
 
 ORDER_TIMEOUT: Final = 0.5
 """Seconds for an answer to an order; engines answer in milliseconds, and one that was
@@ -30,6 +31,8 @@
     FENCED = "fenced"
     GONE = "gone"
     """Another instance has the address."""
+    LIMITED = "limited"
+    """Not sent, since the engine takes no more requests now."""
     UNKNOWN = "unknown"
     """No answer: it may be carried out, now or seconds later."""
 
@@ -55,8 +58,9 @@
 class EngineClient:
     """Calls engines for the holder of the orders lease."""
 
-    def __init__(self, vm: Vm) -> None:
+    def __init__(self, vm: Vm, limits: UpstreamLimits) -> None:
         self._vm = vm
+        self._limits = limits
         self._http = urllib3.PoolManager(
             retries=False, maxsize=4, num_pools=64, timeout=ORDER_TIMEOUT
         )
@@ -65,6 +69,8 @@
         self, record: UpstreamRecord, order: Order, orders: int, epoch: Epoch
     ) -> Outcome:
         """Send an order that counts only after ``orders`` others."""
+        if not self._limits.allows_order(record):
+            return Outcome.LIMITED
         body = encode_order(
             order.load, order.model, order.adapter, orders, self._vm, epoch
         )
@@ -81,6 +87,8 @@
 
     def report(self, record: UpstreamRecord) -> Result[Holding, str]:
         """Return what an engine says that it holds, some hundred ms ago."""
+        if not self._limits.allows_report(record):
+            return Err("it limits its requests")
         url = f"http://{record.host}:{record.port}{names.REPORT_PATH}"
         try:
             answer = self._http.request(
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -34,6 +34,7 @@
 from .leaseholder import LeaseHolder
 from .news import HoldingNews, NodeNews, Use, Want
 from .peer_work import PeerWork
+from .upstream_limits import UpstreamLimits
 
 LastOrders = Callable[[], Mapping[Upstream, float]]
 
@@ -72,6 +73,7 @@
         holder: Callable[[LastOrders], LeaseHolder],
         tell: Callable[[HoldingNews], None],
         read_rate: Callable[[Service], float],
+        limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
         answer: Callable[[Vm, HoldingNews], object] = lambda _vm, _news: None,
     ) -> None:
@@ -81,7 +83,7 @@
         self._answer = answer
         self._began_at = 0.0
         self._clock = clock
-        self._client = EngineClient(vm)
+        self._client = EngineClient(vm, limits)
         self._cfg: FleetConfig | None = None
         self._records: dict[Upstream, UpstreamRecord] = {}
         self._desks: dict[Upstream, Desk] = {}
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -60,6 +60,9 @@
     Bundle,
     CrashNews,
     HoldingNews,
+    LimitAsk,
+    LimitGrant,
+    LimitNews,
     NodeNews,
     Renewed,
     Resigned,
@@ -146,11 +149,15 @@
         self.poison = PoisonGuard(
             self.vm, changed=self._tick_due.set, alone=self.quota.hears_nobody
         )
-        self.limits = UpstreamLimits()
+        self.limits = UpstreamLimits(
+            self._ask_limit, lambda: len(self.peers) + 1, changed=self._tick_due.set
+        )
         self.blocked_calls = BlockedCalls(store, self.poison, self.overlay.place)
         self.conns = Conns()
         self.crash_checks = CrashChecks(self.poison, self.conns)
-        self.dispatcher = Dispatcher(Zone(cfg.zone), self._want, self.poison)
+        self.dispatcher = Dispatcher(
+            Zone(cfg.zone), self._want, self.poison, self.limits
+        )
         # Its renewals must be known to have failed well before the lease is over.
         quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART)
         lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
@@ -162,6 +169,7 @@
             ),
             self._tell_holding,
             self.dispatcher.read_rate,
+            self.limits,
             answer=self.mesh.send,
         )
         self.lease = self.leader.lease
@@ -219,9 +227,12 @@
         self.mesh.on(Want, self.leader.hear_want)
         self.mesh.on(HoldingNews, self._on_holding)
         self.mesh.on(StoreAnswer, self.lease.hear_answer)
+        self.mesh.on(LimitAsk, self._on_limit_ask)
+        self.mesh.on(LimitGrant, lambda _vm, msg: self.limits.hear_grant(msg))
         for_all = self.broadcast.on
         for_all(NodeNews, self._on_node)
         for_all(CrashNews, self.poison.hear)
+        for_all(LimitNews, self.limits.hear)
         for_all(HoldingNews, lambda vm, msg, _at: self._on_holding(vm, msg))
         for_all(Want, lambda vm, msg, _at: self.leader.hear_want(vm, msg))
         for_all(StoreAsk, lambda vm, msg, _at: self.lease.hear_ask(vm, msg))
@@ -352,6 +363,17 @@
         if self.leader_vm is None or not self.mesh.send(self.leader_vm, msg):
             self.broadcast.publish(msg)
 
+    def _ask_limit(self, msg: LimitAsk) -> None:
+        """Ask for a place at an upstream; no answer comes while there is no holder."""
+        if self.lease.epoch() is not None:
+            self.limits.hear_grant(self.limits.grant(self.vm, msg))
+        elif self.leader_vm is not None:
+            self.mesh.send(self.leader_vm, msg)
+
+    def _on_limit_ask(self, vm: Vm, msg: LimitAsk) -> None:
+        if self.lease.epoch() is not None:
+            self.mesh.send(vm, self.limits.grant(vm, msg))
+
     # -- life ------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -394,6 +416,9 @@
                 crash_news = self.poison.news()
                 if crash_news is not None:
                     self.broadcast.publish(crash_news, urgent=True)
+                limit_news = self.limits.news()
+                if limit_news is not None:
+                    self.broadcast.publish(limit_news, urgent=True)
                 self.broadcast.flush()
                 self.pushes.flush(self._followers())
             except Exception as exc:
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -187,3 +187,45 @@
     """All that run at the sender now, or are about to."""
     blocked: dict[Fingerprint, int]
     """Seconds for which calls stay blocked."""
+
+
+@dataclass(frozen=True)
+class NamedLimit:
+    """What an upstream's newest answer says of its limit."""
+
+    upstream: Upstream
+    born: int
+    named: bool
+    """Whether it names one; it has ended if not."""
+    per_second: float | None
+    """None if it can't be read."""
+    age_ms: int
+
+
+@message(73)
+@dataclass(frozen=True)
+class LimitNews:
+    """Limits that upstreams told the sender, or that have ended."""
+
+    limits: tuple[NamedLimit, ...]
+
+
+@message(74)
+@dataclass(frozen=True)
+class LimitAsk:
+    """Asks the coordinator for a place at an upstream that takes ``rate`` a second."""
+
+    upstream: Upstream
+    born: int
+    rate: float
+
+
+@message(75)
+@dataclass(frozen=True)
+class LimitGrant:
+    """Answers a ``LimitAsk``: a place now, or milliseconds until it may ask again."""
+
+    upstream: Upstream
+    born: int
+    to: Vm
+    wait_ms: int
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -199,6 +199,19 @@
     )
 
 
+def no_limits():
+    """Return limits of an entry that no upstream has told of one."""
+    return UpstreamLimits(lambda _ask: None, lambda: 1)
+
+
+def sole_entry_limits():
+    """Return limits of an entry that gives out the places by itself."""
+    limits = UpstreamLimits(
+        lambda ask: limits.hear_grant(limits.grant(Vm("e1"), ask)), lambda: 1
+    )
+    return limits
+
+
 @dataclass
 class Reply:
     """An answer as a caller sees it."""
@@ -218,10 +231,13 @@
         self.quota = Quota(frozenset)
         self.quota.update(cfg)
         self.poison = PoisonGuard(Vm("e1"))
+        self.limits = sole_entry_limits()
         conns = Conns()
         self.checks = CrashChecks(self.poison, conns)
         self.checks.start()
-        self.dispatcher = Dispatcher(Zone("z1"), lambda _want: None, self.poison)
+        self.dispatcher = Dispatcher(
+            Zone("z1"), lambda _want: None, self.poison, self.limits
+        )
         self.dispatcher.configure(cfg)
         self.dispatcher.update([upstream.record for upstream in upstreams])
         self._ended = threading.Event()
@@ -236,7 +252,7 @@
             self.watchdog,
             Metrics("direct", "test"),
             self.poison,
-            UpstreamLimits(),
+            self.limits,
         )
         app = CallerApp(gateway, lambda: full)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -37,9 +37,9 @@
     sent_at: float
     incarnation: int
     """How often its entry had been started when it was sent."""
-    body: bytes = b""
     opened_at: float = math.inf
     """When its connection was opened; infinite if it never was."""
+    body: bytes = b""
     withdrawn_in: int | None = None
     """The version of the configuration that withdrew its key, if one did."""
     status: int | None = None
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from direct_help import no_limits
 from fleet import wait_for
 from returns.result import Success
 
@@ -40,7 +41,7 @@
 
 
 def dispatcher(*records):
-    made = Dispatcher(Z1, lambda _want: None, PoisonGuard(Vm("e1")))
+    made = Dispatcher(Z1, lambda _want: None, PoisonGuard(Vm("e1")), no_limits())
     made.update(list(records))
     return made
 
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 
 import pytest
+from direct_help import no_limits
 from fake_engine import SPEC, FakeEngine
 from fleet import wait_for
 
@@ -71,7 +72,13 @@
 @contextmanager
 def holder(upstreams=("e1",)):
     """Return a holder that looks at what is to be loaded only when it is told to."""
-    made = Leader(Vm("a"), lambda _last: Held(), lambda _msg: None, lambda _s: READS)
+    made = Leader(
+        Vm("a"),
+        lambda _last: Held(),
+        lambda _msg: None,
+        lambda _s: READS,
+        no_limits(),
+    )
     made._client = FakeEngine(Clock(), models=("big",))
     made._client.on_disk = {SMALL}
     made.configure(CFG)
--- a/tests/test_limit_gateway.py
+++ b/tests/test_limit_gateway.py
@@ -44,7 +44,7 @@
         served.call(path)
         end = time.monotonic() + WINDOW
         while time.monotonic() < end:
-            reply = served.call(path)
+            reply = served.call(path, X_Persimmonhitch_Request_Deadline="300")
             if reply.status != 200:
                 refused.append(reply)
     assert up.most() <= LIMIT * WINDOW * OVERAGE + SLACK
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from direct_help import no_limits
 from fake_engine import Clock
 from fleet import wait_for
 from returns.result import Success
@@ -93,7 +94,12 @@
         service = ServiceSpec(LLM, "/health", 100, spec)
         cfg = FleetConfig(ConfigVersion(1), services={LLM: service})
         self.leader = OrdersTaken(
-            Vm("a"), lambda _l: Held(), lambda _m: None, lambda _s: READS, self.clock
+            Vm("a"),
+            lambda _l: Held(),
+            lambda _m: None,
+            lambda _s: READS,
+            no_limits(),
+            self.clock,
         )
         self.leader._client = self
         self.leader.configure(cfg)
