Soak: upstreams that say for a while how few requests they take

Checked: calls that reach one from entries in touch, half a second and more after they had passed on an answer with its limit, stay within the rule's bound in each window.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """What must hold whatever happens, read from what callers and upstreams saw."""
 
+import math
 from collections import defaultdict
 
 from soak.callers import UNKNOWN, WITHDRAWN
@@ -15,6 +16,9 @@
 CLOSE_CROSSED = 0.2
 REGRESS_SLACK = 0.25
 WINDOW, OVERAGE, RATE_SLACK = 8.0, 1.1, 17_000
+TOLD = 0.5
+"""Seconds after an answer with a limit from which on an entry has to keep it."""
+LIMIT_WINDOW, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 BLOCKED = "crashes_upstreams"
 CRASHES, LATE_RUNS = 3, 3
 """Upstreams that one call may crash, and its runs later than ``CONTACT`` after that."""
@@ -87,6 +91,7 @@
         _refusals_explained,
         _refusals_say_when,
         _crashes_contained,
+        _limits_kept,
     )
     lines = list(found.records.broken)
     for check in checks:
@@ -299,3 +304,32 @@
     for call in found.records.calls:
         if call.code == BLOCKED and not call.body.startswith(POISON):
             yield f"blocked: {found.told(call)}"
+
+
+def _limits_kept(found):
+    """Yield limits of upstreams that entries which knew them broke together."""
+    for span in found.records.limits:
+        sent = _sent_knowing(found, span)
+        most = span.takes * LIMIT_WINDOW * LIMIT_OVERAGE + LIMIT_SLACK
+        for at in sent:
+            count = sum(at <= other < at + LIMIT_WINDOW for other in sent)
+            if at + LIMIT_WINDOW > span.begin + CONTACT and count > most:
+                yield f"{span.upstream} takes {span.takes} a second, got {count}"
+                break
+
+
+def _sent_knowing(found, span):
+    """Return when entries in touch that had passed a limit on sent calls there."""
+    sent, told = [], {}
+    for run in sorted(found.records.runs, key=lambda run: run.at):
+        call = found.calls.get(run.request)
+        if run.upstream != span.upstream or call is None:
+            continue
+        if not span.begin <= run.at <= span.end:
+            continue
+        knows = run.at - told.get(call.entry, run.at) >= TOLD
+        if knows and found.in_touch(call.entry, run.at):
+            sent.append(run.at)
+        if call.whole:
+            told[call.entry] = min(told.get(call.entry, math.inf), call.ended_at)
+    return sent
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -5,6 +5,8 @@
 import time
 from dataclasses import dataclass, field
 
+from soak.limits import LimitSpan
+
 
 @dataclass
 class Run:
@@ -73,6 +75,7 @@
     runs: list[Run] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    limits: list[LimitSpan] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     """Promises that were seen broken on the spot, each as a line."""
     _open: dict[int, tuple[str, str, bool, float]] = field(default_factory=dict)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 from soak.callers import Balancer, Caller
 from soak.checks import Evidence, check_all
 from soak.entries import Entry
+from soak.limits import Needs
 from soak.plan import RESTART_AFTER, Plan
 from soak.platform import ZONES, Platform
 from soak.poison import Crashes, PoisonCaller
@@ -119,10 +120,13 @@
         ]
         for caller in callers:
             caller.start()
+        needs = Needs(self.platform, self.records, self.seed)
+        needs.start()
         time.sleep(CALM)
         plan = Plan(self.platform, self.entries, self.records, self.rng, self.log)
         plan.run(self.size.seconds, self.size.gap)
         plan.heal()
+        needs.stop()
         recovered_in = self._recovery()
         self.stopped.set()
         for caller in callers:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -71,6 +71,8 @@
         self.born = int(time.time() * 1000)
         self.on_poison = None
         """Takes this upstream when it runs a call that crashes it."""
+        self.limit = None
+        """Requests a second that its answers say it takes, as text."""
         self.draining_since = None
         self.leaving = False
         self._records = records
@@ -162,9 +164,14 @@
         except OSError:
             return
 
+    def _limit_line(self):
+        limit = self.limit
+        return [] if limit is None else [f"Server-Limit: {limit}"]
+
     def _say(self, sock, status, body=b"", **headers):
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+        lines += self._limit_line()
         sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         return True
 
@@ -253,8 +260,9 @@
             "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"
             f"X-Persimmonhitch-Response-Signature: s.{run.request}\r\n"
             f"X-Persimmonhitch-Request-Id: {run.request}\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
+            "Transfer-Encoding: chunked\r\n"
         )
+        head += "".join(f"{line}\r\n" for line in (*self._limit_line(), ""))
         for number in range(1, EVENTS + 1):
             if not self._pause(STEP, sock):
                 return False
