Soak: a call held up on a harmed path is not one sent too late

The check excuses a call only while a fault lies on the path to that upstream, as the rule for held up requests does; a table test holds both sides.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -259,7 +259,9 @@
         if call.left_at is None or not found.in_touch(call.entry, call.left_at):
             continue
         for run in found.runs[call.request]:
-            if run.at - call.left_at > 0.5 + SLACK:
+            late = run.at - call.left_at > 0.5 + SLACK
+            # What was sent in time may come late over a path that was harmed.
+            if late and not found.disturbed(run.upstream, call.sent_at, run.at):
                 yield found.told(call)
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,8 +1,15 @@
 """What the soak's checks take for a broken promise."""
 
 import pytest
-from soak.checks import CONTACT, SILENCED, Evidence, _answered_in_time
-from soak.records import Call, Records, Span
+from soak.checks import (
+    CONTACT,
+    SILENCED,
+    SLACK,
+    Evidence,
+    _answered_in_time,
+    _nothing_after_leaving,
+)
+from soak.records import Call, Records, Run, Span
 
 SILENCED_AT = 100.0
 PATIENCE = 1.5
@@ -30,3 +37,25 @@
     call = Call("q1", "read", "/read/x", "e1", "large", PATIENCE, sent_at, 1, opened_at)
     call.ended_at = ENDED_AT
     assert bool(list(_answered_in_time(_evidence(call)))) is due
+
+
+@pytest.mark.parametrize(
+    ("harmed", "after", "due"),
+    [
+        ("u1", 1.0 + SLACK, False),
+        ("u2", 1.0 + SLACK, True),
+        ("u1", 0.4, False),
+    ],
+)
+def test_only_harmed_paths_excuse_a_call_that_comes_after_its_caller_left(
+    harmed, after, due
+):
+    """A call that was sent in time may be held up on the path to its upstream."""
+    call = Call("q1", "read", "/read/x", "e1", "large", PATIENCE, 100.0, 1, 100.0)
+    call.left_at = 100.1
+    records = Records(calls=[call])
+    run = Run("q1", "u1", "s", "/read/x", "large", 0, False, None, 100.1 + after)
+    records.runs.append(run)
+    records.spans.append(Span("stall path", harmed, False, 99.0, 103.0))
+    found = Evidence(records, None, {}, frozenset())
+    assert bool(list(_nothing_after_leaving(found))) is due
