A store that comes back from an older copy: eras, views, the lease of orders

Until now a watch went on from a revision that had another content, conditional writes passed for old ones, what the copy lacked was dropped at once, and a holder of the lease that the copy named could give orders beside the real one.

A version now holds the era above the store's revision, in the one client, so that all comparisons keep their sense: what is of a newer era comes after all before it, a watch or a conditional write on a version of an older one fails in the client, an answer of an older era is dropped, pushes of one bring nothing back. Entries tell each other of a new era at once. A holder stops at once and takes the lease anew above its last epoch; all others wait as long as it may be held.

Tests in test_store_restored (all on code that is new; the store's client before read no era).

--- a/src/persimmonhitch/direct/leaseholder.py
+++ b/src/persimmonhitch/direct/leaseholder.py
@@ -102,6 +102,11 @@
             self._tell_resigned(epoch)
         self._lease.release()
 
+    def store_restored(self) -> None:
+        """Give no orders by the word of a store that came back from a copy."""
+        self._lease.store_restored()
+        self._kick.set()
+
     def epoch(self) -> Epoch | None:
         """Return the epoch of the lease, also past its time while nobody can take it.
 
@@ -200,4 +205,5 @@
     def hear_holding(self, vm: Vm, msg: HoldingNews) -> None:
         """Note the life and the orders of the lease's holder."""
         self._heard_at = self._clock()
+        self._lease.saw_epoch(msg.epoch)
         self._history.hear(vm, msg.upstream, msg.orders)
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -36,6 +36,7 @@
 from ..platform.names import CONFIG_NAME
 from ..platform.store_client import StoreClient
 from ..settings import load
+from ..store.era import Era, Eras
 from ..store.objects import Kind
 from ..store.pushes import Pushes, StorePush, may_follow
 from ..store.registration import Registration
@@ -59,6 +60,7 @@
 from .news import (
     Bundle,
     CrashNews,
+    EraNews,
     HoldingNews,
     LimitAsk,
     LimitGrant,
@@ -122,7 +124,8 @@
             Upstream, tuple[frozenset[Model], frozenset[Model]]
         ] = {}
         """What models all others were told last of each engine, there and coming."""
-        store = StoreClient(cfg.store, cfg.store_timeout)
+        self.eras = Eras()
+        store = StoreClient(cfg.store, cfg.store_timeout, self.eras)
         host, port = cfg.link[0]
         cores = cfg.cpu_share * cfg.cpu_cores
         self.overlay = Overlay(Member(self.vm, Zone(cfg.zone), cores))
@@ -140,7 +143,7 @@
             self.mesh.send_frame,
             observe_age=self.metrics.news_age,
         )
-        self.pushes = Pushes(self.mesh.send_frame)
+        self.pushes = Pushes(self.mesh.send_frame, note_era=self.eras.note)
         self.changes = NewsChanges()
         self.peers: frozenset[Vm] = frozenset()
         self.leader_vm: Vm | None = None
@@ -159,7 +162,7 @@
             Zone(cfg.zone), self._want, self.poison, self.limits
         )
         # Its renewals must be known to have failed well before the lease is over.
-        quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART)
+        quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART, self.eras)
         lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
         guard = cfg.order_guard_ms / 1000
         self.leader = Leader(
@@ -213,6 +216,7 @@
         kinds = (Kind.FLEET, Kind.UPSTREAM, Kind.ENTRY, Kind.BLOCKED)
         self.pushes.serve(dict(zip(kinds, self.watchers, strict=True)))
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
+        self.eras.on_change(self._on_era)
         self._hear()
         self._serve()
 
@@ -233,6 +237,7 @@
         for_all(NodeNews, self._on_node)
         for_all(CrashNews, self.poison.hear)
         for_all(LimitNews, self.limits.hear)
+        for_all(EraNews, self._on_era_news)
         for_all(HoldingNews, lambda vm, msg, _at: self._on_holding(vm, msg))
         for_all(Want, lambda vm, msg, _at: self.leader.hear_want(vm, msg))
         for_all(StoreAsk, lambda vm, msg, _at: self.lease.hear_ask(vm, msg))
@@ -280,6 +285,18 @@
 
     # -- what is told ----------------------------------------------------------------
 
+    def _on_era_news(self, _vm: Vm, msg: EraNews, _as_of: float) -> None:
+        self.eras.note(Era(msg.era))
+
+    def _on_era(self, era: Era) -> None:
+        """Trust nothing that the store said before it came back from a copy."""
+        self.lease.store_restored()
+        for watcher in self.watchers:
+            watcher.restored()
+        self.registration.rewrite()
+        self.metrics.store_era(era)
+        self.broadcast.publish(EraNews(era), urgent=True)
+
     def _on_config(self, view: View) -> None:
         obj = view.objects.get(CONFIG_NAME)
         if obj is None:
--- a/src/persimmonhitch/direct/news.py
+++ b/src/persimmonhitch/direct/news.py
@@ -202,6 +202,14 @@
     age_ms: int
 
 
+@message(76)
+@dataclass(frozen=True)
+class EraNews:
+    """The store has come back from a copy; ``era`` rises each time."""
+
+    era: int
+
+
 @message(73)
 @dataclass(frozen=True)
 class LimitNews:
--- a/src/persimmonhitch/direct/upstreams.py
+++ b/src/persimmonhitch/direct/upstreams.py
@@ -2,13 +2,14 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Upstream
 from ..observe.logs import log
 from ..platform.upstream_format import UnreadableEntry, decode_upstream
+from ..store.era import era_of
 from ..store.objects import StoredObject, Version
 from ..store.watcher import View
 
@@ -69,13 +70,23 @@
         if old is not None and old.version == obj.version:
             return old
         try:
-            record = decode_upstream(name, obj.spec)
+            record = self._still_leaving(old, obj, decode_upstream(name, obj.spec))
         except UnreadableEntry as exc:
             log("upstream_unreadable", name=name, version=obj.version, error=str(exc))
             return _Decoded(obj.version, None)
         self._log_change(old.record if old else None, record)
         return _Decoded(obj.version, record)
 
+    def _still_leaving(
+        self, old: _Decoded | None, obj: StoredObject, new: UpstreamRecord
+    ) -> UpstreamRecord:
+        """Keep what was leaving so, where a copy of the store shows it as before."""
+        if old is None or old.record is None or not old.record.draining:
+            return new
+        restored = era_of(obj.version) > era_of(old.version)
+        same = old.record.born == new.born
+        return replace(new, draining=True) if restored and same else new
+
     def _log_change(self, old: UpstreamRecord | None, new: UpstreamRecord) -> None:
         if old is None or old.draining != new.draining:
             log(
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -113,6 +113,11 @@
     "",
     "Number of the newest configuration change in force here.",
 )
+STORE_ERA: Final = Instrument(
+    "persimmonhitch.store.era",
+    "",
+    "How often the store has come back from a copy, as of the last such time seen.",
+)
 SHARE_GENERATION: Final = Instrument(
     "persimmonhitch.share.generation",
     "",
@@ -138,6 +143,7 @@
     RETRIES,
     BORROWED,
     CONFIG_VERSION,
+    STORE_ERA,
     SHARE_GENERATION,
     NEWS_AGE,
 )
@@ -208,6 +214,7 @@
             ACTIVE.name, ACTIVE.unit, ACTIVE.help
         )
         self._version = self._gauge(CONFIG_VERSION)
+        self._era = self._gauge(STORE_ERA)
         self._generation = self._gauge(SHARE_GENERATION)
 
     def _counter(self, spec: Instrument) -> Counter:
@@ -283,6 +290,10 @@
         """Show the configuration version in force."""
         self._version.set(version)
 
+    def store_era(self, era: int) -> None:
+        """Show how often the store has come back from a copy."""
+        self._era.set(era)
+
     def share_generation(self, account: Account, generation: int) -> None:
         """Show the generation of an account's share record."""
         self._generation.set(generation, self._of(account))
--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -121,6 +121,10 @@
         self._away = False
         self._stepped_at = 0.0
         self._resigned: tuple[str, int] | None = None
+        self._restored_at: float | None = None
+        """When it was heard that the store has come back from a copy."""
+        self._ours_until = 0.0
+        """Until when nobody else may take a lease that was held at that time."""
         self.before: Predecessor | None = None
         """Who held the lease before it was ours, this VM included; None for nobody."""
 
@@ -169,6 +173,33 @@
         """Take from the holder itself that it acts under an epoch no more."""
         self._resigned = (vm, epoch)
 
+    def store_restored(self) -> None:
+        """Hold nothing by the word of a store that has come back from a copy.
+
+        Whoever held the lease takes it anew, above its last epoch. All others wait as
+        long as it might be held: the copy may name a holder of before, or none.
+        """
+        with self._lock:
+            now = self._clock()
+            if self._held is not None:
+                spec = LeaseSpec.from_object(self._held)
+                self._least_epoch = max(self._least_epoch, spec.epoch)
+                self._ours_until = self._valid_until
+                log("lease_in_doubt", epoch=spec.epoch)
+            self._held = self._sent = self._care = self._seen = None
+            self._restored_at = now
+
+    def _is_ours(self) -> bool:
+        """Return whether this process held the lease when the store came back."""
+        return self._clock() < self._ours_until
+
+    def _is_in_doubt(self) -> bool:
+        """Return whether another holder may still act on a lease that was lost."""
+        restored_at = self._restored_at
+        if restored_at is None or self._is_ours():
+            return False
+        return self._clock() - restored_at < self._duration
+
     def caretaker(self) -> Epoch | None:
         """Return the last epoch held, if only the store's absence ended it."""
         with self._lock:
@@ -240,14 +271,16 @@
             # for that when the store is back.
             self._seen = None
         elif result.failure().error is StoreError.NOT_FOUND:
-            self._write(None, self._least_epoch + 1, 0)
+            if not self._is_in_doubt():
+                self._write(None, self._least_epoch + 1, 0)
 
     def _take_over(self, obj: StoredObject) -> None:
         old = LeaseSpec.from_object(obj)
         if self._is_lost_answer(obj, old):
             return
         if self._free(obj, old):
-            self.before = self._predecessor(old)
+            if not self._is_ours():
+                self.before = self._predecessor(old)
             self._write(obj, max(old.epoch, self._least_epoch) + 1, 0)
 
     def _predecessor(self, old: LeaseSpec) -> Predecessor:
@@ -257,11 +290,13 @@
 
     def _free(self, obj: StoredObject, old: LeaseSpec) -> bool:
         now = self._clock()
+        if self._resigned == (old.holder, old.epoch) or self._is_ours():
+            return True
+        if self._is_in_doubt():
+            return False
         # A process that starts on a VM is proof that the one before it has ended.
         if old.holder in (NOBODY, self._vm) or old.incarnation == self._incarnation:
             return True
-        if self._resigned == (old.holder, old.epoch):
-            return True
         if self._seen != obj.version:
             self._seen, self._seen_at = obj.version, now
         return now - self._seen_at >= old.duration
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -6,6 +6,7 @@
 
 from ..fleet.call import CallerHeaders, Load, PromptPart, ReplyMarks, RequestLimit
 from ..ids import Account, Adapter, Model, RequestId, Upstream
+from ..store.era import Era
 from . import names
 
 Headers = Mapping[str, str]
@@ -102,6 +103,12 @@
     return Load(running, waiting, slots)
 
 
+def read_era(headers: Headers) -> Era | None:
+    """Return the era that an answer of the store names, None if none can be read."""
+    text = headers.get(names.STORE_ERA, "").strip()
+    return Era(int(text)) if text.isdecimal() else None
+
+
 def read_limit(headers: Headers) -> RequestLimit | None:
     """Return the limit of requests that an upstream's answer names."""
     for name in names.SERVER_LIMIT:
--- a/src/persimmonhitch/platform/names.py
+++ b/src/persimmonhitch/platform/names.py
@@ -47,6 +47,8 @@
 ORDER_PATH: Final = "/api/order"
 
 # Calls to the store.
+STORE_ERA: Final = "store-era"
+"""Rises by one each time that the store comes back from a copy."""
 OBJECTS_PATH: Final = "/api/objects"
 CONFIG_NAME: Final = "main"
 """Name of the one object that holds the configuration."""
--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+from ..store.era import Era, revision_of, version_of
 from ..store.objects import (
     Changes,
     Event,
@@ -16,6 +17,7 @@
 from .names import OBJECTS_PATH
 
 Body = dict[str, Any]
+NO_ERA: Final = Era(0)
 
 KIND_NAMES: Final = {Kind.UPSTREAM: "servers", Kind.FLEET: "config"}
 """Kinds whose name here is not ours; all others are kinds of our own."""
@@ -38,17 +40,19 @@
     """Return the body that writes an object, on condition of a version if given."""
     meta: Body = {"name": name}
     if version is not None:
-        meta["revision"] = version
+        meta["revision"] = revision_of(version)
     return {"metadata": meta, "specification": spec}
 
 
-def decode_object(kind: Kind, body: Mapping[str, Any]) -> StoredObject:
-    """Return the object of a body."""
+def decode_object(
+    kind: Kind, body: Mapping[str, Any], era: Era = NO_ERA
+) -> StoredObject:
+    """Return the object of a body that came in an era."""
     meta = body["metadata"]
     # A broken object of another writer must not hide the others of its kind.
     spec = body.get("specification")
     spec = spec if isinstance(spec, dict) else {}
-    version = Version(int(meta.get("revision", 0)))
+    version = version_of(era, int(meta.get("revision", 0)))
     return StoredObject(kind, str(meta["name"]), version, spec)
 
 
@@ -58,10 +62,13 @@
     return {"items": items, "has_more": False, "at_revision": listing.version}
 
 
-def decode_page(kind: Kind, body: Body) -> tuple[list[StoredObject], Version, bool]:
+def decode_page(
+    kind: Kind, body: Body, era: Era = NO_ERA
+) -> tuple[list[StoredObject], Version, bool]:
     """Return one page of a list, its version and whether more pages follow."""
-    items = [decode_object(kind, item) for item in body["items"]]
-    return items, Version(int(body["at_revision"])), bool(body.get("has_more"))
+    items = [decode_object(kind, item, era) for item in body["items"]]
+    version = version_of(era, int(body["at_revision"]))
+    return items, version, bool(body.get("has_more"))
 
 
 def encode_changes(changes: Changes) -> Body:
@@ -78,14 +85,14 @@
     return {"object": body, "deleted": event.type is EventType.DELETED}
 
 
-def decode_changes(kind: Kind, body: Body) -> Changes:
+def decode_changes(kind: Kind, body: Body, era: Era = NO_ERA) -> Changes:
     """Return the changes of a watch's answer."""
-    events = tuple(_event(kind, item) for item in body.get("events") or ())
-    return Changes(Version(int(body["at_revision"])), events)
+    events = tuple(_event(kind, item, era) for item in body.get("events") or ())
+    return Changes(version_of(era, int(body["at_revision"])), events)
 
 
-def _event(kind: Kind, item: Mapping[str, Any]) -> Event:
-    obj = decode_object(kind, item["object"])
+def _event(kind: Kind, item: Mapping[str, Any], era: Era) -> Event:
+    obj = decode_object(kind, item["object"], era)
     meta = item["object"]["metadata"]
     if item.get("deleted"):
         return Event(EventType.DELETED, obj)
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -1,12 +1,14 @@
 """The platform's store over HTTP: the one client that the system has."""
 
 import json
+from dataclasses import dataclass
 from typing import Final
 
 import urllib3
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..store.era import Era, Eras, era_of, revision_of
 from ..store.objects import (
     Changes,
     Kind,
@@ -17,6 +19,7 @@
     StoreFailure,
     Version,
 )
+from .headers import read_era
 from .objects_format import (
     Body,
     decode_changes,
@@ -37,10 +40,17 @@
 WATCH_SLACK: Final = 0.6
 """Seconds beyond a watch's own time before its connection counts as dead. An answer
 takes milliseconds; a connection that went silent shows by nothing else."""
+RESTORED: Final = "the store has come back from a copy"
 MOST_CONNS: Final = 16
 """Kept connections: a watch a kind, the lease, and short calls."""
 
 
+@dataclass(frozen=True)
+class _Answer:
+    body: Body
+    era: Era
+
+
 def _failure(error: StoreError, detail: str) -> Err[StoreFailure]:
     return Err(StoreFailure(error, detail))
 
@@ -54,9 +64,12 @@
         Base address, such as ``http://10.0.0.5:7000``.
     timeout : float
         Seconds for one call.
+    eras : Eras or None
+        What is known of the store's eras; clients of one process share it.
     """
 
-    def __init__(self, url: str, timeout: float) -> None:
+    def __init__(self, url: str, timeout: float, eras: Eras | None = None) -> None:
+        self._eras = Eras() if eras is None else eras
         self._base = url.rstrip("/")
         self._timeout = timeout
         # Retries stay off: a write whose answer was lost may have taken effect,
@@ -71,7 +84,7 @@
         path: str,
         body: Body | None = None,
         timeout: float | None = None,
-    ) -> Result[Body, StoreFailure]:
+    ) -> Result[_Answer, StoreFailure]:
         data = None if body is None else json.dumps(body).encode()
         try:
             answer = self._http.request(
@@ -84,8 +97,11 @@
             parsed = json.loads(answer.data or b"{}")
         except (urllib3.exceptions.HTTPError, ValueError, OSError) as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
+        era = read_era({k.lower(): v for k, v in answer.headers.items()})
+        if not self._eras.note(era):
+            return _failure(StoreError.UNAVAILABLE, "an answer of an older era")
         if answer.status < 300 and isinstance(parsed, dict):
-            return Success(parsed)
+            return Success(_Answer(parsed, self._eras.current if era is None else era))
         error = STATUS_ERRORS.get(answer.status, StoreError.UNAVAILABLE)
         return _failure(error, f"status {answer.status}")
 
@@ -97,12 +113,17 @@
         """Return all objects of a kind, page by page."""
         items: list[StoredObject] = []
         query = ""
+        first: Era | None = None
         while True:
             result = self._call("GET", path_of(kind) + query)
             if not isinstance(result, Success):
                 return Err(result.failure())
+            answer: _Answer = result.unwrap()
+            first = answer.era if first is None else first
+            if answer.era != first:
+                return _failure(StoreError.EXPIRED, "restored between two pages")
             try:
-                page, version, more = decode_page(kind, result.unwrap())
+                page, version, more = decode_page(kind, answer.body, answer.era)
             except (KeyError, TypeError, ValueError) as exc:
                 return _failure(StoreError.UNAVAILABLE, repr(exc))
             items += page
@@ -126,35 +147,53 @@
         self, old: StoredObject, spec: Spec
     ) -> Result[StoredObject, StoreFailure]:
         """Replace an object at the version given."""
+        if self._is_over(old.version):
+            return _failure(StoreError.CONFLICT, RESTORED)
         body = encode_object(old.name, spec, old.version)
-        return self._object(
-            old.kind, self._call("PUT", path_of(old.kind, old.name), body)
-        )
+        result = self._call("PUT", path_of(old.kind, old.name), body)
+        if isinstance(result, Success) and result.unwrap().era != era_of(old.version):
+            # Its revision was given out again, to another content.
+            return _failure(StoreError.CONFLICT, RESTORED)
+        return self._object(old.kind, result)
+
+    def _is_over(self, version: Version) -> bool:
+        """Return whether a version is of an era before the newest."""
+        return era_of(version) < self._eras.current
 
     def delete(self, old: StoredObject) -> Result[None, StoreFailure]:
         """Delete an object at the version given."""
-        path = f"{path_of(old.kind, old.name)}?revision={old.version}"
-        return self._call("DELETE", path).map(lambda _body: None)
+        if self._is_over(old.version):
+            return _failure(StoreError.CONFLICT, RESTORED)
+        revision = revision_of(old.version)
+        path = f"{path_of(old.kind, old.name)}?revision={revision}"
+        return self._call("DELETE", path).map(lambda _answer: None)
 
     def watch(
         self, kind: Kind, after: Version, wait: float
     ) -> Result[Changes, StoreFailure]:
         """Return what happened after a version, waiting up to ``wait`` seconds."""
-        path = f"{path_of(kind)}?watch={after}&wait_ms={int(wait * 1000)}"
+        if self._is_over(after):
+            return _failure(StoreError.EXPIRED, RESTORED)
+        since = revision_of(after)
+        path = f"{path_of(kind)}?watch={since}&wait_ms={int(wait * 1000)}"
         result = self._call("GET", path, timeout=wait + WATCH_SLACK)
         if not isinstance(result, Success):
             return Err(result.failure())
+        answer: _Answer = result.unwrap()
+        if answer.era != era_of(after):
+            return _failure(StoreError.EXPIRED, RESTORED)
         try:
-            return Success(decode_changes(kind, result.unwrap()))
+            return Success(decode_changes(kind, answer.body, answer.era))
         except (KeyError, TypeError, ValueError) as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
 
     def _object(
-        self, kind: Kind, result: Result[Body, StoreFailure]
+        self, kind: Kind, result: Result[_Answer, StoreFailure]
     ) -> Result[StoredObject, StoreFailure]:
         if not isinstance(result, Success):
             return Err(result.failure())
         try:
-            return Success(decode_object(kind, result.unwrap()))
+            answer: _Answer = result.unwrap()
+            return Success(decode_object(kind, answer.body, answer.era))
         except (KeyError, TypeError, ValueError) as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
--- a/src/persimmonhitch/standin/store_server.py
+++ b/src/persimmonhitch/standin/store_server.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result, Success
 
+from ..platform import names
 from ..platform.objects_format import (
     decode_object,
     encode_changes,
@@ -50,7 +51,9 @@
         result = read_request(environ)
         if not isinstance(result, Success):
             return json_answer(413, {"message": "too large"}).send(start_response)
-        return self._answer(result.unwrap()).send(start_response)
+        answer = self._answer(result.unwrap())
+        answer.headers[names.STORE_ERA] = str(self.state.era)
+        return answer.send(start_response)
 
     def _answer(self, req: Request) -> Answer:
         if req.path == "/faults":
--- a/src/persimmonhitch/standin/store_state.py
+++ b/src/persimmonhitch/standin/store_state.py
@@ -43,6 +43,14 @@
     lost_answers: int = 0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """All objects at one version."""
+
+    objects: dict[tuple[Kind, str], StoredObject]
+    version: int
+
+
 class StoreState:
     """Objects in memory with versions, conditional updates and watches."""
 
@@ -52,6 +60,8 @@
         self._objects: dict[tuple[Kind, str], StoredObject] = {}
         self._events: deque[Event] = deque(maxlen=HISTORY)
         self._version = 0
+        self.era = 1
+        """Rises each time that it comes back from a copy."""
         self._changed = threading.Condition()
 
     def _fault(self, call: str) -> StoreFailure | None:
@@ -62,6 +72,20 @@
             return StoreFailure(StoreError.UNAVAILABLE, "the store is down")
         return None
 
+    def copy(self) -> "StoreCopy":
+        """Return what it holds now, for a later ``restore``."""
+        with self._changed:
+            return StoreCopy(dict(self._objects), self._version)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy; versions since then are given out again."""
+        with self._changed:
+            self._objects = dict(copy.objects)
+            self._version = copy.version
+            self._events.clear()
+            self.era += 1
+            self._changed.notify_all()
+
     def get(self, kind: Kind, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
         fault = self._fault("get")
@@ -157,7 +181,10 @@
         self, kind: Kind, after: Version, end: float
     ) -> Result[Changes, StoreFailure]:
         with self._changed:
+            era = self.era
             while True:
+                if after > self._version or era != self.era:
+                    return Err(StoreFailure(StoreError.EXPIRED, str(after)))
                 if self.faults.down:
                     return Err(StoreFailure(StoreError.UNAVAILABLE, "store is down"))
                 if self._events and after < self._events[0].object.version - 1:
--- a/src/persimmonhitch/store/pushes.py
+++ b/src/persimmonhitch/store/pushes.py
@@ -10,6 +10,7 @@
 
 from ..ids import Vm
 from ..wire.codec import encode, message
+from .era import Era, era_of
 from .objects import Changes, Event, EventType, Kind, StoredObject, Version
 from .watcher import PUSHED_LIFE, Watcher
 
@@ -66,13 +67,17 @@
     ----------
     send : callable
         Sends an encoded message to one entry.
+    note_era : callable
+        Takes the store's era by what another process saw; returns whether that counts.
     """
 
     def __init__(
         self,
         send: Callable[[Vm, bytes], object],
         clock: Callable[[], float] = time.monotonic,
+        note_era: Callable[[Era], bool] = lambda _era: True,
     ) -> None:
+        self._note_era = note_era
         self._send = send
         self._clock = clock
         self._lock = threading.Lock()
@@ -94,7 +99,7 @@
     def hear(self, msg: StorePush) -> None:
         """Take a push of another process."""
         watcher = self._watchers.get(msg.kind)
-        if watcher is None:
+        if watcher is None or not self._note_era(era_of(Version(msg.version))):
             return
         whole = all(obj.deleted or obj.spec is not None for obj in msg.objects)
         events = [_event(msg.kind, obj) for obj in msg.objects] if whole else []
--- a/src/persimmonhitch/store/registration.py
+++ b/src/persimmonhitch/store/registration.py
@@ -41,6 +41,11 @@
         self._wish = spec
         self._changed.set()
 
+    def rewrite(self) -> None:
+        """Write the object again, if the store may have lost it."""
+        if self._wish is not None:
+            self._changed.set()
+
     def remove(self) -> None:
         """Delete the object; at a clean stop."""
         self._stopping.set()
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -8,13 +8,14 @@
 import math
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
 from returns.result import Success
 
 from ..observe.logs import log
+from .era import era_of
 from .objects import (
     Changes,
     Event,
@@ -35,6 +36,9 @@
 CONTACT_SLACK: Final = 0.5
 """Seconds beyond the length of a watch after which whoever makes it has lost the
 store."""
+REWRITE_TIME: Final = 2.5
+"""Seconds after a copy of the store was listed in which its writers write again what it
+lacks; upstreams take about two."""
 PUSHED_LIFE: Final = 1.6
 """Seconds without a push after which this process watches for itself."""
 LOOK_EVERY: Final = 0.2
@@ -99,6 +103,8 @@
         self._behind = False
         self._followed = False
         self._stopping = threading.Event()
+        self._kept: dict[str, StoredObject] = {}
+        """What a copy of the store lacked; it may be written again."""
         self.ready = threading.Event()
         self.view = View({}, 0.0)
         self._thread = threading.Thread(
@@ -155,6 +161,11 @@
         self.away_at = at
         self._away()
 
+    def restored(self) -> None:
+        """Look anew at a store that has come back from a copy."""
+        with self._lock:
+            self._behind = True
+
     def followed(self) -> bool:
         """Return whether another process's pushes are fresh."""
         now = time.monotonic()
@@ -181,7 +192,8 @@
         here is then listed, as it is where earlier pushes were missed.
         """
         with self._lock:
-            if not self.ready.is_set():
+            older = era_of(changes.version) < era_of(self.version)
+            if older or not self.ready.is_set():
                 return
             self._pushed_at = time.monotonic()
             if away_at > self.away_at:
@@ -197,10 +209,41 @@
             self.contact_at = time.monotonic()
             if listing.version < self.version:
                 return
+            restored = self.version and era_of(listing.version) > era_of(self.version)
             self.version = listing.version
-            self._publish({obj.name: obj for obj in listing.items})
+            found = {obj.name: obj for obj in listing.items}
+            if restored:
+                self._keep_missing(found)
+            self._publish({**self._kept, **found})
             self._changed(self._kind, self.version, Changes(self.version, ()))
 
+    def _keep_missing(self, found: Mapping[str, StoredObject]) -> None:
+        """Keep for a while what the copy lacks and its writers write again."""
+        objects = self.view.objects
+        self._kept = {n: obj for n, obj in objects.items() if n not in found}
+        log(
+            "store_copy_listed",
+            kind=self._kind.value,
+            era=era_of(self.version),
+            listed=len(found),
+            kept=len(self._kept),
+        )
+        timer = threading.Timer(REWRITE_TIME, self._drop_missing, (self.version,))
+        timer.daemon = True
+        timer.start()
+
+    def _drop_missing(self, version: Version) -> None:
+        with self._lock:
+            if era_of(self.version) != era_of(version):
+                return
+            kept, self._kept = self._kept, {}
+            gone = {n for n, obj in kept.items() if self.view.objects.get(n) is obj}
+            if not gone:
+                return
+            log("store_copy_lacked", kind=self._kind.value, given_up=len(gone))
+            objects = self.view.objects
+            self._publish({n: obj for n, obj in objects.items() if n not in gone})
+
     def _take_changes(self, since: Version, changes: Changes, seen_at: float) -> None:
         with self._lock:
             self.contact_at = max(self.contact_at, seen_at)
@@ -219,6 +262,7 @@
             if known is not None and known.version > obj.version:
                 # Seen before, by another way.
                 continue
+            self._kept.pop(obj.name, None)
             if event.type is EventType.DELETED:
                 objects.pop(obj.name, None)
             else:
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -81,6 +81,16 @@
             self._took(version)
         return isinstance(result, Success)
 
+    def rewrite(self):
+        """Write the newest configuration again, if the store has lost it."""
+        with self._lock:
+            found = self._state.get(Kind.FLEET, CONFIG_NAME)
+            old = found.unwrap() if isinstance(found, Success) else None
+            if old is None:
+                self._state.create(Kind.FLEET, CONFIG_NAME, self._spec(self.version))
+            elif old.spec["version"] < self.version:
+                self._state.update(old, self._spec(self.version))
+
     def _took(self, version):
         self.version = version
         self.acknowledged[version] = time.monotonic()
@@ -213,6 +223,14 @@
             self.upstreams.pop(upstream.spec.name, None)
         upstream.close()
 
+    def restore(self, copy):
+        """Have the store come back from a copy; what only it names lapses."""
+        now = time.monotonic()
+        self.state.restore(copy)
+        for kind, name in copy.objects:
+            if kind is Kind.UPSTREAM and name not in self.upstreams:
+                self._beats[name] = now
+
     def drain(self, upstream):
         """Have an upstream leave as planned."""
         upstream.leaving = True
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from soak.platform import ZONES, Platform
 from soak.poison import Crashes, PoisonCaller
 from soak.records import Records
+from soak.restores import Restores
 from soak.upstreams import POISON, seeded
 
 CALM = 2.0
@@ -122,11 +123,15 @@
             caller.start()
         needs = Needs(self.platform, self.records, self.seed)
         needs.start()
+        restores = Restores(self.platform, self.records, self.seed, self.log)
+        restores.start()
         time.sleep(CALM)
         plan = Plan(self.platform, self.entries, self.records, self.rng, self.log)
         plan.run(self.size.seconds, self.size.gap)
         plan.heal()
         needs.stop()
+        restores.stop()
+        restores.join()
         recovered_in = self._recovery()
         self.stopped.set()
         for caller in callers:
--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,273 @@
+"""A store that comes back from a copy some seconds old."""
+
+import time
+
+import pytest
+from fleet import wait_for
+from returns.result import Success
+
+from persimmonhitch.direct.upstreams import UpstreamList
+from persimmonhitch.ids import Incarnation, Vm
+from persimmonhitch.planner.lease import LeaseKeeper
+from persimmonhitch.platform import headers
+from persimmonhitch.platform.store_client import StoreClient
+from persimmonhitch.standin.store_server import StoreApp
+from persimmonhitch.standin.store_state import StoreState
+from persimmonhitch.store import watcher as watcher_module
+from persimmonhitch.store.era import Era, Eras, era_of, revision_of, version_of
+from persimmonhitch.store.objects import (
+    Changes,
+    Kind,
+    StoredObject,
+    StoreError,
+    Version,
+)
+from persimmonhitch.store.registration import Registration
+from persimmonhitch.store.watcher import View, Watcher
+from persimmonhitch.web import WebServer
+
+A, B = Vm("a"), Vm("b")
+DURATION = 3.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class World:
+    """A stand-in store over HTTP and clients of several processes."""
+
+    def __init__(self):
+        self.state = StoreState()
+        self.server = WebServer(StoreApp(self.state), "127.0.0.1", 0, 8)
+        self.server.start()
+        self.eras = []
+
+    def client(self):
+        self.eras.append(Eras())
+        url = f"http://127.0.0.1:{self.server.port}"
+        return StoreClient(url, 2.0, self.eras[-1])
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    made.server.close()
+
+
+def put(world, name, **spec):
+    return world.state.create(Kind.ENTRY, name, spec).unwrap()
+
+
+@pytest.mark.parametrize(("era", "revision"), [(0, 5), (1, 5), (7, 2**40)])
+def test_a_version_holds_era_and_revision(era, revision):
+    version = version_of(Era(era), revision)
+    assert (era_of(version), revision_of(version)) == (era, revision)
+    assert version < version_of(Era(era + 1), 0)
+
+
+@pytest.mark.parametrize(
+    ("fields", "era"),
+    [({"store-era": "4"}, 4), ({}, None), ({"store-era": "x"}, None)],
+)
+def test_the_era_of_an_answer(fields, era):
+    assert headers.read_era(fields) == era
+
+
+def test_an_answer_of_an_older_era_counts_for_nothing():
+    """Guards against a slow answer from before that is taken for news."""
+    heard = []
+    eras = Eras()
+    eras.on_change(heard.append)
+    assert eras.note(Era(3)) and eras.note(None) and eras.note(Era(4))
+    assert not eras.note(Era(3))
+    assert (eras.current, heard) == (4, [4])
+
+
+def test_a_watch_does_not_go_on_from_a_version_that_was_given_out_again(world):
+    """Guards against a view that lacks what was changed under the same numbers."""
+    put(world, "old")
+    copy = world.state.copy()
+    put(world, "lost")
+    client = world.client()
+    before = client.list_all(Kind.ENTRY).unwrap()
+    world.state.restore(copy)
+    put(world, "new1"), put(world, "new2")
+    assert client.watch(Kind.ENTRY, before.version, 0.1).failure().error is (
+        StoreError.EXPIRED
+    )
+    after = client.list_all(Kind.ENTRY).unwrap()
+    assert after.version > before.version
+    assert {obj.name for obj in after.items} == {"old", "new1", "new2"}
+
+
+def test_a_conditional_write_does_not_pass_for_another_content(world):
+    """Guards against a write on a revision that exists again in a newer era."""
+    copy = world.state.copy()
+    put(world, "x", owner="a")
+    client = world.client()
+    old = client.get(Kind.ENTRY, "x").unwrap()
+    world.state.restore(copy)
+    put(world, "x", owner="b")
+    client.list_all(Kind.ENTRY)
+    assert client.update(old, {"owner": "c"}).failure().error is StoreError.CONFLICT
+    assert client.delete(old).failure().error is StoreError.CONFLICT
+    assert client.get(Kind.ENTRY, "x").unwrap().spec == {"owner": "b"}
+
+
+def test_what_a_copy_lacks_is_kept_until_it_is_written_again(world, monkeypatch):
+    """Guards against upstreams that live and are dropped all at once."""
+    monkeypatch.setattr(watcher_module, "REWRITE_TIME", 1.0)
+    put(world, "kept")
+    copy = world.state.copy()
+    put(world, "back"), put(world, "gone")
+    views = []
+    watch = Watcher(world.client(), Kind.ENTRY, views.append, wait=0.2)
+    watch.start()
+
+    def names():
+        return set(views[-1].objects) if views else set()
+
+    wait_for(lambda: names() == {"kept", "back", "gone"}, "the first view")
+    world.state.restore(copy)
+    wait_for(lambda: era_of(watch.version) == world.state.era, "the new list")
+    assert names() == {"kept", "back", "gone"}
+    put(world, "back")
+    wait_for(lambda: names() == {"kept", "back"}, "the end of what is gone")
+    watch.stop()
+
+
+def test_a_push_of_an_older_era_brings_nothing_back(world):
+    """Guards against a follower that takes lost objects from a parent behind it."""
+    put(world, "x")
+    views = []
+    watch = Watcher(world.client(), Kind.ENTRY, views.append, wait=0.2)
+    watch.start()
+    wait_for(lambda: views, "the first view")
+    world.state.restore(world.state.copy())
+    wait_for(lambda: era_of(watch.version) == 2, "the new list")
+    late = version_of(Era(1), 999)
+    obj = StoredObject(Kind.ENTRY, "lost", late, {})
+    event = watcher_module.Event(watcher_module.EventType.MODIFIED, obj)
+    watch.hear(Version(0), Changes(late, (event,)), time.monotonic(), 0.0, True)
+    watch.stop()
+    assert set(views[-1].objects) == {"x"}
+
+
+def test_what_was_leaving_stays_leaving_though_a_copy_shows_it_ready():
+    """Guards against calls to an upstream that has said that it leaves."""
+
+    def view(era, revision, state, born):
+        spec = {"service": "s", "address": "h:1", "zone": "z1", "slots": 1}
+        spec |= {"state": state, "born": born}
+        obj = StoredObject(Kind.UPSTREAM, "u1", version_of(Era(era), revision), spec)
+        return View({"u1": obj}, 0.0)
+
+    told = []
+    upstreams = UpstreamList(told.append)
+    upstreams.update(view(1, 5, "ready", 1))
+    upstreams.update(view(1, 6, "draining", 1))
+    upstreams.update(view(2, 5, "ready", 1))
+    assert told[-1][0].draining
+    upstreams.update(view(3, 6, "ready", 2))
+    assert not told[-1][0].draining
+
+
+def test_an_entry_writes_itself_again(world):
+    """Guards against an entry that the others forget since the store lost it."""
+    client = world.client()
+    registration = Registration(client, Kind.ENTRY, "e1")
+    world.eras[-1].on_change(lambda _era: registration.rewrite())
+    copy = world.state.copy()
+    registration.start({"zone": "z1"})
+    wait_for(registration.written.is_set, "the object")
+    world.state.restore(copy)
+    client.list_all(Kind.ENTRY)
+    wait_for(
+        lambda: isinstance(world.state.get(Kind.ENTRY, "e1"), Success), "the object"
+    )
+
+
+class Keepers:
+    """Two processes that seek the lease of orders."""
+
+    def __init__(self, world):
+        self.clock = Clock()
+        self.state = world.state
+        self.a, self.b = (self._keeper(world, vm) for vm in (A, B))
+
+    def _keeper(self, world, vm):
+        life = Incarnation(f"i-{vm}")
+        made = LeaseKeeper(world.client(), "orders", vm, life, DURATION, self.clock)
+        world.eras[-1].on_change(lambda _era: made.store_restored())
+        return made
+
+    def b_then_a(self):
+        """Let B hold the lease, then A; return a copy in which B has it."""
+        self.b.step()
+        copy = self.state.copy()
+        self.b.release()
+        self.a.step()
+        assert self.a.epoch() == 2
+        return copy
+
+
+def test_a_holder_stops_and_takes_the_lease_above_its_last_epoch(world):
+    """Guards against orders under a number that engines have seen from another."""
+    keepers = Keepers(world)
+    copy = keepers.b_then_a()
+    keepers.state.restore(copy)
+    keepers.a.store_restored()
+    assert keepers.a.epoch() is None
+    keepers.a.step()
+    assert keepers.a.epoch() == 3
+
+
+def test_a_holder_of_before_that_a_copy_names_waits(world):
+    """Guards against orders of two holders, one of them by a copy of the store."""
+    keepers = Keepers(world)
+    copy = keepers.b_then_a()
+    keepers.state.restore(copy)
+    keepers.b.step()
+    assert keepers.b.epoch() is None
+    keepers.clock.now += DURATION / 2
+    keepers.b.step()
+    assert keepers.b.epoch() is None
+    # The first step only meets the new era.
+    keepers.a.step()
+    keepers.a.step()
+    assert keepers.a.epoch() == 3
+    keepers.clock.now += DURATION - 0.2
+    keepers.b.step()
+    assert keepers.b.epoch() is None
+
+
+def test_a_lease_that_a_copy_lacks_is_the_last_holder_s(world):
+    """Guards against a new holder beside one that has not heard of the restore."""
+    keepers = Keepers(world)
+    empty = keepers.state.copy()
+    keepers.a.step()
+    keepers.state.restore(empty)
+    keepers.b.store_restored()
+    keepers.b.step()
+    assert keepers.b.epoch() is None
+    keepers.a.step()
+    keepers.a.step()
+    assert keepers.a.epoch() == 2
+
+
+def test_another_takes_the_lease_once_its_holder_can_not_act_any_more(world):
+    """Guards against a fleet without orders after its holder died in an outage."""
+    keepers = Keepers(world)
+    copy = keepers.b_then_a()
+    keepers.state.restore(copy)
+    keepers.b.step()
+    keepers.clock.now += DURATION + 0.1
+    keepers.b.step()
+    assert keepers.b.epoch() is not None
+    assert keepers.a.epoch() is None
