--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -41,6 +41,7 @@
     metrics.retried(REFUSED)
     metrics.borrowed(account, 5.0)
     metrics.config_version(ConfigVersion(7))
+    metrics.store_era(2)
     metrics.share_generation(account, 3)
 
 
