Test of choices looks at all draws of the spread, not at a random one

Now every row is asked for a thousand draws: the step is the same for all, the expected engine gets at least 0.8 of them, and whoever shares the rest differs in nothing but its wait (all rows but lanes6 always choose the same).

--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -1,5 +1,7 @@
 """Decisions of entries that call upstreams directly, each under its load."""
 
+from collections import Counter
+
 import pytest
 
 from persimmonhitch.decide.bursts import AT_ONCE, LoadRate
@@ -49,6 +51,10 @@
     return Lane(Upstream(name), zone, **{**values, **more})
 
 
+DRAWS, LIKELIEST = 1000, 0.8
+"""Numbers drawn for a choice, and the least part of them that go to the best engine."""
+
+
 @pytest.mark.parametrize(
     ("lanes", "wanted", "step", "upstream"),
     [
@@ -89,8 +95,18 @@
     ],
 )
 def test_where_a_call_goes(lanes, wanted, step, upstream):
-    choice = choose(lanes, wanted, Z1)
-    assert (choice.step, choice.upstream) == (step, upstream)
+    choices = Counter(
+        choose(lanes, wanted, Z1, lambda drawn=drawn: drawn / DRAWS)
+        for drawn in range(DRAWS)
+    )
+    assert {choice.step for choice in choices} == {step}
+    (likeliest, count), *_ = choices.most_common()
+    assert likeliest.upstream == upstream
+    assert count >= DRAWS * LIKELIEST
+    # Only engines that differ in nothing but their wait share the calls.
+    taken = {choice.upstream for choice in choices}
+    shared = [ln for ln in lanes if ln.upstream in taken]
+    assert len({(ln.zone == Z1, ln.adapter_here) for ln in shared}) <= 1
 
 
 def test_a_request_larger_than_what_is_left_goes_to_an_empty_engine():
