What an entry follows in the store stands in a module of its own

Entry.__init__ had grown by the new parts; watchers with their times move to views.py and the holder of the lease gets a method.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -40,7 +40,7 @@
 from ..store.objects import Kind
 from ..store.pushes import Pushes, StorePush, may_follow
 from ..store.registration import Registration
-from ..store.watcher import View, Watcher
+from ..store.watcher import View
 from ..verdict import ErrorCode, Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
@@ -77,21 +77,8 @@
 from .settings import DirectSettings
 from .upstream_limits import UpstreamLimits
 from .upstreams import UpstreamList
+from .views import Listeners, make_watchers
 
-WATCH: Final = 2.0
-"""Seconds of one watch: a connection that went silent is noticed a little after, within
-the time that a change may take to be in force."""
-COALESCE: Final = 0.7
-"""Seconds between two watches of the upstreams. Each of them writes its entry about
-each second, and a watch ends at the first; without the pause every entry of an upstream
-would cost every one of ours a call. An upstream may get work for two seconds after it
-is leaving."""
-RETRY_MOST: Final = 1.0
-"""Seconds between tries while the store is away."""
-ENTRIES_PAUSE: Final = 1.0
-"""Seconds between two watches of the entries, which start and stop many at a time."""
-BLOCKED_WATCH: Final = 5.0
-"""Seconds of a watch of blocked calls, which other entries tell sooner."""
 TICK: Final = 0.05
 STATUS_THREADS: Final = 3
 LEASE_NAME: Final = "orders"
@@ -161,11 +148,29 @@
         self.dispatcher = Dispatcher(
             Zone(cfg.zone), self._want, self.poison, self.limits
         )
+        self.leader = self._make_leader()
+        self.lease = self.leader.lease
+        self.upstreams = UpstreamList(self._on_upstreams)
+        listeners = Listeners(
+            self._on_config,
+            self.upstreams,
+            self._on_entries,
+            self.blocked_calls.update,
+        )
+        self.watchers = make_watchers(store, listeners, self.pushes.changed)
+        self.pushes.serve(self.watchers)
+        self.registration = Registration(store, Kind.ENTRY, cfg.vm)
+        self.eras.on_change(self._on_era)
+        self._hear()
+        self._serve()
+
+    def _make_leader(self) -> Leader:
+        cfg = self.cfg
         # Its renewals must be known to have failed well before the lease is over.
         quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART, self.eras)
         lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
         guard = cfg.order_guard_ms / 1000
-        self.leader = Leader(
+        return Leader(
             self.vm,
             lambda last_orders: LeaseHolder(
                 self.vm, lease, self, last_orders, guard, place=self.overlay.place
@@ -175,50 +180,6 @@
             self.limits,
             answer=self.mesh.send,
         )
-        self.lease = self.leader.lease
-        self.upstreams = UpstreamList(self._on_upstreams)
-        self.watchers = (
-            Watcher(
-                store,
-                Kind.FLEET,
-                self._on_config,
-                WATCH,
-                RETRY_MOST,
-                changed=self.pushes.changed,
-            ),
-            Watcher(
-                store,
-                Kind.UPSTREAM,
-                self.upstreams.update,
-                WATCH,
-                RETRY_MOST,
-                self.upstreams.away,
-                COALESCE,
-                self.pushes.changed,
-            ),
-            Watcher(
-                store,
-                Kind.ENTRY,
-                self._on_entries,
-                retry_most=RETRY_MOST,
-                pause=ENTRIES_PAUSE,
-                changed=self.pushes.changed,
-            ),
-            Watcher(
-                store,
-                Kind.BLOCKED,
-                self.blocked_calls.update,
-                BLOCKED_WATCH,
-                RETRY_MOST,
-                changed=self.pushes.changed,
-            ),
-        )
-        kinds = (Kind.FLEET, Kind.UPSTREAM, Kind.ENTRY, Kind.BLOCKED)
-        self.pushes.serve(dict(zip(kinds, self.watchers, strict=True)))
-        self.registration = Registration(store, Kind.ENTRY, cfg.vm)
-        self.eras.on_change(self._on_era)
-        self._hear()
-        self._serve()
 
     @classmethod
     def from_config(cls, cfg: DirectSettings) -> "Entry":
@@ -280,7 +241,8 @@
         return connections_full(len(self.watchdog), self.cfg.threads)
 
     def _ready(self) -> bool:
-        listed = all(watcher.ready.is_set() for watcher in self.watchers[:2])
+        needed = self.watchers[Kind.FLEET], self.watchers[Kind.UPSTREAM]
+        listed = all(watcher.ready.is_set() for watcher in needed)
         return listed and self.in_force.cfg.version > 0 and not self.leaving.is_set()
 
     # -- what is told ----------------------------------------------------------------
@@ -291,7 +253,7 @@
     def _on_era(self, era: Era) -> None:
         """Trust nothing that the store said before it came back from a copy."""
         self.lease.store_restored()
-        for watcher in self.watchers:
+        for watcher in self.watchers.values():
             watcher.restored()
         self.registration.rewrite()
         self.metrics.store_era(era)
@@ -395,7 +357,7 @@
 
     def start(self) -> None:
         """Serve and register."""
-        for watcher in self.watchers:
+        for watcher in self.watchers.values():
             watcher.start()
         self.mesh.start()
         self.watchdog.start()
