A lease taken anew after a restore leaves no other right to it

Found by reading: for up to a lease's length after the store came back, the holder of before counted as such although it had taken the lease anew and then resigned it; back from a cut it could have taken it from the next holder, and engines would have had orders of two. The right ends with the first hold and with a resignation. The test failed before.

--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -157,6 +157,7 @@
         with self._lock:
             epoch = self.epoch()
             self._held = self._sent = self._care = None
+            self._ours_until = 0.0
         return epoch
 
     def hear_renewal(self, version: Version, age: float) -> None:
@@ -365,6 +366,7 @@
                 log("lease_taken", epoch=obj.spec["epoch"])
             self._held = obj
             self._held_since = sent_at
+            self._ours_until = 0.0
             self._valid_until = self._end(sent_at)
 
     def _end(self, sent_at: float) -> float:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -271,3 +271,19 @@
     keepers.b.step()
     assert keepers.b.epoch() is not None
     assert keepers.a.epoch() is None
+
+
+def test_a_holder_that_took_its_lease_anew_has_no_other_right_to_it(world):
+    """Guards against a holder that resigns and takes the lease back from the next."""
+    keepers = Keepers(world)
+    copy = keepers.b_then_a()
+    keepers.state.restore(copy)
+    keepers.a.store_restored()
+    keepers.a.step()
+    epoch = keepers.a.resign()
+    keepers.b.hear_resigned(A, epoch)
+    keepers.b.step()
+    keepers.b.step()
+    assert keepers.b.epoch() == 4
+    keepers.a.step()
+    assert keepers.a.epoch() is None
