--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -140,12 +140,12 @@
         return Success(Permit(self, waiter.upstream, need, sent_at, unread))
 
     def _no_place(self, waiter: _Waiter) -> Failure:
-        held_back = None
+        on_trial = None
         if waiter.last.step is Step.WAIT:
-            held_back = self._poison.held_back(waiter.need.call)
-        if held_back is None and waiter.limited:
+            on_trial = self._poison.trial_refusal(waiter.need.call)
+        if on_trial is None and waiter.limited:
             return limited(waiter.need, self._limits.wait(waiter.limited))
-        return held_back or refusal(waiter.last.step, waiter.need)
+        return on_trial or refusal(waiter.last.step, waiter.need)
 
     def _refuse_hopeless(self, waiter: _Waiter, now: float) -> None:
         """Refuse at once what waits for a load that ends too late."""
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -149,7 +149,7 @@
         announced.wanted_at = now
         return now - announced.since >= ANNOUNCE
 
-    def held_back(self, call: Fingerprint) -> Failure | None:
+    def trial_refusal(self, call: Fingerprint) -> Failure | None:
         """Return what a suspected call is told that found no place."""
         with self._lock:
             suspect = self._history.is_suspect(call)
