An entry that starts blames no call that others have cleared

It had heard of three crashes at which that call was lost, from entries that went on telling of them, and not yet of the answers that had cleared it; as the crashes were old, it judged at once.

--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -70,11 +70,14 @@
     weight: float = 0.0
     """Those, each divided by the calls that it accuses."""
     newest_at: float = -math.inf
+    """When the newest of them happened, or was first heard of if that is later."""
 
 
 @dataclass
 class _Crash:
     at: float
+    heard_at: float
+    """When this entry first heard of it."""
     confirmed: bool = False
     lost: dict[Fingerprint, bool] = field(default_factory=dict)
     """The calls lost there, and whether each had just begun or not yet answered."""
@@ -93,12 +96,16 @@
     # -- evidence ----------------------------------------------------------------
 
     def lost(
-        self, start: UpstreamStart, calls: Mapping[Fingerprint, bool], at: float
+        self,
+        start: UpstreamStart,
+        calls: Mapping[Fingerprint, bool],
+        at: float,
+        now: float,
     ) -> None:
         """Take calls that were lost with an upstream, maybe since it crashed."""
         if self._alive.get(start, -math.inf) >= at:
             return
-        crash = self._crashes.setdefault(start, _Crash(at))
+        crash = self._crashes.setdefault(start, _Crash(at, now))
         crash.at = max(crash.at, at)
         for call, fresh in calls.items():
             cleared = self._completed.get(call, -math.inf) >= at
@@ -198,7 +205,7 @@
                         old.confirmed + crash.confirmed,
                         old.own + own,
                         old.weight + own / len(accused),
-                        max(old.newest_at, crash.at),
+                        max(old.newest_at, crash.at, crash.heard_at),
                     )
         return self._blame
 
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -186,7 +186,7 @@
             seen = self._seen.setdefault(start, _Seen(record, now, now + CHECK_AFTER))
             seen.at = now
             seen.lost[call] = fresh or seen.lost.get(call, False)
-            self._history.lost(start, {call: fresh}, now)
+            self._history.lost(start, {call: fresh}, now, now)
             self._note_change(start)
 
     def answered(self, record: UpstreamRecord, sent_at: float) -> None:
@@ -206,9 +206,16 @@
                 return
             if self._history.completed(call, now):
                 log("call_cleared", call=call)
+                self._clear(call, now)
                 self._completed[call] = now
                 self._note_change(call)
 
+    def _clear(self, call: Fingerprint, at: float) -> None:
+        """Tell no more of a call that came to its end after it was lost."""
+        for seen in self._seen.values():
+            if seen.at <= at:
+                seen.lost.pop(call, None)
+
     def unreachable(self, record: UpstreamRecord) -> None:
         """Note that an upstream takes no connection."""
         start = start_of(record)
@@ -323,7 +330,8 @@
             self._peers[vm] = _PeerTrials(now, msg.trials)
             for crash in msg.crashes:
                 start = UpstreamStart(crash.upstream, crash.born)
-                self._history.lost(start, crash.calls, as_of - crash.age_ms / 1000)
+                at = as_of - crash.age_ms / 1000
+                self._history.lost(start, crash.calls, at, now)
                 if crash.confirmed:
                     self._history.confirm(start)
             for seen in msg.alive:
@@ -331,7 +339,9 @@
                 if self._history.alive(start, as_of - seen.age_ms / 1000):
                     self._seen.pop(start, None)
             for call, age_ms in msg.completed.items():
-                self._history.completed(call, as_of - age_ms / 1000)
+                at = as_of - age_ms / 1000
+                self._history.completed(call, at)
+                self._clear(call, at)
             self._take_blocked({c: as_of + s for c, s in msg.blocked.items()}, vm)
             self._judge()
 
--- a/tests/test_decide_poison.py
+++ b/tests/test_decide_poison.py
@@ -29,7 +29,7 @@
     """Return a history of crashes one second apart from 1 s on."""
     history = CrashHistory()
     for number, calls in enumerate(crashes, 1):
-        history.lost(start(number), calls, float(number))
+        history.lost(start(number), calls, float(number), float(number))
         if confirmed:
             history.confirm(start(number))
     return history
@@ -69,7 +69,7 @@
     history = history_of(*[{GOOD: True}] * CRASHES)
     assert history.judge(CRASHES + SETTLED / 2) == []
     assert history.waits_for_proof(GOOD, CRASHES + SETTLED / 2)
-    history.lost(start(CRASHES), {BAD: True}, float(CRASHES))
+    history.lost(start(CRASHES), {BAD: True}, float(CRASHES), float(CRASHES))
     assert history.judge(CRASHES + LATER) == [GOOD]
 
 
@@ -85,9 +85,9 @@
     """Guards against blame for calls that lost an answer, told before or later."""
     history = history_of(*[{GOOD: True}] * CRASHES)
     assert history.alive(start(1), 1.5)
-    history.lost(start(1), {GOOD: True}, 1.0)
+    history.lost(start(1), {GOOD: True}, 1.0, 1.0)
     assert history.judge(CRASHES + LATER) == []
-    history.lost(start(1), {GOOD: True}, 4.0)
+    history.lost(start(1), {GOOD: True}, 4.0, 4.0)
     history.confirm(start(1))
     assert history.judge(4.0 + LATER) == [GOOD]
 
@@ -96,7 +96,7 @@
     """Guards against blame that outlives the proof of innocence."""
     history = history_of(*[{GOOD: True}] * CRASHES)
     assert history.completed(GOOD, 2.5)
-    history.lost(start(1), {GOOD: True}, 1.0)
+    history.lost(start(1), {GOOD: True}, 1.0, 1.0)
     assert history.judge(CRASHES + LATER) == []
     assert history.blame(GOOD).own == 1
 
@@ -106,7 +106,7 @@
     crashes = [{BAD: True, GOOD: True}] * 2 + [{BAD: True}]
     history = history_of(*crashes)
     assert history.judge(3 + LATER) == [BAD]
-    history.lost(start(4), {GOOD: True}, 4.0)
+    history.lost(start(4), {GOOD: True}, 4.0, 4.0)
     history.confirm(start(4))
     assert history.judge(4 + LATER) == []
 
@@ -117,7 +117,7 @@
     calls = []
     for number in range(2 * MOST_CRASHES):
         lost = {Fingerprint(f"{number}-{n}"): True for n in range(2 * MOST_LOST)}
-        history.lost(start(number), lost, float(number))
+        history.lost(start(number), lost, float(number), float(number))
         calls += lost
     for number in range(2 * MOST_BLOCKED):
         history.block(Fingerprint(f"b{number}"), 1e6 + number)
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -80,3 +80,31 @@
     assert second.guard.refusal(BAD) is None
     second.guard.hear(Vm("e1"), first.told, first.now)
     assert second.guard.refusal(BAD) is not None
+
+
+def test_an_entry_that_starts_blames_nobody_whom_others_have_cleared():
+    """Guards against blame by an entry that missed the answers of a call."""
+    first, second, new = Entry("e1"), Entry("e2"), Entry("e3")
+    for number in range(CRASHES):
+        first.lose(number)
+        first.guard.unreachable(record(number))
+    second.now = first.now
+    second.guard.hear(Vm("e1"), first.guard.news(), first.now)
+    second.now += 0.1
+    second.guard.completed(BAD)
+    first.now = new.now = second.now + 2.0
+    first.guard.hear(Vm("e2"), second.guard.news(), second.now)
+    new.guard.hear(Vm("e1"), first.guard.news(), first.now)
+    assert not new.blocks()
+
+
+def test_an_entry_that_starts_waits_for_what_all_others_tell():
+    """Guards against blame by the first of several entries that tell of old crashes."""
+    told, new = Entry("e1"), Entry("e2")
+    for number in range(CRASHES):
+        told.lose(number)
+        told.guard.unreachable(record(number))
+    new.now = 20.0
+    new.guard.hear(Vm("e1"), told.guard.news(), 10.0)
+    assert new.guard.refusal(BAD) is None
+    assert new.blocks()
