Epochs rise over restores of the store, whoever takes the lease

An epoch now holds the store's era above its own count, as versions do. And a store whose eras begin at zero: its first restore was taken for the first era seen.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -168,7 +168,14 @@
         cfg = self.cfg
         # Its renewals must be known to have failed well before the lease is over.
         quick = StoreClient(cfg.store, cfg.lease * LEASE_CALL_PART, self.eras)
-        lease = LeaseKeeper(quick, LEASE_NAME, self.vm, self.incarnation, cfg.lease)
+        lease = LeaseKeeper(
+            quick,
+            LEASE_NAME,
+            self.vm,
+            self.incarnation,
+            cfg.lease,
+            store_era=lambda: self.eras.current,
+        )
         guard = cfg.order_guard_ms / 1000
         return Leader(
             self.vm,
--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -30,6 +30,8 @@
 """Part of the duration by which the holder stops early: clocks run unevenly."""
 RENEWALS_PER_LEASE: Final = 3
 NOBODY: Final = ""
+EPOCH_BITS: Final = 16
+"""Bits of an epoch below the store's era: holdings within one era."""
 
 
 def boot_clock() -> float:
@@ -92,6 +94,8 @@
         Seconds that one renewal lasts.
     clock : callable
         Seconds that never go back.
+    store_era : callable
+        Returns how often the store has come back from a copy.
     """
 
     def __init__(
@@ -102,7 +106,9 @@
         incarnation: Incarnation,
         duration: float,
         clock: Callable[[], float] = boot_clock,
+        store_era: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._store_era = store_era
         self._store = store
         self._name = name
         self._vm = vm
@@ -273,7 +279,15 @@
             self._seen = None
         elif result.failure().error is StoreError.NOT_FOUND:
             if not self._is_in_doubt():
-                self._write(None, self._least_epoch + 1, 0)
+                self._write(None, self._floor() + 1, 0)
+
+    def _floor(self) -> int:
+        """Return an epoch that is not below any that was ever taken.
+
+        A copy of the store may have lost the newest; those of a later era are above all
+        of the eras before.
+        """
+        return max(self._least_epoch, self._store_era() << EPOCH_BITS)
 
     def _take_over(self, obj: StoredObject) -> None:
         old = LeaseSpec.from_object(obj)
@@ -282,7 +296,7 @@
         if self._free(obj, old):
             if not self._is_ours():
                 self.before = self._predecessor(old)
-            self._write(obj, max(old.epoch, self._least_epoch) + 1, 0)
+            self._write(obj, max(old.epoch, self._floor()) + 1, 0)
 
     def _predecessor(self, old: LeaseSpec) -> Predecessor:
         renewed = max(0, old.renewals - 1) * self.step_every
--- a/src/persimmonhitch/store/era.py
+++ b/src/persimmonhitch/store/era.py
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._listeners: list[Callable[[Era], None]] = []
-        self._missing = False
+        self._missing = self._known = False
         self.current = Era(0)
 
     def on_change(self, listener: Callable[[Era], None]) -> None:
@@ -54,10 +54,11 @@
         """
         with self._lock:
             old = self.current
+            known = self._known
             if era is None:
-                lost, self._missing = bool(old) and not self._missing, True
+                lost, self._missing = known and not self._missing, True
             else:
-                lost, self.current = False, max(old, era)
+                lost, self.current, self._known = False, max(old, era), True
         if lost:
             log("store_era_missing", era=old)
         if era is None or era == old:
@@ -65,7 +66,7 @@
         if era < old:
             log("store_era_older", era=era, current=old)
             return False
-        if old:
+        if known:
             log("store_restored", era=era, before=old)
             for listener in self._listeners:
                 listener(era)
