A change of settings does not end an entry that is starting

Their callers' connections were refused until the next start. The signal is held back from the first line of the program on. The test failed before.

--- a/src/persimmonhitch/direct/__main__.py
+++ b/src/persimmonhitch/direct/__main__.py
@@ -1,9 +1,13 @@
 """Runs ``python -m persimmonhitch.direct``."""
 
 import os
+import signal
 import sys
 
-from .main import main
+# It would end the process while the modules load; whoever waits for signals takes it.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+from .main import main  # noqa: E402
 
 code = main()
 sys.stdout.flush()
