--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -259,12 +259,12 @@
     def _note_lost(self, flight: Flight, record: UpstreamRecord) -> None:
         """Have it known that a call may have crashed its upstream.
 
-        A stream that has no head yet has not begun to run; a plain answer has its head
-        at its end.
+        One whose stream has gone on for a while has not. The head of an answer may be
+        lost with its upstream, so that none says nothing.
         """
-        fresh = flight.admitted.route.kind is not CallKind.STREAM
-        if not fresh and flight.head_at is not None:
-            fresh = self._clock() - flight.head_at <= FRESH
+        streams = flight.admitted.route.kind is CallKind.STREAM
+        answering = 0.0 if flight.head_at is None else self._clock() - flight.head_at
+        fresh = not streams or answering <= FRESH
         self._poison.lost(flight.call, record, fresh)
 
     def _ended(self, flight: Flight, failure: Failure) -> Failure:
--- a/tests/test_decide_poison.py
+++ b/tests/test_decide_poison.py
@@ -45,6 +45,8 @@
         # Both were at all of them: the next crash has to tell.
         ([{BAD: True, GOOD: True}] * 3, []),
         ([{BAD: True, GOOD: True}] * 3 + [{BAD: True}], [BAD]),
+        # Both are as likely, however often they were there together.
+        ([{BAD: True, GOOD: True}] * 5, []),
         # One had answered for a while each time.
         ([{BAD: True, GOOD: False}] * 3, [BAD]),
         # All had, or no answer had begun.
--- a/tests/test_poison_gateway.py
+++ b/tests/test_poison_gateway.py
@@ -13,7 +13,9 @@
     Served,
     answer,
     event,
+    resets,
 )
+from fleet import wait_for
 
 POISON = b"crash you"
 
@@ -73,3 +75,14 @@
     assert b"not_run" in last.body
     assert float(last.headers["retry-after"]) > 0
     assert (other.status, other.whole) == (200, True)
+
+
+@pytest.mark.parametrize("head", [b"", STREAM])
+def test_a_stream_is_accused_whether_its_head_came_or_not(head):
+    """Guards against blame for what had a head, where the guilty call's was lost."""
+    up = FakeUpstream("u1", resets(head), LLM)
+    with Served(up) as served:
+        served.call("/chat/x")
+        wait_for(lambda: served.told is not None and served.told.crashes, "the news")
+        (crash,) = served.told.crashes
+    assert set(crash.calls.values()) == {True}
