--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -124,7 +124,8 @@
     for run in found.records.runs:
         call = found.calls.get(run.request)
         if call is None or run.key_seen:
-            yield f"{run.request} at {run.upstream}: key {run.key_seen}, call {call}"
+            where = f"{run.path} of {run.request!r} at {run.upstream}"
+            yield f"{where}: key {run.key_seen}, call {call}"
         elif call.account == UNKNOWN:
             yield f"ran without a key: {found.told(call)}"
         elif call.account != WITHDRAWN and call.account != run.account:
