--- a/tests/test_poison_fleet.py
+++ b/tests/test_poison_fleet.py
@@ -271,9 +271,7 @@
 @pytest.mark.parametrize("poison", [1, 4])
 @pytest.mark.parametrize("trouble", [calm, restarts, cuts])
 def test_calls_that_crash_upstreams_are_found_and_no_others(entries, poison, trouble):
-    """Guards against repeats at entries that did not see the crashes, and against
-    blame for calls that only ran beside.
-    """
+    """Guards against repeats at entries that saw no crash, and blame for bystanders."""
     fleet, calls = play(entries, trouble, poison, seed=entries + poison)
     for call in calls:
         late, crashes = fleet.late_sends(call)
