Upstreams: hold removed records only until expired ones are back

Cause: a record that is gone may have expired because the upstream could not renew it while the store was away, so an entry keeps the upstream for two seconds. It counted them from the removal, and held every removal in the two seconds after the last failed call. A follower also took each push that repeats a failure (for five seconds, each with its own transit time) for a new one and held removals up to seven seconds after.

Change: the view of a watch says since when the store answers again; a removal is held until two seconds after that. on_failure of the watcher gives way to it. The log line of a removal has the time since and whether the upstream was draining.

The check of the follower's knowledge of a failure reads failed_at of the watcher and now also the time of return, in place of the count of the callback.

--- a/src/persimmonhitch/direct/upstreams.py
+++ b/src/persimmonhitch/direct/upstreams.py
@@ -16,8 +16,8 @@
 from ..store.watcher import View
 
 REREGISTRATION_TIME_S: Final = 2.0
-"""Seconds after a store outage within which running upstreams re-register if their
-records expired because they could not be renewed."""
+"""Seconds after the store is available again within which running upstreams re-register
+if their records expired because they could not be renewed."""
 
 
 @dataclass(frozen=True)
@@ -42,13 +42,8 @@
         self._clock = clock
         self._decoded: dict[str, _DecodedRecord] = {}
         self._expiring: dict[Upstream, tuple[float, UpstreamRecord]] = {}
-        self._store_unavailable_at = -REREGISTRATION_TIME_S
         self._published: list[UpstreamRecord] = []
 
-    def store_unavailable(self) -> None:
-        """Record that the store does not answer."""
-        self._store_unavailable_at = self._clock()
-
     def update(self, view: View) -> None:
         """Replace the list with the records of a new view."""
         old = {name: item.record for name, item in self._decoded.items()}
@@ -58,14 +53,24 @@
         now = self._clock()
         for name, record in old.items():
             if name not in self._decoded and record is not None:
-                self._on_removed(record, now)
+                self._on_removed(record, now, view.available_since)
         self._notify()
 
-    def _on_removed(self, record: UpstreamRecord, now: float) -> None:
-        recent_outage = now - self._store_unavailable_at < REREGISTRATION_TIME_S
-        if recent_outage and not record.draining:
-            self._expiring[record.name] = (now + REREGISTRATION_TIME_S, record)
-        log("upstream_removed", upstream=record.name, held=recent_outage)
+    def _on_removed(
+        self, record: UpstreamRecord, now: float, available_since: float
+    ) -> None:
+        # The store does not tell an expired record from that of an upstream that left.
+        held_until = available_since + REREGISTRATION_TIME_S
+        held = now < held_until and not record.draining
+        if held:
+            self._expiring[record.name] = (held_until, record)
+        log(
+            "upstream_removed",
+            upstream=record.name,
+            draining=record.draining,
+            held=held,
+            store_available_for=now - available_since,
+        )
 
     def _decode(self, name: str, obj: StoredObject) -> _DecodedRecord:
         old = self._decoded.get(name)
@@ -114,6 +119,7 @@
         now = self._clock()
         expired = [name for name, (until, _) in self._expiring.items() if until <= now]
         for name in expired:
+            log("upstream_expired", upstream=name)
             del self._expiring[name]
         if expired:
             self._notify()
--- a/src/persimmonhitch/direct/watchers.py
+++ b/src/persimmonhitch/direct/watchers.py
@@ -59,7 +59,6 @@
             listeners.upstreams.update,
             WATCH_S,
             MAX_RETRY_S,
-            listeners.upstreams.store_unavailable,
             UPSTREAM_WATCH_PAUSE_S,
             changed,
             max_contact_age(max_staleness_s, WATCH_S),
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -60,10 +60,8 @@
     """Monotonic time of the last reply of the store."""
     unchanged_until: float = -math.inf
     """Last reply of the store that confirmed the view before this one."""
-
-
-def _ignore_failure() -> None:
-    """Ignore a failed call; the default of ``on_failure``."""
+    available_since: float = -math.inf
+    """First reply of the store after its last known failure."""
 
 
 def _ignore_changes(_kind: Kind, _since: Version, _changes: Changes) -> None:
@@ -84,7 +82,6 @@
         listener: Callable[[View], None],
         duration_s: float = WATCH_DURATION_S,
         max_retry_s: float = MAX_RETRY_S,
-        on_failure: Callable[[], None] = _ignore_failure,
         pause_s: float = 0.0,
         on_change: ChangeListener = _ignore_changes,
         max_contact_age_s: float | None = None,
@@ -96,7 +93,6 @@
         self._kind = kind
         self._duration_s = duration_s
         self._max_retry_s = max_retry_s
-        self._on_failure = on_failure
         self._pause_s = pause_s
         """Delay of the next watch after changes, so that a watch returns several."""
         self._listener = listener
@@ -108,6 +104,8 @@
         """Time of the store's last reply to this process or to the pushing process."""
         self.failed_at = -math.inf
         """Time of the last failed call of this process or of the pushing process."""
+        self._is_failing = False
+        self._available_since = -math.inf
         self._push_received_at = -math.inf
         self._pusher_contact_at = -math.inf
         self._pusher_failed_at = -math.inf
@@ -171,8 +169,14 @@
         log("watch_ended", kind=self._kind.value, error=error.value, detail=detail)
 
     def _record_failure(self, at: float) -> None:
-        self.failed_at = at
-        self._on_failure()
+        with self._lock:
+            self.failed_at = max(self.failed_at, at)
+            self._is_failing = True
+
+    def _record_contact(self, at: float) -> None:
+        if self._is_failing:
+            self._is_failing = False
+            self._available_since = at
 
     def request_listing(self) -> None:
         """List all objects again, after a restore of the store from an older copy."""
@@ -214,17 +218,27 @@
             self._push_received_at = time.monotonic()
             self._pusher_contact_at = max(self._pusher_contact_at, contact_at)
             self._pusher_failed_at = max(self._pusher_failed_at, failed_at)
-            if failed_at > self.failed_at:
-                self._record_failure(failed_at)
+            self._record_pusher_state(contact_at, failed_at)
             if since > self.version or (not full and changes.version > self.version):
                 self._needs_listing = True
                 return
             self._apply_changes(since, changes, contact_at)
 
+    def _record_pusher_state(self, contact_at: float, failed_at: float) -> None:
+        """Apply when the store last answered and last failed the pushing process."""
+        if failed_at > contact_at:
+            self._record_failure(failed_at)
+            return
+        self._record_contact(contact_at)
+        # Each push gives the same failure a slightly different time.
+        self.failed_at = max(self.failed_at, failed_at)
+        self._available_since = max(self._available_since, failed_at)
+
     def _apply_listing(self, listing: Listing) -> None:
         with self._lock:
             self._needs_listing = False
             confirmed_at, self.contact_at = self._confirmed_at(), time.monotonic()
+            self._record_contact(self.contact_at)
             if listing.version < self.version:
                 return
             restored = self.version and era_of(listing.version) > era_of(self.version)
@@ -294,6 +308,7 @@
             self._publish(objects, confirmed_at)
 
     def _publish(self, objects: dict[str, StoredObject], confirmed_at: float) -> None:
-        self.view = View(objects, time.monotonic(), confirmed_at)
+        now = time.monotonic()
+        self.view = View(objects, now, confirmed_at, self._available_since)
         self._listener(self.view)
         self.ready.set()
--- a/tests/test_store_pushes.py
+++ b/tests/test_store_pushes.py
@@ -90,7 +90,6 @@
 
     def __init__(self, store, name, deliver):
         self.client = store.client(name)
-        self.failures = 0
         self.relay = WatchRelay(lambda to, frame: deliver(to, frame))
         self.watcher = Watcher(
             self.client,
@@ -98,14 +97,10 @@
             lambda _view: None,
             WATCH_DURATION_S,
             0.2,
-            self._count_failure,
             on_change=self.relay.add_changes,
         )
         self.relay.set_watchers({Kind.UPSTREAM: self.watcher})
 
-    def _count_failure(self):
-        self.failures += 1
-
     def names(self):
         return set(self.watcher.view.objects)
 
@@ -205,12 +200,16 @@
     not know of the outage would count these upstreams as removed.
     """
     pair.wait_until_idle()
-    before = pair.child.failures
+    before = pair.child.watcher.failed_at
     pair.store.unreachable_from.add("parent")
     pair.store.put("e8", {})
-    wait_for(lambda: pair.parent.failures, "the parent to lose the store")
+    parent = pair.parent.watcher
+    wait_for(lambda: parent.failed_at > 0, "the parent to lose the store")
     pair.store.unreachable_from.clear()
-    wait_for(lambda: pair.child.failures > before, "the failure at the child")
+    wait_for(lambda: pair.child.watcher.failed_at > before, "the failure at the child")
+    pair.store.put("e9", {})
+    wait_for(lambda: "e9" in pair.child.names(), "the change")
+    assert pair.child.watcher.view.available_since >= pair.child.watcher.failed_at
 
 
 def test_late_push_does_not_restore_old_object(pair):
