Web server: answer all requests on open connections before the process exits

Cause: a stop ends once no connection has a parsed request or unsent bytes. A request whose bytes have arrived unread, or in part, does not count, and no thread answers after that, so the exit closes its connection. The same happens to a request that arrives while the last stream of its connection ends: the connection is closed whatever is on it.

Change: a stop waits until no connection is open. Those without input are closed again and again as they become idle; one with bytes to read, or a part of a request, stays open until its answer is sent. Both entry programs use the same server. stop_cut now gives the number of connections.

Evidence: of the four cases of the new test three fail on the old source, and so does the test of the ending stream (RemoteDisconnected, ECONNRESET); all pass with the change.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -513,7 +513,7 @@
         timeout = self.cfg.stop_limit - STOP_MARGIN_S - (time.monotonic() - started_at)
         unfinished = self.server.drain(timeout, lifecycle.forced)
         if unfinished:
-            log("stop_cut", requests=unfinished)
+            log("stop_cut", connections=unfinished)
             self.watchdog.abort_all()
             self.server.drain(STOP_MARGIN_S / 2, lifecycle.forced)
         self._stopped.set()
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -177,7 +177,7 @@
         self.server.stop_listening()
         aborted = self.server.drain(self.cfg.stop_limit, lifecycle.forced)
         if aborted:
-            log("stop_cut", requests=aborted)
+            log("stop_cut", connections=aborted)
         self.shares.close()
         self.limiter.close()
         self.registration.remove()
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -33,13 +33,17 @@
 MAX_IDLE_CONNS: Final = 2000
 """Connections without a request; half of the file descriptors of a small VM."""
 POLL_INTERVAL_S: Final = 0.02
-"""Seconds between two checks whether all requests are complete."""
+"""Seconds between two checks whether all connections are closed."""
 
 
 def _is_readable(sock: socket.socket) -> bool:
     """Return whether a socket has data, a new connection, or was closed by its peer."""
     poller = select.poll()
-    poller.register(sock, select.POLLIN)
+    try:
+        poller.register(sock, select.POLLIN)
+    except ValueError:
+        # The server thread has closed the socket.
+        return False
     return bool(poller.poll(0))
 
 
@@ -107,10 +111,16 @@
             # The server loop may not have read the end of the connection yet.
             self.connected = False
         super().service()
-        if self.server.closing_idle and not self.requests:
+        if self.server.closing_idle and not self.has_input():
             self.close_when_flushed = True
             self.server.pull_trigger()
 
+    def has_input(self) -> bool:
+        """Return whether a request, or a part of one, has arrived without an answer."""
+        if self.requests or self.request is not None:
+            return True
+        return _is_readable(self.socket)
+
 
 class _OnDemandDispatcher(ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts a thread when a request arrives and no thread is idle, up to a limit.
@@ -233,9 +243,7 @@
         def close_all() -> None:
             self._server.closing_idle = True
             for channel in list(self._server.active_channels.values()):
-                is_idle = not channel.requests and channel.request is None
-                # A request that has arrived but was not read would be reset.
-                if is_idle and not _is_readable(channel.socket):
+                if not channel.has_input():
                     channel.will_close = True
 
         self._server.trigger.pull_trigger(close_all)
@@ -246,11 +254,17 @@
         return sum(1 for c in channels if c.requests or c.total_outbufs_len)
 
     def drain(self, timeout_s: float, forced: threading.Event) -> int:
-        """Wait until all requests complete; return the number of unfinished ones."""
+        """Wait until all connections are closed; return the number of open ones.
+
+        A connection closes after its last answer. A request on a connection that is
+        open when the process exits would be lost, even if none has been read yet.
+        """
         deadline = time.monotonic() + timeout_s
-        while self.busy_conns() and time.monotonic() < deadline and not forced.is_set():
+        conns = self._server.active_channels
+        while conns and time.monotonic() < deadline and not forced.is_set():
+            self.close_idle()
             forced.wait(POLL_INTERVAL_S)
-        return self.busy_conns()
+        return len(conns)
 
     def close(self) -> None:
         """Close all connections and stop the server thread."""
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -1,8 +1,10 @@
 """A stopping server must not accept requests that it cannot finish in time."""
 
 import http.client
+import socket
 import threading
 
+import pytest
 from fleet import wait_for
 
 from persimmonhitch.web import Answer, WebServer
@@ -103,3 +105,88 @@
     assert first.getresponse().read() == b"ok"
     server.close()
     assert calls == ["/first"]
+
+
+class StreamApp:
+    """Answers ``/stream`` in two chunks, the second one after ``finish`` is set."""
+
+    def __init__(self):
+        self.started, self.finish = threading.Event(), threading.Event()
+
+    def __call__(self, environ, start_response):
+        if environ["PATH_INFO"] != "/stream":
+            return Answer(200, {"Content-Length": "2"}, [b"ok"]).send(start_response)
+        return Answer(200, {}, self._chunks()).send(start_response)
+
+    def _chunks(self):
+        yield b"first"
+        self.started.set()
+        self.finish.wait(5)
+        yield b"last"
+
+
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+BODY = b"\r\nhello"
+
+
+def stop_server(server):
+    server.close_idle()
+    server.drain(5.0, threading.Event())
+    server.close()
+
+
+def read_answer(sock):
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    return answer.read()
+
+
+@pytest.mark.parametrize("sent", [HEAD, HEAD + BODY])
+@pytest.mark.parametrize("is_read", [False, True])
+def test_request_on_an_open_connection_is_answered_before_the_exit(sent, is_read):
+    """Guards against requests lost on connections that are open as a process exits."""
+    resume = threading.Event()
+    server = WebServer(App(), "127.0.0.1", 0, 4, keep_streams=True)
+    server.start()
+    conn = socket.create_connection(("127.0.0.1", server.port), timeout=5)
+    wait_for(lambda: server._server.active_channels, "the connection")
+    (channel,) = server._server.active_channels.values()
+    if not is_read:
+        read = channel.readable
+        channel.readable = lambda: resume.is_set() and read()
+    server.disable_keep_alive()
+    server.stop_listening()
+    conn.sendall(sent)
+    if is_read and sent == HEAD:
+        wait_for(lambda: channel.request is not None, "the first part")
+    stop = threading.Thread(target=stop_server, args=(server,))
+    stop.start()
+    stop.join(0.3)
+    resume.set()
+    conn.sendall((HEAD + BODY)[len(sent) :])
+    assert read_answer(conn) == b"ok"
+    stop.join()
+    assert conn.recv(1) == b""
+
+
+def test_request_that_arrives_during_the_last_stream_is_answered():
+    """Guards against requests dropped with a connection whose stream has ended."""
+    app = StreamApp()
+    server = WebServer(app, "127.0.0.1", 0, 4, keep_streams=True)
+    server.start()
+    conn = socket.create_connection(("127.0.0.1", server.port), timeout=5)
+    conn.sendall(b"GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert app.started.wait(5)
+    server.disable_keep_alive()
+    server.stop_listening()
+    stop = threading.Thread(target=stop_server, args=(server,))
+    stop.start()
+    wait_for(lambda: server._server.closing_idle, "the stop")
+    (channel,) = server._server.active_channels.values()
+    conn.sendall(HEAD)
+    wait_for(lambda: channel.request is not None, "the first part")
+    app.finish.set()
+    assert read_answer(conn) == b"firstlast"
+    conn.sendall(BODY)
+    assert read_answer(conn) == b"ok"
+    stop.join()
