Web server: send the whole answer before a connection is closed as idle

Callers: a caller that reads slowly got a truncated answer from an entry that stops.

Cause: a connection whose request has run counts as idle while bytes of its answer are still unsent, and was closed with them.

Change: it is closed once its bytes are sent. The new test fails without: IncompleteRead, 98,304 of 204,800 bytes.

--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -244,7 +244,7 @@
             self._server.closing_idle = True
             for channel in list(self._server.active_channels.values()):
                 if not channel.has_input():
-                    channel.will_close = True
+                    channel.close_when_flushed = True
 
         self._server.trigger.pull_trigger(close_all)
 
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -190,3 +190,28 @@
     conn.sendall(BODY)
     assert read_answer(conn) == b"ok"
     stop.join()
+
+
+def test_unsent_bytes_of_an_answer_are_sent_on_stop():
+    """Guards against truncated answers of callers that read slowly."""
+    size = 200 * 1024
+
+    def app(environ, start_response):
+        headers = {"Content-Length": str(size)}
+        return Answer(200, headers, [bytes(size)]).send(start_response)
+
+    server = WebServer(app, "127.0.0.1", 0, 4, keep_streams=True)
+    server.start()
+    conn = socket.create_connection(("127.0.0.1", server.port), timeout=5)
+    wait_for(lambda: server._server.active_channels, "the connection")
+    (channel,) = server._server.active_channels.values()
+    channel.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    conn.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    wait_for(lambda: channel.total_outbufs_len and not channel.requests, "the answer")
+    server.stop_listening()
+    stop = threading.Thread(target=stop_server, args=(server,))
+    stop.start()
+    wait_for(lambda: server._server.closing_idle, "the stop")
+    assert len(read_answer(conn)) == size
+    stop.join()
