Upstream watcher: notice the end of an outage within half a second

Cause: an entry that cannot reach the store tries again each second at the latest, and holds removed upstreams for two seconds from its first answer.

Change: the watcher of upstreams tries again after 0.4 s at the latest. The test fails without (1.0 s between attempts).

Open: an outage that ends during a call without an answer is noticed up to 1.2 s later.

--- a/src/persimmonhitch/direct/watchers.py
+++ b/src/persimmonhitch/direct/watchers.py
@@ -19,6 +19,9 @@
 receive requests for up to two seconds after it starts draining."""
 MAX_RETRY_S: Final = 1.0
 """Maximum seconds between two attempts while the store is unavailable."""
+UPSTREAM_MAX_RETRY_S: Final = 0.4
+"""The same for upstreams. Upstreams that leave after an outage receive requests until
+this entry has noticed its end and expired records are back."""
 ENTRY_WATCH_PAUSE_S: Final = 1.0
 """Seconds between two watch calls for entries; many start or stop at the same time."""
 BLOCKED_WATCH_S: Final = 5.0
@@ -58,7 +61,7 @@
             Kind.UPSTREAM,
             listeners.upstreams.update,
             WATCH_S,
-            MAX_RETRY_S,
+            UPSTREAM_MAX_RETRY_S,
             UPSTREAM_WATCH_PAUSE_S,
             changed,
             max_contact_age(max_staleness_s, WATCH_S),
--- a/tests/test_upstream_removal.py
+++ b/tests/test_upstream_removal.py
@@ -4,8 +4,10 @@
 
 import pytest
 from fake_engine import Clock
+from returns.result import Failure as Err
 
 from persimmonhitch.direct.upstreams import REREGISTRATION_TIME_S, UpstreamList
+from persimmonhitch.direct.watchers import Listeners, make_watchers
 from persimmonhitch.store import watcher as watcher_module
 from persimmonhitch.store.objects import (
     Changes,
@@ -14,12 +16,18 @@
     Kind,
     Listing,
     StoredObject,
+    StoreError,
+    StoreFailure,
     Version,
 )
 from persimmonhitch.store.watcher import Watcher
 
 SPEC = {"service": "s", "address": "h:1", "zone": "z1", "slots": 1, "state": "ready"}
 FAILURE_REPORT_S = 5.0
+IN_TOUCH_S = 3.0
+"""Seconds after an outage from which removals have to be in force."""
+CALL_S = 0.4
+"""Seconds left for the list call and the next check of held upstreams."""
 
 
 def stored(name, version, **fields):
@@ -136,3 +144,27 @@
     removal = Event(EventType.DELETED, stored("u1", entry.version + 1))
     entry.push(0.01, math.inf, removal)
     assert entry.names() == {"u2"}
+
+
+class UnavailableStore:
+    """A store that fails the first calls of a watcher and then stops it."""
+
+    def __init__(self, failures):
+        self.failures, self.watcher, self.pauses = failures, None, []
+
+    def list_all(self, _kind):
+        self.failures -= 1
+        if not self.failures:
+            self.watcher.stop()
+        return Err(StoreFailure(StoreError.UNAVAILABLE, "down"))
+
+
+def test_end_of_an_outage_is_noticed_in_time_for_removals(monkeypatch):
+    """Guards against requests to upstreams that left, by an entry that retries late."""
+    store, upstreams = UnavailableStore(12), UpstreamList(lambda _records: None)
+    listeners = Listeners(None, upstreams, None, None)
+    watcher = make_watchers(store, listeners, None, IN_TOUCH_S)[Kind.UPSTREAM]
+    store.watcher = watcher
+    monkeypatch.setattr(watcher._stopping, "wait", store.pauses.append)
+    watcher._run()
+    assert max(store.pauses) + REREGISTRATION_TIME_S + CALL_S <= IN_TOUCH_S
