Orders: count the last order from when it may arrive, and drop one that timed out

A stalled link delivers it up to the timeout of the call later, and after that the kernel still delivers the bytes of a closed connection once the link recovers.

Change: an order in progress counts as sent at the end of its timeout, a finished one at its end; the timeout of a call is 0.5 s in all (it was 0.5 s to connect and 0.5 s to read); connections for orders are reset on close, so that unsent bytes are dropped. After a leader that released nothing the wait is longer by that timeout.

Tests: both new ones fail without.

--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -1,6 +1,8 @@
 """HTTP client for load and unload orders to engines and for engine reports."""
 
 import json
+import socket
+import struct
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final
@@ -8,6 +10,7 @@
 import urllib3
 from returns.result import Failure as Err
 from returns.result import Result, Success
+from urllib3.connection import HTTPConnection
 
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Vm
@@ -18,6 +21,13 @@
 ORDER_TIMEOUT_S: Final = 0.5
 """Engines answer orders in milliseconds; the precondition of the next order detects
 an order whose answer was lost."""
+RESET_ON_CLOSE: Final = (
+    socket.SOL_SOCKET,
+    socket.SO_LINGER,
+    struct.pack("ii", 1, 0),
+)
+"""Drops unsent bytes on close. The kernel would otherwise deliver an order that has
+timed out once a stalled link recovers, perhaps after those of another leader."""
 
 
 class OrderOutcome(Enum):
@@ -63,7 +73,11 @@
         self._vm = vm
         self._limits = limits
         self._http = urllib3.PoolManager(
-            retries=False, maxsize=4, num_pools=64, timeout=ORDER_TIMEOUT_S
+            retries=False,
+            maxsize=4,
+            num_pools=64,
+            timeout=urllib3.Timeout(total=ORDER_TIMEOUT_S),
+            socket_options=[*HTTPConnection.default_socket_options, RESET_ON_CLOSE],
         )
 
     def send_order(
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -13,7 +13,7 @@
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..ids import Adapter, Epoch, Model
 from ..observe.logs import log
-from .engine_client import EngineClient, Order, OrderOutcome
+from .engine_client import ORDER_TIMEOUT_S, EngineClient, Order, OrderOutcome
 
 ADAPTER_LOAD_S: Final = 0.02
 """Seconds from an order until the adapter is ready; a load takes 5 to 14 ms while few
@@ -24,7 +24,7 @@
 """Seconds by which reports lag; until then, they show the state before an order."""
 POLL_INTERVAL_S: Final = 0.1
 """Seconds between two report requests for a load that is overdue."""
-ORDER_TIMEOUT_S: Final = 12.0
+CONFIRMATION_TIMEOUT_S: Final = 12.0
 """Seconds after which an order that no report confirms counts as lost; the engine
 may still execute an unanswered order until then."""
 MAX_IDLE_WAIT_S: Final = 1.0
@@ -129,6 +129,7 @@
         self.loads_allowed_at = 0.0
         """Time before which no models are loaded, so that adapters can be loaded."""
         self.last_order_at: float | None = None
+        """Latest time at which the last order may arrive at the engine."""
         self.polled_at: float | None = None
 
     def busy_s(self) -> float:
@@ -446,7 +447,7 @@
     ) -> bool:
         """Wait until the engine's report confirms an order."""
         self._sleep(max(min_wait_s, REPORT_LAG_S))
-        deadline = self._clock() + ORDER_TIMEOUT_S
+        deadline = self._clock() + CONFIRMATION_TIMEOUT_S
         while self._clock() < deadline and self._epoch() is not None:
             result = self._client.get_report(self.engine.record)
             if isinstance(result, Success):
@@ -484,10 +485,11 @@
         epoch = self._epoch()
         if inventory is None or epoch is None or self._clock() < self.orders_allowed_at:
             return OrderOutcome.FENCED
-        self.last_order_at = self._clock()
+        self.last_order_at = self._clock() + ORDER_TIMEOUT_S
         outcome = self._client.send_order(
             self.engine.record, order, inventory.order_count, epoch
         )
+        self.last_order_at = self._clock()
         log(
             "order",
             upstream=self.engine.record.name,
--- a/src/persimmonhitch/direct/order_history.py
+++ b/src/persimmonhitch/direct/order_history.py
@@ -11,6 +11,7 @@
 
 from ..ids import Upstream, Vm
 from ..planner.lease import Predecessor
+from .engine_client import ORDER_TIMEOUT_S
 
 
 @dataclass(frozen=True)
@@ -66,7 +67,8 @@
             Previous holder of the lease, if any.
         ended : bool
             Whether the predecessor's process is known to have ended. Otherwise, unless
-            it released the lease, it may have sent orders until the lease expired.
+            it released the lease, it may have sent orders until the lease expired,
+            and the last one may arrive ``ORDER_TIMEOUT_S`` later.
         """
         if predecessor is None:
             return leading_since
@@ -75,7 +77,7 @@
             and not ended
             and predecessor.vm not in self._released
         ):
-            return leading_since + self._guard_s
+            return leading_since + ORDER_TIMEOUT_S + self._guard_s
         last = self._last_orders.get(upstream)
         allowed_at = leading_since if last is None else last.sent_at + self._guard_s
         return max(allowed_at, self._complete_since(predecessor))
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -1,13 +1,20 @@
 """Orders to one engine, which must never exceed its memory or its adapter slots."""
 
+import socket
 from dataclasses import replace
 
 import pytest
+from direct_help import no_limits
 from fake_engine import SPEC, Clock, FakeEngine, controller_of
 
-from persimmonhitch.direct.engine_client import Order
+from persimmonhitch.direct.engine_client import (
+    ORDER_TIMEOUT_S,
+    EngineClient,
+    Order,
+    OrderOutcome,
+)
 from persimmonhitch.direct.engine_controller import ADAPTER_WINDOW_S
-from persimmonhitch.ids import Adapter, Model
+from persimmonhitch.ids import Adapter, Epoch, Model, Vm
 
 BIG, OTHER, SMALL = Model("big"), Model("other"), Model("small")
 
@@ -211,3 +218,38 @@
     assert controller.load_adapter(BIG, Adapter("a1"))
     clock.now += ADAPTER_WINDOW_S
     assert controller.busy_s() == 0.0
+
+
+def test_order_in_progress_counts_until_it_may_arrive():
+    """Guards against a release that gives the time of sending of a delayed order."""
+    clock = Clock()
+    engine = FakeEngine(clock)
+    controller, _ = controller_of(engine, clock)
+    during = []
+    send_order = engine.send_order
+
+    def stall(*args):
+        during.append(controller.last_order_at - clock())
+        clock.now += 0.4
+        return send_order(*args)
+
+    engine.send_order = stall
+    controller.refresh()
+    controller.load_adapter(Model("big"), Adapter("a1"))
+    assert during == [ORDER_TIMEOUT_S]
+    assert clock() - controller.last_order_at < 0.1
+
+
+def test_order_without_an_answer_is_reset():
+    """Guards against orders that a recovered link delivers after the next leader's."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    record = replace(FakeEngine(Clock()).record, host="127.0.0.1", port=port)
+    client = EngineClient(Vm("a"), no_limits())
+    outcome = client.send_order(record, Order(True, Model("m")), 0, Epoch(1))
+    assert outcome is OrderOutcome.UNKNOWN
+    conn, _ = listener.accept()
+    with pytest.raises(ConnectionResetError):
+        while conn.recv(4096):
+            pass
+    conn.close(), listener.close()
--- a/tests/test_direct_lease.py
+++ b/tests/test_direct_lease.py
@@ -5,6 +5,7 @@
 import pytest
 from direct_help import no_limits
 
+from persimmonhitch.direct.engine_client import ORDER_TIMEOUT_S
 from persimmonhitch.direct.leader import Leader
 from persimmonhitch.direct.leader_election import LeaderElection
 from persimmonhitch.direct.order_history import OrderHistory
@@ -147,6 +148,8 @@
 
 OLD_PROCESS_S, NEW_PROCESS_S = 10.0, 1.0
 """Age of the process that acquires the lease."""
+UNRELEASED_WAIT_S = GUARD_S + ORDER_TIMEOUT_S
+"""Wait after a leader that may have sent an order until its lease expired."""
 
 
 @pytest.mark.parametrize(
@@ -155,13 +158,13 @@
         (OLD_PROCESS_S, None, False, False, E1, 0.0),
         (OLD_PROCESS_S, predecessor(B), False, False, E1, GUARD_S - 1.0),
         (OLD_PROCESS_S, predecessor(B), False, False, E2, 0.0),
-        (OLD_PROCESS_S, predecessor(A), False, False, E2, GUARD_S),
+        (OLD_PROCESS_S, predecessor(A), False, False, E2, UNRELEASED_WAIT_S),
         (OLD_PROCESS_S, predecessor(A), True, False, E1, GUARD_S - 1.0),
         (OLD_PROCESS_S, predecessor(A), True, False, E2, 0.0),
         (OLD_PROCESS_S, predecessor(A), False, True, E1, GUARD_S - 0.5),
         (OLD_PROCESS_S, predecessor(A), False, True, E2, 0.0),
-        (OLD_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, GUARD_S),
-        (NEW_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, GUARD_S),
+        (OLD_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, UNRELEASED_WAIT_S),
+        (NEW_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, UNRELEASED_WAIT_S),
         (NEW_PROCESS_S, None, False, False, E2, 0.0),
         (NEW_PROCESS_S, predecessor(A), False, True, E2, GUARD_S - NEW_PROCESS_S),
         (NEW_PROCESS_S, predecessor(A), True, False, E2, GUARD_S - NEW_PROCESS_S),
@@ -204,7 +207,7 @@
     clock.now += 1.0
     election.stop()
     (release,) = sent
-    assert release.order_ages_s == {E1: pytest.approx(1.0)}
+    assert release.order_ages_s == {E1: pytest.approx(1.0 - ORDER_TIMEOUT_S)}
     history = OrderHistory(B, GUARD_S, clock)
     clock.now += OLD_PROCESS_S
     history.record_release(A, {E1: 1.0})
