Orders: a release names all engines that its sender knows

An engine that it does not name counted as one without recent orders, also if the releasing entry, leader for a moment, had not seen the engine at all and the leader before it had sent the orders.

Change: a release names each engine that its sender knows, those without recent orders with the maximum age; the successor waits the guard time for any other engine. The message keeps its form.

Tests: one case of test_orders_allowed_at and the new test fail without. The release in that table names e2 now, which its case without a wait needs: the entry knows e2.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -52,8 +52,8 @@
 """Maximum seconds that a new leader waits for the inventories of all engines before it
 loads models. An engine that has not reported by then may never report."""
 MAX_ORDER_AGE_S: Final = 60.0
-"""Age above which the last order to an engine is not passed on with the lease; it is
-far above the time between orders of two entries."""
+"""Maximum age of a last order that is passed on with the lease; it is far above the
+time between orders of two entries."""
 PUBLISH_INTERVAL_S: Final = 0.5
 """Seconds between two broadcasts of all inventories, for newly started entries."""
 
@@ -138,21 +138,22 @@
         """Return when this entry or a previous leader may have sent the last orders.
 
         An entry that releases the lease while it still waits for orders of a previous
-        leader passes this wait on to its successor.
+        leader passes this wait on to its successor. The result names each engine that
+        this entry knows, so that the successor can tell which ones it does not know.
         """
         now = self._clock()
         leading_since = self._leading_since if self._active else now
         with self._lock:
             self._save_order_times()
             own, records = dict(self._own_orders), dict(self._records)
-        times = {
+        return {
             name: max(
+                now - MAX_ORDER_AGE_S,
                 own.get(name, -math.inf),
                 self.election.last_order_by_predecessor(name, leading_since),
             )
             for name in records
         }
-        return {name: at for name, at in times.items() if now - at < MAX_ORDER_AGE_S}
 
     def _save_order_times(self) -> None:
         """Save the times of orders; controllers are replaced in each term."""
--- a/src/persimmonhitch/direct/order_history.py
+++ b/src/persimmonhitch/direct/order_history.py
@@ -14,6 +14,13 @@
 from .engine_client import ORDER_TIMEOUT_S
 
 
+@dataclass(frozen=True)
+class _Release:
+    received_at: float
+    upstreams: frozenset[Upstream]
+    """Engines that the releasing entry knows."""
+
+
 @dataclass(frozen=True)
 class _LastOrder:
     vm: Vm
@@ -32,11 +39,11 @@
         self._clock = clock
         self._started_at = clock()
         self._last_orders: dict[Upstream, _LastOrder] = {}
-        self._released: set[Vm] = set()
+        self._releases: dict[Vm, _Release] = {}
 
     def record_orders(self, vm: Vm, upstream: Upstream, order_count: int) -> None:
         """Record the order count of an engine, as the leader on ``vm`` reports it."""
-        self._released.discard(vm)
+        self._releases.pop(vm, None)
         last = self._last_orders.get(upstream)
         if last is None or last.order_count != order_count or last.vm != vm:
             self._last_orders[upstream] = _LastOrder(vm, order_count, self._clock())
@@ -44,7 +51,7 @@
     def record_release(self, vm: Vm, ages: Mapping[Upstream, float]) -> None:
         """Record that ``vm`` has released the lease, with ages of its last orders."""
         now = self._clock()
-        self._released.add(vm)
+        self._releases[vm] = _Release(now, frozenset(ages))
         for upstream, age in ages.items():
             last = self._last_orders.get(upstream)
             if last is None or last.sent_at < now - age:
@@ -72,14 +79,14 @@
         """
         if predecessor is None:
             return leading_since
-        if (
-            predecessor.vm != self._vm
-            and not ended
-            and predecessor.vm not in self._released
-        ):
+        release = self._releases.get(predecessor.vm)
+        if predecessor.vm != self._vm and not ended and release is None:
             return leading_since + ORDER_TIMEOUT_S + self._guard_s
         last = self._last_orders.get(upstream)
         allowed_at = leading_since if last is None else last.sent_at + self._guard_s
+        if release is not None and upstream not in release.upstreams:
+            # A leader before the releasing entry may have sent orders to this engine.
+            allowed_at = max(allowed_at, release.received_at + self._guard_s)
         return max(allowed_at, self._complete_since(predecessor))
 
     def _complete_since(self, predecessor: Predecessor) -> float:
--- a/tests/test_direct_lease.py
+++ b/tests/test_direct_lease.py
@@ -6,7 +6,7 @@
 from direct_help import no_limits
 
 from persimmonhitch.direct.engine_client import ORDER_TIMEOUT_S
-from persimmonhitch.direct.leader import Leader
+from persimmonhitch.direct.leader import MAX_ORDER_AGE_S, Leader
 from persimmonhitch.direct.leader_election import LeaderElection
 from persimmonhitch.direct.order_history import OrderHistory
 from persimmonhitch.fleet.upstream import UpstreamRecord
@@ -18,7 +18,8 @@
 )
 from persimmonhitch.standin.store_state import Faults, StoreState
 
-A, B, E1, E2 = Vm("a"), Vm("b"), Upstream("e1"), Upstream("e2")
+A, B = Vm("a"), Vm("b")
+E1, E2, E3 = Upstream("e1"), Upstream("e2"), Upstream("e3")
 GUARD_S = 3.0
 
 
@@ -163,6 +164,7 @@
         (OLD_PROCESS_S, predecessor(A), True, False, E2, 0.0),
         (OLD_PROCESS_S, predecessor(A), False, True, E1, GUARD_S - 0.5),
         (OLD_PROCESS_S, predecessor(A), False, True, E2, 0.0),
+        (OLD_PROCESS_S, predecessor(A), False, True, E3, GUARD_S),
         (OLD_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, UNRELEASED_WAIT_S),
         (NEW_PROCESS_S, UNKNOWN_PREDECESSOR, False, False, E2, UNRELEASED_WAIT_S),
         (NEW_PROCESS_S, None, False, False, E2, 0.0),
@@ -175,8 +177,8 @@
 def test_orders_allowed_at(process_age_s, previous, ended, released, upstream, wait_s):
     """Guards against orders of two leaders in quick succession, which may conflict.
 
-    VM a sent an order to engine e1 one second ago; no order to e2 was reported. A new
-    process has received no reports of orders from before its start.
+    VM a sent an order to engine e1 one second ago and none to e2, and does not know e3.
+    A new process has received no reports of orders from before its start.
     """
     clock = Clock()
     history = OrderHistory(B, GUARD_S, clock)
@@ -185,7 +187,7 @@
     clock.now += 1.0
     history.record_orders(A, E1, 4)
     if released:
-        history.record_release(A, {E1: 0.5})
+        history.record_release(A, {E1: 0.5, E2: MAX_ORDER_AGE_S})
     allowed_at = history.orders_allowed_at(upstream, clock.now, previous, ended)
     assert max(0.0, allowed_at - clock.now) == pytest.approx(wait_s)
 
@@ -243,3 +245,21 @@
     assert leader._controllers == {}
     election.stop()
     assert sent[0].order_ages_s == {E1: pytest.approx(1.0)}
+
+
+def test_release_names_all_engines_that_its_sender_knows():
+    """Guards against orders right after those of a leader before the releasing one."""
+    clock, sent = Clock(), []
+    _clock, _store, first, _second = keepers()
+    first.step()
+    election = LeaderElection(A, first, StubPeers(sent), dict, GUARD_S, clock)
+    leader = Leader(
+        A, lambda _last: election, print, lambda _s: 1.0, no_limits(), clock
+    )
+    election._last_order_times = leader._last_order_times
+    leader.update_upstreams([upstream_record(E1), upstream_record(E2)])
+    leader.run_round()
+    clock.now += 2 * MAX_ORDER_AGE_S
+    leader._controllers = {E1: SimpleNamespace(last_order_at=clock.now)}
+    election.stop()
+    assert sent[0].order_ages_s == {E1: 0.0, E2: pytest.approx(MAX_ORDER_AGE_S)}
