Limits: refuse a request at once if its turn would come at its deadline

Cause: a request waits for its turn at a limited upstream if that comes before its deadline, however short before. A request whose time ran out while it connected was sent as well.

Change: a request stops waiting 0.1 s before its deadline, so that one whose turn comes later is refused at once; none is sent with less than 20 ms left, and it counts as not run.

Tests: eight cases of a turn 5 to 80 ms before the deadline, all fail before (504, or a refusal after the whole wait); three cases tell connecting, the upstream and the reading of its answer apart.

--- a/src/persimmonhitch/decide/wait_limits.py
+++ b/src/persimmonhitch/decide/wait_limits.py
@@ -22,6 +22,9 @@
 WAIT_SHARE: Final = 0.9
 """Share of the latency target that may elapse before the request is sent; the rest is
 for its answer."""
+ANSWER_S: Final = 0.1
+"""Seconds that remain for the answer when a request stops waiting. If it were sent at
+its deadline, its caller could not learn whether it ran."""
 RETRY_S: Final = 0.5
 """Seconds after which a slot may be free: about the duration of a short answer."""
 LOAD_REPORT_TIMEOUT_S: Final = 0.5
@@ -52,7 +55,7 @@
 def wait_deadline(request: DispatchRequest) -> float:
     """Return the monotonic time until which a request waits for a slot."""
     end = request.arrived + (request.latency_target_at - request.arrived) * WAIT_SHARE
-    return min(request.deadline_at, max(end, request.arrived + MIN_WAIT_S))
+    return min(request.deadline_at - ANSWER_S, max(end, request.arrived + MIN_WAIT_S))
 
 
 def load_wait_deadline(request: DispatchRequest) -> float:
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -18,7 +18,15 @@
 from .abort import AbortReason
 from .admit import Admitted
 from .dispatcher import Dispatcher
-from .exchange import EXCHANGE_ERRORS, RETRY_AFTER, Exchange, OutgoingRequest, Reply
+from .exchange import (
+    EXCHANGE_ERRORS,
+    MIN_ATTEMPT_S,
+    RETRY_AFTER,
+    Exchange,
+    OutgoingRequest,
+    Reply,
+    time_over,
+)
 from .in_flight import InFlightRequest
 from .poison import PoisonGuard
 from .upstream_limits import UpstreamLimits
@@ -136,10 +144,9 @@
         request.permit = acquired.unwrap()
         record = request.permit.record
         time_left = admitted.deadline_at - self._clock()
-        if request.abort.reason is not None or time_left <= 0:
+        if request.abort.reason is not None or time_left < MIN_ATTEMPT_S:
             request.release()
-            reason = "its time was over before it was sent"
-            return Err(Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_AFTER))
+            return Err(time_over())
         outgoing = self._build_outgoing(admitted, record.name, time_left, last_event_id)
         request.sent_at, request.head_at = self._clock(), None
         sent = self._exchange.send(
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from http.client import HTTPException
@@ -17,12 +18,14 @@
 from ..fleet.call import ReplyHeaders
 from ..ids import RequestId
 from ..verdict import ErrorCode, Failure, Verdict
-from .abort import Abort
+from .abort import Abort, AbortReason
 from .connection_pool import Address, ConnectionPool
 
 READ_SIZE_BYTES: Final = 65536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of an answer; answers of plain services are smaller."""
+MIN_ATTEMPT_S: Final = 0.02
+"""Least time left to the deadline for which a request is sent."""
 RETRY_AFTER: Final = 0.3
 """Retry time for callers in seconds; short answers end within this time."""
 MAX_IDLE_UNREPEATABLE_S: Final = 1.0
@@ -94,6 +97,12 @@
             self._conn.close()
 
 
+def time_over() -> Failure:
+    """Return the failure of a request whose time was over before it was sent."""
+    reason = "its time was over before it was sent"
+    return Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_AFTER)
+
+
 def _shut_down(conn: HTTPConnection) -> None:
     sock = conn.sock
     if sock is not None:
@@ -129,6 +138,11 @@
             failure = Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=RETRY_AFTER)
             return Err(failure)
         abort.set_action(lambda: _shut_down(conn))
+        if abort.deadline_at - time.monotonic() < MIN_ATTEMPT_S:
+            abort.trigger(AbortReason.TIMEOUT)
+        if abort.reason is not None:
+            conn.close()
+            return Err(time_over())
         try:
             return self._exchange(address, conn, req, timeout_s)
         except EXCHANGE_ERRORS as exc:
--- a/tests/test_limit_gateway.py
+++ b/tests/test_limit_gateway.py
@@ -1,5 +1,7 @@
 """An overloaded upstream that reports a request limit, behind one entry."""
 
+import socket
+import threading
 import time
 
 import pytest
@@ -10,7 +12,9 @@
     SIGNATURE,
     FakeUpstream,
     GatewayServer,
+    answer,
     event,
+    resets,
 )
 
 LIMIT_PER_S = 2.0
@@ -23,12 +27,13 @@
     """Reports a limit in its answers and records when requests arrive."""
 
     def __init__(self, name, service=LEDGER, limit=str(LIMIT_PER_S)):
-        self.limit = limit
+        self.limit, self.answer_s = limit, 0.0
         self.received_at = []
         super().__init__(name, self._answer, service)
 
     def _answer(self, req, sock):
         self.received_at.append(time.monotonic())
+        threading.Event().wait(self.answer_s)
         header = f"Server-Limit: {self.limit}\r\n" if self.limit is not None else ""
         if "x-persimmonhitch-model" in req.headers:
             sock.sendall(
@@ -46,6 +51,17 @@
         )
 
 
+def stalls(first=b""):
+    """Return a script that sends some bytes and then none for a second."""
+
+    def script(_req, sock):
+        sock.sendall(first)
+        threading.Event().wait(1.0)
+        return False
+
+    return script
+
+
 @pytest.mark.parametrize(("path", "service"), [("/read/x", LEDGER), ("/chat/x", LLM)])
 def test_a_limited_upstream_receives_no_more_than_its_limit(path, service):
     """Guards against an upstream that is overloaded although it reports a limit."""
@@ -65,6 +81,60 @@
     assert all(float(reply.headers["retry-after"]) > 0 for reply in refused)
 
 
+@pytest.mark.parametrize("left_s", [0.005, 0.02, 0.05, 0.08])
+@pytest.mark.parametrize(("path", "service"), [("/read/x", LEDGER), ("/chat/x", LLM)])
+def test_request_whose_turn_comes_at_its_deadline_is_refused(path, service, left_s):
+    """Guards against requests sent so late that their callers get no answer."""
+    up = LimitedUpstream("u1", service)
+    with GatewayServer(up) as served:
+        while served.call(path, X_Persimmonhitch_Request_Deadline="200").status == 200:
+            pass
+        up.answer_s = 0.1
+        wait = served.limits.wait_s([up.record.name])
+        arrived, started_at = len(up.received_at), time.monotonic()
+        timeout_ms = str(int((wait + left_s) * 1000))
+        reply = served.call(path, X_Persimmonhitch_Request_Deadline=timeout_ms)
+        seconds = time.monotonic() - started_at
+    assert reply.status == 503
+    assert b"not_run" in reply.body
+    assert len(up.received_at) == arrived
+    assert seconds < wait
+
+
+class FullUpstream(FakeUpstream):
+    """Takes no connection: the queue of its listener is full."""
+
+    def __init__(self):
+        super().__init__("u1", resets())
+        self.stop_listening()
+        address = self.record.host, self.record.port
+        self._listener = socket.create_server(address, backlog=0)
+        self._queued = [socket.socket() for _ in range(3)]
+        for conn in self._queued:
+            conn.setblocking(False)
+            conn.connect_ex(address)
+
+
+@pytest.mark.parametrize(
+    ("make_upstream", "status", "verdict", "runs"),
+    [
+        (FullUpstream, 503, b"not_run", 0),
+        (lambda: FakeUpstream("u1", stalls()), 504, b"may_have_run", 1),
+        (lambda: FakeUpstream("u1", stalls(answer()[:-1])), 504, b"may_have_run", 1),
+    ],
+    ids=["connect", "answer", "body"],
+)
+def test_deadline_names_whether_a_request_was_sent(
+    make_upstream, status, verdict, runs
+):
+    """Guards against a wrong verdict when the time runs out during one step."""
+    up = make_upstream()
+    with GatewayServer(up) as served:
+        reply = served.call("/read/x", X_Persimmonhitch_Request_Deadline="300")
+    assert (reply.status, len(up.received)) == (status, runs)
+    assert verdict in reply.body
+
+
 def test_requests_above_the_limit_go_to_another_upstream():
     """Guards against refusals while another upstream has capacity."""
     ups = LimitedUpstream("u1"), LimitedUpstream("u2", limit=None)
