Watch relay: a failure at the pusher alone does not hold removals at followers

Cause: a follower whose pusher reported failed calls took its own next list for the end of an outage, and held upstreams missing there for two seconds. If the store rejects the pusher alone, the follower leaves it 1.0 to 1.2 s after its last contact, so that requests reach an upstream up to 3.2 s after it left (3.0 s allowed where entries follow).

Change: own failures and those of the pusher are told apart. A list of its own that succeeds without a failed one before shows that the store answered all the time; a pusher that is followed through its failures still counts.

Tests: the first of the two new ones fails without.

--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -105,6 +105,7 @@
         self.failed_at = -math.inf
         """Time of the last failed call of this process or of the pushing process."""
         self._is_failing = False
+        self._is_pusher_failing = False
         self._available_since = -math.inf
         self._push_received_at = -math.inf
         self._pusher_contact_at = -math.inf
@@ -175,8 +176,8 @@
 
     def _record_contact(self, at: float) -> None:
         if self._is_failing:
-            self._is_failing = False
             self._available_since = at
+        self._is_failing = self._is_pusher_failing = False
 
     def request_listing(self) -> None:
         """List all objects again, after a restore of the store from an older copy."""
@@ -225,13 +226,17 @@
             self._apply_changes(since, changes, contact_at)
 
     def _record_pusher_state(self, contact_at: float, failed_at: float) -> None:
-        """Apply when the store last answered and last failed the pushing process."""
+        """Apply when the store last answered and last failed the pushing process.
+
+        A store that fails that process and answers this one was available all the time.
+        """
+        self.failed_at = max(self.failed_at, failed_at)
         if failed_at > contact_at:
-            self._record_failure(failed_at)
+            self._is_pusher_failing = True
             return
+        self._is_failing |= self._is_pusher_failing
         self._record_contact(contact_at)
         # Each push gives the same failure a slightly different time.
-        self.failed_at = max(self.failed_at, failed_at)
         self._available_since = max(self._available_since, failed_at)
 
     def _apply_listing(self, listing: Listing) -> None:
--- a/tests/test_upstream_removal.py
+++ b/tests/test_upstream_removal.py
@@ -146,6 +146,25 @@
     assert entry.names() == {"u2"}
 
 
+def test_removal_is_not_held_if_the_store_rejects_the_pusher_alone(entry):
+    """Guards against requests to upstreams that left while a pusher was rejected."""
+    entry.clock.now += 10.0
+    entry.push(0.9, 0.1)
+    entry.restore("u2")
+    assert entry.names() == {"u2"}
+
+
+def test_follower_holds_removals_after_an_outage_of_its_pusher(entry):
+    """Guards against refusals at followers while live upstreams re-register."""
+    entry.clock.now += 10.0
+    entry.push(0.9, 0.1)
+    entry.clock.now += 0.2
+    entry.push(0.0, 0.3, Event(EventType.DELETED, stored("u1", entry.version + 1)))
+    assert entry.names() == {"u1", "u2"}
+    entry.clock.now += REREGISTRATION_TIME_S + 0.01
+    assert entry.names() == {"u2"}
+
+
 class UnavailableStore:
     """A store that fails the first calls of a watcher and then stops it."""
 
