--- a/tests/test_upstream_removal.py
+++ b/tests/test_upstream_removal.py
@@ -20,10 +20,10 @@
     StoreFailure,
     Version,
 )
+from persimmonhitch.store.pushes import FAILURE_REPORT_S
 from persimmonhitch.store.watcher import Watcher
 
 SPEC = {"service": "s", "address": "h:1", "zone": "z1", "slots": 1, "state": "ready"}
-FAILURE_REPORT_S = 5.0
 IN_TOUCH_S = 3.0
 """Seconds after an outage from which removals have to be in force."""
 CALL_S = 0.4
