Failing tests of answers that end with their connection

An upstream answers without length or chunks and closes its connection within an event, between two events, or at the end; the caller gets a framing of ours that says the answer is complete. Beside it: to an HTTP/1.0 caller a stream that is broken off ends like a complete one.

--- /dev/null
+++ b/tests/test_answer_framing.py
@@ -0,0 +1,169 @@
+"""Answers of upstreams without a length or chunks, which end with their connection."""
+
+import socket
+from dataclasses import dataclass
+
+import pytest
+from direct_help import (
+    LAST_CHUNK,
+    LEDGER,
+    LLM,
+    MODEL,
+    SIGNATURE,
+    STREAM_HEAD,
+    FakeUpstream,
+    GatewayServer,
+    answer,
+    event,
+    resets,
+    sends,
+)
+
+UNFRAMED_HEAD = f"HTTP/1.1 200 OK\r\n{SIGNATURE}\r\n".encode()
+UNFRAMED_STREAM = (
+    f"HTTP/1.1 200 OK\r\n{SIGNATURE}Content-Type: text/event-stream\r\n\r\n"
+).encode()
+
+
+def events(*numbers):
+    return b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in numbers)
+
+
+@dataclass
+class Received:
+    """The bytes of an answer up to the end or the reset of its connection."""
+
+    head: bytes
+    body: bytes
+    was_reset: bool
+
+    @property
+    def is_framed(self):
+        head = self.head.lower()
+        return b"content-length:" in head or b"transfer-encoding:" in head
+
+    @property
+    def looks_complete(self):
+        """Whether a caller that follows the framing takes the answer for complete."""
+        if b"transfer-encoding: chunked" in self.head.lower():
+            return self.body.endswith(LAST_CHUNK)
+        return not self.was_reset
+
+
+def receive(gateway, path, version="1.1"):
+    """Send a request on a connection of its own; return the answer."""
+    lines = (
+        f"POST {path} HTTP/{version}",
+        "Host: a.example",
+        "X-Persimmonhitch-Request-Id: q1",
+        "X-Persimmonhitch-Request-Deadline: 4000",
+        f"X-Persimmonhitch-Model: {MODEL}" if path[1] in "cr" else "X-Other: 1",
+        "Authorization: Bearer k1",
+        "Connection: close",
+        "Content-Length: 5",
+    )
+    with socket.create_connection(("127.0.0.1", gateway.server.port), 10) as sock:
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\nhello")
+        data, was_reset = b"", False
+        try:
+            while part := sock.recv(65536):
+                data += part
+        except ConnectionResetError:
+            was_reset = True
+    head, _, body = data.partition(b"\r\n\r\n")
+    return Received(head, body, was_reset)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize(
+    "tail", [b"id: 3", b"id: 3\ndata: t3\n"], ids=["within-line", "after-line"]
+)
+def test_stream_closed_within_an_event_does_not_look_complete(tail, version):
+    """Guards against a truncated stream, closed by its engine, that looks complete."""
+    parts = UNFRAMED_STREAM + events(1, 2) + tail
+    upstream = FakeUpstream("u1", sends(parts, keep_alive=False), LLM)
+    with GatewayServer(upstream) as gateway:
+        reply = receive(gateway, "/chat/x", version)
+    assert not reply.looks_complete
+    assert tail not in reply.body
+
+
+def test_stream_closed_within_an_event_is_resumed():
+    """Guards against the loss of a stream that another engine can continue."""
+
+    def engine(req, sock):
+        if "last-event-id" in req.headers:
+            assert req.headers["last-event-id"] == "2"
+            return sends(STREAM_HEAD, event(3), LAST_CHUNK)(req, sock)
+        parts = UNFRAMED_STREAM + events(1, 2) + b"id: 3\nda"
+        return sends(parts, keep_alive=False)(req, sock)
+
+    upstreams = [FakeUpstream(name, engine, LLM) for name in ("u1", "u2")]
+    with GatewayServer(*upstreams) as gateway:
+        reply = receive(gateway, "/resume/x")
+    assert reply.body == events(1, 2, 3)
+    assert not reply.was_reset
+
+
+@pytest.mark.parametrize(
+    ("path", "service", "parts"),
+    [
+        ("/chat/x", LLM, UNFRAMED_STREAM + events(1, 2)),
+        ("/resume/x", LLM, UNFRAMED_STREAM + events(1, 2)),
+        ("/book/x", LEDGER, UNFRAMED_HEAD + b"booked"),
+        ("/read/x", LEDGER, UNFRAMED_HEAD + b"booked"),
+        ("/read/x", LEDGER, UNFRAMED_HEAD),
+    ],
+    ids=["stream", "resumable-stream", "non-idempotent", "idempotent", "empty"],
+)
+def test_answer_that_may_be_truncated_gets_no_framing(path, service, parts):
+    """Guards against a claim of completeness that the upstream did not make."""
+    upstream = FakeUpstream("u1", sends(parts, keep_alive=False), service)
+    with GatewayServer(upstream) as gateway:
+        reply = receive(gateway, path)
+    assert not reply.is_framed
+    assert b"connection: close" in reply.head.lower()
+    assert reply.body == parts.partition(b"\r\n\r\n")[2]
+    assert not reply.was_reset
+
+
+def test_end_of_a_resumed_stream_without_framing_is_not_confirmed():
+    """Guards against a last chunk for a stream whose second part may be truncated."""
+
+    def engine(req, sock):
+        if "last-event-id" in req.headers:
+            return sends(UNFRAMED_STREAM + events(3), keep_alive=False)(req, sock)
+        return resets(STREAM_HEAD + event(1) + event(2) + event(3)[:9])(req, sock)
+
+    upstreams = [FakeUpstream(name, engine, LLM) for name in ("u1", "u2")]
+    with GatewayServer(*upstreams) as gateway:
+        reply = receive(gateway, "/resume/x")
+    assert b"data: t3" in reply.body
+    assert not reply.looks_complete
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize(
+    "head", [STREAM_HEAD, UNFRAMED_STREAM], ids=["chunked", "unframed"]
+)
+def test_reset_stream_does_not_look_complete(head, version):
+    """Guards against a plain close, the end of a complete answer without framing."""
+    first = event(1) if head == STREAM_HEAD else events(1)
+    upstream = FakeUpstream("u1", resets(head + first), LLM)
+    with GatewayServer(upstream) as gateway:
+        reply = receive(gateway, "/chat/x", version)
+    assert not reply.looks_complete
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [answer(200, b"whole"), answer(204, b""), answer(200, b"")],
+    ids=["whole", "no-content", "empty"],
+)
+def test_framed_answer_keeps_its_length(parts):
+    upstream = FakeUpstream("u1", sends(parts))
+    with GatewayServer(upstream) as gateway:
+        reply = receive(gateway, "/book/x")
+    assert reply.looks_complete
+    assert reply.body == parts.partition(b"\r\n\r\n")[2]
+    assert b"transfer-encoding" not in reply.head.lower()
