Reset the connection of a broken answer that has no framing

What callers saw: to an HTTP/1.0 caller, whose answers have no chunks, a stream that the entry breaks off ended with a plain close, as a complete one does. Cause: the web server closes the connection after an error, and only a missing last chunk showed the error. Evidence: test_reset_stream_does_not_look_complete, HTTP/1.0, chunked and unframed, failed before and passes. Now a connection whose end alone marks the end of its answer is reset if the answer breaks off.

--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -1,9 +1,11 @@
 """The HTTP server: waitress with a connection limit and a graceful stop."""
 
+import contextlib
 import itertools
 import logging
 import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -32,6 +34,8 @@
 """Requests read ahead per connection; with 0 a client's disconnect is not detected."""
 MAX_IDLE_CONNS: Final = 2000
 """Connections without a request; half of the file descriptors of a small VM."""
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
 POLL_INTERVAL_S: Final = 0.02
 """Seconds between two checks whether all connections are closed."""
 
@@ -82,6 +86,19 @@
             self.request.headers["CONNECTION"] = "close"
         return super().build_response_header()
 
+    def execute(self) -> None:
+        try:
+            super().execute()
+        except Exception:
+            if self._ends_with_connection():
+                self.channel.reset_on_close()
+            raise
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection marks the end of the answer."""
+        is_framed = self.chunked_response or self.content_length is not None
+        return self.wrote_header and self.has_body and not is_framed
+
 
 class _ErrorTask(ErrorTask):  # type: ignore[misc]
     """Answers, in the application's format, requests that the server itself refuses."""
@@ -115,6 +132,11 @@
             self.close_when_flushed = True
             self.server.pull_trigger()
 
+    def reset_on_close(self) -> None:
+        """Reset the connection when it closes, so that its answer looks truncated."""
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def has_input(self) -> bool:
         """Return whether a request, or a part of one, has arrived without an answer."""
         if self.requests or self.request is not None:
