Forward answers without framing as such, and notice streams cut in an event

Cause: an answer with neither length nor chunks ends with its connection, and a crash ends it in the same way. The entry took any end for the complete answer, sent the fragment of an event, and gave the answer a last chunk or a length of its own, which states more than the upstream did.

Now such an answer is forwarded without framing and ends with the connection. A stream that ends within an event has been truncated: it is resumed where the route allows it, else the connection is reset. An event stream of a plain service likewise. If a resumed stream ends without framing, the caller's last chunk is left out, since nothing shows that the stream is complete.

--- a/src/persimmonhitch/direct/events.py
+++ b/src/persimmonhitch/direct/events.py
@@ -19,6 +19,11 @@
     id: str | None
 
 
+def tail_of(data: bytes) -> bytes:
+    """Return the bytes after the last complete event."""
+    return EVENT_END.split(data)[-1]
+
+
 class EventSplitter:
     """Buffers chunks of a stream and yields complete events.
 
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -25,6 +25,7 @@
 READ_SIZE_BYTES: Final = 65536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of an answer; answers of plain services are smaller."""
+EVENT_STREAM: Final = "text/event-stream"
 MIN_ATTEMPT_S: Final = 0.02
 """Least time left to the deadline for which a request is sent."""
 RETRY_AFTER: Final = 0.3
@@ -99,6 +100,20 @@
         else:
             self._release_conn()
 
+    @property
+    def media_type(self) -> str | None:
+        """Return the media type in lower case, without its parameters."""
+        text = self.headers.get("content-type")
+        return None if text is None else text.partition(";")[0].strip().lower()
+
+    def check_events(self, tail: bytes) -> None:
+        """Raise ``TruncatedAnswer`` if an unframed stream ends within an event.
+
+        ``tail`` contains the bytes after the last complete event.
+        """
+        if self.framing is Framing.CLOSE and tail.strip(b"\r\n"):
+            raise TruncatedAnswer("the stream ends within an event")
+
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
         if not self._complete:
@@ -106,6 +121,10 @@
             self._conn.close()
 
 
+class TruncatedAnswer(OSError):
+    """Raised if the content of an answer shows that it is incomplete."""
+
+
 def _framing(headers: dict[str, str], length: int | None) -> Framing:
     if "chunked" in headers.get("transfer-encoding", "").lower():
         return Framing.CHUNKED
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -14,13 +14,13 @@
 from ..observe.metrics import Metrics
 from ..platform import headers as wire
 from ..verdict import ErrorCode, Failure, Verdict
-from ..web import Answer, Request, json_answer
+from ..web import Answer, Request, UnframedBody, json_answer
 from .abort import Abort, Watchdog
 from .admit import ActiveConfig, Admitted, admit
 from .attempts import SERVER_ERROR_STATUS, AttemptRunner
 from .dispatcher import Dispatcher
-from .events import EventSplitter
-from .exchange import EXCHANGE_ERRORS, Exchange, Reply
+from .events import EventSplitter, tail_of
+from .exchange import EVENT_STREAM, EXCHANGE_ERRORS, Exchange, Framing, Reply
 from .in_flight import InFlightRequest, RequestTracker
 from .poison import PoisonGuard
 from .quota import Quota
@@ -129,13 +129,18 @@
         if request.admitted.route.kind is RouteKind.STREAM and reply.status < 300:
             headers = wire.response_headers(reply.headers)
             request.reply = reply
-            return Answer(reply.status, headers, _StreamBody(self, request))
+            stream = _StreamBody(self, request)
+            is_framed = reply.framing is not Framing.CLOSE
+            body = stream if is_framed else UnframedBody(stream)
+            return Answer(reply.status, headers, body)
         return self._buffered_answer(request, reply)
 
     def _buffered_answer(self, request: InFlightRequest, reply: Reply) -> Answer:
         while True:
             try:
                 body = reply.read_all()
+                if reply.media_type == EVENT_STREAM:
+                    reply.check_events(tail_of(body))
                 break
             except EXCHANGE_ERRORS as exc:
                 reply.close()
@@ -145,9 +150,11 @@
                     return self._fail(request, retried.failure())
                 reply = retried.unwrap()
         headers = wire.response_headers(reply.headers)
-        headers["content-length"] = str(len(body))
         self._poison.completed(request.fingerprint)
         self._tracker.settle(request, None, reply.status)
+        if reply.framing is Framing.CLOSE:
+            return Answer(reply.status, headers, UnframedBody([body]))
+        headers["content-length"] = str(len(body))
         return Answer(reply.status, headers, [body])
 
     def _fail(self, request: InFlightRequest, failure: Failure) -> Answer:
@@ -157,9 +164,10 @@
     def stream_events(self, request: InFlightRequest) -> Iterator[bytes]:
         """Yield the events of a stream; resume a lost stream if its route allows it."""
         last_event_id: str | None = None
+        assert request.reply is not None
+        is_framed = request.reply.framing is not Framing.CLOSE
         while True:
             reply = request.reply
-            assert reply is not None
             try:
                 splitter = EventSplitter()
                 for chunk in reply.chunks():
@@ -169,9 +177,13 @@
                         self._tracker.record_event(request)
                         last_event_id = event.id or last_event_id
                         yield event.data
+                if reply.media_type in (None, EVENT_STREAM):
+                    reply.check_events(splitter.tail)
                 if splitter.tail:
                     yield splitter.tail
                 self._poison.completed(request.fingerprint)
+                if is_framed and reply.framing is Framing.CLOSE:
+                    self._end_unconfirmed(request)
                 self._tracker.settle(request, None, reply.status)
                 return
             except EXCHANGE_ERRORS as exc:
@@ -179,6 +191,16 @@
                 failure = self._runner.record_lost_answer(request, exc)
                 request.reply = self._resume_stream(request, failure, last_event_id)
 
+    def _end_unconfirmed(self, request: InFlightRequest) -> None:
+        """Break off a framed stream whose last part has no framing.
+
+        The last chunk of the answer would state that the stream is complete.
+        """
+        reason = "the end of the resumed stream cannot be confirmed"
+        failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
+        self._tracker.settle(request, failure, SERVER_ERROR_STATUS)
+        raise StreamInterrupted(reason)
+
     def _resume_stream(
         self, request: InFlightRequest, failure: Failure, last_event_id: str | None
     ) -> Reply:
--- a/src/persimmonhitch/web/http.py
+++ b/src/persimmonhitch/web/http.py
@@ -1,7 +1,7 @@
 """Typed HTTP requests and responses on top of WSGI."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, Final
@@ -39,6 +39,25 @@
     """Path and query exactly as received, to be forwarded unchanged."""
 
 
+class UnframedBody:
+    """A body that ends with its connection, without a length or chunks.
+
+    The end promises nothing about whether the body is complete.
+    """
+
+    def __init__(self, parts: Body) -> None:
+        self._parts = parts
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        """Close the parts, as the server does at the end of each answer."""
+        close = getattr(self._parts, "close", None)
+        if close is not None:
+            close()
+
+
 @dataclass(frozen=True)
 class Answer:
     """Status, headers and body of an HTTP response."""
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -17,7 +17,15 @@
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
-from .http import MAX_BODY_BYTES, Answer, Body, Environ, StartResponse, json_answer
+from .http import (
+    MAX_BODY_BYTES,
+    Answer,
+    Body,
+    Environ,
+    StartResponse,
+    UnframedBody,
+    json_answer,
+)
 
 # The application logs failed responses by request; waitress would log them again.
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
@@ -36,6 +44,10 @@
 """Connections without a request; half of the file descriptors of a small VM."""
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
+NO_FRAMING: Final = "persimmonhitch.no_framing"
+"""Key in the environment of a request whose answer ends with its connection."""
+CHUNKED_LINE: Final = b"Transfer-Encoding: chunked\r\n"
+"""Header line that waitress adds to each HTTP/1.1 answer without a length."""
 POLL_INTERVAL_S: Final = 0.02
 """Seconds between two checks whether all connections are closed."""
 
@@ -60,6 +72,17 @@
         return True
 
 
+def _marking_unframed(app: App) -> App:
+    """Return an application that marks the environments of unframed answers."""
+
+    def marking_app(environ: Environ, start_response: StartResponse) -> Body:
+        body = app(environ, start_response)
+        environ[NO_FRAMING] = isinstance(body, UnframedBody)
+        return body
+
+    return marking_app
+
+
 def _plain_refusal(status: int) -> Answer:
     return json_answer(status, {"message": HTTPStatus(status).phrase})
 
@@ -72,6 +95,8 @@
     response; it sends ``close`` if the request contains ``Connection: close``.
     """
 
+    chunked_response: bool = False
+
     def set_close_on_finish(self) -> None:
         # A chunked response is self-delimiting, so its connection can be reused.
         # waitress closes it, and each client would reconnect after every stream.
@@ -81,10 +106,15 @@
             return
         super().set_close_on_finish()
 
-    def build_response_header(self) -> Any:
-        if self.channel.server.keep_alive_disabled:
+    def build_response_header(self) -> bytes:
+        no_framing = self.get_environment().get(NO_FRAMING, False)
+        if self.channel.server.keep_alive_disabled or no_framing:
             self.request.headers["CONNECTION"] = "close"
-        return super().build_response_header()
+        head: bytes = super().build_response_header()
+        if no_framing and self.chunked_response:
+            self.chunked_response = False
+            head = head.replace(CHUNKED_LINE, b"", 1)
+        return head
 
     def execute(self) -> None:
         try:
@@ -198,7 +228,7 @@
         # must not use up the limit for new connections.
         conns = MAX_IDLE_CONNS + threads if keep_streams else threads
         self._server: Any = waitress.create_server(
-            app,
+            _marking_unframed(app),
             host=host,
             port=port,
             _dispatcher=_OnDemandDispatcher(threads),
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -57,7 +57,9 @@
         "Host: a.example",
         "X-Persimmonhitch-Request-Id: q1",
         "X-Persimmonhitch-Request-Deadline: 4000",
-        f"X-Persimmonhitch-Model: {MODEL}" if path[1] in "cr" else "X-Other: 1",
+        f"X-Persimmonhitch-Model: {MODEL}"
+        if path.startswith(("/chat", "/resume"))
+        else "X-Other: 1",
         "Authorization: Bearer k1",
         "Connection: close",
         "Content-Length: 5",
@@ -127,6 +129,15 @@
     assert not reply.was_reset
 
 
+def test_event_stream_of_a_plain_service_is_retried_if_truncated():
+    """Guards against a truncated event stream on a route without streaming."""
+    bad = FakeUpstream("u1", sends(UNFRAMED_STREAM + b"id: 1\nda", keep_alive=False))
+    good = FakeUpstream("u2", sends(answer()))
+    with GatewayServer(bad, good) as gateway:
+        bodies = {receive(gateway, "/read/x").body for _ in range(4)}
+    assert bodies == {b"done"}
+
+
 def test_end_of_a_resumed_stream_without_framing_is_not_confirmed():
     """Guards against a last chunk for a stream whose second part may be truncated."""
 
