--- a/src/persimmonhitch/entry/answers.py
+++ b/src/persimmonhitch/entry/answers.py
@@ -6,14 +6,15 @@
 
 from ..ids import RequestId, new_request_id
 from ..verdict import HTTP_STATUS, ErrorCode, Failure
-from ..web import Answer, json_answer
+from ..web import Answer, UnframedBody, json_answer
+from ..wire.messages import CLOSE, CONNECTION
 
 STREAM_HEADERS: Final = {
     "Content-Type": "text/event-stream",
     "Cache-Control": "no-store",
 }
 # Headers that describe the framing of the upstream's own HTTP connection.
-FRAME_HEADERS: Final = frozenset({"content-length", "transfer-encoding", "connection"})
+FRAME_HEADERS: Final = frozenset({"content-length", "transfer-encoding", CONNECTION})
 
 
 def error_body(exc: Failure, request: RequestId) -> dict[str, Any]:
@@ -54,5 +55,8 @@
 ) -> Answer:
     """Return an upstream's buffered answer without its framing headers."""
     forwarded = {k: v for k, v in headers.items() if k not in FRAME_HEADERS}
-    entry_headers = {"Content-Length": str(len(body)), "X-Request-Id": str(request)}
-    return Answer(status, {**forwarded, **entry_headers}, [body])
+    forwarded["X-Request-Id"] = str(request)
+    if headers.get(CONNECTION) == CLOSE:
+        return Answer(status, forwarded, UnframedBody([body]))
+    forwarded["Content-Length"] = str(len(body))
+    return Answer(status, forwarded, [body])
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -13,7 +13,7 @@
 
 from ..ids import Tokens
 from ..verdict import ErrorCode, Failure, Verdict
-from ..wire.messages import Submit, UpstreamKind
+from ..wire.messages import CLOSE, CONNECTION, Submit, UpstreamKind
 from .job import Job
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -169,9 +169,18 @@
 
 def _answer_headers(answer: BaseHTTPResponse) -> dict[str, str]:
     pairs = answer.headers.items()
-    return {
+    headers = {
         name.lower(): text for name, text in pairs if name.lower() in FORWARDED_HEADERS
     }
+    if not _is_framed(answer):
+        headers[CONNECTION] = CLOSE
+    return headers
+
+
+def _is_framed(answer: BaseHTTPResponse) -> bool:
+    """Return whether the upstream marks the end of its answer."""
+    coding = answer.headers.get("Transfer-Encoding", "").lower()
+    return "chunked" in coding or answer.length_remaining is not None
 
 
 def _parts(answer: BaseHTTPResponse) -> Iterator[bytes]:
--- a/src/persimmonhitch/wire/messages.py
+++ b/src/persimmonhitch/wire/messages.py
@@ -138,6 +138,12 @@
     verdict: Verdict
 
 
+CONNECTION: Final = "connection"
+CLOSE: Final = "close"
+"""Value of ``CONNECTION`` in a ``Head`` of an answer that the upstream ends with its
+connection; nothing shows that such an answer is complete."""
+
+
 @message(7)
 @dataclass(frozen=True)
 class Head:
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -1,7 +1,10 @@
 """Answers of upstreams without a length or chunks, which end with their connection."""
 
 import socket
+import threading
+import time
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import pytest
 from direct_help import (
@@ -19,6 +22,12 @@
     sends,
 )
 
+from persimmonhitch.entry.answers import upstream_answer
+from persimmonhitch.ids import RequestId
+from persimmonhitch.sidecar.upstream import Address, UpstreamCall
+from persimmonhitch.web import WebServer
+from persimmonhitch.wire.messages import UpstreamKind
+
 UNFRAMED_HEAD = f"HTTP/1.1 200 OK\r\n{SIGNATURE}\r\n".encode()
 UNFRAMED_STREAM = (
     f"HTTP/1.1 200 OK\r\n{SIGNATURE}Content-Type: text/event-stream\r\n\r\n"
@@ -178,3 +187,60 @@
     assert reply.looks_complete
     assert reply.body == parts.partition(b"\r\n\r\n")[2]
     assert b"transfer-encoding" not in reply.head.lower()
+
+
+class RecordingJob(SimpleNamespace):
+    """A job of a sidecar that keeps the answer of its upstream."""
+
+    def __init__(self):
+        submit = SimpleNamespace(
+            method="GET", path="/x", body=b"", headers={}, request="q1", cost=1.0
+        )
+        super().__init__(
+            submit=submit,
+            deadline_at=time.monotonic() + 5,
+            spans=SimpleNamespace(call=lambda: ""),
+            cancelled=threading.Event(),
+            flowing=threading.Event(),
+            answer=None,
+            body=b"",
+        )
+        self.flowing.set()
+
+    def head(self, status, headers):
+        self.answer = status, headers
+
+    def chunk(self, data):
+        self.body += data
+
+    def end(self, _used):
+        """Nothing follows the body."""
+
+    def fail(self, failure):
+        raise AssertionError(failure)
+
+
+@pytest.mark.parametrize(
+    ("parts", "is_framed"),
+    [(UNFRAMED_HEAD + b"half an ans", False), (answer(200, b"whole"), True)],
+    ids=["unframed", "framed"],
+)
+def test_sidecar_answer_keeps_its_framing(parts, is_framed):
+    """Guards against a length added to an answer that a sidecar received without."""
+    upstream = FakeUpstream("u1", sends(parts, keep_alive=False))
+    job = RecordingJob()
+    call = UpstreamCall(
+        Address("127.0.0.1", upstream.record.port), UpstreamKind.SERVICE
+    )
+    call.run(job, lambda: True, SimpleNamespace())
+    upstream.close()
+    status, headers = job.answer
+    reply = upstream_answer(status, headers, job.body, RequestId("q1"))
+    server = WebServer(lambda _environ, start: reply.send(start), "127.0.0.1", 0, 2)
+    server.start()
+    try:
+        received = receive(SimpleNamespace(server=server), "/x")
+    finally:
+        server.close()
+    assert received.is_framed is is_framed
+    assert received.body == job.body
