--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass
 
+from soak.answers import AnswerFaults
 from soak.callers import Balancer, Caller
 from soak.checks import Evidence, check_all
 from soak.entries import Entry
@@ -124,6 +125,8 @@
             caller.start()
         limits = LimitFaults(self.platform, self.records, self.seed)
         limits.start()
+        answers = AnswerFaults(self.platform, self.seed)
+        answers.start()
         restores = StoreRestorer(self.platform, self.records, self.seed, self.log)
         restores.start()
         evacuator = Evacuator(
@@ -135,6 +138,7 @@
         plan.run(self.size.seconds, self.size.gap)
         plan.end_all()
         limits.stop()
+        answers.stop()
         evacuator.stop()
         evacuator.join()
         restores.stop()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,6 +11,7 @@
 
 from relay import Relay
 
+from soak.answers import FRAMED
 from soak.inventory import Inventory
 from soak.ports import PORTS
 from soak.records import Run
@@ -74,6 +75,8 @@
         """Callback with this upstream when it runs a poison request."""
         self.limit = None
         """Requests a second that its answers announce as its limit, as text."""
+        self.style = FRAMED
+        self._style_rng = random.Random(f"answers {spec.name}")
         self.draining_since = None
         self.draining = False
         self.cold_until = 0.0
@@ -260,9 +263,52 @@
             run.answer_broken = True
             self._reset(sock)
             return False
+        if self._style_rng.random() < self.style.unframed:
+            return self._send_unframed(run, sock)
         return self._send(sock, 200, answer_body(run.request_id), **headers)
 
+    def _unframed_head(self, run):
+        lines = (
+            "HTTP/1.1 200 X",
+            "Content-Type: text/event-stream",
+            f"X-Persimmonhitch-Response-Signature: s.{run.request_id}",
+            f"X-Persimmonhitch-Request-Id: {run.request_id}",
+            *self._limit_headers(),
+        )
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    def _send_unframed(self, run, sock):
+        """Send an answer without framing; return False to close the connection."""
+        body = answer_body(run.request_id)
+        head = self._unframed_head(run).replace(b"text/event-stream", b"text/plain")
+        if self._style_rng.random() < self.style.truncated:
+            run.answer_broken = True
+            sock.sendall(head + body[: len(body) // 2])
+            self._reset(sock)
+            return False
+        sock.sendall(head + body)
+        return False
+
+    def _stream_unframed(self, run, sock):
+        """Send a stream without framing, some closed within an event."""
+        events = [event_bytes(run.request_id, n + 1) for n in range(EVENT_COUNT)]
+        sock.sendall(self._unframed_head(run))
+        last = self._style_rng.randrange(EVENT_COUNT)
+        run.answer_broken = self._style_rng.random() < self.style.truncated
+        for number, data in enumerate(events):
+            if not self._work_for(EVENT_INTERVAL_S, sock):
+                # A plain close between two events would look like the end.
+                self._reset(sock)
+                return False
+            if run.answer_broken and number == last:
+                sock.sendall(data[: self._style_rng.randrange(1, len(data) - 2)])
+                return False
+            sock.sendall(data)
+        return False
+
     def _stream(self, run, sock):
+        if self._style_rng.random() < self.style.unframed:
+            return self._stream_unframed(run, sock)
         head = (
             "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"
             f"X-Persimmonhitch-Response-Signature: s.{run.request_id}\r\n"
