Log what answers say of leaving and of rest

Lines of requests and attempts carry leaving, and attempt_refused the Retry-After of the upstream as rest. No change of behaviour; tests of gateway, formats and docs pass.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -149,7 +149,7 @@
             return Err(time_over())
         outgoing = self._build_outgoing(admitted, record.name, time_left, last_event_id)
         request.sent_at, request.head_at = self._clock(), None
-        request.framing = None
+        request.framing, request.leaving = None, False
         sent = self._exchange.send(
             (record.host, record.port), outgoing, request.abort, time_left
         )
@@ -200,6 +200,7 @@
         record = request.permit.record
         parsed = reply.parsed_headers
         request.head_at, request.framing = self._clock(), reply.framing
+        request.leaving = parsed.leaving
         if parsed.instance in (None, record.name) and reply.status != wire.MISDIRECTED:
             self._poison.answered(record, request.sent_at)
             self._limits.answered(record, parsed.limit, request.sent_at)
@@ -250,10 +251,16 @@
             request.excluded |= {record.name}
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
-        self._log(request, "attempt_refused", failure)
+        self._log(request, "attempt_refused", failure, reply.parsed_headers.retry_after)
         return failure
 
-    def _log(self, request: InFlightRequest, event: str, failure: Failure) -> None:
+    def _log(
+        self,
+        request: InFlightRequest,
+        event: str,
+        failure: Failure,
+        rest_s: float | None = None,
+    ) -> None:
         permit = request.permit
         log(
             event,
@@ -265,6 +272,8 @@
             reason=failure.message,
             attempt=request.attempts + request.refusals,
             framing=request.framing.value if request.framing else "-",
+            leaving=request.leaving,
+            rest=rest_s,
         )
 
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -36,6 +36,8 @@
     head_at: float | None = None
     framing: Framing | None = None
     """Framing of the newest answer."""
+    leaving: bool = False
+    """Whether the upstream of the newest answer reported that it is leaving."""
     reply: Reply | None = None
     """The answer being forwarded to the caller."""
     waited_s: float = 0.0
@@ -151,6 +153,7 @@
             "first": request.first_event_s,
             "gap": request.longest_gap,
             "framing": request.framing.value if request.framing else "-",
+            "leaving": request.leaving,
             "config": self._config_version(),
         }
         if failure is None and status < 400:
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -80,7 +80,10 @@
     load: ServerLoad | None
     limit: RateLimit | None
     """None if the reply states no limit."""
+    leaving: bool
+    """Whether the upstream reports that it is leaving."""
     retry_after: float | None
+    """Seconds for which an upstream that rejects a request wants no others."""
     cold_s: float
     """Seconds for which the upstream stays slow after its start."""
     idle_timeout_s: float | None
--- a/src/persimmonhitch/platform/names.py
+++ b/src/persimmonhitch/platform/names.py
@@ -40,6 +40,8 @@
 are read, since upstreams send this header with and without the prefix."""
 COLD_REMAINING: Final = "x-persimmonhitch-cold-remaining"
 """Milliseconds for which an upstream stays slow; in its health answers."""
+SERVER_LEAVING: Final = ("server-leaving", "x-persimmonhitch-server-leaving")
+"""Whether an upstream is leaving; both names are read, as for ``SERVER_LIMIT``."""
 RETRY_AFTER: Final = "retry-after"
 KEEP_ALIVE: Final = "keep-alive"
 
