--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -243,7 +243,7 @@
             Zone("z1"), lambda _msg: None, self.poison, self.limits
         )
         self.dispatcher.configure(cfg)
-        self.dispatcher.update([upstream.record for upstream in upstreams])
+        self.update_upstreams()
         self._stopping = threading.Event()
         self.crash_update = None
         """The last crash update of this entry for its peers."""
@@ -264,6 +264,10 @@
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
         self.server.start()
 
+    def update_upstreams(self):
+        """Apply the records of the upstreams, as a new list from the store."""
+        self.dispatcher.update([upstream.record for upstream in self.upstreams])
+
     def _tick(self):
         while not self._stopping.wait(0.05):
             self.crash_update = self.poison.next_update() or self.crash_update
