Stop sending to an upstream whose answers say that it leaves

What callers and upstreams saw: requests to an engine up to 2.9 s after an answer of it had said that it leaves (DRAIN).

Now such an answer, to a request, an order or a report request, marks its instance as draining in the list that dispatcher, limits and leader get, so all of them treat it as one whose record says so. Peers are told. The mark ends with the instance, or if its record goes from draining back to ready; it outlives a gap in the list, since the store may drop and list a record again. A removed record of such an instance is not held.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -47,7 +47,9 @@
         poison: PoisonGuard,
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
+        on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
+        self._on_leaving = on_leaving
         self._dispatcher = dispatcher
         self._poison = poison
         self._limits = limits
@@ -201,11 +203,13 @@
         parsed = reply.parsed_headers
         request.head_at, request.framing = self._clock(), reply.framing
         request.leaving = parsed.leaving
-        if parsed.instance in (None, record.name) and reply.status != wire.MISDIRECTED:
+        if _is_from(record, reply) and reply.status != wire.MISDIRECTED:
             self._poison.answered(record, request.sent_at)
             self._limits.answered(record, parsed.limit, request.sent_at)
             if parsed.cold_s > 0:
                 self._limits.reported_cold(record, parsed.cold_s)
+        if parsed.leaving and _is_from(record, reply):
+            self._on_leaving(record)
         if parsed.not_run:
             return Err(self._record_refusal(request, reply))
         request.attempts += 1
@@ -316,6 +320,17 @@
         return Failure(ErrorCode.DEADLINE, reason.value, Verdict.MAY_HAVE_RUN)
 
 
+def _is_from(record: UpstreamRecord, reply: Reply) -> bool:
+    """Return whether an answer comes from the upstream to which a request was sent.
+
+    An instance that rejects a request for another one need not give its name.
+    """
+    instance = reply.parsed_headers.instance
+    if reply.status == wire.MISDIRECTED:
+        return instance == record.name
+    return instance in (None, record.name)
+
+
 def _overall_failure(request: InFlightRequest, failure: Failure) -> Failure:
     """Return a failure whose verdict covers all attempts of a request.
 
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final
@@ -69,8 +70,14 @@
 class EngineClient:
     """Sends orders and report requests of the leader to engines."""
 
-    def __init__(self, vm: Vm, limits: UpstreamLimits) -> None:
+    def __init__(
+        self,
+        vm: Vm,
+        limits: UpstreamLimits,
+        on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
+    ) -> None:
         self._vm = vm
+        self._on_leaving = on_leaving
         self._limits = limits
         self._http = urllib3.PoolManager(
             retries=False,
@@ -98,6 +105,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError):
             return OrderOutcome.UNKNOWN
+        self._check_leaving(record, answer)
         return OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.UNKNOWN)
 
     def get_report(self, record: UpstreamRecord) -> Result[EngineInventory, str]:
@@ -109,9 +117,17 @@
             answer = self._http.request(
                 "GET", url, headers=headers.order_headers(record.name)
             )
+            self._check_leaving(record, answer)
             body: Any = json.loads(answer.data)
             if answer.status != 200:
                 return Err(f"status {answer.status}")
             return Success(decode_report(body))
         except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError) as exc:
             return Err(repr(exc))
+
+    def _check_leaving(
+        self, record: UpstreamRecord, answer: urllib3.BaseHTTPResponse
+    ) -> None:
+        fields = {name.lower(): text for name, text in answer.headers.items()}
+        if answer.status != headers.MISDIRECTED and headers.is_leaving(fields):
+            self._on_leaving(record)
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -9,6 +9,7 @@
 from ..entry.answers import error_body
 from ..fleet.call import CallerHeaders
 from ..fleet.config import RouteKind
+from ..fleet.upstream import UpstreamRecord
 from ..ids import RequestId, new_request_id
 from ..observe.logs import log
 from ..observe.metrics import Metrics
@@ -55,13 +56,16 @@
         poison: PoisonGuard,
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
+        on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
         self._active_config = active_config
         self._quota = quota
         self._dispatcher = dispatcher
         self._clock = clock
         self._poison = poison
-        self._runner = AttemptRunner(dispatcher, exchange, poison, limits, clock)
+        self._runner = AttemptRunner(
+            dispatcher, exchange, poison, limits, clock, on_leaving
+        )
         self._tracker = RequestTracker(
             quota, watchdog, metrics, lambda: active_config().cfg.version, clock
         )
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -84,6 +84,7 @@
         clock: Callable[[], float] = time.monotonic,
         send: Callable[[Vm, InventoryUpdate], object] = lambda _vm, _update: None,
         evacuations: ZoneEvacuations | None = None,
+        on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
         self._evacuations = evacuations or ZoneEvacuations()
         self.election = make_election(self._last_order_times)
@@ -92,7 +93,7 @@
         self._send = send
         self._leading_since = 0.0
         self._clock = clock
-        self._client = EngineClient(vm, limits)
+        self._client = EngineClient(vm, limits, on_leaving)
         self._cfg: FleetConfig | None = None
         self._records: dict[Upstream, UpstreamRecord] = {}
         self._controllers: dict[Upstream, EngineController] = {}
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -59,6 +59,7 @@
 from .gateway import Gateway
 from .leader import Leader
 from .leader_election import LeaderElection
+from .leaving import LeavingUpstreams
 from .peer_messages import (
     BroadcastBatch,
     CrashUpdate,
@@ -67,6 +68,7 @@
     InventoryUpdate,
     LeaseReleased,
     LeaseRenewed,
+    LeavingUpdate,
     LimitGrant,
     LimitRequest,
     LimitUpdate,
@@ -162,9 +164,12 @@
             self.limits,
             evacuations=self.evacuations,
         )
+        self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.leader = self._make_leader()
         self.election = self.leader.election
-        self.upstreams = UpstreamList(self._on_upstreams)
+        self.upstreams = UpstreamList(
+            self.leaving.update, is_leaving=self.leaving.is_leaving
+        )
         listeners = Listeners(
             self._on_config,
             self.upstreams,
@@ -204,6 +209,7 @@
             self.limits,
             send=self.mesh.send,
             evacuations=self.evacuations,
+            on_leaving=self.leaving.reported,
         )
 
     @classmethod
@@ -223,6 +229,7 @@
         on(EntryUpdate, self._on_entry_update)
         on(CrashUpdate, self.poison.receive)
         on(LimitUpdate, self.limits.receive)
+        on(LeavingUpdate, self.leaving.receive)
         on(EraUpdate, self._on_era_update)
         on(InventoryUpdate, lambda vm, msg, _at: self._on_inventory_update(vm, msg))
         on(LoadRequest, lambda vm, msg, _at: self.leader.receive_load_request(vm, msg))
@@ -245,6 +252,7 @@
             self.metrics,
             self.poison,
             self.limits,
+            on_leaving=self.leaving.reported,
         )
         callers = CallerApp(gateway, self._refusal)
         status = StatusApp(self._is_ready, self.metrics)
@@ -444,6 +452,7 @@
             self._tick_due.clear()
             try:
                 self.upstreams.expire()
+                self.leaving.apply()
                 self.dispatcher.tick()
                 self._update_cold_metric()
                 interval_s = update_interval(len(self.peers) + 1)
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -242,3 +242,12 @@
     recipient: Vm
     wait_ms: int
     """0 if a request may be sent now."""
+
+
+@message(77)
+@dataclass(frozen=True)
+class LeavingUpdate:
+    """Announces that an answer of an upstream reports that it leaves."""
+
+    upstream: Upstream
+    started_at_ms: int
--- a/src/persimmonhitch/direct/upstreams.py
+++ b/src/persimmonhitch/direct/upstreams.py
@@ -37,7 +37,9 @@
         self,
         listener: Callable[[list[UpstreamRecord]], None],
         clock: Callable[[], float] = time.monotonic,
+        is_leaving: Callable[[UpstreamRecord], bool] = lambda record: record.draining,
     ) -> None:
+        self._is_leaving = is_leaving
         self._listener = listener
         self._clock = clock
         self._decoded: dict[str, _DecodedRecord] = {}
@@ -61,13 +63,13 @@
     ) -> None:
         # The store does not tell an expired record from that of an upstream that left.
         held_until = available_since + REREGISTRATION_TIME_S
-        held = now < held_until and not record.draining
+        held = now < held_until and not self._is_leaving(record)
         if held:
             self._expiring[record.name] = (held_until, record)
         log(
             "upstream_removed",
             upstream=record.name,
-            draining=record.draining,
+            draining=self._is_leaving(record),
             held=held,
             store_available_for=now - available_since,
         )
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -120,7 +120,8 @@
     return None
 
 
-def _parse_leaving(headers: Headers) -> bool:
+def is_leaving(headers: Headers) -> bool:
+    """Return whether an upstream's reply reports that the upstream is leaving."""
     values = (headers.get(name, "").strip() for name in names.SERVER_LEAVING)
     return any(value not in ("", "0") for value in values)
 
@@ -142,7 +143,7 @@
         instance=Upstream(instance) if instance else None,
         load=_parse_load(headers.get(names.SERVER_LOAD, "")),
         limit=parse_limit(headers),
-        leaving=_parse_leaving(headers),
+        leaving=is_leaving(headers),
         cold_s=_parse_cold(headers.get(names.COLD_REMAINING)),
         retry_after=_parse_number(headers.get(names.RETRY_AFTER)),
         idle_timeout_s=float(idle_timeout[1]) if idle_timeout else None,
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -13,6 +13,7 @@
 from persimmonhitch.direct.dispatcher import Dispatcher
 from persimmonhitch.direct.exchange import Exchange
 from persimmonhitch.direct.gateway import Gateway
+from persimmonhitch.direct.leaving import LeavingUpstreams
 from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.quota import Quota
 from persimmonhitch.direct.upstream_limits import UpstreamLimits
@@ -243,6 +244,7 @@
             Zone("z1"), lambda _msg: None, self.poison, self.limits
         )
         self.dispatcher.configure(cfg)
+        self.leaving = LeavingUpstreams(self.dispatcher.update)
         self.update_upstreams()
         self._stopping = threading.Event()
         self.crash_update = None
@@ -259,6 +261,7 @@
             Metrics("direct", "test"),
             self.poison,
             self.limits,
+            on_leaving=self.leaving.reported,
         )
         app = CallerApp(gateway, lambda: refusal)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
@@ -266,11 +269,12 @@
 
     def update_upstreams(self):
         """Apply the records of the upstreams, as a new list from the store."""
-        self.dispatcher.update([upstream.record for upstream in self.upstreams])
+        self.leaving.update(upstream.record for upstream in self.upstreams)
 
     def _tick(self):
         while not self._stopping.wait(0.05):
             self.crash_update = self.poison.next_update() or self.crash_update
+            self.leaving.apply()
             self.dispatcher.tick()
 
     def __enter__(self):
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -13,9 +13,16 @@
     GatewayServer,
     answer,
     event,
+    no_limits,
     sends,
 )
 
+from persimmonhitch.direct.engine_client import EngineClient, Order
+from persimmonhitch.direct.leaving import LeavingUpstreams
+from persimmonhitch.fleet.upstream import UpstreamRecord
+from persimmonhitch.ids import Epoch, Model, Upstream, Vm, Zone
+from persimmonhitch.wire.codec import decode, encode
+
 LEAVING = "Server-Leaving: 1\r\n"
 NOT_RUN = "X-Persimmonhitch-Not-Executed: 1\r\n"
 NOTICE_S = 0.3
@@ -61,8 +68,8 @@
         time.sleep(NOTICE_S)
         started_at = time.monotonic()
         reply = gateway.call("/book/x")
+        assert time.monotonic() - started_at < 0.5
     assert (reply.status, b"not_run" in reply.body) == (503, True)
-    assert time.monotonic() - started_at < 0.5
     assert float(reply.headers["retry-after"]) > 0
 
 
@@ -102,3 +109,57 @@
         gateway.call("/book/x")
         time.sleep(NOTICE_S)
         assert gateway.call("/book/x").status == 200
+
+
+LISTED = UpstreamRecord(
+    Upstream("u1"), LEDGER, "h", 1, Zone("z1"), 8, False, 1, inventory=None
+)
+
+
+@pytest.mark.parametrize(
+    ("lists", "draining"),
+    [
+        ([[LISTED]], True),
+        ([[], [LISTED]], True),
+        ([[replace(LISTED, started_at_ms=2)]], False),
+        ([[replace(LISTED, draining=True)], [LISTED]], False),
+    ],
+    ids=["same", "listed-again", "restarted", "stays"],
+)
+def test_new_list_keeps_an_upstream_leaving_until_it_restarts_or_stays(lists, draining):
+    """Guards against requests to a leaving upstream after an older record of it."""
+    published = []
+    leaving = LeavingUpstreams(published.append)
+    leaving.update([LISTED])
+    leaving.reported(LISTED)
+    leaving.apply()
+    assert [record.draining for record in published[-1]] == [True]
+    for records in lists:
+        leaving.update(records)
+    assert [record.draining for record in published[-1]] == [draining]
+
+
+def test_peers_are_told_once_that_an_upstream_leaves():
+    """Guards against requests of other entries to an upstream that leaves."""
+    messages, published = [], []
+    sender = LeavingUpstreams(lambda _records: None, messages.append)
+    for _ in range(3):
+        sender.reported(LISTED)
+    receiver = LeavingUpstreams(published.append)
+    receiver.update([LISTED])
+    (msg,) = messages
+    receiver.receive(Vm("e2"), decode(encode(msg)).unwrap(), 0.0)
+    receiver.apply()
+    assert published[-1][0].draining
+
+
+@pytest.mark.parametrize("call", ["send_order", "get_report"])
+def test_answers_to_the_leader_report_leaving(call):
+    """Guards against loads of models at an upstream that says only there it leaves."""
+    upstream = FakeUpstream("u1", sends(answer(200, b"{}", LEAVING)))
+    seen = []
+    client = EngineClient(Vm("e1"), no_limits(), seen.append)
+    args = (Order(True, Model("m1")), 0, Epoch(1)) if call == "send_order" else ()
+    getattr(client, call)(upstream.record, *args)
+    upstream.close()
+    assert seen == [upstream.record]
--- a/tests/test_upstream_removal.py
+++ b/tests/test_upstream_removal.py
@@ -187,3 +187,15 @@
     monkeypatch.setattr(watcher._stopping, "wait", store.pauses.append)
     watcher._run()
     assert max(store.pauses) + REREGISTRATION_TIME_S + CALL_S <= IN_TOUCH_S
+
+
+@pytest.mark.parametrize(("leaving", "listed"), [(True, 1), (False, 2)])
+def test_removed_upstream_that_reported_its_leaving_is_not_held(
+    monkeypatch, leaving, listed
+):
+    """Guards against requests to an upstream whose answers had said that it leaves."""
+    entry = Entry(monkeypatch)
+    entry.upstreams._is_leaving = lambda _record: leaving
+    entry.lose_store()
+    entry.restore("u2")
+    assert len(entry.published[-1]) == listed
