--- /dev/null
+++ b/tests/test_rest_periods.py
@@ -0,0 +1,129 @@
+"""Upstreams that reject requests and want none for some seconds."""
+
+import time
+
+import pytest
+from direct_help import (
+    LEDGER,
+    LLM,
+    SIGNATURE,
+    FakeUpstream,
+    GatewayServer,
+    answer,
+    sends,
+)
+
+from persimmonhitch.direct.engine_client import EngineClient, Order
+from persimmonhitch.ids import Epoch, Model, Vm
+
+NOT_RUN = "X-Persimmonhitch-Not-Executed: 1\r\n"
+REST_S = 1.5
+TOLERANCE_S = 0.5
+"""Seconds after a rejection in which requests already sent may arrive."""
+
+
+class RestingUpstream(FakeUpstream):
+    """Rejects all requests with a rest period and records their arrivals."""
+
+    def __init__(self, service=LEDGER, rest=str(REST_S), head=NOT_RUN):
+        self.received_at = []
+        self.refusal = answer(503, b"", f"{head}Retry-After: {rest}\r\n")
+        super().__init__("u1", self._reject, service)
+
+    def _reject(self, _req, sock):
+        self.received_at.append(time.monotonic())
+        sock.sendall(self.refusal)
+        return True
+
+    def within_rest(self):
+        """Return the requests that arrived within the first rest period."""
+        first = self.received_at[0]
+        return [
+            at for at in self.received_at if TOLERANCE_S < at - first < REST_S - 0.01
+        ]
+
+
+@pytest.mark.parametrize(
+    ("path", "service", "head"),
+    [
+        ("/book/x", LEDGER, NOT_RUN),
+        ("/read/x", LEDGER, NOT_RUN),
+        ("/read/x", LEDGER, ""),
+        ("/chat/x", LLM, NOT_RUN),
+    ],
+    ids=["non-idempotent", "idempotent", "without-mark", "stream"],
+)
+def test_upstream_gets_no_requests_within_its_rest_period(path, service, head):
+    """Guards against requests that an overloaded upstream has asked not to get."""
+    resting = RestingUpstream(service, head=head)
+    other = FakeUpstream("u2", sends(answer()), service)
+    with GatewayServer(resting, other) as gateway:
+        end = time.monotonic() + 10
+        while not resting.received_at and time.monotonic() < end:
+            gateway.call(path)
+        end = resting.received_at[0] + REST_S
+        while time.monotonic() < end:
+            assert gateway.call(path).status == 200
+    assert resting.within_rest() == []
+
+
+def test_requests_are_refused_with_the_rest_period_of_the_only_upstream():
+    """Guards against callers that wait, or return before the upstream wants them."""
+    upstream = RestingUpstream()
+    with GatewayServer(upstream) as gateway:
+        gateway.call("/book/x")
+        time.sleep(0.1)
+        started_at = time.monotonic()
+        reply = gateway.call("/book/x")
+        assert time.monotonic() - started_at < 0.3
+    assert (reply.status, b"not_run" in reply.body) == (503, True)
+    assert float(reply.headers["retry-after"]) >= REST_S - 0.5
+    assert len(upstream.received_at) == 1
+
+
+def test_request_waits_for_the_end_of_a_short_rest_period():
+    """Guards against a refusal although the upstream serves the request in time."""
+    parts = [answer(503, b"", f"{NOT_RUN}Retry-After: 0.3\r\n")]
+
+    def script(req, sock):
+        data = parts.pop() if parts else answer()
+        return sends(data)(req, sock)
+
+    upstream = FakeUpstream("u1", script)
+    with GatewayServer(upstream) as gateway:
+        assert gateway.call("/read/x").status == 503
+        assert gateway.call("/read/x").status == 200
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        f"{SIGNATURE}Retry-After: 2\r\n",
+        f"{NOT_RUN}Retry-After: 0\r\n",
+        f"{NOT_RUN}Retry-After: -5\r\n",
+        f"{NOT_RUN}Retry-After: nan\r\n",
+        f"{NOT_RUN}Retry-After: Fri, 31 Dec 2027 23:59:59 GMT\r\n",
+        f"{NOT_RUN}X-Persimmonhitch-Instance-Id: u9\r\nRetry-After: 2\r\n",
+    ],
+    ids=["success", "zero", "negative", "not-a-number", "date", "other-instance"],
+)
+def test_other_values_start_no_rest_period(head):
+    upstream = FakeUpstream(
+        "u1", sends(answer(200 if SIGNATURE in head else 503, b"", head))
+    )
+    with GatewayServer(upstream) as gateway:
+        gateway.call("/read/x")
+        gateway.call("/read/x")
+    assert len(upstream.received) == 2
+
+
+@pytest.mark.parametrize("call", ["send_order", "get_report"])
+def test_leader_sends_nothing_within_a_rest_period(call):
+    """Guards against orders and report requests that an upstream does not want."""
+    resting = RestingUpstream(LLM)
+    with GatewayServer(resting) as gateway:
+        gateway.call("/chat/x")
+        client = EngineClient(Vm("e1"), gateway.limits)
+        args = (Order(True, Model("m1")), 0, Epoch(1)) if call == "send_order" else ()
+        getattr(client, call)(resting.record, *args)
+    assert len(resting.received_at) == 1
