Send nothing to an upstream within the rest period that it asks for

What upstreams saw: up to four requests of one entry within a rest of 3 s that they had asked it for with 503 and Retry-After (BUDGET). Cause: the value was parsed and not used; a rejected request excluded its upstream for itself alone, and all others went on.

Now the entry sends nothing to the instance until the period ends: no request, retry, resumption, order or report request. Periods overlap, the latest end holds; 60 s is the longest that is respected, and dates, negative and malformed values start none. If all upstreams that can run a request rest, it waits only if the end comes in time, else it is refused at once with the time of the end. Requests return by a random extension and a share that rises over one second, so that the entries don't return together.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -210,6 +210,8 @@
                 self._limits.reported_cold(record, parsed.cold_s)
         if parsed.leaving and _is_from(record, reply):
             self._on_leaving(record)
+        if parsed.rest_s and _is_from(record, reply):
+            self._limits.asked_to_rest(record, parsed.rest_s)
         if parsed.not_run:
             return Err(self._record_refusal(request, reply))
         request.attempts += 1
@@ -255,7 +257,7 @@
             request.excluded |= {record.name}
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
-        self._log(request, "attempt_refused", failure, reply.parsed_headers.retry_after)
+        self._log(request, "attempt_refused", failure, reply.parsed_headers.rest_s)
         return failure
 
     def _log(
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -269,7 +269,7 @@
             self._waiters.remove(waiter)
             waiter.decided.set()
         elif choice.step is Step.NO_UPSTREAM:
-            waiter.failure = refusal(Step.NO_UPSTREAM, request)
+            waiter.failure = self._no_upstream_failure(waiter)
             waiter.decided.set()
         elif (
             choice.step in (Step.LOAD_ADAPTER, Step.LOAD) and request.model is not None
@@ -277,6 +277,13 @@
             adapter = request.adapter if choice.step is Step.LOAD_ADAPTER else None
             self._request_load(request.model, adapter, choice.upstream)
 
+    def _no_upstream_failure(self, waiter: _Waiter) -> Failure:
+        """Return the refusal of a request that no upstream is left for."""
+        wait = self._limits.wait_s(waiter.excluded)
+        if wait:
+            return limit_refusal(waiter.request, wait)
+        return refusal(Step.NO_UPSTREAM, waiter.request)
+
     def _request_load(
         self, model: Model, adapter: Adapter | None, upstream: Upstream | None
     ) -> None:
--- a/src/persimmonhitch/direct/upstream_limits.py
+++ b/src/persimmonhitch/direct/upstream_limits.py
@@ -1,4 +1,4 @@
-"""Request limits of upstreams: reported in their answers, or after a cold start."""
+"""Request limits of upstreams: from their answers, or after a cold start."""
 
 import math
 import random
@@ -20,6 +20,7 @@
 from .cold_upstreams import AS_TOLERATED, ColdBound, ColdUpstreams
 from .peer_messages import LimitGrant, LimitRequest, LimitUpdate, ReportedLimit
 from .poison import instance_of
+from .resting_upstreams import RestingUpstreams
 
 RESEND_INTERVAL_S: Final = 2.0
 """Interval of full updates, for entries that missed an incremental update."""
@@ -81,6 +82,7 @@
         self._allowances: dict[Upstream, tuple[UpstreamInstance, Allowance]] = {}
         self._grants: dict[UpstreamInstance, GrantBucket] = {}
         self._cold = ColdUpstreams(cold_bound)
+        self._resting = RestingUpstreams()
         self._unsent: set[UpstreamInstance] = set()
         self._full_update_at = -math.inf
 
@@ -103,6 +105,11 @@
                 self._unsent.add(instance)
                 self._on_change()
 
+    def asked_to_rest(self, record: UpstreamRecord, seconds: float) -> None:
+        """Send nothing to an upstream for some seconds, as it asks this entry."""
+        with self._lock:
+            self._resting.extend(instance_of(record), seconds, self._clock())
+
     def receive(self, _vm: Vm, msg: LimitUpdate, as_of: float) -> None:
         """Apply limits that upstreams reported to a peer."""
         with self._lock:
@@ -174,6 +181,7 @@
             removed = (self._states.keys() | self._grants.keys()) - instances
             for instance in removed:
                 self._states.pop(instance, None)
+            self._resting.update(instances, self._clock())
             self._update_allowances(changed | removed)
 
     def _update_allowances(self, instances: Iterable[UpstreamInstance]) -> None:
@@ -217,10 +225,13 @@
         Grants at cold upstreams are requested only if no other upstream can take the
         request, since grants that are not used in time are lost.
         """
-        if not self._allowances:
+        if not self._allowances and not self._resting:
             return frozenset()
-        views, excluded = list(views), set()
+        views = list(views)
         with self._lock:
+            excluded = self._resting.exclude(views, self._clock())
+            if not self._allowances:
+                return frozenset(excluded)
             self._update_allowances(self._cold.expire(self._clock()))
             limited = self._allowances.keys()
             has_other = request is not None and any(
@@ -230,7 +241,7 @@
                 for view in views
             )
             for view in views:
-                if view.upstream not in limited:
+                if view.upstream not in limited or view.upstream in excluded:
                     continue
                 needed = not has_other and _is_capable(view, request)
                 if not self._ready(view.upstream, needed):
@@ -273,11 +284,16 @@
         """
         now = self._clock()
         with self._lock:
-            pairs = (self._allowances.get(name) for name in upstreams)
-            waits = [pair[1].wait_time(now) for pair in pairs if pair is not None]
+            waits = [self._wait_s(name, now) for name in upstreams]
         known = [wait for wait in waits if wait is not None]
         return min(known) if known and len(known) == len(waits) else None
 
+    def _wait_s(self, upstream: Upstream, now: float) -> float | None:
+        rest = self._resting.wait_s(upstream, now)
+        pair = self._allowances.get(upstream)
+        wait = pair[1].wait_time(now) if pair is not None else 0.0
+        return None if wait is None else max(wait, rest)
+
     # -- the leader ----------------------------------------------------------------
 
     def grant(self, vm: Vm, msg: LimitRequest) -> LimitGrant:
@@ -311,6 +327,8 @@
     ) -> bool:
         instance = instance_of(record)
         with self._lock:
+            if self._resting.wait_s(record.name, self._clock()) > 0:
+                return False
             state = self._states.get(instance)
             if state is None or state.limit is None:
                 return True
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -19,6 +19,8 @@
 """Least urgent rank that the priority header can express."""
 MISDIRECTED: Final = 421
 """HTTP status with which an upstream rejects a request without running it."""
+REJECTIONS: Final = frozenset({429, 503})
+"""HTTP statuses with which an upstream rejects requests for a time."""
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout=(\d+)")
 
 
@@ -126,6 +128,18 @@
     return any(value not in ("", "0") for value in values)
 
 
+def _parse_rest(status: int, headers: Headers) -> float | None:
+    """Return the seconds for which an upstream that rejects a request wants no others.
+
+    A date, a negative number or a malformed value counts as none.
+    """
+    text = headers.get(names.RETRY_AFTER, "").strip()
+    if status not in REJECTIONS:
+        return None
+    # The number may exceed all others that the protocol contains.
+    return float(text) if text.isdecimal() else _parse_number(text)
+
+
 def _parse_cold(text: str | None) -> float:
     """Return the remaining seconds of an upstream's cold state, 0 if malformed."""
     return (_parse_number(text) or 0.0) / 1000
@@ -145,7 +159,7 @@
         limit=parse_limit(headers),
         leaving=is_leaving(headers),
         cold_s=_parse_cold(headers.get(names.COLD_REMAINING)),
-        retry_after=_parse_number(headers.get(names.RETRY_AFTER)),
+        rest_s=_parse_rest(status, headers),
         idle_timeout_s=float(idle_timeout[1]) if idle_timeout else None,
     )
 
--- a/tests/test_rest_periods.py
+++ b/tests/test_rest_periods.py
@@ -1,6 +1,8 @@
 """Upstreams that reject requests and want none for some seconds."""
 
+import random
 import time
+from dataclasses import replace
 
 import pytest
 from direct_help import (
@@ -13,6 +15,7 @@
     sends,
 )
 
+from persimmonhitch.decide.rest_periods import MAX_REST_S, RAMP_UP_S, RestPeriod
 from persimmonhitch.direct.engine_client import EngineClient, Order
 from persimmonhitch.ids import Epoch, Model, Vm
 
@@ -127,3 +130,55 @@
         args = (Order(True, Model("m1")), 0, Epoch(1)) if call == "send_order" else ()
         getattr(client, call)(resting.record, *args)
     assert len(resting.received_at) == 1
+
+
+def test_restarted_upstream_gets_requests():
+    """Guards against a rest period that outlives the instance that asked for it."""
+    resting = RestingUpstream()
+    with GatewayServer(resting) as gateway:
+        gateway.call("/book/x")
+        resting.record = replace(resting.record, started_at_ms=2)
+        gateway.update_upstreams()
+        gateway.limits.update_upstreams([resting.record])
+        gateway.call("/book/x")
+    assert len(resting.received_at) == 2
+
+
+@pytest.mark.parametrize(
+    ("asked", "wait"),
+    [
+        ([(0.0, 3.0)], 3.0),
+        ([(0.0, 1.0), (0.5, 3.0)], 3.5),
+        ([(0.0, 3.0), (0.5, 1.0)], 3.0),
+        ([(0.0, 1e12)], MAX_REST_S),
+        ([(0.0, float("inf"))], MAX_REST_S),
+    ],
+    ids=["one", "longer-after-shorter", "shorter-after-longer", "absurd", "infinite"],
+)
+def test_end_of_overlapping_rest_periods(asked, wait):
+    period = RestPeriod()
+    for at, seconds in asked:
+        period.extend(seconds, at, lambda: 0.0)
+    assert period.wait_s(0.0) == wait
+    assert period.traffic_share(wait - 0.01) == 0.0
+    assert period.traffic_share(wait + RAMP_UP_S) == 1.0
+
+
+def test_load_returns_gradually_after_a_rest_period_of_all_entries():
+    """Guards against a second overload, as all entries return to an upstream at once.
+
+    Sixteen entries are rejected at the same moment and have work for all its slots.
+    """
+    rng, slots = random.Random(5), 64
+    periods = [RestPeriod() for _ in range(16)]
+    for period in periods:
+        period.extend(3.0, 0.0, rng.random)
+
+    def most_running(now):
+        """Return the most requests that the entries together allow."""
+        return max(slots * period.traffic_share(now) for period in periods)
+
+    assert most_running(2.99) == 0
+    assert most_running(3.1) <= slots / 8
+    assert most_running(3.5) <= slots / 2
+    assert most_running(4.6) == slots
