Soak: upstreams that report in their answers alone that they leave

The check requires that no request sent more than 2 s after such an answer through an entry reaches the instance from it, whether or not the store is available.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -166,6 +166,7 @@
         answer = self._conn.getresponse()
         call.status = answer.status
         retry_after = answer.getheader("Retry-After")
+        call.leaving = answer.getheader("Server-Leaving") == "1"
         call.retry_after = float(retry_after) if retry_after else None
         body = answer.read()
         call.complete = True
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -121,6 +121,7 @@
         _keys_and_routes_current,
         _config_never_regresses,
         _draining_gets_no_work,
+        _leaving_gets_no_work,
         _evacuated_zone_gets_no_work,
         _cold_upstream_is_spared,
         _rates_enforced,
@@ -276,6 +277,28 @@
             yield f"{run.start - since:.2f} s after drain: {evidence.line(call)}"
 
 
+def _leaving_gets_no_work(evidence):
+    """Yield runs at an upstream after an answer through the entry that it leaves.
+
+    A restart or a pause of the entry since the answer excuses them; an outage of the
+    store does not.
+    """
+    reported = {}
+    for call in evidence.records.calls:
+        runs = evidence.runs[call.request_id]
+        if call.leaving and len(runs) == 1:
+            key = call.entry, runs[0].upstream, runs[0].started_at_ms
+            reported[key] = min(reported.get(key, math.inf), call.ended_at)
+    for run in evidence.records.runs:
+        call = evidence.calls.get(run.request_id)
+        if call is None:
+            continue
+        since = reported.get((call.entry, run.upstream, run.started_at_ms), math.inf)
+        late = call.sent_at - since > MAX_DRAIN_S
+        if late and not evidence.faulted(call.entry, since, run.start):
+            yield f"{run.start - since:.2f} s after its report: {evidence.line(call)}"
+
+
 def _rates_enforced(evidence):
     """Yield accounts that exceeded their token rate."""
     for account, (rate, burst) in RATES.items():
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -24,6 +24,8 @@
     body: bytes = b""
     zone: str = ""
     """Availability zone of the upstream; a restart may change it."""
+    started_at_ms: int = 0
+    """Start of the upstream instance."""
     answer_broken: bool = False
     """Whether an injected fault of the upstream broke the answer."""
 
@@ -55,6 +57,8 @@
     """Whether the caller received the whole answer."""
     correct: bool = False
     """Whether the answer is the one that the upstream sent for this request."""
+    leaving: bool = False
+    """Whether the answer reports that its upstream leaves."""
     retry_after: float | None = None
     gave_up_at: float | None = None
     """Time at which the caller abandoned the request, if it did."""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -76,6 +76,8 @@
         self.limit = None
         """Requests a second that its answers announce as its limit, as text."""
         self.style = FRAMED
+        self.leaving = False
+        """Whether its answers report that it leaves."""
         self._style_rng = random.Random(f"answers {spec.name}")
         self.draining_since = None
         self.draining = False
@@ -173,14 +175,15 @@
         except OSError:
             return
 
-    def _limit_headers(self):
+    def _state_headers(self):
         limit = self.limit
-        return [] if limit is None else [f"Server-Limit: {limit}"]
+        lines = [] if limit is None else [f"Server-Limit: {limit}"]
+        return [*lines, "Server-Leaving: 1"] if self.leaving else lines
 
     def _send(self, sock, status, body=b"", **headers):
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
-        lines += self._limit_headers()
+        lines += self._state_headers()
         sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         return True
 
@@ -241,6 +244,7 @@
             start=time.monotonic(),
             body=req.body,
             zone=self.spec.zone,
+            started_at_ms=self.started_at_ms,
         )
         self._records.runs.append(run)
         with self._lock:
@@ -273,7 +277,7 @@
             "Content-Type: text/event-stream",
             f"X-Persimmonhitch-Response-Signature: s.{run.request_id}",
             f"X-Persimmonhitch-Request-Id: {run.request_id}",
-            *self._limit_headers(),
+            *self._state_headers(),
         )
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
@@ -315,7 +319,7 @@
             f"X-Persimmonhitch-Request-Id: {run.request_id}\r\n"
             "Transfer-Encoding: chunked\r\n"
         )
-        head += "".join(f"{line}\r\n" for line in (*self._limit_headers(), ""))
+        head += "".join(f"{line}\r\n" for line in (*self._state_headers(), ""))
         for number in range(1, EVENT_COUNT + 1):
             if not self._work_for(EVENT_INTERVAL_S, sock):
                 return False
