A stream without framing that ends before its first event is truncated

A stream without events is certainly incomplete; now it is resumed where the route allows it, else it fails. test_stream_closed_before_its_first_event_is_not_a_success, both cases, failed before.

--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -106,13 +106,17 @@
         text = self.headers.get("content-type")
         return None if text is None else text.partition(";")[0].strip().lower()
 
-    def check_events(self, tail: bytes) -> None:
-        """Raise ``TruncatedAnswer`` if an unframed stream ends within an event.
+    def check_events(self, has_events: bool, tail: bytes) -> None:
+        """Raise ``TruncatedAnswer`` if an unframed stream is certainly incomplete.
 
         ``tail`` contains the bytes after the last complete event.
         """
-        if self.framing is Framing.CLOSE and tail.strip(b"\r\n"):
+        if self.framing is not Framing.CLOSE:
+            return
+        if tail.strip(b"\r\n"):
             raise TruncatedAnswer("the stream ends within an event")
+        if not has_events:
+            raise TruncatedAnswer("the stream ends before its first event")
 
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -144,7 +144,8 @@
             try:
                 body = reply.read_all()
                 if reply.media_type == EVENT_STREAM:
-                    reply.check_events(tail_of(body))
+                    tail = tail_of(body)
+                    reply.check_events(tail != body, tail)
                 break
             except EXCHANGE_ERRORS as exc:
                 reply.close()
@@ -173,16 +174,17 @@
         while True:
             reply = request.reply
             try:
-                splitter = EventSplitter()
+                splitter, has_events = EventSplitter(), False
                 for chunk in reply.chunks():
                     if request.permit is not None:
                         request.permit.record_activity()
                     for event in splitter.feed(chunk):
                         self._tracker.record_event(request)
                         last_event_id = event.id or last_event_id
+                        has_events = True
                         yield event.data
                 if reply.media_type in (None, EVENT_STREAM):
-                    reply.check_events(splitter.tail)
+                    reply.check_events(has_events, splitter.tail)
                 if splitter.tail:
                     yield splitter.tail
                 self._poison.completed(request.fingerprint)
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -138,6 +138,20 @@
     assert not reply.was_reset
 
 
+@pytest.mark.parametrize("path", ["/chat/x", "/resume/x"])
+def test_stream_closed_before_its_first_event_is_not_a_success(path):
+    """Guards against an empty stream from an engine that crashes after its head."""
+    broken = FakeUpstream("u1", sends(UNFRAMED_STREAM, keep_alive=False), LLM)
+    good = FakeUpstream("u2", sends(STREAM_HEAD, event(1), LAST_CHUNK), LLM)
+    upstreams = [broken] if path == "/chat/x" else [broken, good]
+    with GatewayServer(*upstreams) as gateway:
+        replies = [receive(gateway, path) for _ in range(4)]
+    for reply in replies:
+        is_success = reply.head.startswith(b"HTTP/1.1 200")
+        assert is_success is (path == "/resume/x")
+        assert b"data: t1" in reply.body or not is_success
+
+
 def test_event_stream_of_a_plain_service_is_retried_if_truncated():
     """Guards against a truncated event stream on a route without streaming."""
     bad = FakeUpstream("u1", sends(UNFRAMED_STREAM + b"id: 1\nda", keep_alive=False))
