Abort requests whose answer closes its connection

What callers saw: an answer with Connection: close, or without framing, that stalled was ended one second after its time, not at its deadline or its route's timeout; an engine worked on after its caller had left until the next write failed. Cause: http.client takes the socket from a connection as soon as the head says that it closes, and the abort looked for the socket there when it ran.

--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -71,6 +71,8 @@
     parsed_headers: ReplyHeaders
     _response: BaseHTTPResponse
     _conn: HTTPConnection
+    _sock: socket.socket
+    _abort: Abort
     _release_conn: Callable[[], None]
     _content_length: int | None
     framing: Framing
@@ -91,6 +93,9 @@
             if received > MAX_ANSWER_BYTES:
                 raise ValueError("answer exceeds the size limit")
             yield chunk
+        if self.framing is Framing.CLOSE and self._abort.reason is not None:
+            # The abort of a request closes its connection, as the upstream does.
+            raise TruncatedAnswer("the request was aborted")
         if self._content_length is not None and received < self._content_length:
             raise OSError(f"received {received} of {self._content_length} bytes")
         self._complete = True
@@ -121,7 +126,8 @@
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
         if not self._complete:
-            _shut_down(self._conn)
+            _shut_down(self._sock)
+            self._response.close()
             self._conn.close()
 
 
@@ -141,12 +147,10 @@
     return Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_AFTER)
 
 
-def _shut_down(conn: HTTPConnection) -> None:
-    sock = conn.sock
-    if sock is not None:
-        # close() alone would not wake a thread blocked in a read.
-        with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_RDWR)
+def _shut_down(sock: socket.socket) -> None:
+    # close() alone would not wake a thread blocked in a read.
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
 
 
 class Exchange:
@@ -175,14 +179,16 @@
             reason = f"{address[0]}:{address[1]} takes no connection"
             failure = Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=RETRY_AFTER)
             return Err(failure)
-        abort.set_action(lambda: _shut_down(conn))
+        # A connection drops its socket once the head of its last answer is read.
+        sock = conn.sock
+        abort.set_action(lambda: _shut_down(sock))
         if abort.deadline_at - time.monotonic() < MIN_ATTEMPT_S:
             abort.trigger(AbortReason.TIMEOUT)
         if abort.reason is not None:
             conn.close()
             return Err(time_over())
         try:
-            return self._exchange(address, conn, req, timeout_s)
+            return self._exchange(address, conn, req, abort, timeout_s)
         except EXCHANGE_ERRORS as exc:
             conn.close()
             reason = f"the upstream was lost ({type(exc).__name__})"
@@ -193,11 +199,13 @@
         address: Address,
         conn: HTTPConnection,
         req: OutgoingRequest,
+        abort: Abort,
         timeout_s: float,
     ) -> Result[Reply, Failure]:
         # http.client sets the socket timeout from the connection. The margin lets the
         # watchdog abort the request at its deadline first.
         conn.timeout = timeout_s + 1.0
+        sock = conn.sock
         headers = {"accept-encoding": SKIP_HEADER, "user-agent": SKIP_HEADER}
         conn.request(
             req.method,
@@ -222,6 +230,8 @@
                 parsed,
                 response,
                 conn,
+                sock,
+                abort,
                 lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
                 length,
                 _framing(headers, length),
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -32,6 +32,7 @@
 UNFRAMED_STREAM = (
     f"HTTP/1.1 200 OK\r\n{SIGNATURE}Content-Type: text/event-stream\r\n\r\n"
 ).encode()
+CLOSING_STREAM = STREAM_HEAD.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 
 
 def events(*numbers):
@@ -59,13 +60,13 @@
         return not self.was_reset
 
 
-def receive(gateway, path, version="1.1"):
+def receive(gateway, path, version="1.1", deadline_ms=4000):
     """Send a request on a connection of its own; return the answer."""
     lines = (
         f"POST {path} HTTP/{version}",
         "Host: a.example",
         "X-Persimmonhitch-Request-Id: q1",
-        "X-Persimmonhitch-Request-Deadline: 4000",
+        f"X-Persimmonhitch-Request-Deadline: {deadline_ms}",
         f"X-Persimmonhitch-Model: {MODEL}"
         if path.startswith(("/chat", "/resume"))
         else "X-Other: 1",
@@ -138,6 +139,49 @@
     assert not reply.was_reset
 
 
+@pytest.mark.parametrize(
+    ("path", "service", "parts"),
+    [
+        ("/brief/x", LEDGER, UNFRAMED_HEAD + b"half an ans"),
+        ("/chat/x", LLM, UNFRAMED_STREAM + events(1)),
+        ("/chat/x", LLM, CLOSING_STREAM + event(1)),
+    ],
+    ids=["plain", "unframed", "chunked"],
+)
+def test_answer_on_a_closing_connection_is_aborted_in_time(path, service, parts):
+    """Guards against an abort without effect on an answer that ends its connection."""
+
+    def script(_req, sock):
+        sock.sendall(parts)
+        return upstream.disconnected.wait(5)
+
+    upstream = FakeUpstream("u1", script, service)
+    with GatewayServer(upstream) as gateway:
+        started_at = time.monotonic()
+        reply = receive(gateway, path, deadline_ms=400)
+        assert time.monotonic() - started_at < 0.9
+    assert not reply.head.startswith(b"HTTP/1.1 200") or not reply.looks_complete
+
+
+@pytest.mark.parametrize("head", [UNFRAMED_STREAM, CLOSING_STREAM])
+def test_closing_connection_is_closed_when_the_caller_leaves(head):
+    """Guards against an engine that works on for a caller that has left."""
+
+    def endless(_req, sock):
+        sock.sendall(head)
+        while True:
+            sock.sendall(event(1) if head == CLOSING_STREAM else events(1))
+
+    upstream = FakeUpstream("u1", endless, LLM)
+    with GatewayServer(upstream) as gateway:
+        conn = gateway.open("/chat/x")
+        response = conn.getresponse()
+        response.read(20)
+        response.close()
+        conn.close()
+        assert upstream.disconnected.wait(0.5)
+
+
 @pytest.mark.parametrize("path", ["/chat/x", "/resume/x"])
 def test_stream_closed_before_its_first_event_is_not_a_success(path):
     """Guards against an empty stream from an engine that crashes after its head."""
