Soak: a stream without framing may end between two events at a fault

Nobody can tell that from a complete stream, so an answer without framing whose body is the expected one up to the end of an event passes if a fault hit its upstream while it ran. All others are judged as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -165,6 +165,7 @@
             return
         answer = self._conn.getresponse()
         call.status = answer.status
+        call.is_framed = bool(answer.chunked) or answer.length is not None
         retry_after = answer.getheader("Retry-After")
         call.leaving = answer.getheader("Server-Leaving") == "1"
         call.retry_after = float(retry_after) if retry_after else None
@@ -174,6 +175,7 @@
             call.code = _error_code(body)
         signature = answer.getheader("X-Persimmonhitch-Response-Signature")
         call.correct = signature == f"s.{call.request_id}" and body == _expected(call)
+        call.is_prefix = _expected(call).startswith(body) and body.endswith(b"\n\n")
         if answer.getheader("Connection", "").lower() == "close":
             self._disconnect()
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -190,11 +190,27 @@
     """Yield answers with wrong content, and answers without a run."""
     for call in evidence.records.calls:
         if call.status == 200 and call.complete and not call.correct:
-            yield evidence.line(call)
+            if not _may_be_truncated(evidence, call):
+                yield evidence.line(call)
         if call.status == 200 and not evidence.runs[call.request_id]:
             yield f"answered without a run: {evidence.line(call)}"
 
 
+def _may_be_truncated(evidence, call):
+    """Return whether a stream without framing ended between two events at a fault.
+
+    A crashed upstream, or a cut path to it, ends it like a complete one.
+    """
+    return (
+        not call.is_framed
+        and call.is_prefix
+        and any(
+            evidence.faulted(run.upstream, run.start, call.ended_at)
+            for run in evidence.runs[call.request_id]
+        )
+    )
+
+
 def _accounts_match(evidence):
     """Yield runs with a wrong account or deadline, or with the key of the caller."""
     for run in evidence.records.runs:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -59,6 +59,10 @@
     """Whether the answer is the one that the upstream sent for this request."""
     leaving: bool = False
     """Whether the answer reports that its upstream leaves."""
+    is_framed: bool = True
+    """Whether the answer has a length or chunks."""
+    is_prefix: bool = False
+    """Whether the body is the expected one up to the end of an event."""
     retry_after: float | None = None
     gave_up_at: float | None = None
     """Time at which the caller abandoned the request, if it did."""
