Soak: upstreams that reject requests with a rest period

The check requires at most two requests of an entry at an instance between half a second after the rejection and the end of the period.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,4 +1,4 @@
-"""Upstreams with unusual answers: without framing, or while they leave."""
+"""Upstreams with unusual answers: without framing, with rest periods, or leaving."""
 
 import random
 import threading
@@ -11,6 +11,10 @@
 
 LEAVING_SHARE = 0.15
 """Share of these times for which an upstream leaves instead."""
+REST_SHARE = 0.35
+"""Share of these times for which an upstream rejects requests with a rest period."""
+REJECTED_SHARE = 0.1, 0.9
+REST_S = (0.0, 0.7, 2.0, 4.0)
 LEAVE_S = 6.0
 """Seconds that a leaving upstream still serves."""
 
@@ -21,6 +25,9 @@
 
     unframed: float = 0.0
     truncated: float = 0.0
+    rejected: float = 0.0
+    """Share of the requests that are rejected with a rest period of ``rest_s``."""
+    rest_s: float = 0.0
 
 
 FRAMED = AnswerStyle()
@@ -46,13 +53,22 @@
         while not self._stopped.wait(self._rng.expovariate(1 / MEAN_GAP_S)):
             upstream = self._rng.choice(sorted(self._platform.upstreams.items()))[1]
             seconds = self._rng.uniform(*DURATION_S)
-            if self._rng.random() < LEAVING_SHARE:
+            draw = self._rng.random()
+            if draw < LEAVING_SHARE:
                 step, args = self._leave, (upstream,)
             else:
-                upstream.style = AnswerStyle(self._rng.uniform(0.1, 0.6), 0.3)
+                is_resting = draw < LEAVING_SHARE + REST_SHARE
+                upstream.style = self._rest_style() if is_resting else self._unframed()
                 step, args = self._restore, (upstream, seconds)
             threading.Thread(target=step, args=args, daemon=True).start()
 
+    def _unframed(self):
+        return AnswerStyle(self._rng.uniform(0.1, 0.6), 0.3)
+
+    def _rest_style(self):
+        rejected = self._rng.uniform(*REJECTED_SHARE)
+        return AnswerStyle(rejected=rejected, rest_s=self._rng.choice(REST_S))
+
     def _restore(self, upstream, seconds):
         upstream.closed.wait(seconds)
         upstream.style = FRAMED
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -29,6 +29,9 @@
 LIMIT_WINDOW_S, LIMIT_TOLERANCE, LIMIT_SLACK_REQUESTS = 4.0, 1.5, 5
 """Sliding window for limits of upstreams; entries together may exceed a limit by this
 factor and number of requests."""
+REST_GRACE_S, MAX_REST_REQUESTS = 0.5, 2
+"""Seconds after a rejection from which an entry must respect its rest period, and the
+requests of an entry tolerated within it."""
 BLOCKED = "crashes_upstreams"
 MAX_CRASHES, MAX_LATE_RUNS = 3, 3
 """Upstreams that one request may crash, and its runs tolerated more than ``QUIET_S``
@@ -132,6 +135,7 @@
         _refusals_have_retry_after,
         _crashes_contained,
         _limits_respected,
+        _rest_periods_respected,
     )
     lines = list(evidence.records.failures)
     for check in checks:
@@ -462,3 +466,25 @@
         if call.complete:
             seen_at[call.entry] = min(seen_at.get(call.entry, math.inf), call.ended_at)
     return times
+
+
+def _rest_periods_respected(evidence):
+    """Yield rest periods in which an upstream got requests of the entry it asked."""
+    arrivals = defaultdict(list)
+    for arrival in evidence.records.arrivals:
+        call = evidence.calls.get(arrival.request_id)
+        if call is not None:
+            key = call.entry, arrival.upstream, arrival.started_at_ms
+            arrivals[key].append(arrival.at)
+    for asked in evidence.records.rejections:
+        call = evidence.calls.get(asked.request_id)
+        if call is None or evidence.faulted(
+            call.entry, asked.at, asked.at + asked.rest_s
+        ):
+            continue
+        key = call.entry, asked.upstream, asked.started_at_ms
+        begin, end = asked.at + REST_GRACE_S, asked.at + asked.rest_s
+        count = sum(begin < at < end for at in arrivals[key])
+        if count > MAX_REST_REQUESTS:
+            period = f"{asked.rest_s:g} s asked by {asked.upstream}"
+            yield f"{count} requests in a rest of {period}: {evidence.line(call)}"
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -30,6 +30,18 @@
     """Whether an injected fault of the upstream broke the answer."""
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """One request that reached an upstream, executed or not."""
+
+    request_id: str
+    upstream: str
+    started_at_ms: int
+    at: float
+    rest_s: float | None = None
+    """Rest period of its rejection, if it was rejected with one."""
+
+
 @dataclass
 class Call:
     """One request as its caller observed it."""
@@ -88,6 +100,8 @@
     runs: list[Run] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    rejections: list[Arrival] = field(default_factory=list)
     limits: list[LimitSpan] = field(default_factory=list)
     evacuations: list = field(default_factory=list)
     cold_spans: list[tuple[str, float, float]] = field(default_factory=list)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -14,7 +14,7 @@
 from soak.answers import FRAMED
 from soak.inventory import Inventory
 from soak.ports import PORTS
-from soak.records import Run
+from soak.records import Arrival, Run
 
 HEARTBEAT_S = 0.6
 EVENT_INTERVAL_S = 0.02
@@ -203,6 +203,9 @@
 
     def _handle_request(self, req, sock):
         request_id = req.headers.get("x-persimmonhitch-request-id", "")
+        self._records.arrivals.append(self._arrival(request_id))
+        if self._style_rng.random() < self.style.rejected:
+            return self._reject(request_id, sock)
         refusal = self._refusal_status(req)
         if refusal is not None:
             headers = {"X_Persimmonhitch_Not_Executed": "1"}
@@ -218,6 +221,16 @@
             with self._lock:
                 self._running.pop(id(run), None)
 
+    def _arrival(self, request_id, rest_s=None):
+        name, now = self.spec.name, time.monotonic()
+        return Arrival(request_id, name, self.started_at_ms, now, rest_s)
+
+    def _reject(self, request_id, sock):
+        rest_s = self.style.rest_s
+        self._records.rejections.append(self._arrival(request_id, rest_s))
+        headers = {"X_Persimmonhitch_Not_Executed": "1", "Retry_After": f"{rest_s:g}"}
+        return self._send(sock, 503, **headers)
+
     def _refusal_status(self, req):
         model = req.headers.get("x-persimmonhitch-model")
         with self._lock:
