--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -39,9 +39,10 @@
     Uses its own random generator, so that the other faults of a seed do not change.
     """
 
-    def __init__(self, platform, seed, log):
+    def __init__(self, platform, records, seed, log):
         super().__init__(daemon=True)
         self._platform = platform
+        self._records = records
         self._log = log
         self._rng = random.Random(f"answers {seed}")
         self._stopped = threading.Event()
@@ -81,4 +82,5 @@
         self._log(f"{upstream.spec.name} leaves, as only its answers report")
         self._platform.add(upstream.spec.service, 0)
         if not upstream.closed.wait(LEAVE_S):
+            self._records.open_span("crash", upstream.spec.name)
             self._platform.crash(upstream)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -125,7 +125,7 @@
             caller.start()
         limits = LimitFaults(self.platform, self.records, self.seed)
         limits.start()
-        answers = AnswerFaults(self.platform, self.seed, self.log)
+        answers = AnswerFaults(self.platform, self.records, self.seed, self.log)
         answers.start()
         restores = StoreRestorer(self.platform, self.records, self.seed, self.log)
         restores.start()
