Soak: engines of two and three software versions, callers that resume at any entry

Each event on the resumable route names the version that wrote it; a stream with events of two versions, or out of sequence, breaks the run.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -136,6 +136,7 @@
         _crashes_contained,
         _limits_respected,
         _rest_periods_respected,
+        _streams_not_joined,
     )
     lines = list(evidence.records.failures)
     for check in checks:
@@ -488,3 +489,12 @@
         if count > MAX_REST_REQUESTS:
             period = f"{asked.rest_s:g} s asked by {asked.upstream}"
             yield f"{count} requests in a rest of {period}: {evidence.line(call)}"
+
+
+def _streams_not_joined(evidence):
+    """Yield streams with events of two software versions, or out of sequence."""
+    for stream in evidence.records.resumed_streams:
+        numbers = [number for number, _ in stream.events]
+        versions = {version for _, version in stream.events}
+        if len(versions) > 1 or numbers != list(range(1, len(numbers) + 1)):
+            yield f"{stream.first_id} {stream.events} {stream.attempts}"
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -150,6 +150,7 @@
                 _route("book", "non_idempotent", LEDGER, 1500),
                 _route("read", "idempotent", LEDGER, 1500),
                 _route("chat", "streaming", LLM, 4000),
+                {**_route("tale", "streaming", LLM, 4000), "resumable": True},
                 _route(f"v{version}", "idempotent", LEDGER, 1500),
             ],
         }
@@ -206,7 +207,8 @@
 class Platform:
     """Store, upstreams and operator; entries access the store over HTTP."""
 
-    def __init__(self, records, rng, engines, ledgers):
+    def __init__(self, records, rng, engines, ledgers, choose_version):
+        self._choose_version = choose_version
         self.state = StoreState()
         self.server = WebServer(StoreApp(self.state), "127.0.0.1", 0, STORE_THREADS)
         self.server.start()
@@ -243,6 +245,8 @@
             name = name or f"{service}-{self._added}"
             make = engine_spec if service == LLM else ledger_spec
             upstream = Upstream(make(name, number), self.records, derive_rng(self._rng))
+            if service == LLM:
+                upstream.version = self._choose_version()
             upstream.on_poison = lambda crashed: self.on_poison(crashed)
             self.upstreams[name] = upstream
         return upstream
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -106,6 +106,7 @@
     evacuations: list = field(default_factory=list)
     cold_spans: list[tuple[str, float, float]] = field(default_factory=list)
     """Upstream, begin and end of each cold state."""
+    resumed_streams: list = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     """Failures detected during the run, one line each."""
     _open_spans: dict[int, tuple[str, str, bool, float]] = field(default_factory=dict)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 from soak.poison import CrashHandler, PoisonCaller
 from soak.records import Records
 from soak.restores import StoreRestorer
+from soak.resumers import ResumingCaller, VersionChooser
 from soak.upstreams import POISON_PREFIX, derive_rng
 
 WARM_UP_S = 2.0
@@ -41,6 +42,8 @@
     callers: int = 12
     poison: int = 2
     """Number of distinct poison requests."""
+    resumers: int = 2
+    """Callers that resume streams at other entries."""
 
 
 @dataclass(frozen=True)
@@ -53,13 +56,16 @@
     faults: int
     recovered_in: float | None
     peak_memory_mb: float
+    resumptions: int
+    resumed: int
 
     def summary(self):
         """Format the outcome as one line."""
         return (
             f"{len(self.failures)} broken, {self.served} of {self.calls} calls served, "
             f"{self.faults} faults, recovered in {self.recovered_in} s, "
-            f"{self.peak_memory_mb:.0f} MB at most"
+            f"{self.peak_memory_mb:.0f} MB at most, "
+            f"{self.resumed} of {self.resumptions} streams resumed"
         )
 
 
@@ -75,7 +81,11 @@
         self.stopped = threading.Event()
         self.supervision_ended = threading.Event()
         self.platform = Platform(
-            self.records, derive_rng(self.rng), size.engines, size.ledgers
+            self.records,
+            derive_rng(self.rng),
+            size.engines,
+            size.ledgers,
+            VersionChooser(seed),
         )
         self.platform.on_poison = CrashHandler(self.platform, self.records, seed).crash
         self.seed = seed
@@ -121,6 +131,10 @@
             PoisonCaller(balancer, operator, records, self.seed, n, self.stopped)
             for n in range(self.size.poison)
         ]
+        callers += [
+            ResumingCaller(balancer, operator, records, self.seed, n, self.stopped)
+            for n in range(self.size.resumers)
+        ]
         for caller in callers:
             caller.start()
         limits = LimitFaults(self.platform, self.records, self.seed)
@@ -219,6 +233,8 @@
             len(self.fault_log),
             recovered_in,
             self.peak_memory_mb,
+            sum(len(s.attempts[1:]) for s in self.records.resumed_streams),
+            sum(s.accepted for s in self.records.resumed_streams),
         )
 
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,6 +19,7 @@
 HEARTBEAT_S = 0.6
 EVENT_INTERVAL_S = 0.02
 EVENT_COUNT = 8
+RESUMABLE_PATH = "/tale/x"
 POISON_PREFIX = b"poison"
 """Prefix of a request body that crashes the upstream which runs it."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -34,6 +35,11 @@
     return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
 
 
+def _last_event(req):
+    """Return the number of the event after which a stream goes on, 0 for a new one."""
+    return int(req.headers.get("last-event-id", "0"))
+
+
 @dataclass(frozen=True)
 class UpstreamSpec:
     """Properties of an upstream; ``models`` is empty unless it is an engine."""
@@ -75,6 +81,8 @@
         """Callback with this upstream when it runs a poison request."""
         self.limit = None
         """Requests a second that its answers announce as its limit, as text."""
+        self.version = "1"
+        """Version of its software."""
         self.style = FRAMED
         self.leaving = False
         """Whether its answers report that it leaves."""
@@ -115,7 +123,7 @@
                 "service": self.spec.service,
                 "address": f"127.0.0.1:{self.relay.port}",
                 "zone": self.spec.zone,
-                "version": "1",
+                "version": self.version,
                 "slots": self.spec.slots,
                 "state": "draining" if self.draining_since else "ready",
                 "sequence": int(time.monotonic() * 10),
@@ -273,7 +281,7 @@
             run.answer_broken = True
             return self._send(sock, 500, b"failed", **headers)
         if "x-persimmonhitch-model" in req.headers:
-            return self._stream(run, sock)
+            return self._stream(req, run, sock)
         if not self._work_for(EVENT_INTERVAL_S * 2, sock):
             return False
         if self._rng.random() < self.faults.lose:
@@ -306,9 +314,10 @@
         sock.sendall(head + body)
         return False
 
-    def _stream_unframed(self, run, sock):
+    def _stream_unframed(self, req, run, sock):
         """Send a stream without framing, some closed within an event."""
-        events = [event_bytes(run.request_id, n + 1) for n in range(EVENT_COUNT)]
+        first = 1 + _last_event(req)
+        events = [self._event(run, n) for n in range(first, EVENT_COUNT + 1)]
         sock.sendall(self._unframed_head(run))
         last = self._style_rng.randrange(EVENT_COUNT)
         run.answer_broken = self._style_rng.random() < self.style.truncated
@@ -323,9 +332,15 @@
             sock.sendall(data)
         return False
 
-    def _stream(self, run, sock):
+    def _event(self, run, number):
+        """Return an event; on the resumable route it names the software version."""
+        if run.path == RESUMABLE_PATH:
+            return f"id: {number}\ndata: v{self.version}-{number}\n\n".encode()
+        return event_bytes(run.request_id, number)
+
+    def _stream(self, req, run, sock):
         if self._style_rng.random() < self.style.unframed:
-            return self._stream_unframed(run, sock)
+            return self._stream_unframed(req, run, sock)
         head = (
             "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"
             f"X-Persimmonhitch-Response-Signature: s.{run.request_id}\r\n"
@@ -333,16 +348,16 @@
             "Transfer-Encoding: chunked\r\n"
         )
         head += "".join(f"{line}\r\n" for line in (*self._state_headers(), ""))
-        for number in range(1, EVENT_COUNT + 1):
+        sock.sendall(head.encode())
+        for number in range(1 + _last_event(req), EVENT_COUNT + 1):
             if not self._work_for(EVENT_INTERVAL_S, sock):
                 return False
             if self._rng.random() < self.faults.lose / EVENT_COUNT:
                 run.answer_broken = True
                 self._reset(sock)
                 return False
-            data = event_bytes(run.request_id, number)
-            chunk = f"{len(data):x}\r\n".encode() + data + b"\r\n"
-            sock.sendall((head.encode() if number == 1 else b"") + chunk)
+            data = self._event(run, number)
+            sock.sendall(f"{len(data):x}\r\n".encode() + data + b"\r\n")
         sock.sendall(b"0\r\n\r\n")
         return True
 
