Resumptions wait briefly for a peer's report of their stream

Now the report leaves at once, a resumption of an unknown stream waits for it for 0.2 s at most, and each entry sends its history to a neighbour that starts.

--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -149,7 +149,7 @@
         if self._origins is None or not is_resumption:
             return None
         service = request.admitted.request.service
-        origin = self._origins.origin(
+        origin = self._origins.wait_for_origin(
             caller.resumes, request.account, service, route.timeout
         )
         knowledge = origin.knowledge
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -145,8 +145,8 @@
         self.update_delta = UpdateDelta()
         self.peers: frozenset[Vm] = frozenset()
         self.leader_vm: Vm | None = None
-        self._known_peers: dict[Vm, Incarnation | None] = {}
-        """Process on the VM of each peer when the history was last sent."""
+        self._welcomed: dict[Vm, Incarnation] = {}
+        """Process of each neighbour to which the history of versions was sent."""
         self._cold_count = 0
         """Value of the metric of cold upstreams."""
         self.quota = Quota(lambda: self.peers)
@@ -174,7 +174,10 @@
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
-            self._publish_origins, self._is_list_fresh, cfg.known_streams
+            self._publish_origins,
+            self._is_list_fresh,
+            cfg.known_streams,
+            self._tick_due.set,
         )
         self.leader = self._make_leader()
         self.election = self.leader.election
@@ -235,6 +238,10 @@
         self.mesh.on(InventoryUpdate, self._on_inventory_update)
         self.mesh.on(StoreProbeReply, self.election.receive_probe_reply)
         self.mesh.on(LimitRequest, self._on_limit_request)
+        self.mesh.on(
+            VersionsSeen,
+            lambda vm, msg: self.origins.receive_versions(vm, msg, time.monotonic()),
+        )
         self.mesh.on(LimitGrant, lambda _vm, msg: self.limits.receive_grant(msg))
         on = self.broadcast.on
         on(EntryUpdate, self._on_entry_update)
@@ -503,13 +510,13 @@
                 log("tick_failed", error=repr(exc))
 
     def _welcome_peers(self) -> None:
-        """Send the history of versions if a peer has started, from one entry."""
-        started = {vm: self.broadcast.incarnation(vm) for vm in self.peers}
-        if started == self._known_peers:
-            return
-        self._known_peers = started
-        if self.broadcast.routes.is_first:
-            self.origins.publish_history()
+        """Send the history of versions to the neighbours that have started."""
+        for vm in self.broadcast.routes.links():
+            incarnation = self.broadcast.incarnation(vm)
+            if incarnation is None or self._welcomed.get(vm) == incarnation:
+                continue
+            if self.mesh.send(vm, self.origins.history()):
+                self._welcomed[vm] = incarnation
 
     def _update_cold_metric(self) -> None:
         count = self.limits.cold_count()
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -20,6 +20,9 @@
 are told of new streams; longer than any stream."""
 MAX_ITEMS: Final = 500
 """Streams in one message to the peers."""
+UPDATE_WAIT_S: Final = 0.2
+"""Seconds for which a resumption waits for a peer's report of its stream: two flush
+intervals of the broadcast, and the relays."""
 RESTART_MARGIN_S: Final = 1.0
 """Seconds by which the clocks of an upstream and of this entry may differ."""
 
@@ -50,6 +53,8 @@
         Returns whether the list of upstreams is up to date.
     max_streams : int
         Number of streams to remember; the oldest are forgotten.
+    on_change : callable
+        Called when ``flush`` has something to send.
     clock, wall_ms : callable
         Return monotonic seconds and Unix milliseconds.
     """
@@ -59,15 +64,18 @@
         publish: Callable[[object], None],
         is_fresh: Callable[[], bool],
         max_streams: int,
+        on_change: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
         wall_ms: Callable[[], float] = lambda: time.time() * 1000,
     ) -> None:
         self._publish = publish
         self._is_fresh = is_fresh
         self._max_streams = max_streams
+        self._on_change = on_change
         self._clock = clock
         self._wall_ms = wall_ms
         self._lock = threading.Lock()
+        self._received = threading.Condition(self._lock)
         self._history = VersionHistory(clock())
         self._streams: OrderedDict[RequestId, _Begun] = OrderedDict()
         self._records: dict[Upstream, UpstreamRecord] = {}
@@ -134,8 +142,10 @@
         )
         with self._lock:
             self._remember(request_id, begun)
-            if record.service in self._mixed:
-                self._unsent[request_id] = begun
+            if record.service not in self._mixed:
+                return
+            self._unsent[request_id] = begun
+        self._on_change()
 
     def _remember(self, request_id: RequestId, begun: _Begun) -> None:
         self._streams[request_id] = begun
@@ -161,17 +171,45 @@
         max_age_s : float
             Longest time for which the stream may have run.
         """
-        now = self._clock()
         is_fresh = self._is_fresh()
         with self._lock:
-            begun = self._streams.get(request_id)
-            # A stream of another account is treated like an unknown one.
-            if begun is not None and begun.account == account:
-                if begun.version is None:
-                    return Origin(Knowledge.MIXED)
-                return Origin(Knowledge.STREAM, begun.version)
-            oldest_ms = self._wall_ms() - max_age_s * 1000
-            return self._history.origin(service, now - max_age_s, oldest_ms, is_fresh)
+            return self._origin(request_id, account, service, max_age_s, is_fresh)
+
+    def wait_for_origin(
+        self,
+        request_id: RequestId,
+        account: Account | None,
+        service: Service,
+        max_age_s: float,
+        wait_s: float = UPDATE_WAIT_S,
+    ) -> Origin:
+        """Return ``origin``; wait for a peer's report if the version is not known."""
+        is_fresh = self._is_fresh()
+
+        def find() -> Origin:
+            return self._origin(request_id, account, service, max_age_s, is_fresh)
+
+        with self._received:
+            if request_id:
+                self._received.wait_for(lambda: find().knowledge.is_sufficient, wait_s)
+            return find()
+
+    def _origin(
+        self,
+        request_id: RequestId,
+        account: Account | None,
+        service: Service,
+        max_age_s: float,
+        is_fresh: bool,
+    ) -> Origin:
+        begun = self._streams.get(request_id)
+        # A stream of another account is treated like an unknown one.
+        if begun is not None and begun.account == account:
+            if begun.version is None:
+                return Origin(Knowledge.MIXED)
+            return Origin(Knowledge.STREAM, begun.version)
+        now, oldest_ms = self._clock(), self._wall_ms() - max_age_s * 1000
+        return self._history.origin(service, now - max_age_s, oldest_ms, is_fresh)
 
     # -- peers -----------------------------------------------------------------------
 
@@ -195,11 +233,10 @@
             )
             self._publish(StreamsBegan(streams))
 
-    def publish_history(self) -> None:
-        """Send the known versions to the peers, one of which has started."""
+    def history(self) -> VersionsSeen:
+        """Return the known versions, for a peer that has started."""
         with self._lock:
-            message = self._seen(self._clock())
-        self._publish(message)
+            return self._seen(self._clock())
 
     def _seen(self, now: float) -> VersionsSeen:
         versions = tuple(
@@ -224,6 +261,7 @@
                     wall_ms - (now - at) * 1000,
                 )
                 self._remember(item.request, begun)
+            self._received.notify_all()
 
     def receive_versions(self, _vm: Vm, msg: VersionsSeen, as_of: float) -> None:
         """Apply the versions that a peer knows."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Streams of services whose upstreams run several software versions."""
 
+import threading
 from dataclasses import replace
 
 import pytest
@@ -164,8 +165,8 @@
             self._publish,
             lambda: self.is_fresh,
             max_streams,
-            clock,
-            lambda: WALL_MS + clock() * 1000,
+            clock=clock,
+            wall_ms=lambda: WALL_MS + clock() * 1000,
         )
         self._clock = clock
 
@@ -209,6 +210,17 @@
         assert (origin.knowledge, origin.version) == (Knowledge.STREAM, version)
 
 
+def test_resumption_waits_for_the_report_of_a_peer(entries):
+    """Guards against a refusal of callers that are faster than the report."""
+    _clock, first, second = entries
+    for entry in (first, second):
+        entry.origins.update([record("u1", V1), record("u2", V2)])
+    first.origins.began(Q1, COOP, record("u2", V2))
+    threading.Timer(0.05, first.origins.flush).start()
+    origin = second.origins.wait_for_origin(Q1, COOP, LLM, MAX_AGE_S, 2.0)
+    assert (origin.knowledge, origin.version) == (Knowledge.STREAM, V2)
+
+
 def test_stream_of_another_account_is_not_told_of(entries):
     """Guards against knowledge of other accounts' streams."""
     _clock, first, _second = entries
