--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -154,6 +154,16 @@
         )
         knowledge = origin.knowledge
         self._metrics.stream_resumed(knowledge.value, knowledge.is_sufficient)
+        log(
+            "stream_resumption",
+            request=request.request_id,
+            resumes=caller.resumes or "-",
+            after=caller.last_event_id,
+            knowledge=knowledge.value,
+            version=origin.version or "-",
+            list_age=self._origins.list_age_s(),
+            accepted=knowledge.is_sufficient,
+        )
         if knowledge.is_sufficient:
             request.version = origin.version
             return None
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -178,6 +178,7 @@
             self._is_list_fresh,
             cfg.known_streams,
             self._tick_due.set,
+            self._list_age_s,
         )
         self.leader = self._make_leader()
         self.election = self.leader.election
@@ -351,10 +352,10 @@
         While the store is unavailable, peers report streams of versions that this entry
         does not know.
         """
-        contact_at = self.watchers[Kind.UPSTREAM].view.contact_at
-        if time.monotonic() - contact_at < LIST_TTL_S:
-            return True
-        return self.quota.hears_all_peers()
+        return self._list_age_s() < LIST_TTL_S or self.quota.hears_all_peers()
+
+    def _list_age_s(self) -> float:
+        return time.monotonic() - self.watchers[Kind.UPSTREAM].view.contact_at
 
     def _publish_origins(self, msg: object) -> None:
         self.broadcast.publish(msg, urgent=True)
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -55,6 +55,8 @@
         Number of streams to remember; the oldest are forgotten.
     on_change : callable
         Called when ``flush`` has something to send.
+    list_age_s : callable
+        Returns the seconds since the store confirmed the list of upstreams.
     clock, wall_ms : callable
         Return monotonic seconds and Unix milliseconds.
     """
@@ -65,6 +67,7 @@
         is_fresh: Callable[[], bool],
         max_streams: int,
         on_change: Callable[[], None] = lambda: None,
+        list_age_s: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
         wall_ms: Callable[[], float] = lambda: time.time() * 1000,
     ) -> None:
@@ -72,6 +75,7 @@
         self._is_fresh = is_fresh
         self._max_streams = max_streams
         self._on_change = on_change
+        self.list_age_s = list_age_s
         self._clock = clock
         self._wall_ms = wall_ms
         self._lock = threading.Lock()
