Gateway: resumptions and the events of one answer in parts of their own

No change of behaviour; stream_events no longer holds the loop over the parts of a body. Tests of gateway, streams, limits, poison and stop pass.

--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -21,11 +21,10 @@
 from .admit import ActiveConfig, Admitted, admit
 from .attempts import SERVER_ERROR_STATUS, AttemptRunner
 from .dispatcher import Dispatcher
-from .events import EventSplitter, tail_of
+from .events import EventSplitter, StreamEvent, tail_of
 from .exchange import (
     EVENT_STREAM,
     EXCHANGE_ERRORS,
-    RETRY_AFTER,
     Exchange,
     Framing,
     Reply,
@@ -33,7 +32,7 @@
 from .in_flight import InFlightRequest, RequestTracker
 from .poison import PoisonGuard
 from .quota import Quota
-from .stream_origins import StreamOrigins
+from .resumptions import Resumptions
 from .upstream_limits import UpstreamLimits
 
 CALLER_LEFT: Final = Failure(
@@ -64,12 +63,11 @@
         metrics: Metrics,
         poison: PoisonGuard,
         limits: UpstreamLimits,
+        resumptions: Resumptions,
         clock: Callable[[], float] = time.monotonic,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
-        origins: StreamOrigins | None = None,
     ) -> None:
-        self._origins = origins
-        self._metrics = metrics
+        self._resumptions = resumptions
         self._active_config = active_config
         self._quota = quota
         self._dispatcher = dispatcher
@@ -102,7 +100,7 @@
         request = InFlightRequest(
             admitted, Abort(req.disconnected, admitted.deadline_at), admitted.route.name
         )
-        refusal = self._find_origin(request)
+        refusal = self._resumptions.admit(request)
         if refusal is not None:
             if admitted.account is not None:
                 self._quota.refund(admitted.account.name, admitted.cost)
@@ -142,53 +140,6 @@
         reason = f"{account.name} has used its rate of {account.rate:g} a second"
         return Failure(ErrorCode.RATE_LIMITED, reason, retry_after=wait)
 
-    def _find_origin(self, request: InFlightRequest) -> Failure | None:
-        """Set the version at which a resumed stream goes on, or return the refusal."""
-        caller, route = request.admitted.caller, request.admitted.route
-        is_resumption = route.kind is RouteKind.STREAM and caller.last_event_id
-        if self._origins is None or not is_resumption:
-            return None
-        service = request.admitted.request.service
-        origin = self._origins.wait_for_origin(
-            caller.resumes, request.account, service, route.timeout
-        )
-        knowledge = origin.knowledge
-        self._metrics.stream_resumed(knowledge.value, knowledge.is_sufficient)
-        log(
-            "stream_resumption",
-            request=request.request_id,
-            resumes=caller.resumes or "-",
-            after=caller.last_event_id,
-            knowledge=knowledge.value,
-            version=origin.version or "-",
-            list_age=self._origins.list_age_s(),
-            accepted=knowledge.is_sufficient,
-        )
-        if knowledge.is_sufficient:
-            request.version = origin.version
-            return None
-        reason = f"the software version that began the stream: {knowledge.value}"
-        return Failure(ErrorCode.VERSION_UNKNOWN, reason, retry_after=RETRY_AFTER)
-
-    def _record_first_event(self, request: InFlightRequest) -> None:
-        """Remember the software version that begins a stream."""
-        if self._origins is None or request.permit is None:
-            return
-        record = request.permit.record
-        request.version = record.version
-        for request_id in (request.request_id, request.admitted.caller.resumes):
-            if request_id:
-                self._origins.began(request_id, request.account, record)
-
-    def _may_resume(self, request: InFlightRequest) -> bool:
-        """Return whether the version that began a stream is still certain."""
-        if self._origins is None or request.first_event_s is None:
-            return True
-        origin = self._origins.origin(
-            request.request_id, request.account, request.admitted.request.service, 0.0
-        )
-        return origin.knowledge.is_sufficient
-
     def _serve(self, request: InFlightRequest) -> Answer:
         result = self._runner.send_first(request)
         if not isinstance(result, Success):
@@ -233,35 +184,41 @@
     def stream_events(self, request: InFlightRequest) -> Iterator[bytes]:
         """Yield the events of a stream; resume a lost stream if its route allows it."""
         last_event_id: str | None = None
-        assert request.reply is not None
-        is_framed = request.reply.framing is not Framing.CLOSE
+        reply = request.reply
+        assert reply is not None
+        is_framed = reply.framing is not Framing.CLOSE
         while True:
-            reply = request.reply
             try:
-                splitter, has_events = EventSplitter(), False
-                for chunk in reply.chunks():
-                    if request.permit is not None:
-                        request.permit.record_activity()
-                    for event in splitter.feed(chunk):
-                        if request.first_event_s is None:
-                            self._record_first_event(request)
-                        self._tracker.record_event(request)
-                        last_event_id = event.id or last_event_id
-                        has_events = True
-                        yield event.data
-                if reply.media_type in (None, EVENT_STREAM):
-                    reply.check_events(has_events, splitter.tail)
-                if splitter.tail:
-                    yield splitter.tail
-                self._poison.completed(request.fingerprint)
-                if is_framed and reply.framing is Framing.CLOSE:
-                    self._end_unconfirmed(request)
-                self._tracker.settle(request, None, reply.status)
-                return
+                for event in self._events(request, reply):
+                    last_event_id = event.id or last_event_id
+                    yield event.data
+                break
             except EXCHANGE_ERRORS as exc:
                 reply.close()
                 failure = self._runner.record_lost_answer(request, exc)
-                request.reply = self._resume_stream(request, failure, last_event_id)
+                reply = self._resume_stream(request, failure, last_event_id)
+                request.reply = reply
+        self._poison.completed(request.fingerprint)
+        if is_framed and reply.framing is Framing.CLOSE:
+            self._end_unconfirmed(request)
+        self._tracker.settle(request, None, reply.status)
+
+    def _events(self, request: InFlightRequest, reply: Reply) -> Iterator[StreamEvent]:
+        """Yield the events of one answer, and the bytes after the last one."""
+        splitter, has_events = EventSplitter(), False
+        for chunk in reply.chunks():
+            if request.permit is not None:
+                request.permit.record_activity()
+            for event in splitter.feed(chunk):
+                if request.first_event_s is None:
+                    self._resumptions.record_first_event(request)
+                self._tracker.record_event(request)
+                has_events = True
+                yield event
+        if reply.media_type in (None, EVENT_STREAM):
+            reply.check_events(has_events, splitter.tail)
+        if splitter.tail:
+            yield StreamEvent(splitter.tail, None)
 
     def _end_unconfirmed(self, request: InFlightRequest) -> None:
         """Break off a framed stream whose last part has no framing.
@@ -276,7 +233,7 @@
     def _resume_stream(
         self, request: InFlightRequest, failure: Failure, last_event_id: str | None
     ) -> Reply:
-        may_resume = self._may_resume(request)
+        may_resume = self._resumptions.may_go_on(request)
         result = (
             self._runner.resume(request, failure, last_event_id)
             if may_resume
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -80,6 +80,7 @@
 )
 from .poison import PoisonGuard
 from .quota import Quota
+from .resumptions import Resumptions
 from .settings import DirectSettings
 from .stream_origins import StreamOrigins
 from .update_delta import UpdateDelta
@@ -273,8 +274,8 @@
             self.metrics,
             self.poison,
             self.limits,
+            Resumptions(self.origins, self.metrics),
             on_leaving=self.leaving.reported,
-            origins=self.origins,
         )
         callers = CallerApp(gateway, self._refusal)
         status = StatusApp(self._is_ready, self.metrics)
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -16,6 +16,7 @@
 from persimmonhitch.direct.leaving import LeavingUpstreams
 from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.quota import Quota
+from persimmonhitch.direct.resumptions import Resumptions
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.direct.upstream_limits import UpstreamLimits
 from persimmonhitch.fleet.config import (
@@ -254,17 +255,18 @@
         threading.Thread(target=self._tick, daemon=True).start()
         self.watchdog = Watchdog()
         self.watchdog.start()
+        metrics = Metrics("direct", "test")
         gateway = Gateway(
             lambda: ActiveConfig(cfg, RouteTable(cfg.routes)),
             self.quota,
             self.dispatcher,
             Exchange(conns, parse_reply),
             self.watchdog,
-            Metrics("direct", "test"),
+            metrics,
             self.poison,
             self.limits,
+            Resumptions(self.origins, metrics),
             on_leaving=self.leaving.reported,
-            origins=self.origins,
         )
         app = CallerApp(gateway, lambda: refusal)
         self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
