Answers without a body are complete, and leave their connection open

What callers saw: a HEAD request whose answer states a length was lost and sent again, and failed if it may not be; an answer 204 without a length closed its connection. Cause: the length was read from the header, whatever the method and status.

--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -221,8 +221,8 @@
         if parsed.request_id is not None and parsed.request_id != req.request_id:
             # A late answer to another request; this request may still be running.
             raise ValueError("the answer belongs to another request")
-        text = headers.get("content-length", "")
-        length = int(text) if text.isdigit() else None
+        # It is 0 if the method or the status allows no body.
+        length = response.length_remaining
         return Success(
             Reply(
                 response.status,
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -302,3 +302,20 @@
         server.close()
     assert received.is_framed is is_framed
     assert received.body == job.body
+
+
+@pytest.mark.parametrize(
+    ("method", "parts"),
+    [
+        ("HEAD", f"HTTP/1.1 200 OK\r\n{SIGNATURE}Content-Length: 5\r\n\r\n".encode()),
+        ("GET", f"HTTP/1.1 204 No Content\r\n{SIGNATURE}\r\n".encode()),
+    ],
+)
+def test_answer_without_a_body_is_complete(method, parts):
+    """Guards against a retry of an answer that has no body, and a closed connection."""
+    upstream = FakeUpstream("u1", sends(parts))
+    with GatewayServer(upstream) as gateway:
+        replies = [gateway.call("/read/x", method=method, body=b"") for _ in range(2)]
+        assert not upstream.disconnected.is_set()
+    assert {reply.status for reply in replies} <= {200, 204}
+    assert len(upstream.received) == 2
