Rename the rest periods of upstreams to backoffs

Log fields: backoff of attempt_refused, upstream_backoff with asked and wait. The code is as it was.

--- a/src/persimmonhitch/decide/rest_periods.py
+++ b/src/persimmonhitch/decide/backoff.py
@@ -1,4 +1,4 @@
-"""Rest periods of upstreams, and the return of requests after them.
+"""Backoffs of upstreams, and the return of requests after them.
 
 Load pattern: an overloaded upstream rejects requests, and asks each entry that it
 rejects for some seconds without further ones. Entries that it rejected at the same
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-MAX_REST_S: Final = 60.0
+MAX_BACKOFF_S: Final = 60.0
 """Longest period that is respected; a malformed value would exclude an upstream for
 good."""
 JITTER_SHARE: Final = 0.2
@@ -29,7 +29,7 @@
 
 
 @dataclass
-class RestPeriod:
+class Backoff:
     """Time without requests to one upstream; times are monotonic seconds."""
 
     until: float = -math.inf
@@ -38,9 +38,9 @@
         self, seconds: float, now: float, draw: Callable[[], float] = random.random
     ) -> None:
         """Apply a period that an upstream asks for; ``draw`` returns 0 to 1."""
-        rest = min(seconds, MAX_REST_S)
-        jitter = draw() * min(rest * JITTER_SHARE, MAX_JITTER_S)
-        self.until = max(self.until, now + rest + jitter)
+        backoff = min(seconds, MAX_BACKOFF_S)
+        jitter = draw() * min(backoff * JITTER_SHARE, MAX_JITTER_S)
+        self.until = max(self.until, now + backoff + jitter)
 
     def wait_s(self, now: float) -> float:
         """Return the seconds until a request may be sent."""
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -213,8 +213,8 @@
                 self._limits.reported_cold(record, parsed.cold_s)
         if parsed.leaving and _is_from(record, reply):
             self._on_leaving(record)
-        if parsed.rest_s and _is_from(record, reply):
-            self._limits.asked_to_rest(record, parsed.rest_s)
+        if parsed.backoff_s and _is_from(record, reply):
+            self._limits.asked_to_back_off(record, parsed.backoff_s)
         if parsed.not_run:
             return Err(self._record_refusal(request, reply))
         request.attempts += 1
@@ -260,7 +260,7 @@
             request.excluded |= {record.name}
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
-        self._log(request, "attempt_refused", failure, reply.parsed_headers.rest_s)
+        self._log(request, "attempt_refused", failure, reply.parsed_headers.backoff_s)
         return failure
 
     def _log(
@@ -268,7 +268,7 @@
         request: InFlightRequest,
         event: str,
         failure: Failure,
-        rest_s: float | None = None,
+        backoff_s: float | None = None,
     ) -> None:
         permit = request.permit
         log(
@@ -282,7 +282,7 @@
             attempt=request.attempts + request.refusals,
             framing=request.framing.value if request.framing else "-",
             leaving=request.leaving,
-            rest=rest_s,
+            backoff=backoff_s,
         )
 
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
--- a/src/persimmonhitch/direct/resting_upstreams.py
+++ b/src/persimmonhitch/direct/upstream_backoffs.py
@@ -2,40 +2,40 @@
 
 from collections.abc import Iterable
 
+from ..decide.backoff import Backoff
 from ..decide.dispatch import UpstreamView
 from ..decide.poison import UpstreamInstance
-from ..decide.rest_periods import RestPeriod
 from ..ids import Upstream
 from ..observe.logs import log
 
 
-class RestingUpstreams:
-    """Rest periods by instance; not thread-safe, times are monotonic seconds."""
+class UpstreamBackoffs:
+    """Backoffs by instance; not thread-safe, times are monotonic seconds."""
 
     def __init__(self) -> None:
-        self._periods: dict[Upstream, tuple[UpstreamInstance, RestPeriod]] = {}
+        self._periods: dict[Upstream, tuple[UpstreamInstance, Backoff]] = {}
 
     def __len__(self) -> int:
         return len(self._periods)
 
     def extend(self, instance: UpstreamInstance, seconds: float, now: float) -> None:
-        """Apply a rest period that an instance asks for."""
+        """Apply a backoff that an instance asks for."""
         pair = self._periods.get(instance.name)
         if pair is None or pair[0] != instance:
-            pair = self._periods[instance.name] = instance, RestPeriod()
+            pair = self._periods[instance.name] = instance, Backoff()
         period = pair[1]
-        was_resting = period.wait_s(now) > 0
+        was_backed_off = period.wait_s(now) > 0
         period.extend(seconds, now)
-        if not was_resting:
+        if not was_backed_off:
             log(
-                "upstream_rests",
+                "upstream_backoff",
                 upstream=instance.name,
                 asked=seconds,
-                rest=period.wait_s(now),
+                wait=period.wait_s(now),
             )
 
     def exclude(self, views: Iterable[UpstreamView], now: float) -> set[Upstream]:
-        """Limit the traffic of resting upstreams; return those that get none."""
+        """Limit the traffic of upstreams in a backoff; return those that get none."""
         excluded = set()
         for view in views:
             pair = self._periods.get(view.upstream)
@@ -47,7 +47,7 @@
         return excluded
 
     def wait_s(self, upstream: Upstream, now: float) -> float:
-        """Return the seconds until the rest period of an upstream ends."""
+        """Return the seconds until the backoff of an upstream ends."""
         pair = self._periods.get(upstream)
         return pair[1].wait_s(now) if pair is not None else 0.0
 
--- a/src/persimmonhitch/direct/upstream_limits.py
+++ b/src/persimmonhitch/direct/upstream_limits.py
@@ -20,7 +20,7 @@
 from .cold_upstreams import AS_TOLERATED, ColdBound, ColdUpstreams
 from .peer_messages import LimitGrant, LimitRequest, LimitUpdate, ReportedLimit
 from .poison import instance_of
-from .resting_upstreams import RestingUpstreams
+from .upstream_backoffs import UpstreamBackoffs
 
 RESEND_INTERVAL_S: Final = 2.0
 """Interval of full updates, for entries that missed an incremental update."""
@@ -82,7 +82,7 @@
         self._allowances: dict[Upstream, tuple[UpstreamInstance, Allowance]] = {}
         self._grants: dict[UpstreamInstance, GrantBucket] = {}
         self._cold = ColdUpstreams(cold_bound)
-        self._resting = RestingUpstreams()
+        self._backoffs = UpstreamBackoffs()
         self._unsent: set[UpstreamInstance] = set()
         self._full_update_at = -math.inf
 
@@ -105,10 +105,10 @@
                 self._unsent.add(instance)
                 self._on_change()
 
-    def asked_to_rest(self, record: UpstreamRecord, seconds: float) -> None:
+    def asked_to_back_off(self, record: UpstreamRecord, seconds: float) -> None:
         """Send nothing to an upstream for some seconds, as it asks this entry."""
         with self._lock:
-            self._resting.extend(instance_of(record), seconds, self._clock())
+            self._backoffs.extend(instance_of(record), seconds, self._clock())
 
     def receive(self, _vm: Vm, msg: LimitUpdate, as_of: float) -> None:
         """Apply limits that upstreams reported to a peer."""
@@ -181,7 +181,7 @@
             removed = (self._states.keys() | self._grants.keys()) - instances
             for instance in removed:
                 self._states.pop(instance, None)
-            self._resting.update(instances, self._clock())
+            self._backoffs.update(instances, self._clock())
             self._update_allowances(changed | removed)
 
     def _update_allowances(self, instances: Iterable[UpstreamInstance]) -> None:
@@ -225,11 +225,11 @@
         Grants at cold upstreams are requested only if no other upstream can take the
         request, since grants that are not used in time are lost.
         """
-        if not self._allowances and not self._resting:
+        if not self._allowances and not self._backoffs:
             return frozenset()
         views = list(views)
         with self._lock:
-            excluded = self._resting.exclude(views, self._clock())
+            excluded = self._backoffs.exclude(views, self._clock())
             if not self._allowances:
                 return frozenset(excluded)
             self._update_allowances(self._cold.expire(self._clock()))
@@ -289,10 +289,10 @@
         return min(known) if known and len(known) == len(waits) else None
 
     def _wait_s(self, upstream: Upstream, now: float) -> float | None:
-        rest = self._resting.wait_s(upstream, now)
+        backoff = self._backoffs.wait_s(upstream, now)
         pair = self._allowances.get(upstream)
         wait = pair[1].wait_time(now) if pair is not None else 0.0
-        return None if wait is None else max(wait, rest)
+        return None if wait is None else max(wait, backoff)
 
     # -- the leader ----------------------------------------------------------------
 
@@ -327,7 +327,7 @@
     ) -> bool:
         instance = instance_of(record)
         with self._lock:
-            if self._resting.wait_s(record.name, self._clock()) > 0:
+            if self._backoffs.wait_s(record.name, self._clock()) > 0:
                 return False
             state = self._states.get(instance)
             if state is None or state.limit is None:
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -86,7 +86,7 @@
     """None if the reply states no limit."""
     leaving: bool
     """Whether the upstream reports that it is leaving."""
-    rest_s: float | None
+    backoff_s: float | None
     """Seconds for which an upstream that rejects a request wants no others."""
     cold_s: float
     """Seconds for which the upstream stays slow after its start."""
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -136,7 +136,7 @@
     return any(value not in ("", "0") for value in values)
 
 
-def _parse_rest(status: int, headers: Headers) -> float | None:
+def _parse_backoff(status: int, headers: Headers) -> float | None:
     """Return the seconds for which an upstream that rejects a request wants no others.
 
     A date, a negative number or a malformed value counts as none.
@@ -167,7 +167,7 @@
         limit=parse_limit(headers),
         leaving=is_leaving(headers),
         cold_s=_parse_cold(headers.get(names.COLD_REMAINING)),
-        rest_s=_parse_rest(status, headers),
+        backoff_s=_parse_backoff(status, headers),
         idle_timeout_s=float(idle_timeout[1]) if idle_timeout else None,
     )
 
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,4 +1,4 @@
-"""Upstreams with unusual answers: without framing, with rest periods, or leaving."""
+"""Upstreams with unusual answers: without framing, with backoffs, or leaving."""
 
 import random
 import threading
@@ -11,10 +11,10 @@
 
 LEAVING_SHARE = 0.15
 """Share of these times for which an upstream leaves instead."""
-REST_SHARE = 0.35
-"""Share of these times for which an upstream rejects requests with a rest period."""
+BACKOFF_SHARE = 0.35
+"""Share of these times for which an upstream rejects requests with a backoff."""
 REJECTED_SHARE = 0.1, 0.9
-REST_S = (0.0, 0.7, 2.0, 4.0)
+BACKOFF_S = (0.0, 0.7, 2.0, 4.0)
 LEAVE_S = 6.0
 """Seconds that a leaving upstream still serves."""
 
@@ -26,8 +26,8 @@
     unframed: float = 0.0
     truncated: float = 0.0
     rejected: float = 0.0
-    """Share of the requests that are rejected with a rest period of ``rest_s``."""
-    rest_s: float = 0.0
+    """Share of the requests that are rejected with a backoff of ``backoff_s``."""
+    backoff_s: float = 0.0
 
 
 FRAMED = AnswerStyle()
@@ -58,17 +58,19 @@
             if draw < LEAVING_SHARE:
                 step, args = self._leave, (upstream,)
             else:
-                is_resting = draw < LEAVING_SHARE + REST_SHARE
-                upstream.style = self._rest_style() if is_resting else self._unframed()
+                is_backoff = draw < LEAVING_SHARE + BACKOFF_SHARE
+                upstream.style = (
+                    self._backoff_style() if is_backoff else self._unframed()
+                )
                 step, args = self._restore, (upstream, seconds)
             threading.Thread(target=step, args=args, daemon=True).start()
 
     def _unframed(self):
         return AnswerStyle(self._rng.uniform(0.1, 0.6), 0.3)
 
-    def _rest_style(self):
+    def _backoff_style(self):
         rejected = self._rng.uniform(*REJECTED_SHARE)
-        return AnswerStyle(rejected=rejected, rest_s=self._rng.choice(REST_S))
+        return AnswerStyle(rejected=rejected, backoff_s=self._rng.choice(BACKOFF_S))
 
     def _restore(self, upstream, seconds):
         upstream.closed.wait(seconds)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -29,8 +29,8 @@
 LIMIT_WINDOW_S, LIMIT_TOLERANCE, LIMIT_SLACK_REQUESTS = 4.0, 1.5, 5
 """Sliding window for limits of upstreams; entries together may exceed a limit by this
 factor and number of requests."""
-REST_GRACE_S, MAX_REST_REQUESTS = 0.5, 2
-"""Seconds after a rejection from which an entry must respect its rest period, and the
+BACKOFF_GRACE_S, MAX_BACKOFF_REQUESTS = 0.5, 2
+"""Seconds after a rejection from which an entry must respect its backoff, and the
 requests of an entry tolerated within it."""
 BLOCKED = "crashes_upstreams"
 MAX_CRASHES, MAX_LATE_RUNS = 3, 3
@@ -135,7 +135,7 @@
         _refusals_have_retry_after,
         _crashes_contained,
         _limits_respected,
-        _rest_periods_respected,
+        _backoffs_respected,
         _streams_not_joined,
     )
     lines = list(evidence.records.failures)
@@ -469,8 +469,8 @@
     return times
 
 
-def _rest_periods_respected(evidence):
-    """Yield rest periods in which an upstream got requests of the entry it asked."""
+def _backoffs_respected(evidence):
+    """Yield backoffs in which an upstream got requests of the entry it asked."""
     arrivals = defaultdict(list)
     for arrival in evidence.records.arrivals:
         call = evidence.calls.get(arrival.request_id)
@@ -480,15 +480,15 @@
     for asked in evidence.records.rejections:
         call = evidence.calls.get(asked.request_id)
         if call is None or evidence.faulted(
-            call.entry, asked.at, asked.at + asked.rest_s
+            call.entry, asked.at, asked.at + asked.backoff_s
         ):
             continue
         key = call.entry, asked.upstream, asked.started_at_ms
-        begin, end = asked.at + REST_GRACE_S, asked.at + asked.rest_s
+        begin, end = asked.at + BACKOFF_GRACE_S, asked.at + asked.backoff_s
         count = sum(begin < at < end for at in arrivals[key])
-        if count > MAX_REST_REQUESTS:
-            period = f"{asked.rest_s:g} s asked by {asked.upstream}"
-            yield f"{count} requests in a rest of {period}: {evidence.line(call)}"
+        if count > MAX_BACKOFF_REQUESTS:
+            period = f"{asked.backoff_s:g} s asked by {asked.upstream}"
+            yield f"{count} requests in a backoff of {period}: {evidence.line(call)}"
 
 
 def _streams_not_joined(evidence):
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -38,7 +38,7 @@
     upstream: str
     started_at_ms: int
     at: float
-    rest_s: float | None = None
+    backoff_s: float | None = None
     """Rest period of its rejection, if it was rejected with one."""
 
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -229,14 +229,17 @@
             with self._lock:
                 self._running.pop(id(run), None)
 
-    def _arrival(self, request_id, rest_s=None):
+    def _arrival(self, request_id, backoff_s=None):
         name, now = self.spec.name, time.monotonic()
-        return Arrival(request_id, name, self.started_at_ms, now, rest_s)
+        return Arrival(request_id, name, self.started_at_ms, now, backoff_s)
 
     def _reject(self, request_id, sock):
-        rest_s = self.style.rest_s
-        self._records.rejections.append(self._arrival(request_id, rest_s))
-        headers = {"X_Persimmonhitch_Not_Executed": "1", "Retry_After": f"{rest_s:g}"}
+        backoff_s = self.style.backoff_s
+        self._records.rejections.append(self._arrival(request_id, backoff_s))
+        headers = {
+            "X_Persimmonhitch_Not_Executed": "1",
+            "Retry_After": f"{backoff_s:g}",
+        }
         return self._send(sock, 503, **headers)
 
     def _refusal_status(self, req):
--- a/tests/test_rest_periods.py
+++ b/tests/test_upstream_backoff.py
@@ -15,22 +15,22 @@
     sends,
 )
 
-from persimmonhitch.decide.rest_periods import MAX_REST_S, RAMP_UP_S, RestPeriod
+from persimmonhitch.decide.backoff import MAX_BACKOFF_S, RAMP_UP_S, Backoff
 from persimmonhitch.direct.engine_client import EngineClient, Order
 from persimmonhitch.ids import Epoch, Model, Vm
 
 NOT_RUN = "X-Persimmonhitch-Not-Executed: 1\r\n"
-REST_S = 1.5
+BACKOFF_S = 1.5
 TOLERANCE_S = 0.5
 """Seconds after a rejection in which requests already sent may arrive."""
 
 
-class RestingUpstream(FakeUpstream):
-    """Rejects all requests with a rest period and records their arrivals."""
+class RejectingUpstream(FakeUpstream):
+    """Rejects all requests with a backoff and records their arrivals."""
 
-    def __init__(self, service=LEDGER, rest=str(REST_S), head=NOT_RUN):
+    def __init__(self, service=LEDGER, backoff=str(BACKOFF_S), head=NOT_RUN):
         self.received_at = []
-        self.refusal = answer(503, b"", f"{head}Retry-After: {rest}\r\n")
+        self.refusal = answer(503, b"", f"{head}Retry-After: {backoff}\r\n")
         super().__init__("u1", self._reject, service)
 
     def _reject(self, _req, sock):
@@ -38,11 +38,11 @@
         sock.sendall(self.refusal)
         return True
 
-    def within_rest(self):
-        """Return the requests that arrived within the first rest period."""
+    def within_backoff(self):
+        """Return the requests that arrived within the first backoff."""
         first = self.received_at[0]
         return [
-            at for at in self.received_at if TOLERANCE_S < at - first < REST_S - 0.01
+            at for at in self.received_at if TOLERANCE_S < at - first < BACKOFF_S - 0.01
         ]
 
 
@@ -58,21 +58,21 @@
 )
 def test_upstream_gets_no_requests_within_its_rest_period(path, service, head):
     """Guards against requests that an overloaded upstream has asked not to get."""
-    resting = RestingUpstream(service, head=head)
+    rejecting = RejectingUpstream(service, head=head)
     other = FakeUpstream("u2", sends(answer()), service)
-    with GatewayServer(resting, other) as gateway:
+    with GatewayServer(rejecting, other) as gateway:
         end = time.monotonic() + 10
-        while not resting.received_at and time.monotonic() < end:
+        while not rejecting.received_at and time.monotonic() < end:
             gateway.call(path)
-        end = resting.received_at[0] + REST_S
+        end = rejecting.received_at[0] + BACKOFF_S
         while time.monotonic() < end:
             assert gateway.call(path).status == 200
-    assert resting.within_rest() == []
+    assert rejecting.within_backoff() == []
 
 
 def test_requests_are_refused_with_the_rest_period_of_the_only_upstream():
     """Guards against callers that wait, or return before the upstream wants them."""
-    upstream = RestingUpstream()
+    upstream = RejectingUpstream()
     with GatewayServer(upstream) as gateway:
         gateway.call("/book/x")
         time.sleep(0.1)
@@ -80,7 +80,7 @@
         reply = gateway.call("/book/x")
         assert time.monotonic() - started_at < 0.3
     assert (reply.status, b"not_run" in reply.body) == (503, True)
-    assert float(reply.headers["retry-after"]) >= REST_S - 0.5
+    assert float(reply.headers["retry-after"]) >= BACKOFF_S - 0.5
     assert len(upstream.received_at) == 1
 
 
@@ -123,25 +123,25 @@
 @pytest.mark.parametrize("call", ["send_order", "get_report"])
 def test_leader_sends_nothing_within_a_rest_period(call):
     """Guards against orders and report requests that an upstream does not want."""
-    resting = RestingUpstream(LLM)
-    with GatewayServer(resting) as gateway:
+    rejecting = RejectingUpstream(LLM)
+    with GatewayServer(rejecting) as gateway:
         gateway.call("/chat/x")
         client = EngineClient(Vm("e1"), gateway.limits)
         args = (Order(True, Model("m1")), 0, Epoch(1)) if call == "send_order" else ()
-        getattr(client, call)(resting.record, *args)
-    assert len(resting.received_at) == 1
+        getattr(client, call)(rejecting.record, *args)
+    assert len(rejecting.received_at) == 1
 
 
 def test_restarted_upstream_gets_requests():
-    """Guards against a rest period that outlives the instance that asked for it."""
-    resting = RestingUpstream()
-    with GatewayServer(resting) as gateway:
+    """Guards against a backoff that outlives the instance that asked for it."""
+    rejecting = RejectingUpstream()
+    with GatewayServer(rejecting) as gateway:
         gateway.call("/book/x")
-        resting.record = replace(resting.record, started_at_ms=2)
+        rejecting.record = replace(rejecting.record, started_at_ms=2)
         gateway.update_upstreams()
-        gateway.limits.update_upstreams([resting.record])
+        gateway.limits.update_upstreams([rejecting.record])
         gateway.call("/book/x")
-    assert len(resting.received_at) == 2
+    assert len(rejecting.received_at) == 2
 
 
 @pytest.mark.parametrize(
@@ -150,13 +150,13 @@
         ([(0.0, 3.0)], 3.0),
         ([(0.0, 1.0), (0.5, 3.0)], 3.5),
         ([(0.0, 3.0), (0.5, 1.0)], 3.0),
-        ([(0.0, 1e12)], MAX_REST_S),
-        ([(0.0, float("inf"))], MAX_REST_S),
+        ([(0.0, 1e12)], MAX_BACKOFF_S),
+        ([(0.0, float("inf"))], MAX_BACKOFF_S),
     ],
     ids=["one", "longer-after-shorter", "shorter-after-longer", "absurd", "infinite"],
 )
 def test_end_of_overlapping_rest_periods(asked, wait):
-    period = RestPeriod()
+    period = Backoff()
     for at, seconds in asked:
         period.extend(seconds, at, lambda: 0.0)
     assert period.wait_s(0.0) == wait
@@ -170,7 +170,7 @@
     Sixteen entries are rejected at the same moment and have work for all its slots.
     """
     rng, slots = random.Random(5), 64
-    periods = [RestPeriod() for _ in range(16)]
+    periods = [Backoff() for _ in range(16)]
     for period in periods:
         period.extend(3.0, 0.0, rng.random)
 
