--- a/tests/test_upstream_backoff.py
+++ b/tests/test_upstream_backoff.py
@@ -56,7 +56,7 @@
     ],
     ids=["non-idempotent", "idempotent", "without-mark", "stream"],
 )
-def test_upstream_gets_no_requests_within_its_rest_period(path, service, head):
+def test_upstream_gets_no_requests_within_its_backoff(path, service, head):
     """Guards against requests that an overloaded upstream has asked not to get."""
     rejecting = RejectingUpstream(service, head=head)
     other = FakeUpstream("u2", sends(answer()), service)
@@ -70,7 +70,7 @@
     assert rejecting.within_backoff() == []
 
 
-def test_requests_are_refused_with_the_rest_period_of_the_only_upstream():
+def test_requests_are_refused_with_the_backoff_of_the_only_upstream():
     """Guards against callers that wait, or return before the upstream wants them."""
     upstream = RejectingUpstream()
     with GatewayServer(upstream) as gateway:
@@ -84,7 +84,7 @@
     assert len(upstream.received_at) == 1
 
 
-def test_request_waits_for_the_end_of_a_short_rest_period():
+def test_request_waits_for_the_end_of_a_short_backoff():
     """Guards against a refusal although the upstream serves the request in time."""
     parts = [answer(503, b"", f"{NOT_RUN}Retry-After: 0.3\r\n")]
 
@@ -110,7 +110,7 @@
     ],
     ids=["success", "zero", "negative", "not-a-number", "date", "other-instance"],
 )
-def test_other_values_start_no_rest_period(head):
+def test_other_values_start_no_backoff(head):
     upstream = FakeUpstream(
         "u1", sends(answer(200 if SIGNATURE in head else 503, b"", head))
     )
@@ -121,7 +121,7 @@
 
 
 @pytest.mark.parametrize("call", ["send_order", "get_report"])
-def test_leader_sends_nothing_within_a_rest_period(call):
+def test_leader_sends_nothing_within_a_backoff(call):
     """Guards against orders and report requests that an upstream does not want."""
     rejecting = RejectingUpstream(LLM)
     with GatewayServer(rejecting) as gateway:
@@ -155,7 +155,7 @@
     ],
     ids=["one", "longer-after-shorter", "shorter-after-longer", "absurd", "infinite"],
 )
-def test_end_of_overlapping_rest_periods(asked, wait):
+def test_end_of_overlapping_backoffs(asked, wait):
     period = Backoff()
     for at, seconds in asked:
         period.extend(seconds, at, lambda: 0.0)
@@ -164,7 +164,7 @@
     assert period.traffic_share(wait + RAMP_UP_S) == 1.0
 
 
-def test_load_returns_gradually_after_a_rest_period_of_all_entries():
+def test_load_returns_gradually_after_a_backoff_of_all_entries():
     """Guards against a second overload, as all entries return to an upstream at once.
 
     Sixteen entries are rejected at the same moment and have work for all its slots.
