Tests of leaving and backoff wait on a condition, not for a time

The bound of 0.3 s from the answer to the dispatcher stays as the limit of the wait. Where nothing must happen, the test applies the reports and looks at the list. The backoff of a rejection is known before its answer is sent, so nothing is waited for there.

--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -247,7 +247,7 @@
         )
         self.dispatcher.configure(cfg)
         self.origins = StreamOrigins(lambda _msg: None, lambda: True, 100)
-        self.leaving = LeavingUpstreams(self.dispatcher.update)
+        self.leaving = LeavingUpstreams(self._apply_records)
         self.update_upstreams()
         self._stopping = threading.Event()
         self.crash_update = None
@@ -278,6 +278,11 @@
         self.origins.update(records)
         self.leaving.update(records)
 
+    def _apply_records(self, records):
+        self.dispatcher.update(records)
+        self.draining = {record.name for record in records if record.draining}
+        """Upstreams that the dispatcher knows to drain."""
+
     def _tick(self):
         while not self._stopping.wait(0.05):
             self.crash_update = self.poison.next_update() or self.crash_update
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -16,6 +16,7 @@
     no_limits,
     sends,
 )
+from fleet import wait_for
 
 from persimmonhitch.direct.engine_client import EngineClient, Order
 from persimmonhitch.direct.leaving import LeavingUpstreams
@@ -52,7 +53,7 @@
             gateway.call(path)
             if leaving.received:
                 break
-        time.sleep(NOTICE_S)
+        wait_for(lambda: "u1" in gateway.draining, "the report", NOTICE_S)
         before = len(leaving.received)
         assert before
         statuses = {gateway.call(path).status for _ in range(12)}
@@ -65,7 +66,7 @@
     upstream = FakeUpstream("u1", sends(answer(200, b"done", SIGNATURE + LEAVING)))
     with GatewayServer(upstream) as gateway:
         assert gateway.call("/book/x").status == 200
-        time.sleep(NOTICE_S)
+        wait_for(lambda: "u1" in gateway.draining, "the report", NOTICE_S)
         started_at = time.monotonic()
         reply = gateway.call("/book/x")
         assert time.monotonic() - started_at < 0.5
@@ -86,7 +87,7 @@
     upstream = FakeUpstream("u1", script)
     with GatewayServer(upstream) as gateway:
         gateway.call("/book/x")
-        time.sleep(NOTICE_S)
+        wait_for(lambda: "u1" in gateway.draining, "the report", NOTICE_S)
         head.clear()
         upstream.record = replace(
             upstream.record, name=name, started_at_ms=started_at_ms
@@ -107,7 +108,8 @@
     upstream = FakeUpstream("u1", sends(answer(200, b"done", SIGNATURE + head)))
     with GatewayServer(upstream) as gateway:
         gateway.call("/book/x")
-        time.sleep(NOTICE_S)
+        gateway.leaving.apply()
+        assert gateway.draining == set()
         assert gateway.call("/book/x").status == 200
 
 
--- a/tests/test_upstream_backoff.py
+++ b/tests/test_upstream_backoff.py
@@ -75,7 +75,6 @@
     upstream = RejectingUpstream()
     with GatewayServer(upstream) as gateway:
         gateway.call("/book/x")
-        time.sleep(0.1)
         started_at = time.monotonic()
         reply = gateway.call("/book/x")
         assert time.monotonic() - started_at < 0.3
