--- a/tests/test_upstream_backoff.py
+++ b/tests/test_upstream_backoff.py
@@ -164,10 +164,7 @@
 
 
 def test_load_returns_gradually_after_a_backoff_of_all_entries():
-    """Guards against a second overload, as all entries return to an upstream at once.
-
-    Sixteen entries are rejected at the same moment and have work for all its slots.
-    """
+    """Guards against a second overload by entries that return all at once."""
     rng, slots = random.Random(5), 64
     periods = [Backoff() for _ in range(16)]
     for period in periods:
