Log each decision on a retry, with the state of the budget

The record's lines are cut before attempts=, so they cannot tell whether a retry was paid for, where, or why. Lines `retry` and `retry_refused` have the request, its attempts, the cause, the service and the budget before; the lines of the end of a request have status, attempts and refusals next to the request's id. Metric: retry decisions by cause and outcome. No decision changes.

--- a/src/persimmonhitch/decide/retries.py
+++ b/src/persimmonhitch/decide/retries.py
@@ -46,6 +46,11 @@
         self._refill(now)
         self._saved = min(self._saved + self._ratio, self._limit)
 
+    def level(self, now: float) -> float:
+        """Return the number of retries that may be spent now."""
+        self._refill(now)
+        return self._saved
+
     def try_spend(self, now: float) -> bool:
         """Spend one retry; return False if the budget is empty."""
         self._refill(now)
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -13,6 +13,7 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Upstream
 from ..observe.logs import log
+from ..observe.metrics import Metrics
 from ..platform import headers as wire
 from ..verdict import ErrorCode, Failure, Verdict
 from .abort import AbortReason
@@ -46,6 +47,7 @@
         exchange: Exchange,
         poison: PoisonGuard,
         limits: UpstreamLimits,
+        metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
@@ -53,6 +55,7 @@
         self._dispatcher = dispatcher
         self._poison = poison
         self._limits = limits
+        self._metrics = metrics
         self._exchange = exchange
         self._clock = clock
         self._retries = RetryBudget()
@@ -67,7 +70,7 @@
     ) -> Result[Reply, Failure]:
         """Send a request again after a lost answer, if a retry is allowed."""
         request.release()
-        if not self._may_retry(request):
+        if not self._may_retry(request, failure.code):
             return Err(failure)
         return self._send_until_answered(request, None)
 
@@ -84,7 +87,7 @@
             route.resumable
             and request.abort.reason is None
             and request.attempts < route.max_attempts
-            and self._retries.try_spend(self._clock())
+            and self._spend_retry(request, failure.code)
         )
         if not allowed:
             return Err(failure)
@@ -97,15 +100,31 @@
         reply.close()
         return Err(failure)
 
-    def _may_retry(self, request: InFlightRequest) -> bool:
+    def _may_retry(self, request: InFlightRequest, cause: ErrorCode) -> bool:
         route = request.admitted.route
         return (
             request.abort.reason is None
             and route.repeatable
             and request.attempts < route.max_attempts
-            and self._retries.try_spend(self._clock())
+            and self._spend_retry(request, cause)
         )
 
+    def _spend_retry(self, request: InFlightRequest, cause: ErrorCode) -> bool:
+        """Return whether the budget allows a retry, and log its state."""
+        before = self._retries.level(self._clock())
+        allowed = self._retries.try_spend(self._clock())
+        log(
+            "retry" if allowed else "retry_refused",
+            request=request.request_id,
+            attempts=request.attempts,
+            refusals=request.refusals,
+            cause=cause.value,
+            service=request.admitted.request.service,
+            budget=before,
+        )
+        self._metrics.retry_decided(cause, allowed)
+        return allowed
+
     def _send_until_answered(
         self, request: InFlightRequest, last_event_id: str | None
     ) -> Result[Reply, Failure]:
@@ -127,13 +146,13 @@
             return False
         request.release()
         if failure.verdict is not Verdict.NOT_RUN:
-            return self._may_retry(request)
+            return self._may_retry(request, failure.code)
         request.refusals += 1
         if request.refusals > MAX_REFUSALS:
             return False
         if failure.code is ErrorCode.NO_UPSTREAM:
             return True
-        return self._retries.try_spend(self._clock())
+        return self._spend_retry(request, failure.code)
 
     def _attempt(
         self, request: InFlightRequest, last_event_id: str | None
@@ -230,9 +249,7 @@
             return Success(reply)
         self._dispatcher.record_failure(record, False)
         self._poison.completed(request.fingerprint)
-        if request.attempts < request.admitted.route.max_attempts and self._may_retry(
-            request
-        ):
+        if self._may_retry(request, ErrorCode.UPSTREAM_ERROR):
             reply.close()
             request.excluded |= {record.name}
             request.release()
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -74,7 +74,7 @@
         self._clock = clock
         self._poison = poison
         self._runner = AttemptRunner(
-            dispatcher, exchange, poison, limits, clock, on_leaving
+            dispatcher, exchange, poison, limits, metrics, clock, on_leaving
         )
         self._tracker = RequestTracker(
             quota, watchdog, metrics, lambda: active_config().cfg.version, clock
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -160,15 +160,15 @@
         admitted = request.admitted
         fields: dict[str, object] = {
             "request": request.request_id,
+            "status": status,
+            "attempts": request.attempts,
+            "refusals": request.refusals,
             "call": request.fingerprint,
             "route": request.route_name,
             "account": admitted.account.name if admitted.account else "-",
             "model": admitted.caller.model or "-",
             "adapter": admitted.caller.adapter or "-",
             "upstream": upstream,
-            "status": status,
-            "attempts": request.attempts,
-            "refusals": request.refusals,
             "seconds": seconds,
             "waited": request.waited_s,
             "first": request.first_event_s,
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -18,7 +18,7 @@
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
 from ..ids import Account, ConfigVersion
-from ..verdict import Failure
+from ..verdict import ErrorCode, Failure
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 MAX_ACCOUNTS: Final = 200
@@ -104,6 +104,12 @@
     "Attempts beyond the first, by the code of the failure before.",
     ("code",),
 )
+RETRY_DECISIONS: Final = Instrument(
+    "persimmonhitch.retry.decisions",
+    "",
+    "Retries that the budget allowed or refused, by the code of the failure before.",
+    ("code", "outcome"),
+)
 BORROWED_TOKENS: Final = Instrument(
     "persimmonhitch.limiter.borrowed",
     "",
@@ -164,6 +170,7 @@
     TOKEN_GAP,
     TOKENS,
     RETRIES,
+    RETRY_DECISIONS,
     BORROWED_TOKENS,
     CONFIG_VERSION,
     STORE_ERA,
@@ -231,6 +238,7 @@
         self._refusals = self._counter(REFUSALS)
         self._tokens = self._counter(TOKENS)
         self._retries = self._counter(RETRIES)
+        self._retry_decisions = self._counter(RETRY_DECISIONS)
         self._borrowed = self._counter(BORROWED_TOKENS)
         self._duration = self._histogram(DURATION)
         self._queue_time = self._histogram(QUEUE_TIME)
@@ -313,6 +321,11 @@
         """Count a retry that was caused by ``failure``."""
         self._retries.add(1, {"code": failure.code.value})
 
+    def retry_decided(self, cause: ErrorCode, allowed: bool) -> None:
+        """Count a retry that the budget allowed or refused."""
+        outcome = "allowed" if allowed else "refused"
+        self._retry_decisions.add(1, {"code": cause.value, "outcome": outcome})
+
     def borrowed(self, account: Account, tokens: float) -> None:
         """Count tokens borrowed from another entry's share."""
         self._borrowed.add(tokens, self._account_labels(account))
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -39,6 +39,7 @@
     metrics.update_age(0.2)
     metrics.tokens_used(account, 12.0)
     metrics.retried(REFUSED)
+    metrics.retry_decided(REFUSED.code, True)
     metrics.borrowed(account, 5.0)
     metrics.config_version(ConfigVersion(7))
     metrics.store_era(2)
