Retries keep to the operators' bound over all entries, service by service

Cause: RetryBudget stood once in each entry process, for all services together, with 10 retries at the start, 20 saved, one a second and a tenth of all requests. No setting of the operators was read. The sum grew with the number of entries and of restarts.

Ruled out: retries that spend nothing. A request that fails as NO_UPSTREAM has not reached an upstream, and every other way to send again passes the budget.

Change: the bound is in the settings ([retries]). Each entry keeps to a part of it for each service, the share of its own requests plus an equal part of nine tenths of the slack. The parts add up to the bound without messages, for each interval up to the window. An entry that joins, restarts, stops or is out of touch uses one retry of the slack beyond its own requests; parts grow only after a hold. Half of a part is for the most urgent requests, each account within its own share. entry/forward.py holds the same budgets.

tests/test_decide_processes.py now also looks at limits/, where the budgets are built.

--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -14,6 +14,7 @@
 from ..fleet.config import AccountSpec, FleetConfig, Route, RouteKind
 from ..fleet.routes import RouteTable
 from ..ids import Fingerprint, Service, Tokens
+from ..limits.retry_budgets import RetrySource
 from ..verdict import ErrorCode, Failure
 from ..web import Request
 
@@ -49,6 +50,12 @@
     deadline_at: float
     """Monotonic time at which the caller's deadline or the route's timeout expires."""
 
+    @property
+    def retry_source(self) -> RetrySource:
+        """Return what decides on retries of the request."""
+        account = self.account.name if self.account is not None else None
+        return RetrySource(self.request.service, account, self.request.rank)
+
 
 def admit(
     req: Request,
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -8,10 +8,10 @@
 from returns.result import Result, Success
 
 from ..decide.poison import RECENT_START_S
-from ..decide.retries import RetryBudget
 from ..fleet.config import RouteKind
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Upstream
+from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..platform import headers as wire
@@ -48,6 +48,7 @@
         poison: PoisonGuard,
         limits: UpstreamLimits,
         metrics: Metrics,
+        retries: RetryBudgets,
         clock: Callable[[], float] = time.monotonic,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
@@ -58,11 +59,10 @@
         self._metrics = metrics
         self._exchange = exchange
         self._clock = clock
-        self._retries = RetryBudget()
+        self._retries = retries
 
     def send_first(self, request: InFlightRequest) -> Result[Reply, Failure]:
         """Send a newly admitted request."""
-        self._retries.on_request(self._clock())
         return self._send_until_answered(request, None)
 
     def retry(
@@ -87,7 +87,7 @@
             route.resumable
             and request.abort.reason is None
             and request.attempts < route.max_attempts
-            and self._spend_retry(request, failure.code)
+            and self._spend_retry(request, failure.code, takes_precedence=True)
         )
         if not allowed:
             return Err(failure)
@@ -109,21 +109,28 @@
             and self._spend_retry(request, cause)
         )
 
-    def _spend_retry(self, request: InFlightRequest, cause: ErrorCode) -> bool:
+    def _spend_retry(
+        self,
+        request: InFlightRequest,
+        cause: ErrorCode,
+        takes_precedence: bool = False,
+    ) -> bool:
         """Return whether the budget allows a retry, and log its state."""
-        before = self._retries.level(self._clock())
-        allowed = self._retries.try_spend(self._clock())
+        source = request.admitted.retry_source
+        decision = self._retries.try_spend(source, takes_precedence)
         log(
-            "retry" if allowed else "retry_refused",
+            "retry" if decision.allowed else "retry_refused",
             request=request.request_id,
             attempts=request.attempts,
             refusals=request.refusals,
             cause=cause.value,
-            service=request.admitted.request.service,
-            budget=before,
+            service=source.service,
+            budget=decision.budget,
+            slack=decision.slack,
+            account=source.account or "-",
         )
-        self._metrics.retry_decided(cause, allowed)
-        return allowed
+        self._metrics.retry_decided(cause, decision.allowed)
+        return decision.allowed
 
     def _send_until_answered(
         self, request: InFlightRequest, last_event_id: str | None
@@ -152,7 +159,9 @@
             return False
         if failure.code is ErrorCode.NO_UPSTREAM:
             return True
-        return self._spend_retry(request, failure.code)
+        # The caller of a request that must not run twice has fewer retries of its own.
+        precedence = not request.admitted.route.repeatable
+        return self._spend_retry(request, failure.code, precedence)
 
     def _attempt(
         self, request: InFlightRequest, last_event_id: str | None
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -12,6 +12,7 @@
 from ..fleet.config import RouteKind
 from ..fleet.upstream import UpstreamRecord
 from ..ids import RequestId, new_request_id
+from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..platform import headers as wire
@@ -64,17 +65,19 @@
         poison: PoisonGuard,
         limits: UpstreamLimits,
         resumptions: Resumptions,
+        retries: RetryBudgets,
         clock: Callable[[], float] = time.monotonic,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
         self._resumptions = resumptions
+        self._retries = retries
         self._active_config = active_config
         self._quota = quota
         self._dispatcher = dispatcher
         self._clock = clock
         self._poison = poison
         self._runner = AttemptRunner(
-            dispatcher, exchange, poison, limits, metrics, clock, on_leaving
+            dispatcher, exchange, poison, limits, metrics, retries, clock, on_leaving
         )
         self._tracker = RequestTracker(
             quota, watchdog, metrics, lambda: active_config().cfg.version, clock
@@ -88,6 +91,7 @@
         if not isinstance(result, Success):
             return self._deny(result.failure(), caller, active)
         admitted: Admitted = result.unwrap()
+        self._retries.on_request(admitted.retry_source)
         refusal = self._poison.refusal(admitted.request.fingerprint) or self._charge(
             admitted
         )
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -22,6 +22,7 @@
 from ..decide.cold_start import may_fall_back
 from ..decide.evacuation import ZoneEvacuations
 from ..decide.overlay import Member, Overlay
+from ..decide.retry_share import LEARN_S
 from ..decide.update_rate import update_interval
 from ..entry.peers import PeerInfo, PeerMesh
 from ..fleet.config import EMPTY_CONFIG, FleetConfig
@@ -30,6 +31,7 @@
 from ..ids import Incarnation, Model, Upstream, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..kernel.service import run_service
+from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..planner.lease import LeaseKeeper
@@ -151,6 +153,7 @@
         self._cold_count = 0
         """Value of the metric of cold upstreams."""
         self.quota = Quota(lambda: self.peers)
+        self.retries = RetryBudgets(cfg.retry_bound, self._may_use_slack)
         self.watchdog = Watchdog()
         self.poison = PoisonGuard(
             self.vm, on_change=self._tick_due.set, is_isolated=self.quota.is_isolated
@@ -275,6 +278,7 @@
             self.poison,
             self.limits,
             Resumptions(self.origins, self.metrics),
+            self.retries,
             on_leaving=self.leaving.reported,
         )
         callers = CallerApp(gateway, self._refusal)
@@ -355,6 +359,12 @@
         """
         return self._list_age_s() < LIST_TTL_S or self.quota.hears_all_peers()
 
+    def _may_use_slack(self) -> bool:
+        """Return whether this entry knows all others and is counted as one of them."""
+        if self.draining.is_set():
+            return False
+        return self._list_age_s() < LEARN_S or self.quota.hears_all_peers()
+
     def _list_age_s(self) -> float:
         return time.monotonic() - self.watchers[Kind.UPSTREAM].view.contact_at
 
@@ -534,6 +544,11 @@
         return routes.children | (routes.roots if routes.is_first else frozenset())
 
     def _publish_entry_update(self) -> None:
+        is_listed = self.registration.written.is_set()
+        if is_listed and self.watchers[Kind.ENTRY].ready.is_set():
+            # Entries that the store's list lacks here may send updates.
+            peers = self.peers | self.quota.responsive_peers()
+            self.retries.update_fleet(self.vm, peers)
         update = replace(self.dispatcher.entry_update(), usage=self.quota.tokens_used())
         self.leader.receive_entry_update(self.vm, update)
         entries = len(self.peers) + 1
--- a/src/persimmonhitch/direct/quota.py
+++ b/src/persimmonhitch/direct/quota.py
@@ -67,6 +67,14 @@
                 now - self._usage_at.get(vm, -math.inf) > PEER_TIMEOUT_S for vm in peers
             )
 
+    def responsive_peers(self) -> frozenset[Vm]:
+        """Return the entries that sent an update recently, listed or not."""
+        now = self._clock()
+        with self._lock:
+            return frozenset(
+                vm for vm, at in self._usage_at.items() if now - at <= PEER_TIMEOUT_S
+            )
+
     def hears_all_peers(self) -> bool:
         """Return whether there are peers and all of them are responsive."""
         now = self._clock()
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from ..settings import setting
+from ..settings import RetrySettings, setting
 
 Addresses = tuple[tuple[str, int], ...]
 
 
 @dataclass(frozen=True)
-class DirectSettings:
+class DirectSettings(RetrySettings):
     """Settings that the platform provides for one entry."""
 
     vm: str = setting("vm", "name", "name of this VM")
--- a/src/persimmonhitch/entry/forward.py
+++ b/src/persimmonhitch/entry/forward.py
@@ -9,12 +9,13 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..decide.retries import OUTCOME_UNKNOWN, RetryBudget, may_retry
-from ..ids import ConfigVersion, Model, Tokens, Upstream
+from ..decide.retries import OUTCOME_UNKNOWN, may_retry
+from ..ids import ConfigVersion, Model, Service, Tokens, Upstream
+from ..limits.retry_budgets import RetryBudgets, RetrySource
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..verdict import ErrorCode, Failure, Verdict
-from ..wire.messages import Chunk, End, Fail, Head, Submit
+from ..wire.messages import Chunk, End, Fail, Head, Priority, Submit
 from .admitted import KEY_WITHDRAWN, AdmittedCall
 from .attempt import Attempt, Frame
 from .router import Router, group_of
@@ -24,6 +25,8 @@
 """Size limit of an answer that is buffered in memory instead of streamed."""
 RETRY_AFTER_S: Final = 2.0
 POLL_INTERVAL_S: Final = 0.1
+MODEL_SERVICE: Final = Service("models")
+"""Service whose retry budget covers the calls to all models."""
 
 
 @dataclass(frozen=True)
@@ -52,16 +55,20 @@
     """Sends a request to sidecars until one answers or no retry is allowed."""
 
     def __init__(
-        self, router: Router, wait_for_change: Callable[[float], None], metrics: Metrics
+        self,
+        router: Router,
+        wait_for_change: Callable[[float], None],
+        metrics: Metrics,
+        retries: RetryBudgets,
     ) -> None:
         self._router = router
         self._wait_for_change = wait_for_change
         self._metrics = metrics
-        self._budget = RetryBudget()
+        self._retries = retries
 
     def run(self, req: AdmittedCall) -> Result[Reply, Failure]:
         """Return the reply, or the failure after the last permitted attempt."""
-        self._budget.on_request(time.monotonic())
+        self._retries.on_request(_retry_source(req))
         tried: frozenset[Upstream] = frozenset()
         attempt = 0
         prior_verdict = Verdict.NOT_RUN
@@ -82,16 +89,28 @@
             exc = _with_prior_verdict(prior_verdict, result.failure())
             prior_verdict = exc.verdict
             tried |= {conn.info.upstream}
-            if not self._may_retry(req, result.failure()):
+            if not self._may_retry(req, result.failure(), attempt):
                 return Err(exc)
-            log("retry", request=req.request, attempt=attempt, code=exc.code.value)
             self._metrics.retried(exc)
 
-    def _may_retry(self, req: AdmittedCall, exc: Failure) -> bool:
+    def _may_retry(self, req: AdmittedCall, exc: Failure, attempt: int) -> bool:
         now = time.monotonic()
         if now >= req.deadline_at or not may_retry(exc, req.repeatable):
             return False
-        return self._budget.try_spend(now)
+        source = _retry_source(req)
+        decision = self._retries.try_spend(source, not req.repeatable)
+        log(
+            "retry" if decision.allowed else "retry_refused",
+            request=req.request,
+            attempt=attempt,
+            code=exc.code.value,
+            service=source.service,
+            budget=decision.budget,
+            slack=decision.slack,
+            account=req.account,
+        )
+        self._metrics.retry_decided(exc.code, decision.allowed)
+        return decision.allowed
 
     def _choose_sidecar(
         self, req: AdmittedCall, tried: frozenset[Upstream]
@@ -227,3 +246,10 @@
         lender=req.reservation.lender,
         share_generation=req.reservation.generation,
     )
+
+
+def _retry_source(req: AdmittedCall) -> RetrySource:
+    service = req.call.service or MODEL_SERVICE
+    return RetrySource(
+        service, req.account, 0 if req.priority is Priority.INTERACTIVE else 1
+    )
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -10,6 +10,8 @@
 """
 
 import random
+import time
+from typing import Final
 
 from docopt import docopt
 
@@ -21,6 +23,7 @@
 from ..kernel.service import run_service
 from ..limits.limiter import Limiter
 from ..limits.messages import ShareRevoked
+from ..limits.retry_budgets import RetryBudgets
 from ..limits.share_manager import ShareManager
 from ..observe.logs import announce, log
 from ..observe.metrics import Metrics
@@ -28,7 +31,7 @@
 from ..platform.store_client import StoreClient
 from ..store.objects import Kind, Spec
 from ..store.registration import Registration
-from ..store.watcher import Watcher
+from ..store.watcher import CONTACT_MARGIN_S, WATCH_DURATION_S, View, Watcher
 from ..verdict import Failure
 from ..web import WebServer
 from ..wire.messages import PROTOCOL, Hello, Role
@@ -43,6 +46,10 @@
 from .router import Router
 from .settings import EntrySettings
 
+LIST_TTL_S: Final = WATCH_DURATION_S + CONTACT_MARGIN_S
+"""Seconds since the last reply of the store for which the list of entries counts as up
+to date."""
+
 
 class Entry:
     """The entry process with all its components."""
@@ -70,13 +77,14 @@
         self.pool = SidecarPool(secret, self.hello, self.sync)
         self.sidecars = Watcher(store, Kind.SIDECAR, self.pool.update)
         self.vms = Watcher(store, Kind.VM, self.pool.update_vms)
-        self.entries = Watcher(store, Kind.ENTRY, self.mesh.update_entries)
+        self.entries = Watcher(store, Kind.ENTRY, self._on_entries)
         self.fallback = PeerSidecars(
             self.mesh,
             lambda: self.sidecars.view,
             self.sidecars.ready,
             self.pool.update,
         )
+        self.retries = RetryBudgets(cfg.retry_bound, self._may_use_slack, LIST_TTL_S)
         self.records = IdempotencyRecords(store)
         self.registration = Registration(store, Kind.ENTRY, cfg.vm)
         self.app = self._build_app()
@@ -92,7 +100,9 @@
     def _build_app(self) -> EntryApp:
         cfg = self.cfg
         router = Router(self.pool, Zone(cfg.zone), random.Random())
-        forwarder = Forwarder(router, self.pool.wait_for_change, self.metrics)
+        forwarder = Forwarder(
+            router, self.pool.wait_for_change, self.metrics, self.retries
+        )
         gateway = Gateway(
             Timeouts(cfg.default_timeout, cfg.most_timeout),
             self.sync.feed.active_catalog,
@@ -116,6 +126,17 @@
         listed = self.sidecars.ready.is_set() or self.fallback.ready.is_set()
         return listed and self.sync.feed.ready.is_set() and self.shares.ready()
 
+    def _on_entries(self, view: View) -> None:
+        self.mesh.update_entries(view)
+        names = frozenset(map(Vm, view.objects))
+        if Vm(self.cfg.vm) in names:
+            self.retries.update_fleet(Vm(self.cfg.vm), names - {Vm(self.cfg.vm)})
+
+    def _may_use_slack(self) -> bool:
+        """Return whether this entry knows all others and is counted as one of them."""
+        age_s = time.monotonic() - self.entries.view.contact_at
+        return age_s < LIST_TTL_S and not self.app.draining.is_set()
+
     def _broadcast_revoked(self, msg: ShareRevoked) -> None:
         self.pool.broadcast(msg)
         for peer in self.mesh.peers():
--- a/src/persimmonhitch/entry/settings.py
+++ b/src/persimmonhitch/entry/settings.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from ..settings import setting
+from ..settings import RetrySettings, setting
 
 
 @dataclass(frozen=True)
-class EntrySettings:
+class EntrySettings(RetrySettings):
     """Settings of one entry, from the operator's settings file."""
 
     vm: str = setting("vm", "name", "name of this VM in the platform's list")
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -41,6 +41,7 @@
     Vm,
     Zone,
 )
+from persimmonhitch.limits.retry_budgets import RetryBudgets
 from persimmonhitch.observe.metrics import Metrics
 from persimmonhitch.platform.headers import parse_reply
 from persimmonhitch.web import WebServer
@@ -232,7 +233,7 @@
 class GatewayServer:
     """A gateway behind the web server of an entry."""
 
-    def __init__(self, *upstreams, cfg=None, refusal=None):
+    def __init__(self, *upstreams, cfg=None, refusal=None, retries=None):
         cfg = cfg or config()
         self.upstreams = upstreams
         self.quota = Quota(frozenset)
@@ -266,6 +267,7 @@
             self.poison,
             self.limits,
             Resumptions(self.origins, metrics),
+            retries or RetryBudgets.of_sole_entry(),
             on_leaving=self.leaving.reported,
         )
         app = CallerApp(gateway, lambda: refusal)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,9 +3,11 @@
 import math
 from collections import defaultdict
 
+from retry_rule import excess_retries, retry_times
+
 from soak.callers import REVOKED, UNKNOWN
-from soak.entries import COLD_SLACK, EVACUATION_MS
-from soak.platform import COLD_REQUESTS_PER_S, RATES
+from soak.entries import COLD_SLACK, EVACUATION_MS, RETRY_BOUND
+from soak.platform import COLD_REQUESTS_PER_S, RATES, service_of
 from soak.upstreams import POISON_PREFIX
 
 QUIET_S = 3.0
@@ -137,6 +139,7 @@
         _limits_respected,
         _backoffs_respected,
         _streams_not_joined,
+        _retries_within_bound,
     )
     lines = list(evidence.records.failures)
     for check in checks:
@@ -498,3 +501,18 @@
         versions = {version for _, version in stream.events}
         if len(versions) > 1 or numbers != list(range(1, len(numbers) + 1)):
             yield f"{stream.first_id} {stream.events} {stream.attempts}"
+
+
+def _retries_within_bound(evidence):
+    """Yield services that got more retries than the bound, whatever the faults."""
+    sent, arrivals = defaultdict(list), defaultdict(list)
+    for arrival in evidence.records.arrivals:
+        service = arrival.upstream.rpartition("-")[0]
+        arrivals[service].append((arrival.request_id, arrival.at))
+    for call in evidence.records.calls:
+        sent[service_of(call.path)].append(call.sent_at)
+    for service, arrived in arrivals.items():
+        retries = retry_times(arrived)
+        excess = excess_retries(RETRY_BOUND, sent[service], retries)
+        if excess > 0:
+            yield f"{service} got {excess:g} of {len(retries)} retries beyond the bound"
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -12,6 +12,7 @@
 
 from relay import Relay
 
+from persimmonhitch.decide.retries import RetryBound
 from soak.ports import PORTS
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -19,6 +20,7 @@
 STOP_GRACE_S = 8.0
 EVACUATION_MS, COLD_SLACK = 3000, 8
 """Seconds an entry may take to finish its requests on SIGTERM."""
+RETRY_BOUND = RetryBound(0.2, 4.0, 9.0)
 REFUSAL_LOG_LINE = re.compile(
     r"event=request_(?:refused|failed) (?:.* )?request=(\S+) .*reason=\S"
 )
@@ -71,6 +73,10 @@
 evacuation_ms = {EVACUATION_MS}
 cold_overage = 1.5
 cold_slack = {COLD_SLACK}
+[retries]
+ratio = {RETRY_BOUND.ratio}
+slack = {RETRY_BOUND.slack}
+window = {RETRY_BOUND.window_s}
 [store]
 url = http://127.0.0.1:{self.relays["store"].port}
 """
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -28,6 +28,11 @@
 """Duration of the cold state of an engine, and the requests that it tolerates."""
 
 
+def service_of(path):
+    """Return the service to which the route of a path sends its requests."""
+    return LLM if path.startswith(("/chat/", "/tale/")) else LEDGER
+
+
 def ledger_spec(name, number):
     """Return the spec of an upstream without models."""
     return UpstreamSpec(name, LEDGER, ZONES[number % len(ZONES)], 6)
--- a/tests/test_decide_processes.py
+++ b/tests/test_decide_processes.py
@@ -28,7 +28,8 @@
     "routing.UpstreamLoad": "entry/sidecar_conn.py",
     "outliers.OutlierDetector": "entry/router.py",
     "warmup.warmup_share": "entry/router.py",
-    "retries.RetryBudget": "entry/forward.py",
+    "retries.RetryBudget": "limits/retry_budgets.py",
+    "retry_share.SlackShare": "limits/retry_budgets.py",
     "retries.may_retry": "entry/forward.py",
     "admission.connections_refusal": "entry/main.py",
     "waiting.LoadWaitEstimator": "entry/router.py",
@@ -39,8 +40,8 @@
 """Error codes that only the decide package and the rate shares return."""
 
 
-def syntax_trees():
-    for package in ("entry", "sidecar"):
+def syntax_trees(packages=("entry", "sidecar")):
+    for package in packages:
         for path in sorted((ROOT / package).glob("*.py")):
             yield str(path.relative_to(ROOT)), ast.parse(path.read_text())
 
@@ -54,7 +55,8 @@
 @pytest.mark.parametrize(("decision", "site"), CALL_SITES.items())
 def test_each_decision_has_its_one_call_site(decision, site):
     module, _, name = decision.partition(".")
-    sites = [path for path, tree in syntax_trees() if name in called_names(tree)]
+    trees = syntax_trees(("entry", "sidecar", "limits"))
+    sites = [path for path, tree in trees if name in called_names(tree)]
     assert sites == [site]
     assert f"from ..decide.{module} import" in (ROOT / site).read_text()
 
--- a/tests/test_forward_verdict.py
+++ b/tests/test_forward_verdict.py
@@ -8,6 +8,8 @@
 from test_links import admitted
 
 from persimmonhitch.entry.forward import Forwarder
+from persimmonhitch.limits.retry_budgets import RetryBudgets
+from persimmonhitch.observe.metrics import Metrics
 from persimmonhitch.verdict import ErrorCode, Failure, Verdict
 
 LOST = Failure(ErrorCode.UPSTREAM_LOST, "lost", Verdict.MAY_HAVE_RUN)
@@ -31,8 +33,8 @@
     """
     remaining = list(attempts)
     conns = [SimpleNamespace(info=SimpleNamespace(upstream=str(n))) for n in range(9)]
-    metrics = SimpleNamespace(retried=lambda exc: None)
-    forwarder = Forwarder(None, None, metrics)
+    metrics = Metrics("entry", "test")
+    forwarder = Forwarder(None, None, metrics, RetryBudgets.of_sole_entry())
     monkeypatch.setattr(
         forwarder,
         "_choose_sidecar",
