Plain upstreams that reject requests in a row get less traffic

Retries are few now, and an upstream that rejects everything used them up: its share of the traffic stayed, as rejections did not count in its health.

Change: two rejections in a row, or four bad answers of ten, eject a plain upstream as failed answers do; up to two thirds of a service may be out for it. If more reject, none is out. Engines are left out: they also reject requests for the model that they load.

--- a/src/persimmonhitch/decide/health.py
+++ b/src/persimmonhitch/decide/health.py
@@ -15,6 +15,11 @@
 power refuses no connection, and the loss of a request sent there would only be noticed
 when its caller gives up.
 
+Rejected requests eject an upstream in the same way, and ``REJECTIONS_IN_A_ROW`` do so
+at once: they have not run, but each costs a retry, and retries are few. Upstreams that
+reject requests may leave the work to fewer others than those that fail, since requests
+wait while the others are full.
+
 An ejected upstream returns with one request at a time, and from its first good answer
 with a share that rises over ``RAMP_UP_S``, so that a persistent fault affects few
 requests.
@@ -32,12 +37,18 @@
 EJECT_AFTER_FAILURES: Final = 4
 """Failures among the last answers that eject an upstream. If one answer in ten fails at
 random, about one window in a hundred contains four failures."""
+REJECTIONS_IN_A_ROW: Final = 2
+"""Rejections in a row that eject an upstream. Few requests reach each of many entries,
+and each rejection costs one of them a retry."""
 RAMP_UP_S: Final = 2.0
 MIN_TRAFFIC_SHARE: Final = 0.01
 """Share at which an upstream gets one request at a time."""
 MAX_EJECTED_SHARE: Final = 0.34
 """Share of a service's upstreams that failed answers may eject. If more of them fail,
 they have a common cause, and the others could not serve all requests."""
+MAX_REJECTING_SHARE: Final = 0.67
+"""Share of a service's upstreams that rejections may eject. If more of them reject, the
+service as a whole is overloaded."""
 UNRESPONSIVE_AFTER_S: Final = 0.7
 """Seconds without output; engines send a token each 10 to 50 ms, and plain services
 answer within the same time."""
@@ -52,12 +63,17 @@
     _ejection_s: float = 0.0
     reachable: bool = True
     """Whether the upstream accepted connections at its last ejection."""
+    rejecting: bool = False
+    """Whether rejected requests caused its last ejection."""
+    _rejections: int = 0
+    """Rejections since the last other answer."""
     _recovering_since: float | None = None
     """Time of the first good answer after the ejection."""
 
     def succeeded(self, now: float) -> None:
         """Record a good answer."""
         self._record(False)
+        self._rejections = 0
         if self._recovering_since is None:
             self._recovering_since = now
         elif now - self._recovering_since > RAMP_UP_S and sum(self._failures) == 0:
@@ -65,11 +81,23 @@
 
     def failed(self, now: float) -> bool:
         """Record a failed answer; return whether the upstream is ejected for it."""
+        self._rejections = 0
+        return self._failed(now, rejecting=False)
+
+    def rejected(self, now: float) -> bool:
+        """Record a rejection; return whether the upstream is ejected for it."""
+        self._rejections += 1
+        return self._failed(now, rejecting=True)
+
+    def _failed(self, now: float, rejecting: bool) -> bool:
         self._record(True)
-        if sum(self._failures) < EJECT_AFTER_FAILURES or now < self._ejected_until:
+        failing = sum(self._failures) >= EJECT_AFTER_FAILURES
+        if not failing and self._rejections < REJECTIONS_IN_A_ROW:
+            return False
+        if now < self._ejected_until:
             return False
         self._eject(now)
-        self.reachable = True
+        self.reachable, self.rejecting = True, rejecting
         return True
 
     def unreachable(self, now: float) -> bool:
@@ -77,7 +105,7 @@
         if now < self._ejected_until:
             return False
         self._eject(now)
-        self.reachable = False
+        self.reachable = self.rejecting = False
         return True
 
     def _record(self, failed: bool) -> None:
@@ -113,10 +141,14 @@
         Monotonic seconds.
     """
     shares = [health.traffic_share(now) for health in upstreams]
-    failing = [h.reachable and s < 1.0 for h, s in zip(upstreams, shares, strict=True)]
-    if sum(failing) <= len(upstreams) * MAX_EJECTED_SHARE:
-        return shares
-    return [1.0 if f else s for f, s in zip(failing, shares, strict=True)]
+    for rejecting, limit in ((False, MAX_EJECTED_SHARE), (True, MAX_REJECTING_SHARE)):
+        ejected = [
+            health.reachable and health.rejecting is rejecting and share < 1.0
+            for health, share in zip(upstreams, shares, strict=True)
+        ]
+        if sum(ejected) > len(upstreams) * limit:
+            shares = [1.0 if e else s for e, s in zip(ejected, shares, strict=True)]
+    return shares
 
 
 def is_unresponsive(running: int, output_at: float, idle_at: float, now: float) -> bool:
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -284,6 +284,9 @@
             self._dispatcher.record_missing(record, dispatch_request)
         else:
             request.excluded |= {record.name}
+            if dispatch_request.model is None:
+                # Engines also reject requests for a model that they are loading.
+                self._dispatcher.record_rejection(record)
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
         self._log(request, "attempt_refused", failure, reply.parsed_headers.backoff_s)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -347,6 +347,15 @@
         if ejected:
             log("upstream_out", upstream=record.name, unreachable=unreachable)
 
+    def record_rejection(self, record: UpstreamRecord) -> None:
+        """Record that an upstream rejected a request, which has not run."""
+        now = self._clock()
+        with self._lock:
+            state = self._table.get(record.name)
+            ejected = state is not None and state.health.rejected(now)
+        if ejected:
+            log("upstream_out", upstream=record.name, unreachable=False, rejects=True)
+
     def record_success(self, record: UpstreamRecord) -> None:
         """Record a successful answer."""
         now = self._clock()
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -15,6 +15,7 @@
     EJECT_AFTER_FAILURES,
     MIN_EJECT_S,
     RAMP_UP_S,
+    REJECTIONS_IN_A_ROW,
     UNRESPONSIVE_AFTER_S,
     UpstreamHealth,
     is_unresponsive,
@@ -189,6 +190,27 @@
     assert traffic_shares(upstreams, 0.1) == [0.0, 0.0, 1.0, 1.0, 1.0, 1.0]
 
 
+@pytest.mark.parametrize(
+    ("rejecting", "shares"),
+    [(1, [0.0, 1.0, 1.0, 1.0]), (2, [0.0, 0.0, 1.0, 1.0]), (4, [1.0] * 4)],
+)
+def test_upstreams_that_reject_are_ejected_unless_all_do(rejecting, shares):
+    """Guards against retries that are used up by an upstream that takes nothing."""
+    upstreams = [UpstreamHealth() for _ in range(4)]
+    for health in upstreams[:rejecting]:
+        for _ in range(REJECTIONS_IN_A_ROW):
+            health.rejected(0.0)
+    assert traffic_shares(upstreams, 0.1) == shares
+
+
+def test_upstream_that_rejects_a_few_requests_is_not_ejected():
+    """Guards against a busy upstream that loses its share for single rejections."""
+    health = UpstreamHealth()
+    for n in range(100):
+        health.rejected(0.0) if n % 5 == 0 else health.succeeded(0.0)
+    assert health.traffic_share(0.0) == 1.0
+
+
 def test_unreachable_upstreams_are_always_ejected():
     upstreams = [UpstreamHealth() for _ in range(3)]
     for health in upstreams:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import pytest
+from direct_help import FakeUpstream, GatewayServer, answer, sends
 from retry_rule import excess_retries
 
 from persimmonhitch.decide.retries import RetryBound, RetryBudget
@@ -258,3 +259,17 @@
     assert budgets.try_spend(READ).allowed
     clock.now = 10.0 + LEARN_S + 0.1
     assert budgets.try_spend(READ).budget > 40
+
+
+def test_reads_are_served_beside_an_upstream_that_rejects_everything():
+    """Guards against retries used up by requests to one upstream."""
+    clock = Clock()
+    budgets = RetryBudgets(RetryBound(0.2, 10.0, 52), clock=clock)
+    budgets.update_fleet(Vm("e00"), frozenset(Vm(f"e{n:02}") for n in range(1, 12)))
+    clock.now = 60.0
+    refusal = answer(503, b"", "X-Persimmonhitch-Not-Executed: 1\r\n")
+    upstreams = [FakeUpstream(f"u{n}", sends(answer())) for n in range(3)]
+    upstreams.append(FakeUpstream("u3", sends(refusal)))
+    with GatewayServer(*upstreams, retries=budgets) as gateway:
+        statuses = [gateway.call("/read/x").status for _ in range(200)]
+    assert statuses.count(200) / len(statuses) >= 0.97
