--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,11 @@
 """Order of the tests."""
 
-SLOW_FILES = ("test_soak.py", "test_soak_seeds.py", "test_retry_storm.py")
+SLOW_FILES = (
+    "test_poison_fleet.py",
+    "test_soak.py",
+    "test_soak_seeds.py",
+    "test_retry_storm.py",
+)
 """Files that take longest; parallel workers would wait for them at the end."""
 
 
