--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -172,7 +172,7 @@
         body = answer.read()
         call.complete = True
         if answer.status != 200:
-            call.code = _error_code(body)
+            call.code = error_code(body)
         signature = answer.getheader("X-Persimmonhitch-Response-Signature")
         call.correct = signature == f"s.{call.request_id}" and body == _expected(call)
         call.is_prefix = _expected(call).startswith(body) and body.endswith(b"\n\n")
@@ -180,7 +180,7 @@
             self._disconnect()
 
 
-def _error_code(body):
+def error_code(body):
     try:
         return json.loads(body)["error"]["code"]
     except (ValueError, KeyError, TypeError):
--- a/tests/soak/resumers.py
+++ b/tests/soak/resumers.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass, field
 
+from soak.callers import error_code
 from soak.platform import HOST, MODELS
 from soak.records import Call
 from soak.upstreams import EVENT_COUNT, RESUMABLE_PATH
@@ -46,13 +47,22 @@
     """Attempt that brought the first event."""
     events: list[tuple[int, str]] = field(default_factory=list)
     """Number of each event and the software version that wrote it."""
-    attempts: list[tuple[str, int | None]] = field(default_factory=list)
-    """Entry and status of each attempt."""
+    attempts: list[tuple[str, int | None, str]] = field(default_factory=list)
+    """Entry, status and error code of each attempt."""
 
     @property
     def accepted(self):
         """Return how many of the resumptions an entry accepted."""
-        return sum(status == 200 for _, status in self.attempts[1:])
+        return sum(status == 200 for _, status, _ in self.attempts[1:])
+
+    @property
+    def refusals(self):
+        """Return the outcome of each resumption that was not accepted."""
+        return [
+            f"{status} {code}".strip() if status else "no answer"
+            for _, status, code in self.attempts[1:]
+            if status != 200
+        ]
 
 
 class ResumingCaller(threading.Thread):
@@ -112,7 +122,7 @@
         except (http.client.HTTPException, OSError, ValueError) as exc:
             call.error = repr(exc)
         call.ended_at = time.monotonic()
-        stream.attempts.append((entry.name, call.status))
+        stream.attempts.append((entry.name, call.status, call.code))
         conn.close()
 
     def _exchange(self, conn, call, headers, stream):
@@ -126,7 +136,7 @@
         retry_after = answer.getheader("Retry-After")
         call.retry_after = float(retry_after) if retry_after else None
         if answer.status != 200:
-            answer.read()
+            call.code = error_code(answer.read())
             call.complete = True
         elif self._read(stream, call.request_id, answer):
             call.complete = call.correct = True
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 import shutil
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from soak.answers import AnswerFaults
@@ -58,6 +59,8 @@
     peak_memory_mb: float
     resumptions: int
     resumed: int
+    refused_resumptions: dict[str, int]
+    """Resumptions that were not accepted, by status and error code."""
 
     def summary(self):
         """Format the outcome as one line."""
@@ -65,7 +68,8 @@
             f"{len(self.failures)} broken, {self.served} of {self.calls} calls served, "
             f"{self.faults} faults, recovered in {self.recovered_in} s, "
             f"{self.peak_memory_mb:.0f} MB at most, "
-            f"{self.resumed} of {self.resumptions} streams resumed"
+            f"{self.resumed} of {self.resumptions} streams resumed, "
+            f"others {self.refused_resumptions}"
         )
 
 
@@ -235,6 +239,11 @@
             self.peak_memory_mb,
             sum(len(s.attempts[1:]) for s in self.records.resumed_streams),
             sum(s.accepted for s in self.records.resumed_streams),
+            dict(
+                Counter(
+                    text for s in self.records.resumed_streams for text in s.refusals
+                )
+            ),
         )
 
 
