Log the prompt parts of lost requests, and the suspects of a crash

Lines of requests and attempts have parts=, the parts that other requests may share; upstream_crashed has suspects=. With them requests that were lost at several crashes can be compared: hypothesis 1 (a part in common) against 2 (the same call again) and 3 (nothing in common). No decision changes.

The test help links gateways, so that they exchange crash updates.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -31,7 +31,16 @@
 from statistics import fmean as mean
 from typing import Final
 
-from ..ids import Adapter, Fingerprint, Model, Service, SoftwareVersion, Upstream, Zone
+from ..ids import (
+    Adapter,
+    Fingerprint,
+    Model,
+    PartId,
+    Service,
+    SoftwareVersion,
+    Upstream,
+    Zone,
+)
 
 ADAPTER_LOAD_COST_S: Final = 0.08
 """Additional wait accepted to use an engine on which the adapter is resident."""
@@ -65,6 +74,8 @@
     """When the caller disconnects from a stream without events."""
     deadline_at: float
     fingerprint: Fingerprint = Fingerprint("")
+    parts: tuple[PartId, ...] = ()
+    """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
     """Software version required of the upstream; None for any."""
 
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -243,6 +243,11 @@
         """Return all requests that have to run in isolation."""
         return filter(self.is_suspect, self._counts())
 
+    def suspect_count(self, instance: UpstreamInstance) -> int:
+        """Return the number of requests that are suspected of a crash."""
+        crash = self._crashes.get(instance)
+        return 0 if crash is None else len(self._suspected(crash))
+
     def has_crashed(self, instance: UpstreamInstance) -> bool:
         """Return whether an upstream is reported to have crashed."""
         return instance in self._crashes
--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -10,7 +10,7 @@
 from returns.result import Result, Success
 
 from ..decide.dispatch import DispatchRequest
-from ..fleet.call import CallerHeaders, fingerprint
+from ..fleet.call import CallerHeaders, fingerprint, shared_parts
 from ..fleet.config import AccountSpec, FleetConfig, Route, RouteKind
 from ..fleet.routes import RouteTable
 from ..ids import Fingerprint, Service, Tokens
@@ -131,6 +131,7 @@
         first_event_by=_first_event_deadline(route, arrived, deadline_at),
         deadline_at=deadline_at,
         fingerprint=digest,
+        parts=shared_parts(caller.prompt_parts),
     )
 
 
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -304,6 +304,7 @@
             event,
             request=request.request_id,
             call=request.fingerprint,
+            parts=request.parts_text,
             upstream=permit.record.name if permit else "-",
             code=failure.code.value,
             verdict=failure.verdict.value,
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Final
 
 from ..decide.dispatch import DispatchRequest
 from ..ids import (
@@ -22,6 +23,8 @@
 from .exchange import Framing, Reply
 from .quota import Quota
 
+MAX_LOGGED_PARTS: Final = 8
+
 
 @dataclass
 class InFlightRequest:
@@ -79,6 +82,14 @@
         account = self.admitted.account
         return account.name if account is not None else None
 
+    @property
+    def parts_text(self) -> str:
+        """Return the shared parts of the prompt for a log line, the first few only."""
+        parts = self.admitted.request.parts
+        left_out = len(parts) - MAX_LOGGED_PARTS
+        shown = ",".join(parts[:MAX_LOGGED_PARTS]) or "-"
+        return f"{shown},and {left_out} more" if left_out > 0 else shown
+
     def release(self) -> None:
         """Release the slot at an upstream, if there is one."""
         permit, self.permit = self.permit, None
@@ -164,6 +175,7 @@
             "attempts": request.attempts,
             "refusals": request.refusals,
             "call": request.fingerprint,
+            "parts": request.parts_text,
             "route": request.route_name,
             "account": admitted.account.name if admitted.account else "-",
             "model": admitted.caller.model or "-",
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -270,7 +270,12 @@
             self._crashes[instance].confirmed = True
         if not self._history.confirm(instance):
             return
-        log("upstream_crashed", upstream=instance.name, born=instance.started_at_ms)
+        log(
+            "upstream_crashed",
+            upstream=instance.name,
+            born=instance.started_at_ms,
+            suspects=self._history.suspect_count(instance),
+        )
         self._mark_changed(instance)
         self._block_attributed()
 
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -1,12 +1,15 @@
 """Parsed headers of requests and replies, and fingerprints of requests."""
 
 import hashlib
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from ..ids import Account, Adapter, Fingerprint, Model, RequestId, Upstream
+from ..ids import Account, Adapter, Fingerprint, Model, PartId, RequestId, Upstream
 
 FINGERPRINT_BYTES: Final = 12
+MAX_PART_NAME: Final = 32
+"""Characters of a name of a part; longer names are hashed."""
 
 
 def fingerprint(path: str, account: Account | None, body: bytes) -> Fingerprint:
@@ -28,6 +31,22 @@
     tokens: int
 
 
+def shared_parts(parts: Sequence[PromptPart]) -> tuple[PartId, ...]:
+    """Return the parts that a request may share with others, without duplicates.
+
+    The last part belongs to the request or its session alone.
+    """
+    return tuple(dict.fromkeys(_part_id(part.name) for part in parts[:-1]))
+
+
+def _part_id(name: str) -> PartId:
+    lowered = name.lower()
+    if len(lowered) > MAX_PART_NAME or not (lowered.isascii() and lowered.isalnum()):
+        digest = hashlib.blake2b(lowered.encode(), digest_size=FINGERPRINT_BYTES)
+        lowered = f"h{digest.hexdigest()}"
+    return PartId(f"part-{lowered}")
+
+
 @dataclass(frozen=True)
 class CallerHeaders:
     """Parsed headers of a caller's request.
--- a/src/persimmonhitch/ids.py
+++ b/src/persimmonhitch/ids.py
@@ -17,6 +17,8 @@
 LoanId = NewType("LoanId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Hash of path, client account and body; equal for all repeats of a request."""
+PartId = NewType("PartId", str)
+"""Part of a prompt that requests may share; starts with ``part-``."""
 Incarnation = NewType("Incarnation", str)
 """Identifies one run of a process; a restart creates a new incarnation."""
 Epoch = NewType("Epoch", int)
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -3,6 +3,7 @@
 import http.client
 import socket
 import threading
+import time
 from dataclasses import dataclass, field
 
 from persimmonhitch.direct.abort import Watchdog
@@ -45,6 +46,7 @@
 from persimmonhitch.observe.metrics import Metrics
 from persimmonhitch.platform.headers import parse_reply
 from persimmonhitch.web import WebServer
+from persimmonhitch.wire.codec import decode, encode
 
 LEDGER, LLM, COOP = Service("ledger"), Service("llm"), Account("coop")
 MODEL = Model("m1")
@@ -233,12 +235,17 @@
 class GatewayServer:
     """A gateway behind the web server of an entry."""
 
-    def __init__(self, *upstreams, cfg=None, refusal=None, retries=None):
+    def __init__(
+        self, *upstreams, cfg=None, refusal=None, retries=None, vm="e1", threads=8
+    ):
         cfg = cfg or config()
+        self.vm = Vm(vm)
         self.upstreams = upstreams
+        self.peers = ()
+        """Other gateways that receive the crash updates of this one."""
         self.quota = Quota(frozenset)
         self.quota.update(cfg)
-        self.poison = PoisonGuard(Vm("e1"))
+        self.poison = PoisonGuard(self.vm)
         self.limits = sole_entry_limits()
         conns = ConnectionPool()
         self.checks = CrashChecks(self.poison, conns)
@@ -271,7 +278,7 @@
             on_leaving=self.leaving.reported,
         )
         app = CallerApp(gateway, lambda: refusal)
-        self.server = WebServer(app, "127.0.0.1", 0, 8, keep_streams=True)
+        self.server = WebServer(app, "127.0.0.1", 0, threads, keep_streams=True)
         self.server.start()
 
     def update_upstreams(self):
@@ -287,10 +294,18 @@
 
     def _tick(self):
         while not self._stopping.wait(0.05):
-            self.crash_update = self.poison.next_update() or self.crash_update
+            self._publish(self.poison.next_update())
             self.leaving.apply()
             self.dispatcher.tick()
 
+    def _publish(self, update):
+        if update is None:
+            return
+        self.crash_update = update
+        for peer in self.peers:
+            received = decode(encode(update)).unwrap()
+            peer.poison.receive(self.vm, received, time.monotonic())
+
     def __enter__(self):
         return self
 
