--- /dev/null
+++ b/src/persimmonhitch/decide/crashes.py
@@ -0,0 +1,94 @@
+"""Crashes of upstreams, and what was lost with them."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from ..ids import PART_PREFIX, Cause, Fingerprint, PartId, Upstream
+
+SUSPECT_CRASHES: Final = 2
+"""Crashes after which a request or part runs in isolation. Most requests lost in a
+single crash did not cause the crash and are retried at once."""
+BLOCK_CRASHES: Final = 3
+"""Unexplained crashes after which a request or part is blocked."""
+TIED_LIMIT: Final = 6
+"""Crashes after which a block no longer waits for a crash that tells suspects apart."""
+SETTLE_S: Final = 0.6
+"""Seconds after a crash until all entries have reported their lost requests; earlier, a
+request may wrongly appear to be the only suspect."""
+MAX_LOST: Final = 256
+"""Lost requests recorded per crash; an engine runs fewer."""
+MAX_LOST_PARTS: Final = 512
+"""Prompt parts recorded per crash."""
+PART_SEPARATOR: Final = "."
+
+
+def join_parts(parts: Iterable[PartId]) -> Cause:
+    """Return the name of a combination of parts."""
+    return Cause(PART_SEPARATOR.join(sorted(parts)))
+
+
+def split_parts(cause: Cause) -> frozenset[PartId]:
+    """Return the parts of a combination, none for a fingerprint."""
+    parts = frozenset(map(PartId, map(Cause, cause.split(PART_SEPARATOR))))
+    return parts if all(map(is_part, parts)) else frozenset()
+
+
+def is_part(name: str) -> bool:
+    """Return whether a name is that of a part, not a fingerprint."""
+    return name.startswith(PART_PREFIX)
+
+
+@dataclass(frozen=True)
+class UpstreamInstance:
+    """One run of an upstream; it may restart under the same name."""
+
+    name: Upstream
+    started_at_ms: int
+
+
+@dataclass
+class Crash:
+    """Requests lost with an upstream that may have crashed; times are monotonic."""
+
+    at: float
+    """Latest reported time at which the upstream lost a request."""
+    received_at: float
+    """When this entry received the first report of the crash."""
+    confirmed: bool = False
+    lost: dict[Fingerprint, bool] = field(default_factory=dict)
+    """Lost requests, and whether each had just begun or had no answer yet."""
+    carriers: dict[PartId, set[Fingerprint]] = field(default_factory=dict)
+    """Lost requests by prompt part."""
+
+    @property
+    def latest_at(self) -> float:
+        """Return when the crash happened or was first reported, if later."""
+        return max(self.at, self.received_at)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether further lost requests are recorded."""
+        return len(self.lost) < MAX_LOST
+
+    def add_parts(self, lost: Mapping[Fingerprint, Iterable[PartId]]) -> bool:
+        """Record the prompt parts of lost requests; return whether any is new."""
+        changed = False
+        for fingerprint, parts in lost.items():
+            for part in parts:
+                if part in self.carriers or len(self.carriers) < MAX_LOST_PARTS:
+                    requests = self.carriers.setdefault(part, set())
+                    changed |= fingerprint not in requests
+                    requests.add(fingerprint)
+        return changed
+
+    def suspects(self) -> set[Fingerprint]:
+        """Return the requests that may have caused the crash."""
+        recent = {fingerprint for fingerprint, is_new in self.lost.items() if is_new}
+        return recent or set(self.lost)
+
+    def suspect_parts(self) -> dict[PartId, set[Fingerprint]]:
+        """Return the parts of suspects, with the suspects that have each part."""
+        suspects = self.suspects()
+        found = {part: lost & suspects for part, lost in self.carriers.items()}
+        return {part: carriers for part, carriers in found.items() if carriers}
--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -33,6 +33,7 @@
 
 from ..ids import (
     Adapter,
+    Cause,
     Fingerprint,
     Model,
     PartId,
@@ -73,7 +74,7 @@
     first_event_by: float
     """When the caller disconnects from a stream without events."""
     deadline_at: float
-    fingerprint: Fingerprint = Fingerprint("")
+    fingerprint: Fingerprint = Fingerprint(Cause(""))
     parts: tuple[PartId, ...] = ()
     """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -10,32 +10,41 @@
 process has ended, and which requests have completed. A request that completes is
 cleared of earlier crashes. The suspects of a crash are the requests that had just begun
 to run or had no answer yet; requests whose answer was in progress for a time are
-suspected only if no others are left. A crash is explained if a blocked request was
-among its suspects. A request suspected of ``SUSPECT_CRASHES`` runs in isolation and in
-one copy, so that the next crash has one possible cause. After ``BLOCK_CRASHES``
-unexplained crashes, the request is blocked for ``BLOCK_TTL_S``.
+suspected only if no others are left. A crash is explained if a blocked cause was among
+its suspects. A request suspected of ``SUSPECT_CRASHES`` runs in isolation and in one
+copy, so that the next crash has one possible cause. After ``BLOCK_CRASHES`` unexplained
+crashes, the request is blocked for ``BLOCK_TTL_S``.
+
+Requests that are all different may crash upstreams by a part that their prompts share;
+``part_crashes`` attributes crashes to parts.
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from ..ids import Fingerprint, Upstream
+from ..ids import Cause, Fingerprint, PartId
+from .crashes import (
+    BLOCK_CRASHES,
+    SETTLE_S,
+    SUSPECT_CRASHES,
+    TIED_LIMIT,
+    Crash,
+    UpstreamInstance,
+    is_part,
+    join_parts,
+)
+from .part_crashes import (
+    BlockedParts,
+    PartCounts,
+    count_part_crashes,
+    next_attributed,
+)
 
 K = TypeVar("K")
 
-SUSPECT_CRASHES: Final = 2
-"""Crashes after which a request runs in isolation. Most requests lost in a single crash
-did not cause the crash and are retried at once."""
-BLOCK_CRASHES: Final = 3
-"""Unexplained crashes after which a request is blocked."""
-TIED_LIMIT: Final = 6
-"""Crashes after which requests lost together in each of them are all blocked."""
-SETTLE_S: Final = 0.6
-"""Seconds after a crash until all entries have reported their lost requests; earlier, a
-request may wrongly appear to be the only suspect."""
 RECENT_START_S: Final = 1.0
 """Seconds from the start of its answer during which a request counts as just begun."""
 BLOCK_TTL_S: Final = 3600.0
@@ -45,21 +54,19 @@
 CRASH_TTL_S: Final = 3600.0
 EVIDENCE_TTL_S: Final = 60.0
 """Seconds for which evidence against a crash overrides reports that arrive late."""
+AT_TOLERANCE_S: Final = 0.01
+"""Difference between two reports of the same time of a crash."""
 MAX_CRASHES: Final = 64
-MAX_LOST: Final = 256
-"""Lost requests recorded per crash; an engine runs fewer."""
+PROOF_LEAD_S: Final = 2.0
+"""Seconds before a crash from which a completed request clears its parts of the crash.
+A part in constant use is thus no suspect, and one that starts to crash upstreams is one
+after this time."""
+MIN_SERVED: Final = 3
+"""Requests that must have completed before a part of others is blamed."""
 MAX_EVIDENCE: Final = 1024
 MAX_BLOCKED: Final = 1024
 
 
-@dataclass(frozen=True)
-class UpstreamInstance:
-    """One run of an upstream; it may restart under the same name."""
-
-    name: Upstream
-    started_at_ms: int
-
-
 @dataclass(frozen=True)
 class CrashCounts:
     """Crashes that a request is suspected of."""
@@ -74,27 +81,25 @@
     latest_at: float = -math.inf
     """When the latest crash happened or was first reported, whichever is later."""
 
-
-@dataclass
-class _Crash:
-    at: float
-    """Latest reported time at which the upstream lost a request."""
-    received_at: float
-    """When this entry received the first report of the crash."""
-    confirmed: bool = False
-    lost: dict[Fingerprint, bool] = field(default_factory=dict)
-    """Lost requests, and whether each had just begun or had no answer yet."""
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the request has to run in isolation."""
+        return self.reported >= SUSPECT_CRASHES
 
 
 class CrashHistory:
     """Crashes and the requests lost with them; times are monotonic seconds."""
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[UpstreamInstance, _Crash] = OrderedDict()
-        self._completed: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._crashes: OrderedDict[UpstreamInstance, Crash] = OrderedDict()
+        self._completed: OrderedDict[Cause, float] = OrderedDict()
         self._alive: OrderedDict[UpstreamInstance, float] = OrderedDict()
-        self._blocked: dict[Fingerprint, float] = {}
+        self._served: deque[float] = deque(maxlen=MIN_SERVED)
+        """Times of the latest completed requests of this entry."""
+        self._blocked: dict[Cause, float] = {}
+        self._blocked_parts = BlockedParts()
         self._cached_counts: dict[Fingerprint, CrashCounts] | None = {}
+        self._cached_parts: dict[PartId, PartCounts] | None = {}
 
     # -- evidence ----------------------------------------------------------------
 
@@ -108,15 +113,41 @@
         """Record requests lost with an upstream, possibly because it crashed."""
         if self._alive.get(instance, -math.inf) >= at:
             return
-        crash = self._crashes.setdefault(instance, _Crash(at, now))
+        crash = self._crashes.get(instance)
+        if crash is None:
+            crash = self._crashes[instance] = Crash(at, now)
+        changed = at > crash.at + AT_TOLERANCE_S or not crash.lost
         crash.at = max(crash.at, at)
         for fingerprint, is_new in lost.items():
-            ended = self._completed.get(fingerprint, -math.inf) >= at
-            if not ended and (fingerprint in crash.lost or len(crash.lost) < MAX_LOST):
-                crash.lost[fingerprint] = is_new or crash.lost.get(fingerprint, False)
+            known = crash.lost.get(fingerprint)
+            if known or known is is_new or (known is None and not crash.has_room):
+                continue
+            if self._completed.get(fingerprint, -math.inf) < at:
+                crash.lost[fingerprint] = is_new
+                changed = True
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        self._cached_counts = None
+        if changed:
+            self._discard_counts()
+
+    def record_lost_parts(
+        self,
+        instance: UpstreamInstance,
+        lost: Mapping[Fingerprint, Iterable[PartId]],
+    ) -> None:
+        """Record the prompt parts of requests lost with an upstream."""
+        crash = self._crashes.get(instance)
+        if crash is None:
+            return
+        unproven = {
+            fingerprint: [p for p in parts if not self._has_proof(p, crash.at)]
+            for fingerprint, parts in lost.items()
+        }
+        if crash.add_parts(unproven):
+            self._discard_counts()
+
+    def _has_proof(self, part: PartId, at: float) -> bool:
+        return self._completed.get(part, -math.inf) + PROOF_LEAD_S >= at
 
     def confirm(self, instance: UpstreamInstance) -> bool:
         """Confirm that an upstream has ended; return whether this is new."""
@@ -124,7 +155,7 @@
         if crash is None or crash.confirmed:
             return False
         crash.confirmed = True
-        self._cached_counts = None
+        self._discard_counts()
         return True
 
     def record_alive(self, instance: UpstreamInstance, at: float) -> bool:
@@ -134,41 +165,81 @@
         if crash is None or crash.at > at:
             return False
         del self._crashes[instance]
-        self._cached_counts = None
+        self._discard_counts()
         return True
 
-    def record_completed(self, fingerprint: Fingerprint, at: float) -> bool:
-        """Record that a request completed; return whether this clears it of a crash."""
-        _record_latest(self._completed, fingerprint, at)
-        cleared = False
+    def record_completed(self, cause: Cause, at: float) -> bool:
+        """Record that a request, or one with a part or combination, completed.
+
+        Return whether this clears the cause of a crash or lifts its block.
+        """
+        _record_latest(self._completed, cause, at)
+        cleared = self._blocked.get(cause, math.inf) - BLOCK_TTL_S <= at
+        if cleared:
+            del self._blocked[cause]
+            self._update_blocked()
         for crash in self._crashes.values():
-            if crash.at <= at and crash.lost.pop(fingerprint, None) is not None:
-                cleared = True
+            if is_part(cause):
+                if crash.at <= at + PROOF_LEAD_S:
+                    part = PartId(cause)
+                    cleared |= crash.carriers.pop(part, None) is not None
+            elif crash.at <= at:
+                fingerprint = Fingerprint(cause)
+                cleared |= crash.lost.pop(fingerprint, None) is not None
         if cleared:
-            self._cached_counts = None
+            self._discard_counts()
         return cleared
 
-    def block(self, fingerprint: Fingerprint, until: float) -> bool:
-        """Block a request; return whether the block is new."""
-        is_new = fingerprint not in self._blocked
-        self._blocked[fingerprint] = max(
-            until, self._blocked.get(fingerprint, -math.inf)
-        )
+    def record_served(self, at: float) -> None:
+        """Record that a request of this entry completed."""
+        self._served.append(at)
+
+    def block(self, cause: Cause, until: float) -> bool:
+        """Block a request or parts; return whether the block is new."""
+        if until - BLOCK_TTL_S <= self._completed.get(cause, -math.inf):
+            return False
+        is_new = cause not in self._blocked
+        self._blocked[cause] = max(until, self._blocked.get(cause, -math.inf))
         if len(self._blocked) > MAX_BLOCKED:
             del self._blocked[min(self._blocked, key=self._blocked.__getitem__)]
-        self._cached_counts = None
+        self._update_blocked()
         return is_new
 
+    def _update_blocked(self) -> None:
+        self._blocked_parts = BlockedParts(self._blocked)
+        self._discard_counts()
+
+    def _discard_counts(self) -> None:
+        self._cached_counts = self._cached_parts = None
+
     # -- attribution -------------------------------------------------------------
 
-    def block_attributed(self, now: float) -> list[Fingerprint]:
-        """Block the requests to which crashes are attributed; return them."""
+    def block_attributed(self, now: float, is_informed: bool = True) -> list[Cause]:
+        """Block the requests and parts to which crashes are attributed; return them.
+
+        ``is_informed`` is whether the reports of all entries have arrived; without them
+        no part is blocked.
+        """
         blocked = []
-        while (fingerprint := self._next_attributed(now)) is not None:
-            self.block(fingerprint, now + BLOCK_TTL_S)
-            blocked.append(fingerprint)
+        while (cause := self._next_cause(now, is_informed)) is not None:
+            self.block(cause, now + BLOCK_TTL_S)
+            blocked.append(cause)
         return blocked
 
+    def _next_cause(self, now: float, is_informed: bool) -> Cause | None:
+        # A part explains more crashes than any single request that has it.
+        if is_informed and any(c.is_blamed for c in self._part_counts().values()):
+            parts = next_attributed(
+                self._crashes.values(),
+                self._blocked,
+                self._blocked_parts,
+                now,
+                self._served[0] if len(self._served) == MIN_SERVED else -math.inf,
+            )
+            if parts:
+                return join_parts(parts)
+        return self._next_attributed(now)
+
     def _next_attributed(self, now: float) -> Fingerprint | None:
         candidates = [
             (-counts.weight, fingerprint, counts)
@@ -186,7 +257,7 @@
     def _tied(self, fingerprint: Fingerprint, counts: CrashCounts) -> bool:
         """Return whether another suspect of the latest crash has as many crashes."""
         suspects = (
-            self._suspected(crash)
+            crash.suspects()
             for crash in self._newest_first()
             if crash.confirmed and not self._is_explained(crash)
         )
@@ -194,7 +265,7 @@
         totals = self._counts()
         return any(totals[other].unexplained >= counts.unexplained for other in others)
 
-    def _newest_first(self) -> list[_Crash]:
+    def _newest_first(self) -> list[Crash]:
         return sorted(self._crashes.values(), key=lambda crash: -crash.at)
 
     def _counts(self) -> dict[Fingerprint, CrashCounts]:
@@ -202,7 +273,7 @@
             self._cached_counts = {}
             for crash in self._crashes.values():
                 is_unexplained = crash.confirmed and not self._is_explained(crash)
-                suspected = self._suspected(crash)
+                suspected = crash.suspects()
                 for fingerprint in suspected:
                     previous = self._cached_counts.get(fingerprint, CrashCounts())
                     self._cached_counts[fingerprint] = CrashCounts(
@@ -214,64 +285,115 @@
                     )
         return self._cached_counts
 
-    def _suspected(self, crash: _Crash) -> set[Fingerprint]:
-        recent = {fingerprint for fingerprint, is_new in crash.lost.items() if is_new}
-        return recent or set(crash.lost)
+    def _part_counts(self) -> dict[PartId, PartCounts]:
+        if self._cached_parts is None:
+            self._cached_parts = count_part_crashes(
+                self._crashes.values(), self._blocked, self._blocked_parts
+            )
+        return self._cached_parts
 
-    def _is_explained(self, crash: _Crash) -> bool:
-        return any(suspect in self._blocked for suspect in self._suspected(crash))
+    def _is_explained(self, crash: Crash) -> bool:
+        if not self._blocked:
+            return False
+        if any(suspect in self._blocked for suspect in crash.suspects()):
+            return True
+        return bool(self._blocked_parts.explaining(crash.suspect_parts()))
 
     # -- queries -----------------------------------------------------------------
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is neither a crash nor a block."""
+        return not (self._crashes or self._blocked)
+
+    def crashed_at(self, instance: UpstreamInstance) -> float | None:
+        """Return when an upstream lost its last request, None if it did not crash."""
+        crash = self._crashes.get(instance)
+        return None if crash is None else crash.at
+
     def crash_counts(self, fingerprint: Fingerprint) -> CrashCounts | None:
         """Return the crashes that a request is suspected of."""
         return self._counts().get(fingerprint)
 
-    def awaits_confirmation(self, fingerprint: Fingerprint, now: float) -> bool:
-        """Return whether a request may be blocked once its crashes are confirmed."""
-        counts = self.crash_counts(fingerprint)
+    def part_counts(self, part: PartId) -> PartCounts | None:
+        """Return the crashes that a part is suspected of."""
+        return self._part_counts().get(part)
+
+    def awaits_confirmation(self, cause: Cause, now: float) -> bool:
+        """Return whether a suspect may be blocked once its crashes are confirmed."""
+        counts = self._counts_of(cause)
         if counts is None or counts.reported < BLOCK_CRASHES:
             return False
         return counts.confirmed < counts.reported or now - counts.latest_at < SETTLE_S
 
-    def is_suspect(self, fingerprint: Fingerprint) -> bool:
-        """Return whether a request has to run in isolation."""
-        counts = self.crash_counts(fingerprint)
-        return counts is not None and counts.reported >= SUSPECT_CRASHES
-
-    def suspects(self) -> Iterable[Fingerprint]:
-        """Return all requests that have to run in isolation."""
-        return filter(self.is_suspect, self._counts())
+    def _counts_of(self, cause: Cause) -> CrashCounts | PartCounts | None:
+        if is_part(cause):
+            return self.part_counts(PartId(cause))
+        return self.crash_counts(Fingerprint(cause))
+
+    def is_suspect(self, cause: Cause) -> bool:
+        """Return whether a request, or those with a part, have to run in isolation."""
+        counts = self._counts_of(cause)
+        return counts is not None and counts.is_suspect
+
+    def suspects(self) -> list[Cause]:
+        """Return all requests and parts that have to run in isolation."""
+        return [
+            cause
+            for counts in (self._counts(), self._part_counts())
+            for cause, count in counts.items()
+            if count.is_suspect
+        ]
 
     def suspect_count(self, instance: UpstreamInstance) -> int:
         """Return the number of requests that are suspected of a crash."""
         crash = self._crashes.get(instance)
-        return 0 if crash is None else len(self._suspected(crash))
+        return 0 if crash is None else len(crash.suspects())
+
+    def has_lost(self, cause: Cause) -> bool:
+        """Return whether a request or part is a suspect of a crash."""
+        return self._counts_of(cause) is not None
 
     def has_crashed(self, instance: UpstreamInstance) -> bool:
         """Return whether an upstream is reported to have crashed."""
         return instance in self._crashes
 
-    def blocked_for(self, fingerprint: Fingerprint, now: float) -> float | None:
-        """Return the seconds for which a request stays blocked, None if not blocked."""
-        until = self._blocked.get(fingerprint)
+    def blocked_for(self, cause: Cause, now: float) -> float | None:
+        """Return the seconds for which a cause stays blocked, None if not blocked."""
+        until = self._blocked.get(cause)
         return None if until is None or until <= now else until - now
 
-    def blocked(self) -> Mapping[Fingerprint, float]:
-        """Return the blocked requests and the end of each block."""
+    def blocking(
+        self, fingerprint: Fingerprint, parts: Iterable[PartId], now: float
+    ) -> Cause | None:
+        """Return the cause for which a request is blocked, None if it is not."""
+        for cause in (fingerprint, *self.blocked_within(parts)):
+            if self.blocked_for(cause, now) is not None:
+                return cause
+        return None
+
+    def blocked_within(self, parts: Iterable[PartId]) -> list[Cause]:
+        """Return the blocked combinations that a request with ``parts`` contains."""
+        return [cause for cause, _ in self._blocked_parts.within(parts)]
+
+    def blocked(self) -> Mapping[Cause, float]:
+        """Return the blocked causes and the end of each block."""
         return self._blocked
 
     def expire(self, now: float) -> None:
         """Remove expired crashes, blocks and evidence."""
+        sizes = len(self._crashes), len(self._blocked)
         self._crashes = OrderedDict(
             (instance, crash)
             for instance, crash in self._crashes.items()
             if now - crash.at <= (CRASH_TTL_S if crash.confirmed else UNCONFIRMED_TTL_S)
         )
         self._blocked = {key: end for key, end in self._blocked.items() if end > now}
+        changed = sizes != (len(self._crashes), len(self._blocked))
         self._completed = _unexpired(self._completed, now)
         self._alive = _unexpired(self._alive, now)
-        self._cached_counts = None
+        if changed:
+            self._update_blocked()
 
 
 def _record_latest(evidence: OrderedDict[K, float], key: K, at: float) -> None:
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -340,7 +340,8 @@
         is_stream = request.admitted.route.kind is RouteKind.STREAM
         elapsed = 0.0 if request.head_at is None else self._clock() - request.head_at
         recent = not is_stream or elapsed <= RECENT_START_S
-        self._poison.connection_lost(request.fingerprint, record, recent)
+        parts = request.admitted.request.parts
+        self._poison.connection_lost(request.fingerprint, record, recent, parts)
 
     def _abort_failure(self, request: InFlightRequest, failure: Failure) -> Failure:
         """Return the failure for the caller of an aborted request."""
--- a/src/persimmonhitch/direct/blocked_requests.py
+++ b/src/persimmonhitch/direct/blocked_requests.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from ..ids import Fingerprint
+from ..ids import Cause
 from ..observe.logs import log
 from ..store.objects import Kind, ObjectStore, StoredObject, StoreError
 from ..store.watcher import View
@@ -48,7 +48,7 @@
         self._unix_time = unix_time
         self._stored: dict[str, StoredObject] = {}
         self._has_listing = False
-        self._missing_since: dict[Fingerprint, float] = {}
+        self._missing_since: dict[Cause, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -66,7 +66,7 @@
         clock_offset_s = self._clock() - self._unix_time()
         self._guard.receive_blocked(
             {
-                Fingerprint(name): float(obj.spec[UNTIL_KEY]) + clock_offset_s
+                Cause(name): float(obj.spec[UNTIL_KEY]) + clock_offset_s
                 for name, obj in view.objects.items()
                 if isinstance(obj.spec.get(UNTIL_KEY), int | float)
             }
@@ -94,15 +94,15 @@
         if self._rank() == 0:
             self._remove_expired()
 
-    def _write(self, fingerprint: Fingerprint, until: float) -> None:
+    def _write(self, cause: Cause, until: float) -> None:
         unix_until = int(until - self._clock() + self._unix_time())
-        result = self._store.create(Kind.BLOCKED, fingerprint, {UNTIL_KEY: unix_until})
+        result = self._store.create(Kind.BLOCKED, cause, {UNTIL_KEY: unix_until})
         if isinstance(result, Success):
             obj = result.unwrap()
-            self._stored = {**self._stored, fingerprint: obj}
+            self._stored = {**self._stored, cause: obj}
         elif result.failure().error is not StoreError.EXISTS:
-            log("block_not_stored", call=fingerprint, detail=result.failure().detail)
-            self._missing_since[fingerprint] = self._clock()
+            log("block_not_stored", call=cause, detail=result.failure().detail)
+            self._missing_since[cause] = self._clock()
 
     def _remove_expired(self) -> None:
         now = self._unix_time()
--- a/src/persimmonhitch/direct/cold_upstreams.py
+++ b/src/persimmonhitch/direct/cold_upstreams.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ..decide.cold_start import cold_rate
-from ..decide.poison import UpstreamInstance
+from ..decide.crashes import UpstreamInstance
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Service, Zone
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -161,7 +161,9 @@
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
         trial_failure = None
         if waiter.last_choice.step is Step.WAIT:
-            trial_failure = self._poison.trial_refusal(waiter.request.fingerprint)
+            trial_failure = self._poison.trial_refusal(
+                waiter.request.fingerprint, waiter.request.parts
+            )
         if trial_failure is None and waiter.limited_by:
             return limit_refusal(waiter.request, self._limits.wait_s(waiter.limited_by))
         return trial_failure or refusal(waiter.last_choice.step, waiter.request)
@@ -227,7 +229,9 @@
                 continue
             if freed is not None and not self._table.can_serve(freed, waiter.request):
                 continue
-            waiter.failure = self._poison.refusal(waiter.request.fingerprint)
+            waiter.failure = self._poison.refusal(
+                waiter.request.fingerprint, waiter.request.parts
+            )
             if waiter.failure is not None:
                 waiter.decided.set()
                 continue
@@ -263,7 +267,7 @@
             state = self._table.get(choice.upstream)
             assert state is not None
             self._table.record_start(choice.upstream, request)
-            self._poison.started(request.fingerprint, choice.upstream)
+            self._poison.started(request.fingerprint, choice.upstream, request.parts)
             self._limits.sent(choice.upstream)
             waiter.upstream = state.record
             self._waiters.remove(waiter)
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -92,9 +92,9 @@
             return self._deny(result.failure(), caller, active)
         admitted: Admitted = result.unwrap()
         self._retries.on_request(admitted.retry_source)
-        refusal = self._poison.refusal(admitted.request.fingerprint) or self._charge(
-            admitted
-        )
+        refusal = self._poison.refusal(
+            admitted.request.fingerprint, admitted.request.parts
+        ) or self._charge(admitted)
         if refusal is not None:
             return self._deny(refusal, caller, active)
         if admitted.request.model is not None:
@@ -174,13 +174,18 @@
                     return self._fail(request, retried.failure())
                 reply = retried.unwrap()
         headers = wire.response_headers(reply.headers)
-        self._poison.completed(request.fingerprint)
+        self._record_completed(request, reply)
         self._tracker.settle(request, None, reply.status)
         if reply.framing is Framing.CLOSE:
             return Answer(reply.status, headers, UnframedBody([body]))
         headers["content-length"] = str(len(body))
         return Answer(reply.status, headers, [body])
 
+    def _record_completed(self, request: InFlightRequest, reply: Reply) -> None:
+        """Record that a request ran to its end; a failure proves no part innocent."""
+        parts = request.admitted.request.parts if reply.status < 300 else ()
+        self._poison.completed(request.fingerprint, parts)
+
     def _fail(self, request: InFlightRequest, failure: Failure) -> Answer:
         self._tracker.settle(request, failure, failure.http_status)
         return refuse(failure, request.request_id)
@@ -202,7 +207,7 @@
                 failure = self._runner.record_lost_answer(request, exc)
                 reply = self._resume_stream(request, failure, last_event_id)
                 request.reply = reply
-        self._poison.completed(request.fingerprint)
+        self._record_completed(request, reply)
         if is_framed and reply.framing is Framing.CLOSE:
             self._end_unconfirmed(request)
         self._tracker.settle(request, None, reply.status)
--- a/src/persimmonhitch/direct/leaving.py
+++ b/src/persimmonhitch/direct/leaving.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Final
 
-from ..decide.poison import UpstreamInstance
+from ..decide.crashes import UpstreamInstance
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Vm
 from ..observe.logs import log
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -75,6 +75,7 @@
     LimitRequest,
     LimitUpdate,
     LoadRequest,
+    LostPartsUpdate,
     StoreProbe,
     StoreProbeReply,
     StreamsBegan,
@@ -156,7 +157,10 @@
         self.retries = RetryBudgets(cfg.retry_bound, self._may_use_slack)
         self.watchdog = Watchdog()
         self.poison = PoisonGuard(
-            self.vm, on_change=self._tick_due.set, is_isolated=self.quota.is_isolated
+            self.vm,
+            on_change=self._tick_due.set,
+            is_isolated=self.quota.is_isolated,
+            entry_count=lambda: len(self.peers) + 1,
         )
         self.limits = UpstreamLimits(
             self._request_limit,
@@ -251,6 +255,7 @@
         on = self.broadcast.on
         on(EntryUpdate, self._on_entry_update)
         on(CrashUpdate, self.poison.receive)
+        on(LostPartsUpdate, lambda _vm, msg, _at: self.poison.receive_parts(msg))
         on(LimitUpdate, self.limits.receive)
         on(LeavingUpdate, self.leaving.receive)
         on(StreamsBegan, self.origins.receive_streams)
@@ -510,12 +515,13 @@
                 if time.monotonic() - published_at >= interval_s:
                     published_at = time.monotonic()
                     self._publish_entry_update()
-                crash_update = self.poison.next_update()
-                if crash_update is not None:
-                    self.broadcast.publish(crash_update, urgent=True)
-                limit_update = self.limits.next_update()
-                if limit_update is not None:
-                    self.broadcast.publish(limit_update, urgent=True)
+                for update in (
+                    self.poison.next_update(),
+                    self.poison.next_parts_update(),
+                    self.limits.next_update(),
+                ):
+                    if update is not None:
+                        self.broadcast.publish(update, urgent=True)
                 self.broadcast.flush()
                 self.relay.flush(self._followers())
             except Exception as exc:
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -6,10 +6,12 @@
 from ..ids import (
     Account,
     Adapter,
+    Cause,
     Epoch,
     Fingerprint,
     Incarnation,
     Model,
+    PartId,
     RequestId,
     Service,
     SoftwareVersion,
@@ -170,9 +172,9 @@
 
 @dataclass(frozen=True)
 class Trial:
-    """Isolated run of a suspect request; ``upstream`` is None until it starts."""
+    """Isolated run of a suspect; ``upstream`` is None until it starts."""
 
-    fingerprint: Fingerprint
+    cause: Cause
     upstream: Upstream | None
 
 
@@ -187,12 +189,29 @@
 
     crashes: tuple[CrashReport, ...]
     alive: tuple[LivenessReport, ...]
-    completed: dict[Fingerprint, int]
-    """Milliseconds since each of these suspect requests completed."""
+    completed: dict[Cause, int]
+    """Milliseconds since each of these suspects completed."""
     trials: tuple[Trial, ...]
     """All trials that the sender runs or has announced."""
-    blocked: dict[Fingerprint, int]
-    """Seconds for which each request remains blocked."""
+    blocked: dict[Cause, int]
+    """Seconds for which each cause remains blocked."""
+
+
+@dataclass(frozen=True)
+class LostParts:
+    """Prompt parts of requests lost with an upstream, as far as none has completed."""
+
+    upstream: Upstream
+    started_at_ms: int
+    lost: dict[Fingerprint, tuple[PartId, ...]]
+
+
+@message(80)
+@dataclass(frozen=True)
+class LostPartsUpdate:
+    """Lost prompt parts of crashes that the sender reports in a ``CrashUpdate``."""
+
+    crashes: tuple[LostParts, ...]
 
 
 @dataclass(frozen=True)
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -1,34 +1,49 @@
-"""Blocks requests that crash upstreams, and isolates suspects."""
+"""Blocks requests and prompt parts that crash upstreams, and isolates suspects."""
 
 import math
 import random
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
+from ..decide.crashes import UpstreamInstance, is_part
 from ..decide.dispatch import DispatchRequest, UpstreamView
-from ..decide.poison import CrashHistory, UpstreamInstance
+from ..decide.poison import PROOF_LEAD_S, CrashHistory
 from ..decide.wait_limits import RETRY_JITTER, RETRY_S
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Fingerprint, Upstream, Vm
+from ..ids import Cause, Fingerprint, PartId, Upstream, Vm
 from ..observe.logs import log
 from ..verdict import ErrorCode, Failure
-from .peer_messages import CrashReport, CrashUpdate, LivenessReport, Trial
+from .part_proofs import PartProofs
+from .peer_messages import (
+    CrashReport,
+    CrashUpdate,
+    LivenessReport,
+    LostParts,
+    LostPartsUpdate,
+    Trial,
+)
 
 CHECK_DELAY_S: Final = 0.1
 """Delay between a lost connection and an attempt to open another to the upstream."""
 RESEND_INTERVAL_S: Final = 2.0
 """Interval of full updates, for entries that missed an incremental update."""
+LEARN_S: Final = 3.0
+"""Seconds after a start or an isolation until an entry has the reports of all peers."""
 RESEND_TTL_S: Final = 60.0
 """Time for which an entry resends an observation."""
 ANNOUNCE_DURATION_S: Final = 0.25
 """Time between the announcement of a trial to the peers and its start; two entries that
 send the same suspect at once would both lose an upstream."""
+ANNOUNCE_PARTS_S: Final = 0.5
+"""The same for a part, of which many entries may have requests at the same time."""
 ANNOUNCEMENT_TTL_S: Final = 0.3
 """Time after which an announcement expires if no attempt waits to be sent."""
+MAX_REPORTED_PARTS: Final = 16
+"""Prompt parts of one lost request that peers are told of."""
 EXPIRY_INTERVAL_S: Final = 1.0
 """Interval at which outdated observations are dropped."""
 TRIAL_TTL_S: Final = 2.5
@@ -46,6 +61,16 @@
     confirmed: bool = False
     lost: dict[Fingerprint, bool] = field(default_factory=dict)
     """Lost requests, as in ``CrashReport``."""
+    parts: dict[Fingerprint, tuple[PartId, ...]] = field(default_factory=dict)
+    """Prompt parts of lost requests, as in ``LostParts``."""
+
+    def drop_part(self, part: Cause) -> None:
+        """Remove a part from all lost requests."""
+        self.parts = {
+            fingerprint: tuple(other for other in parts if other != part)
+            for fingerprint, parts in self.parts.items()
+            if parts != (part,)
+        }
 
 
 @dataclass(frozen=True)
@@ -55,6 +80,14 @@
     trials: tuple[Trial, ...]
 
 
+@dataclass
+class _RunningCall:
+    """Attempts of one request that are in progress."""
+
+    parts: tuple[PartId, ...]
+    upstreams: Counter[Upstream] = field(default_factory=Counter)
+
+
 @dataclass
 class _Announcement:
     started_at: float
@@ -78,6 +111,8 @@
         Called when peers must receive an update at once.
     is_isolated : callable
         Returns whether this entry receives no updates from any peer.
+    entry_count : callable
+        Returns the number of entries of the fleet.
     """
 
     def __init__(
@@ -86,6 +121,7 @@
         clock: Callable[[], float] = time.monotonic,
         on_change: Callable[[], None] = lambda: None,
         is_isolated: Callable[[], bool] = lambda: False,
+        entry_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -93,29 +129,46 @@
         self._is_isolated = is_isolated
         self._lock = threading.Lock()
         self._history = CrashHistory()
-        self._running: dict[Fingerprint, Counter[Upstream]] = {}
-        self._announced: dict[Fingerprint, _Announcement] = {}
+        self._proofs = PartProofs(entry_count)
+        self._running: dict[Fingerprint, _RunningCall] = {}
+        self._announced: dict[Cause, _Announcement] = {}
         self._peers: dict[Vm, _PeerTrials] = {}
         self._crashes: dict[UpstreamInstance, _LocalCrash] = {}
         self._alive: dict[UpstreamInstance, float] = {}
-        self._completed: dict[Fingerprint, float] = {}
-        self._own_blocked: dict[Fingerprint, float] = {}
-        """Time at which this entry itself, not a peer, blocked each request."""
-        self._unsent: set[UpstreamInstance | Fingerprint] = set()
-        """Changed instances and requests that the next update must include."""
+        self._completed: dict[Cause, float] = {}
+        self._own_blocked: dict[Cause, float] = {}
+        """Time at which this entry itself, not a peer, blocked each cause."""
+        self._unsent: set[UpstreamInstance | Cause] = set()
+        """Changed instances and causes that the next update must include."""
+        self._unsent_parts: set[UpstreamInstance] = set()
+        """Instances whose lost parts the next update of parts must include."""
+        self._parts_sent_at = -math.inf
         self._update_due = False
+        self._isolated_at = clock()
+        """When this entry last received no updates of its peers."""
         self._full_update_at = -math.inf
         self._expired_at = -math.inf
 
     # -- requests ------------------------------------------------------------------
 
-    def refusal(self, fingerprint: Fingerprint) -> Failure | None:
+    def refusal(
+        self, fingerprint: Fingerprint, parts: Collection[PartId] = ()
+    ) -> Failure | None:
         """Return the refusal of a blocked request, None if it may be sent."""
         with self._lock:
-            remaining_s = self._history.blocked_for(fingerprint, self._clock())
-            is_suspected = self._history.crash_counts(fingerprint) is not None
-        if remaining_s is not None:
-            reason = "upstreams crashed each time that this request ran"
+            if self._history.is_empty:
+                return None
+            now = self._clock()
+            cause = self._history.blocking(fingerprint, parts, now)
+            is_suspected = self._history.crash_counts(fingerprint) is not None or any(
+                map(self._history.is_suspect, parts)
+            )
+            remaining_s = (
+                None if cause is None else self._history.blocked_for(cause, now)
+            )
+        if cause is not None:
+            subject = f"a request with {cause}" if is_part(cause) else "this request"
+            reason = f"upstreams crashed each time that {subject} ran"
             return Failure(ErrorCode.CRASHES_UPSTREAMS, reason, retry_after=remaining_s)
         if is_suspected and self._is_isolated():
             # Peers may have recorded more crashes; the caller can reach a peer next.
@@ -126,70 +179,104 @@
         return None
 
     def exclude_upstreams(
-        self, request: DispatchRequest, views: Iterable[UpstreamView]
+        self, request: DispatchRequest, views: Sequence[UpstreamView]
     ) -> None:
         """Exclude upstreams on which a suspect request may not run now."""
         with self._lock:
-            if not self._history.is_suspect(request.fingerprint):
+            suspects = self._suspects_of(request.fingerprint, request.parts)
+            if not suspects:
                 return
             now = self._clock()
-            must_wait = not self._may_run_trial(request.fingerprint, now)
+            may_run = [self._may_run_trial(cause, now) for cause in suspects]
             trial_upstreams = {trial.upstream for trial in self._all_trials(now)}
         for view in views:
-            if must_wait or view.upstream in trial_upstreams:
+            if not all(may_run) or view.upstream in trial_upstreams:
                 view.traffic_share = 0.0
+        _keep_least_loaded(views)
+
+    def _suspects_of(
+        self, fingerprint: Fingerprint, parts: Iterable[PartId]
+    ) -> list[Cause]:
+        """Return the causes for which a request has to run in isolation."""
+        if self._history.is_empty:
+            return []
+        return [c for c in (fingerprint, *parts) if self._history.is_suspect(c)]
 
-    def _may_run_trial(self, fingerprint: Fingerprint, now: float) -> bool:
+    def _may_run_trial(self, cause: Cause, now: float) -> bool:
         """Return whether a suspect may be sent; announce its trial first if needed."""
-        if (
-            self._history.awaits_confirmation(fingerprint, now)
-            or fingerprint in self._running
-        ):
+        if self._history.awaits_confirmation(cause, now) or self._is_running(cause):
             return False
         for vm, trial in self._peer_trials(now):
-            if trial.fingerprint == fingerprint and (
-                trial.upstream is not None or vm < self._vm
-            ):
-                self._announced.pop(fingerprint, None)
+            if trial.cause == cause and (trial.upstream is not None or vm < self._vm):
+                self._announced.pop(cause, None)
                 return False
-        announcement = self._announced.get(fingerprint)
+        announcement = self._announced.get(cause)
         if announcement is None or now - announcement.requested_at > ANNOUNCEMENT_TTL_S:
-            announcement = self._announced[fingerprint] = _Announcement(now, now)
+            announcement = self._announced[cause] = _Announcement(now, now)
             self._mark_changed()
         announcement.requested_at = now
-        return now - announcement.started_at >= ANNOUNCE_DURATION_S
-
-    def trial_refusal(self, fingerprint: Fingerprint) -> Failure | None:
+        duration_s = ANNOUNCE_PARTS_S if is_part(cause) else ANNOUNCE_DURATION_S
+        return now - announcement.started_at >= duration_s
+
+    def _is_running(self, cause: Cause) -> bool:
+        return any(True for _ in self._running_with(cause))
+
+    def _running_with(self, cause: Cause) -> Iterator[Upstream]:
+        """Yield the upstreams that run a request or one with a part."""
+        if is_part(cause):
+            for call in self._running.values():
+                if cause in call.parts:
+                    yield from call.upstreams
+        elif Fingerprint(cause) in self._running:
+            yield from self._running[Fingerprint(cause)].upstreams
+
+    def trial_refusal(
+        self, fingerprint: Fingerprint, parts: Collection[PartId] = ()
+    ) -> Failure | None:
         """Return the refusal of a suspect that got no slot, None for other requests."""
         with self._lock:
-            suspect = self._history.is_suspect(fingerprint)
-        if not suspect:
+            suspects = self._suspects_of(fingerprint, parts)
+        if not suspects:
             return None
         reason = "upstreams crashed while this request ran; it waits to run apart"
+        found = next(filter(is_part, suspects), None)
+        if found is not None:
+            reason = f"upstreams crashed while requests with {found} ran; these wait"
         return Failure(ErrorCode.OVERLOADED, reason, retry_after=_retry_after_s())
 
-    def started(self, fingerprint: Fingerprint, upstream: Upstream) -> None:
+    def started(
+        self,
+        fingerprint: Fingerprint,
+        upstream: Upstream,
+        parts: tuple[PartId, ...] = (),
+    ) -> None:
         """Record that an attempt is sent."""
         with self._lock:
-            self._announced.pop(fingerprint, None)
-            self._running.setdefault(fingerprint, Counter())[upstream] += 1
-            if self._history.is_suspect(fingerprint):
+            for cause in (fingerprint, *parts) if self._announced else ():
+                self._announced.pop(cause, None)
+            call = self._running.setdefault(fingerprint, _RunningCall(parts))
+            call.upstreams[upstream] += 1
+            if self._suspects_of(fingerprint, parts):
                 self._mark_changed()
 
     def ended(self, fingerprint: Fingerprint, upstream: Upstream) -> None:
         """Record that an attempt has ended, with any outcome."""
         with self._lock:
-            counts = self._running[fingerprint]
-            counts[upstream] -= 1
-            if not counts[upstream]:
-                del counts[upstream]
-            if not counts:
+            call = self._running[fingerprint]
+            call.upstreams[upstream] -= 1
+            if not call.upstreams[upstream]:
+                del call.upstreams[upstream]
+            if not call.upstreams:
                 del self._running[fingerprint]
-            if self._history.is_suspect(fingerprint):
+            if self._suspects_of(fingerprint, call.parts):
                 self._mark_changed()
 
     def connection_lost(
-        self, fingerprint: Fingerprint, record: UpstreamRecord, recent: bool
+        self,
+        fingerprint: Fingerprint,
+        record: UpstreamRecord,
+        recent: bool,
+        parts: Iterable[PartId] = (),
     ) -> None:
         """Record that a request lost the connection to its upstream.
 
@@ -204,8 +291,19 @@
             crash.at = now
             crash.lost[fingerprint] = recent or crash.lost.get(fingerprint, False)
             self._history.record_lost(instance, {fingerprint: recent}, now, now)
+            unproven = self._unproven(parts, now)
+            if unproven:
+                crash.parts[fingerprint] = unproven
+                self._history.record_lost_parts(instance, {fingerprint: unproven})
+                self._unsent_parts.add(instance)
             self._mark_changed(instance)
 
+    def _unproven(self, parts: Iterable[PartId], now: float) -> tuple[PartId, ...]:
+        """Return parts that have not completed lately, known suspects first."""
+        unproven = (p for p in parts if not self._proofs.covers(p, now - PROOF_LEAD_S))
+        ordered = sorted(unproven, key=lambda part: not self._history.has_lost(part))
+        return tuple(ordered[:MAX_REPORTED_PARTS])
+
     def answered(self, record: UpstreamRecord, sent_at: float) -> None:
         """Record that an upstream has answered a request sent at ``sent_at``."""
         instance = instance_of(record)
@@ -215,23 +313,44 @@
             if self._history.record_alive(instance, sent_at):
                 self._refute(instance, sent_at)
 
-    def completed(self, fingerprint: Fingerprint) -> None:
-        """Record that a request ran to completion; this ends any suspicion."""
+    def completed(
+        self, fingerprint: Fingerprint, parts: Collection[PartId] = ()
+    ) -> None:
+        """Record that a request ran to completion; this ends any suspicion.
+
+        ``parts`` are empty if the upstream failed the request.
+        """
         now = self._clock()
         with self._lock:
-            if self._history.crash_counts(fingerprint) is None:
+            self._proofs.add(parts, now)
+            if parts:
+                self._history.record_served(now)
+            if self._history.is_empty:
                 return
-            if self._history.record_completed(fingerprint, now):
-                log("call_cleared", call=fingerprint)
-                self._drop_losses(fingerprint, now)
-                self._completed[fingerprint] = now
-                self._mark_changed(fingerprint)
-
-    def _drop_losses(self, fingerprint: Fingerprint, completed_at: float) -> None:
-        """Remove a completed request from the earlier crashes at which it was lost."""
+            for cause in self._history.blocked_within(parts):
+                self._clear(cause, now)
+            for cause in (fingerprint, *parts):
+                if self._history.has_lost(cause):
+                    self._clear(cause, now)
+
+    def _clear(self, cause: Cause, completed_at: float) -> None:
+        """Clear a cause of earlier crashes, and tell the peers."""
+        was_blocked = cause in self._history.blocked()
+        if self._history.record_completed(cause, completed_at):
+            log("call_cleared", call=cause, was_blocked=was_blocked)
+            self._own_blocked.pop(cause, None)
+            self._drop_losses(cause, completed_at)
+            self._completed[cause] = completed_at
+            self._mark_changed(cause)
+
+    def _drop_losses(self, cause: Cause, completed_at: float) -> None:
+        """Remove a completed request or part from the reports of earlier crashes."""
         for crash in self._crashes.values():
-            if crash.at <= completed_at:
-                crash.lost.pop(fingerprint, None)
+            if is_part(cause):
+                if crash.at <= completed_at + PROOF_LEAD_S:
+                    crash.drop_part(cause)
+            elif crash.at <= completed_at:
+                crash.lost.pop(Fingerprint(cause), None)
 
     def unreachable(self, record: UpstreamRecord) -> None:
         """Record that an upstream accepts no connection."""
@@ -287,11 +406,12 @@
 
     def _block_attributed(self) -> None:
         now = self._clock()
-        for fingerprint in self._history.block_attributed(now):
-            remaining_s = self._history.blocked_for(fingerprint, now)
-            log("call_blocked", call=fingerprint, seconds=remaining_s, source="judged")
-            self._own_blocked[fingerprint] = now
-            self._mark_changed(fingerprint)
+        is_informed = now - self._isolated_at >= LEARN_S
+        for cause in self._history.block_attributed(now, is_informed):
+            remaining_s = self._history.blocked_for(cause, now)
+            log("call_blocked", call=cause, seconds=remaining_s, source="judged")
+            self._own_blocked[cause] = now
+            self._mark_changed(cause)
 
     # -- updates between entries ---------------------------------------------------
 
@@ -299,7 +419,10 @@
         """Return the update that is due for the peers, None if there is none."""
         now = self._clock()
         with self._lock:
+            if not self._history.is_empty and self._is_isolated():
+                self._isolated_at = now
             self._expire(now)
+            self._publish_proofs(now)
             self._block_attributed()
             is_full = now - self._full_update_at >= RESEND_INTERVAL_S
             if not (self._update_due or (is_full and self._has_observations())):
@@ -312,7 +435,7 @@
             return update
 
     def _build_update(self, now: float, is_full: bool) -> CrashUpdate:
-        def is_due(key: UpstreamInstance | Fingerprint) -> bool:
+        def is_due(key: UpstreamInstance | Cause) -> bool:
             return is_full or key in self._unsent
 
         crashes = tuple(
@@ -332,19 +455,61 @@
             if is_due(instance)
         )
         completed = {
-            fingerprint: _age_ms(now, at)
-            for fingerprint, at in self._completed.items()
-            if is_due(fingerprint)
+            cause: _age_ms(now, at)
+            for cause, at in self._completed.items()
+            if is_due(cause)
         }
         blocked = {
-            fingerprint: int(remaining_s)
-            for fingerprint in self._own_blocked
-            if is_due(fingerprint)
-            and (remaining_s := self._history.blocked_for(fingerprint, now)) is not None
+            cause: int(remaining_s)
+            for cause in self._own_blocked
+            if is_due(cause)
+            and (remaining_s := self._history.blocked_for(cause, now)) is not None
         }
-        trials = sorted(self._trials(), key=lambda t: (t.fingerprint, t.upstream or ""))
+        trials = sorted(self._trials(), key=lambda t: (t.cause, t.upstream or ""))
         return CrashUpdate(crashes, alive, completed, tuple(trials), blocked)
 
+    def _publish_proofs(self, now: float) -> None:
+        """Tell the peers that reported parts completed here, unless another has."""
+        for part, at in self._proofs.due(now).items():
+            log("call_cleared", call=part)
+            self._completed[part] = at
+            self._mark_changed(part)
+
+    def next_parts_update(self) -> LostPartsUpdate | None:
+        """Return the lost parts that are due for the peers, None if there are none."""
+        now = self._clock()
+        with self._lock:
+            is_full = now - self._parts_sent_at >= RESEND_INTERVAL_S
+            if not (self._unsent_parts or is_full):
+                return None
+            due = tuple(
+                LostParts(instance.name, instance.started_at_ms, dict(crash.parts))
+                for instance, crash in self._crashes.items()
+                if crash.parts and (is_full or instance in self._unsent_parts)
+            )
+            self._unsent_parts.clear()
+            if is_full:
+                self._parts_sent_at = now
+            return LostPartsUpdate(due) if due else None
+
+    def receive_parts(self, msg: LostPartsUpdate) -> None:
+        """Apply the lost parts that a peer reports, after its crashes."""
+        with self._lock:
+            now = self._clock()
+            for report in msg.crashes:
+                instance = UpstreamInstance(report.upstream, report.started_at_ms)
+                crashed_at = self._history.crashed_at(instance)
+                if crashed_at is None:
+                    continue
+                for part in {part for parts in report.lost.values() for part in parts}:
+                    proven_at = self._proofs.announce(
+                        part, crashed_at - PROOF_LEAD_S, now
+                    )
+                    if proven_at is not None:
+                        self._history.record_completed(part, proven_at)
+                self._history.record_lost_parts(instance, report.lost)
+            self._block_attributed()
+
     def receive(self, vm: Vm, msg: CrashUpdate, as_of: float) -> None:
         """Apply the observations of a peer as of the monotonic time ``as_of``."""
         with self._lock:
@@ -360,32 +525,31 @@
                 instance = UpstreamInstance(report.upstream, report.started_at_ms)
                 if self._history.record_alive(instance, as_of - report.age_ms / 1000):
                     self._crashes.pop(instance, None)
-            for fingerprint, age_ms in msg.completed.items():
+            for cause, age_ms in msg.completed.items():
                 at = as_of - age_ms / 1000
-                self._history.record_completed(fingerprint, at)
-                self._drop_losses(fingerprint, at)
+                self._history.record_completed(cause, at)
+                self._drop_losses(cause, at)
+                self._proofs.announced(cause)
             self._add_blocked({f: as_of + s for f, s in msg.blocked.items()}, vm)
             self._block_attributed()
 
-    def receive_blocked(self, blocked: Mapping[Fingerprint, float]) -> None:
+    def receive_blocked(self, blocked: Mapping[Cause, float]) -> None:
         """Apply blocked requests from the store, with the end of each block."""
         with self._lock:
             self._add_blocked(blocked, "store")
 
-    def blocked(self) -> dict[Fingerprint, float]:
+    def blocked(self) -> dict[Cause, float]:
         """Return blocked requests with the monotonic time at which each block ends."""
         with self._lock:
             return dict(self._history.blocked())
 
-    def _add_blocked(self, blocked: Mapping[Fingerprint, float], source: str) -> None:
+    def _add_blocked(self, blocked: Mapping[Cause, float], source: str) -> None:
         now = self._clock()
-        for fingerprint, until in blocked.items():
-            if until > now and self._history.block(fingerprint, until):
-                log(
-                    "call_blocked", call=fingerprint, seconds=until - now, source=source
-                )
+        for cause, until in blocked.items():
+            if until > now and self._history.block(cause, until):
+                log("call_blocked", call=cause, seconds=until - now, source=source)
 
-    def _mark_changed(self, key: UpstreamInstance | Fingerprint | None = None) -> None:
+    def _mark_changed(self, key: UpstreamInstance | Cause | None = None) -> None:
         """Request an update at once; ``key`` is the changed instance or request.
 
         Trials need no key, since each update carries all of them.
@@ -428,11 +592,11 @@
     def _trials(self) -> set[Trial]:
         """Return the trials at this entry, running or announced."""
         running = {
-            Trial(fingerprint, upstream)
-            for fingerprint in self._history.suspects()
-            for upstream in self._running.get(fingerprint, ())
+            Trial(cause, upstream)
+            for cause in self._history.suspects()
+            for upstream in self._running_with(cause)
         }
-        return running | {Trial(fingerprint, None) for fingerprint in self._announced}
+        return running | {Trial(cause, None) for cause in self._announced}
 
     def _peer_trials(self, now: float) -> Iterator[tuple[Vm, Trial]]:
         for vm, peer in self._peers.items():
@@ -445,6 +609,14 @@
         return self._trials() | {trial for _, trial in self._peer_trials(now)}
 
 
+def _keep_least_loaded(views: Sequence[UpstreamView]) -> None:
+    """Exclude all upstreams but those where a crash costs the fewest requests."""
+    free = [v for v in views if v.has_model and v.traffic_share and v.running < v.slots]
+    for view in free:
+        if view.running > min(other.running for other in free):
+            view.traffic_share = 0.0
+
+
 def _retry_after_s() -> float:
     return RETRY_S * (1.0 + random.random() * RETRY_JITTER)
 
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from ..decide.poison import UpstreamInstance
+from ..decide.crashes import UpstreamInstance
 from ..decide.stream_versions import Knowledge, Origin, VersionHistory
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Account, RequestId, Service, SoftwareVersion, Upstream, Vm
--- a/src/persimmonhitch/direct/upstream_backoffs.py
+++ b/src/persimmonhitch/direct/upstream_backoffs.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from ..decide.backoff import Backoff
+from ..decide.crashes import UpstreamInstance
 from ..decide.dispatch import UpstreamView
-from ..decide.poison import UpstreamInstance
 from ..ids import Upstream
 from ..observe.logs import log
 
--- a/src/persimmonhitch/direct/upstream_limits.py
+++ b/src/persimmonhitch/direct/upstream_limits.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from ..decide.cold_start import FALLBACK_ENTRIES
+from ..decide.crashes import UpstreamInstance
 from ..decide.dispatch import DispatchRequest, UpstreamView, has_capacity
-from ..decide.poison import UpstreamInstance
 from ..decide.request_limits import Allowance, GrantBucket, effective_rate
 from ..fleet.call import RateLimit
 from ..fleet.config import FleetConfig
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -5,7 +5,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..ids import Account, Adapter, Fingerprint, Model, PartId, RequestId, Upstream
+from ..ids import (
+    PART_PREFIX,
+    Account,
+    Adapter,
+    Cause,
+    Fingerprint,
+    Model,
+    PartId,
+    RequestId,
+    Upstream,
+)
 
 FINGERPRINT_BYTES: Final = 12
 MAX_PART_NAME: Final = 32
@@ -20,7 +30,7 @@
     digest = hashlib.blake2b(body, digest_size=FINGERPRINT_BYTES)
     # Paths and accounts contain no NUL byte, so the separator is unambiguous.
     digest.update(b"\0".join((b"", path.encode(), (account or "").encode())))
-    return Fingerprint(digest.hexdigest())
+    return Fingerprint(Cause(digest.hexdigest()))
 
 
 @dataclass(frozen=True)
@@ -44,7 +54,7 @@
     if len(lowered) > MAX_PART_NAME or not (lowered.isascii() and lowered.isalnum()):
         digest = hashlib.blake2b(lowered.encode(), digest_size=FINGERPRINT_BYTES)
         lowered = f"h{digest.hexdigest()}"
-    return PartId(f"part-{lowered}")
+    return PartId(Cause(f"{PART_PREFIX}{lowered}"))
 
 
 @dataclass(frozen=True)
--- a/src/persimmonhitch/ids.py
+++ b/src/persimmonhitch/ids.py
@@ -15,9 +15,11 @@
 Region = NewType("Region", str)
 KeyHash = NewType("KeyHash", str)
 LoanId = NewType("LoanId", str)
-Fingerprint = NewType("Fingerprint", str)
+Cause = NewType("Cause", str)
+"""What crashes are attributed to: a fingerprint or one or several parts of prompts."""
+Fingerprint = NewType("Fingerprint", Cause)
 """Hash of path, client account and body; equal for all repeats of a request."""
-PartId = NewType("PartId", str)
+PartId = NewType("PartId", Cause)
 """Part of a prompt that requests may share; starts with ``part-``."""
 Incarnation = NewType("Incarnation", str)
 """Identifies one run of a process; a restart creates a new incarnation."""
@@ -30,6 +32,7 @@
 Tokens = NewType("Tokens", float)
 """Sum of prompt and generated tokens; the unit of rates and bursts."""
 
+PART_PREFIX: Final = "part-"
 ID_BYTES: Final = 12
 
 
--- a/src/persimmonhitch/wire/codec.py
+++ b/src/persimmonhitch/wire/codec.py
@@ -113,7 +113,8 @@
 
 @cache
 def _converter_for(hint: Any) -> Converter:
-    hint = getattr(hint, "__supertype__", hint)
+    while hasattr(hint, "__supertype__"):
+        hint = hint.__supertype__
     origin, args = get_origin(hint), get_args(hint)
     if origin in (Union, types.UnionType):
         (inner,) = (arg for arg in args if arg is not type(None))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 SLOW_FILES = (
     "test_poison_fleet.py",
+    "test_part_fleet.py",
     "test_soak.py",
     "test_soak_seeds.py",
     "test_retry_storm.py",
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -294,17 +294,21 @@
 
     def _tick(self):
         while not self._stopping.wait(0.05):
-            self._publish(self.poison.next_update())
+            self._publish()
             self.leaving.apply()
             self.dispatcher.tick()
 
-    def _publish(self, update):
-        if update is None:
-            return
-        self.crash_update = update
+    def _publish(self):
+        """Send the crash updates that are due to the peers."""
+        update = self.poison.next_update()
+        self.crash_update = update or self.crash_update
+        parts = self.poison.next_parts_update()
         for peer in self.peers:
-            received = decode(encode(update)).unwrap()
-            peer.poison.receive(self.vm, received, time.monotonic())
+            if update is not None:
+                received = decode(encode(update)).unwrap()
+                peer.poison.receive(self.vm, received, time.monotonic())
+            if parts is not None:
+                peer.poison.receive_parts(decode(encode(parts)).unwrap())
 
     def __enter__(self):
         return self
--- a/tests/test_decide_poison.py
+++ b/tests/test_decide_poison.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from persimmonhitch.decide.crashes import MAX_LOST
 from persimmonhitch.decide.poison import (
     BLOCK_CRASHES,
     BLOCK_TTL_S,
     MAX_BLOCKED,
     MAX_CRASHES,
-    MAX_LOST,
     SETTLE_S,
     UNCONFIRMED_TTL_S,
     CrashHistory,
