Wrong blocks are lifted: by a request that completes, or by operators

A block stayed until its hour had passed: the object in the store, and entries that had not heard of a completed request, brought it back, and an object deleted by operators was written again. An object whose until is 0 is now a lifted block: all entries drop the block and the crashes behind it, and the object goes after 30 s. The first entry writes it for a cause that has completed since it was blocked. New metric persimmonhitch.crashes.blocked.

tests/test_blocked_calls.py: both ways, two entries, one of which hears by the store alone.

--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -207,7 +207,7 @@
 
     def block(self, cause: Cause, until: float) -> bool:
         """Block a request or parts; return whether the block is new."""
-        if until - BLOCK_TTL_S <= self._completed.get(cause, -math.inf):
+        if self.is_refuted(cause, until):
             return False
         is_new = cause not in self._blocked
         self._blocked[cause] = max(until, self._blocked.get(cause, -math.inf))
@@ -216,6 +216,10 @@
         self._update_blocked()
         return is_new
 
+    def is_refuted(self, cause: Cause, until: float) -> bool:
+        """Return whether a cause completed after a block with this end began."""
+        return until - BLOCK_TTL_S <= self._completed.get(cause, -math.inf)
+
     def _update_blocked(self) -> None:
         self._blocked_parts = BlockedParts(self._blocked)
         self._discard_counts()
--- a/src/persimmonhitch/direct/blocked_requests.py
+++ b/src/persimmonhitch/direct/blocked_requests.py
@@ -19,6 +19,10 @@
 """Write delay per preceding entry, so that usually a single entry writes."""
 UNTIL_KEY: Final = "until"
 """Field of a stored object: Unix time in seconds at which the block ends."""
+LIFTED: Final = 0
+"""Value of ``UNTIL_KEY`` of a block that was lifted before its end."""
+LIFTED_KEEP_S: Final = 30.0
+"""Seconds for which a lifted block stays in the store so that all entries see it."""
 
 
 class BlockedRequests:
@@ -49,6 +53,7 @@
         self._stored: dict[str, StoredObject] = {}
         self._has_listing = False
         self._missing_since: dict[Cause, float] = {}
+        self._lifted_since: dict[Cause, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -64,12 +69,12 @@
         self._stored = dict(view.objects)
         self._has_listing = True
         clock_offset_s = self._clock() - self._unix_time()
+        ends = {Cause(name): _end_of(obj) for name, obj in view.objects.items()}
+        for cause, end in ends.items():
+            if end == LIFTED:
+                self._guard.lift(cause)
         self._guard.receive_blocked(
-            {
-                Cause(name): float(obj.spec[UNTIL_KEY]) + clock_offset_s
-                for name, obj in view.objects.items()
-                if isinstance(obj.spec.get(UNTIL_KEY), int | float)
-            }
+            {cause: end + clock_offset_s for cause, end in ends.items() if end}
         )
 
     def _run(self) -> None:
@@ -92,6 +97,7 @@
             if now - self._missing_since[key] >= delay_s:
                 self._write(key, blocked[key])
         if self._rank() == 0:
+            self._lift_refuted()
             self._remove_expired()
 
     def _write(self, cause: Cause, until: float) -> None:
@@ -104,10 +110,32 @@
             log("block_not_stored", call=cause, detail=result.failure().detail)
             self._missing_since[cause] = self._clock()
 
+    def _lift_refuted(self) -> None:
+        """Lift the stored blocks of causes that completed after they were blocked."""
+        clock_offset_s = self._clock() - self._unix_time()
+        for name, obj in list(self._stored.items()):
+            end = _end_of(obj)
+            if end and self._guard.is_refuted(Cause(name), end + clock_offset_s):
+                result = self._store.update(obj, {UNTIL_KEY: LIFTED})
+                if isinstance(result, Success):
+                    self._stored = {**self._stored, name: result.unwrap()}
+
     def _remove_expired(self) -> None:
-        now = self._unix_time()
+        now, unix_now = self._clock(), self._unix_time()
+        lifted = [n for n, obj in self._stored.items() if _end_of(obj) == LIFTED]
+        self._lifted_since = {
+            Cause(name): self._lifted_since.get(Cause(name), now) for name in lifted
+        }
         for name, obj in list(self._stored.items()):
-            until = obj.spec.get(UNTIL_KEY)
-            if not isinstance(until, int | float) or until <= now:
+            end = _end_of(obj)
+            if end == LIFTED and now - self._lifted_since[Cause(name)] < LIFTED_KEEP_S:
+                continue
+            if end is None or end <= unix_now:
                 self._store.delete(obj)
                 self._stored = {n: o for n, o in self._stored.items() if n != name}
+
+
+def _end_of(obj: StoredObject) -> float | None:
+    """Return the Unix time at which a stored block ends, None if it is invalid."""
+    until = obj.spec.get(UNTIL_KEY)
+    return float(until) if isinstance(until, int | float) else None
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -152,7 +152,8 @@
         self._welcomed: dict[Vm, Incarnation] = {}
         """Process of each neighbour to which the history of versions was sent."""
         self._cold_count = 0
-        """Value of the metric of cold upstreams."""
+        self._blocked_count = 0
+        """Values of the metrics of cold upstreams and of blocked causes."""
         self.quota = Quota(lambda: self.peers)
         self.retries = RetryBudgets(cfg.retry_bound, self._may_use_slack)
         self.watchdog = Watchdog()
@@ -510,7 +511,7 @@
                 self.origins.flush()
                 self._welcome_peers()
                 self.metrics.known_streams(len(self.origins))
-                self._update_cold_metric()
+                self._update_counts()
                 interval_s = update_interval(len(self.peers) + 1)
                 if time.monotonic() - published_at >= interval_s:
                     published_at = time.monotonic()
@@ -536,11 +537,15 @@
             if self.mesh.send(vm, self.origins.history()):
                 self._welcomed[vm] = incarnation
 
-    def _update_cold_metric(self) -> None:
-        count = self.limits.cold_count()
-        if count != self._cold_count:
-            self._cold_count = count
-            self.metrics.cold_upstreams(count)
+    def _update_counts(self) -> None:
+        """Set the metrics of cold upstreams and blocked causes when they change."""
+        cold, blocked = self.limits.cold_count(), len(self.poison.blocked())
+        if cold != self._cold_count:
+            self._cold_count = cold
+            self.metrics.cold_upstreams(cold)
+        if blocked != self._blocked_count:
+            self._blocked_count = blocked
+            self.metrics.blocked_causes(blocked)
 
     def _followers(self) -> frozenset[Vm]:
         """Return the entries that rely on watch events relayed by this one."""
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -553,6 +553,20 @@
         with self._lock:
             self._add_blocked(blocked, "store")
 
+    def lift(self, cause: Cause) -> None:
+        """Lift a block that operators or other entries have lifted in the store."""
+        with self._lock:
+            was_blocked = cause in self._history.blocked()
+            self._history.record_completed(cause, self._clock())
+            self._own_blocked.pop(cause, None)
+        if was_blocked:
+            log("call_cleared", call=cause, was_blocked=True)
+
+    def is_refuted(self, cause: Cause, until: float) -> bool:
+        """Return whether a cause completed after a block with this end began."""
+        with self._lock:
+            return self._history.is_refuted(cause, until)
+
     def blocked(self) -> dict[Cause, float]:
         """Return blocked requests with the monotonic time at which each block ends."""
         with self._lock:
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -136,6 +136,11 @@
     "",
     "Upstreams that are slow after their start and get requests at a pace.",
 )
+BLOCKED_CAUSES: Final = Instrument(
+    "persimmonhitch.crashes.blocked",
+    "",
+    "Requests and prompt parts that are refused since they crash upstreams.",
+)
 RESUMPTIONS: Final = Instrument(
     "persimmonhitch.streams.resumptions",
     "",
@@ -176,6 +181,7 @@
     STORE_ERA,
     EVACUATED_ZONES,
     COLD_UPSTREAMS,
+    BLOCKED_CAUSES,
     RESUMPTIONS,
     KNOWN_STREAMS,
     SHARE_GENERATION,
@@ -252,6 +258,7 @@
         self._era = self._gauge(STORE_ERA)
         self._evacuated = self._gauge(EVACUATED_ZONES)
         self._cold = self._gauge(COLD_UPSTREAMS)
+        self._blocked = self._gauge(BLOCKED_CAUSES)
         self._resumptions = self._counter(RESUMPTIONS)
         self._known_streams = self._gauge(KNOWN_STREAMS)
         self._generation = self._gauge(SHARE_GENERATION)
@@ -346,6 +353,10 @@
         """Set the number of cold upstreams."""
         self._cold.set(count)
 
+    def blocked_causes(self, count: int) -> None:
+        """Set the number of blocked requests and prompt parts."""
+        self._blocked.set(count)
+
     def stream_resumed(self, knowledge: str, accepted: bool) -> None:
         """Count a resumption by its caller, by the source of the version."""
         outcome = "accepted" if accepted else "refused"
--- a/tests/test_blocked_calls.py
+++ b/tests/test_blocked_calls.py
@@ -2,15 +2,19 @@
 
 import time
 
+import pytest
 from returns.result import Success
 
+from persimmonhitch.decide.poison import BLOCK_TTL_S
 from persimmonhitch.direct.blocked_requests import (
+    LIFTED,
+    LIFTED_KEEP_S,
     UNTIL_KEY,
     WRITE_STAGGER_S,
     BlockedRequests,
 )
 from persimmonhitch.direct.poison import PoisonGuard
-from persimmonhitch.ids import Fingerprint, Vm
+from persimmonhitch.ids import Fingerprint, PartId, Vm
 from persimmonhitch.platform.store_client import StoreClient
 from persimmonhitch.standin.store_server import StoreApp
 from persimmonhitch.standin.store_state import StoreState
@@ -117,3 +121,37 @@
         assert stored_names(store) == []
 
     run_with_store(scenario)
+
+
+PART = PartId("part-a")
+
+
+@pytest.mark.parametrize("lifted_by", ["operator", "completed request"])
+def test_a_lifted_block_ends_at_all_entries(lifted_by):
+    """Guards against a wrong block that entries or the store bring back."""
+
+    def scenario(store):
+        first, second = Entry(store), Entry(store, rank=1)
+        first.load_listing()
+        first.guard.receive_blocked({PART: first.now + BLOCK_TTL_S})
+        first.blocked.sync()
+        second.load_listing()
+        assert second.guard.refusal(BAD, (PART,)) is not None
+        first.now += 1.0
+        if lifted_by == "operator":
+            (obj,) = store.list_all(Kind.BLOCKED).unwrap().items
+            store.update(obj, {UNTIL_KEY: LIFTED})
+        else:
+            first.guard.completed(BAD, (PART,))
+            first.blocked.sync()
+        for _ in range(2):
+            for entry in (first, second):
+                entry.load_listing()
+                entry.blocked.sync()
+                assert entry.guard.refusal(BAD, (PART,)) is None
+        assert stored_names(store) == [PART]
+        first.now += LIFTED_KEEP_S
+        first.blocked.sync()
+        assert stored_names(store) == []
+
+    run_with_store(scenario)
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -45,6 +45,7 @@
     metrics.store_era(2)
     metrics.evacuated_zones(1)
     metrics.cold_upstreams(3)
+    metrics.blocked_causes(2)
     metrics.stream_resumed("stream", True)
     metrics.known_streams(1)
     metrics.share_generation(account, 3)
