Trials run where the fewest requests are, in no evacuated zone

A suspect went to the upstream with the shortest wait, which may run many others; it goes to those with the fewest running requests now, and as before to an evacuated zone only if no other upstream is left. Test of the announcement that clears a part at entries that have not run it lately.

--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from ..decide.crashes import UpstreamInstance, is_part
-from ..decide.dispatch import DispatchRequest, UpstreamView
+from ..decide.dispatch import DispatchRequest, UpstreamView, has_capacity
 from ..decide.poison import PROOF_LEAD_S, CrashHistory
 from ..decide.wait_limits import RETRY_JITTER, RETRY_S
 from ..fleet.upstream import UpstreamRecord
@@ -192,7 +192,7 @@
         for view in views:
             if not all(may_run) or view.upstream in trial_upstreams:
                 view.traffic_share = 0.0
-        _keep_least_loaded(views)
+        _keep_least_loaded(views, request)
 
     def _suspects_of(
         self, fingerprint: Fingerprint, parts: Iterable[PartId]
@@ -638,11 +638,17 @@
         return self._trials() | {trial for _, trial in self._peer_trials(now)}
 
 
-def _keep_least_loaded(views: Sequence[UpstreamView]) -> None:
+def _keep_least_loaded(views: Sequence[UpstreamView], request: DispatchRequest) -> None:
     """Exclude all upstreams but those where a crash costs the fewest requests."""
-    free = [v for v in views if v.has_model and v.traffic_share and v.running < v.slots]
-    for view in free:
-        if view.running > min(other.running for other in free):
+    free = [
+        view
+        for view in views
+        if (view.has_model or request.model is None) and has_capacity(view, request)
+    ]
+    free = [view for view in free if not view.leaving] or free
+    least = min((view.running for view in free), default=0)
+    for view in views:
+        if view not in free or view.running > least:
             view.traffic_share = 0.0
 
 
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from persimmonhitch.decide.dispatch import DispatchRequest, UpstreamView
 from persimmonhitch.decide.poison import BLOCK_CRASHES, SETTLE_S
-from persimmonhitch.direct.poison import PoisonGuard
+from persimmonhitch.direct.poison import ANNOUNCE_DURATION_S, PoisonGuard
 from persimmonhitch.fleet.upstream import UpstreamRecord
-from persimmonhitch.ids import Fingerprint, Service, Upstream, Vm, Zone
+from persimmonhitch.ids import Fingerprint, PartId, Service, Upstream, Vm, Zone
 
-BAD = Fingerprint("bad")
+BAD, PART = Fingerprint("bad"), PartId("part-a")
 
 
 def record(number, born=1):
@@ -108,3 +109,60 @@
     new.guard.receive(Vm("e1"), old.guard.next_update(), 10.0)
     assert new.guard.refusal(BAD) is None
     assert new.is_blocked()
+
+
+def view(number, running, leaving=False):
+    return UpstreamView(
+        Upstream(f"u{number}"),
+        Zone("z1"),
+        8,
+        0,
+        running,
+        0,
+        0,
+        True,
+        True,
+        leaving=leaving,
+    )
+
+
+def test_a_suspect_runs_where_a_crash_costs_least():
+    """Guards against trials that crash busy upstreams, or those of evacuated zones."""
+    entry = Entry()
+    for number in (1, 2):
+        entry.lose_connection(number)
+        entry.guard.unreachable(record(number))
+    request = DispatchRequest(Service("s"), None, None, 1, 1, 1, 0, 0, 0, 0, BAD)
+    views = [view(3, 5), view(4, 2), view(5, 0, leaving=True), view(6, 8)]
+    entry.guard.exclude_upstreams(request, [view(3, 5)])
+    entry.now += ANNOUNCE_DURATION_S
+    entry.guard.exclude_upstreams(request, views)
+    assert [v.upstream for v in views if v.traffic_share] == ["u4"]
+
+
+def test_a_part_that_completed_elsewhere_is_cleared_by_one_announcement():
+    """Guards against suspicion of a part at entries that have not run it lately."""
+    first, second = Entry("e1"), Entry("e2")
+    second.guard.completed(Fingerprint("sound"), (PART,))
+    for number in (1, 2):
+        first.now = second.now = number * 0.5
+        first.guard.connection_lost(
+            Fingerprint(f"f{number}"), record(number), True, (PART,)
+        )
+        first.guard.unreachable(record(number))
+    request = DispatchRequest(
+        Service("s"), None, None, 1, 1, 1, 0, 0, 0, 0, Fingerprint("next"), (PART,)
+    )
+    views = [view(3, 0)]
+    first.guard.exclude_upstreams(request, views)
+    assert not views[0].traffic_share
+    second.guard.receive(Vm("e1"), first.guard.next_update(), first.now)
+    second.guard.receive_parts(first.guard.next_parts_update())
+    second.now += 1.0
+    update = second.guard.next_update()
+    assert set(update.completed) == {PART}
+    first.guard.receive(Vm("e2"), update, second.now)
+    views = [view(3, 0)]
+    first.guard.exclude_upstreams(request, views)
+    assert views[0].traffic_share
+    assert first.guard.next_parts_update() is None
