Soak: prompt parts that crash upstreams

Callers send chats that are all different but share a part on which upstreams crash; chats of the other callers have the same first part. The check of requests that crash upstreams counts them by their part, from the fifth crash on.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seeds=A-B] [--seconds=S] [--gap=S] [--entries=N] [--engines=N]
-       [--ledgers=N] [--callers=N] [--jobs=N] [--keep=DIR]
+       [--ledgers=N] [--callers=N] [--parts=N] [--jobs=N] [--keep=DIR]
   soak --help
 
 Each seed runs in its own process, so that no seed inherits state of another.
@@ -16,6 +16,7 @@
   --engines=N    Engines [default: 4].
   --ledgers=N    Upstreams without models [default: 3].
   --callers=N    Callers [default: 12].
+  --parts=N      Prompt parts that crash upstreams [default: 1].
   --keep=DIR     Directory for the logs of failed seeds [default: target/soak].
 """
 
@@ -41,6 +42,7 @@
         int(args["--engines"]),
         int(args["--ledgers"]),
         int(args["--callers"]),
+        poison_parts=int(args["--parts"]),
     )
     run = soak(seed, size, Path(args["--keep"]))
     print("\n  ".join([f"seed {seed}: {run.summary()}", *run.failures[:MAX_SHOWN]]))
@@ -49,7 +51,16 @@
 
 def run_in_subprocess(seed, args):
     """Run one seed in a new process; return its exit code."""
-    names = ("seconds", "gap", "entries", "engines", "ledgers", "callers", "keep")
+    names = (
+        "seconds",
+        "gap",
+        "entries",
+        "engines",
+        "ledgers",
+        "callers",
+        "parts",
+        "keep",
+    )
     options = [f"--{name}={args[f'--{name}']}" for name in names]
     command = [sys.executable, "-m", "soak", f"--seeds={seed}", *options]
     completed = subprocess.run(command, capture_output=True, text=True, check=False)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,8 @@
 """Seconds between readiness probes, and consecutive failures of an unready entry."""
 REVOKED = "revoked"
 UNKNOWN = "unknown"
+SUBJECTS = 5
+"""Number of second parts of prompts."""
 
 
 class Balancer:
@@ -105,6 +107,10 @@
         # The last key of the list is the next one to be revoked.
         return self._rng.choice(self._operator.keys[account][:2]), account
 
+    def _prompt_parts(self, number):
+        """Return the parts of the prompt of a chat; the last is its own."""
+        return ["f1", f"5{number % SUBJECTS}", f"a{number}"]
+
     def _choose_request(self):
         """Return the kind and account of the next request."""
         return self._choose(KIND_WEIGHTS), self._choose(ACCOUNT_WEIGHTS)
@@ -129,6 +135,9 @@
             model_name = f"{model}/{adapter}" if adapter else model
             headers["X-Persimmonhitch-Model"] = model_name
             headers["X-Persimmonhitch-Token-Counts"] = "400,100"
+            parts = self._prompt_parts(int(request_id[1:]))
+            prefix = ",".join(f"{part}:100" for part in parts)
+            headers["X-Persimmonhitch-Prompt-Prefix"] = prefix
         call = Call(
             request_id,
             kind,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,8 +8,10 @@
 from soak.callers import REVOKED, UNKNOWN
 from soak.entries import COLD_SLACK, EVACUATION_MS, RETRY_BOUND
 from soak.platform import COLD_REQUESTS_PER_S, RATES, service_of
-from soak.upstreams import POISON_PREFIX
+from soak.upstreams import PART_BODY, POISON_PREFIX
 
+PART_CRASHES = 5
+"""Crashes by requests that share a part of their prompts before the part counts."""
 QUIET_S = 3.0
 """Seconds without a fault after which an entry must meet its time limits."""
 MAX_CONFIG_S = 2.0
@@ -424,12 +426,16 @@
     """Yield requests that kept crashing upstreams, and others that were blocked."""
     runs = defaultdict(list)
     for run in sorted(evidence.records.runs, key=lambda run: run.start):
-        if run.body.startswith(POISON_PREFIX):
+        if run.body.startswith(PART_BODY):
+            number, _, _ = run.body.removeprefix(PART_BODY).partition(b" ")
+            runs[PART_BODY + number].append(run)
+        elif run.body.startswith(POISON_PREFIX):
             runs[run.body].append(run)
     for body, crashes in runs.items():
-        if len(crashes) <= MAX_CRASHES:
+        tolerated = PART_CRASHES if body.startswith(PART_BODY) else MAX_CRASHES
+        if len(crashes) <= tolerated:
             continue
-        late_after = crashes[MAX_CRASHES - 1].start + QUIET_S + SLACK_S
+        late_after = crashes[tolerated - 1].start + QUIET_S + SLACK_S
         late = [run for run in crashes if run.start > late_after]
         calls = [evidence.calls[run.request_id] for run in late]
         counted = [call for call in calls if evidence.quiet(call.entry, call.sent_at)]
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -5,7 +5,7 @@
 import time
 
 from soak.callers import Caller
-from soak.upstreams import POISON_PREFIX
+from soak.upstreams import PART_BODY, POISON_PREFIX
 
 MEAN_GAP_S = 0.9
 """Mean seconds between two sends of one poison request."""
@@ -37,6 +37,28 @@
         self._disconnect()
 
 
+class PartPoisonCaller(PoisonCaller):
+    """Sends requests that are all different but share a part that crashes upstreams.
+
+    Sound requests have the same account, models and first part.
+    """
+
+    def __init__(self, balancer, operator, records, seed, number, stopped):
+        super().__init__(balancer, operator, records, seed, number, stopped)
+        self._rng = random.Random(f"poison part {seed} {number}")
+        self._part = number
+        self._sent = 0
+
+    def _choose_request(self):
+        self._sent += 1
+        self.body = f"{PART_BODY.decode()}{self._part} {self._sent}".encode()
+        return "chat", "plain"
+
+    def _prompt_parts(self, number):
+        first, *others = super()._prompt_parts(number)
+        return [first, f"bad{self._part}", *others]
+
+
 class CrashHandler:
     """Crashes upstreams that run a poison request, and starts replacements."""
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,7 @@
 from soak.limits import LimitFaults
 from soak.plan import RESTART_DELAY_S, FaultPlan
 from soak.platform import ZONES, Platform
-from soak.poison import CrashHandler, PoisonCaller
+from soak.poison import CrashHandler, PartPoisonCaller, PoisonCaller
 from soak.records import Records
 from soak.restores import StoreRestorer
 from soak.resumers import ResumingCaller, VersionChooser
@@ -43,6 +43,8 @@
     callers: int = 12
     poison: int = 2
     """Number of distinct poison requests."""
+    poison_parts: int = 0
+    """Number of prompt parts that crash upstreams."""
     resumers: int = 2
     """Callers that resume streams at other entries."""
 
@@ -135,6 +137,10 @@
             PoisonCaller(balancer, operator, records, self.seed, n, self.stopped)
             for n in range(self.size.poison)
         ]
+        callers += [
+            PartPoisonCaller(balancer, operator, records, self.seed, n, self.stopped)
+            for n in range(self.size.poison_parts)
+        ]
         callers += [
             ResumingCaller(balancer, operator, records, self.seed, n, self.stopped)
             for n in range(self.size.resumers)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -22,6 +22,8 @@
 RESUMABLE_PATH = "/tale/x"
 POISON_PREFIX = b"poison"
 """Prefix of a request body that crashes the upstream which runs it."""
+PART_BODY = POISON_PREFIX + b" part "
+"""Prefix of a body whose prompt has the part with the number that follows."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,10 +6,17 @@
 
 SHORT = Size(seconds=6.0)
 SHORT_SEED = 100
+WITH_PART = Size(seconds=6.0, poison_parts=1)
+PART_SEED = 101
 
 
 @pytest.mark.parametrize(
-    ("seed", "size"), [(SHORT_SEED, SHORT), *((seed, Size()) for seed in EVEN_SEEDS)]
+    ("seed", "size"),
+    [
+        (SHORT_SEED, SHORT),
+        (PART_SEED, WITH_PART),
+        *((seed, Size()) for seed in EVEN_SEEDS),
+    ],
 )
 def test_promises_hold_under_faults(seed, size, tmp_path):
     """Guards against bookings that run twice, answers of other requests and services
