--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -25,7 +25,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from ..ids import Cause, Fingerprint, PartId
+from ..ids import Cause, Fingerprint, PartId, Upstream
 from .crashes import (
     BLOCK_CRASHES,
     SETTLE_S,
@@ -376,6 +376,16 @@
         crash = self._crashes.get(instance)
         return 0 if crash is None else len(crash.suspects())
 
+    def crashed_with(self, cause: Cause) -> list[Upstream]:
+        """Return the crashed upstreams at which a blocked cause was a suspect."""
+        combos = BlockedParts([cause])
+        return [
+            instance.name
+            for instance, crash in self._crashes.items()
+            if crash.confirmed
+            if cause in crash.suspects() or combos.explaining(crash.suspect_parts())
+        ]
+
     def has_lost(self, cause: Cause) -> bool:
         """Return whether a request or part is a suspect of a crash."""
         return self._counts_of(cause) is not None
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -424,7 +424,13 @@
         is_informed = now - self._isolated_at >= LEARN_S
         for cause in self._history.block_attributed(now, is_informed):
             remaining_s = self._history.blocked_for(cause, now)
-            log("call_blocked", call=cause, seconds=remaining_s, source="judged")
+            log(
+                "call_blocked",
+                call=cause,
+                seconds=remaining_s,
+                source="judged",
+                upstreams=",".join(self._history.crashed_with(cause)),
+            )
             self._own_blocked[cause] = now
             self._mark_changed(cause)
 
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from persimmonhitch.decide.crashes import MAX_LOST_PARTS, SETTLE_S, UpstreamInstance
+from persimmonhitch.decide.crashes import (
+    MAX_LOST_PARTS,
+    SETTLE_S,
+    UpstreamInstance,
+    join_parts,
+)
 from persimmonhitch.decide.part_crashes import MIN_SPREAD_S
 from persimmonhitch.decide.poison import MIN_SERVED, PROOF_LEAD_S, CrashHistory
 from persimmonhitch.fleet.call import MAX_PART_NAME, PromptPart, shared_parts
@@ -122,6 +127,7 @@
     """Guards against refusals of requests that share a part with the culprits."""
     history = history_of(*[[(FIRST, BAD)]] * 3)
     assert blocks(history) == [{FIRST, BAD}]
+    assert history.crashed_with(join_parts([BAD, FIRST])) == ["u1", "u2", "u3"]
     sound, now = Fingerprint("sound"), 4.0
     assert history.blocking(sound, (FIRST, OTHER), now) is None
     assert history.blocking(sound, (OTHER, BAD, FIRST), now) is not None
