--- a/tests/test_part_fleet.py
+++ b/tests/test_part_fleet.py
@@ -61,9 +61,7 @@
     ],
 )
 def test_only_parts_that_crash_upstreams_are_blocked(entries, bad_parts, fault):
-    """Guards against requests with a common part at entries that saw no crash, and
-    against blocks of parts that sound requests share with them.
-    """
+    """Guards against crashes by a common part, and blocks of other shared parts."""
     fleet, requests = simulate_parts(entries, fault, bad_parts, seed=entries)
     for part, sent in requests.items():
         late, crashes = fleet.late_sends(sent, after=PART_CRASHES)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -50,11 +50,11 @@
             sock.sendall(STREAM_HEAD)
             if any(part.startswith(f"{BAD}:") for part in parts[:-1]):
                 self.runs.append(time.monotonic())
-                time.sleep(CRASH_DELAY_S)
+                threading.Event().wait(CRASH_DELAY_S)
                 self._crash(upstream, sockets)
                 return False
             sock.sendall(event(1))
-            time.sleep(RUN_S)
+            threading.Event().wait(RUN_S)
             sock.sendall(event(2) + LAST_CHUNK)
             return True
 
