Log how loads end, how long unloads wait, and which adapters are refused

New lines: load_ended (time until the evicted models were unloaded, expected and actual, and whether the model is loaded), adapter_not_loaded at the leader, adapter_refused at the entry with the upstreams that have the model and the seconds until they take orders. No decision changes.

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -159,6 +159,8 @@
         return Success(Permit(self, waiter.upstream, request, sent_at, unread))
 
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
+        if waiter.last_choice.step is Step.WAIT_FOR_MODEL:
+            self._log_adapter_refusal(waiter.request)
         trial_failure = None
         if waiter.last_choice.step is Step.WAIT:
             trial_failure = self._poison.trial_refusal(
@@ -168,6 +170,16 @@
             return limit_refusal(waiter.request, self._limits.wait_s(waiter.limited_by))
         return trial_failure or refusal(waiter.last_choice.step, waiter.request)
 
+    def _log_adapter_refusal(self, request: DispatchRequest) -> None:
+        """Log which upstreams load a model while their adapters are requested."""
+        ends = self._table.busy_seconds(request)
+        log(
+            "adapter_refused",
+            model=request.model,
+            adapter=request.adapter,
+            upstreams=",".join(f"{name}:{left:.1f}" for name, left in ends.items()),
+        )
+
     def _refuse_if_load_is_late(self, waiter: _Waiter, now: float) -> None:
         """Refuse a waiting request at once if its model will be loaded too late."""
         request = waiter.request
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -334,14 +334,17 @@
             engine.loading = model
             engine.ready_at = self._clock() + drain_s + load_s
             self._publish(self)
+        begun_at = drained_at = self._clock()
+        loaded = False
         try:
             if evictions:
                 self._sleep(UNLOAD_DELAY_S)
             started_at = self._clock()
             if all(self._unload_model(evicted, drain_s > 0) for evicted in evictions):
+                drained_at = self._clock()
                 if drain_s:
-                    engine.drain_time.record(self._clock() - started_at)
-                self._order_load(model, load_s)
+                    engine.drain_time.record(drained_at - started_at)
+                loaded = self._order_load(model, load_s)
         finally:
             with self.lock:
                 if engine.spec.adapter_slots:
@@ -349,33 +352,47 @@
                 engine.loading = None
                 engine.evicting = frozenset()
                 self._publish(self)
+            log(
+                "load_ended",
+                upstream=engine.record.name,
+                model=model,
+                loaded=loaded,
+                drained_in=drained_at - begun_at,
+                expected=drain_s,
+                seconds=self._clock() - begun_at,
+            )
 
-    def _order_load(self, model: Model, load_s: float) -> None:
+    def _order_load(self, model: Model, load_s: float) -> bool:
+        """Order a load and wait for its end; return whether the model is loaded."""
         engine = self.engine
         for _ in range(MAX_ATTEMPTS):
             if not self._await_idle():
-                return
+                return False
             with self.lock:
                 inventory = engine.inventory
-                if inventory is None or inventory.has(model, None):
-                    return
+                if inventory is None:
+                    return False
+                if inventory.has(model, None):
+                    return True
                 if engine.memory_used() > engine.spec.memory_mb:
                     log("no_room", upstream=engine.record.name, model=model)
-                    return
+                    return False
                 outcome = self._send_with_retry(Order(True, model))
                 if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_DONE):
                     if self._resync(outcome):
                         continue
-                    return
+                    return False
                 engine.ready_at = self._clock() + load_s
                 self._publish(self)
             if load_s < engine.spec.models[model].cold_load_s:
                 self._sleep(load_s + LOAD_MARGIN_S)
                 self._mark_model_loaded(model)
                 load_s = 0.0
-            if self._wait_for_report(lambda report: report.has(model, None), load_s):
-                engine.loaded_at[model] = self._clock()
-            return
+            if not self._wait_for_report(lambda r: r.has(model, None), load_s):
+                return False
+            engine.loaded_at[model] = self._clock()
+            return True
+        return False
 
     def _await_idle(self) -> bool:
         """Wait while the engine executes another order; return whether it is idle.
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -214,10 +214,19 @@
         self, vm: Vm, controller: EngineController, msg: LoadRequest
     ) -> None:
         assert msg.adapter is not None
-        if controller.load_adapter(msg.model, msg.adapter):
-            update = self._inventory_update(controller)
-            if update is not None:
-                self._send(vm, update)
+        if not controller.load_adapter(msg.model, msg.adapter):
+            log(
+                "adapter_not_loaded",
+                upstream=msg.upstream,
+                model=msg.model,
+                adapter=msg.adapter,
+                loading=controller.engine.loading or "-",
+                evicting=",".join(sorted(controller.engine.evicting)) or "-",
+            )
+            return
+        update = self._inventory_update(controller)
+        if update is not None:
+            self._send(vm, update)
 
     # -- rounds ----------------------------------------------------------------------
 
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -294,6 +294,15 @@
             unresponsive=unresponsive,
         )
 
+    def busy_seconds(self, request: DispatchRequest) -> dict[Upstream, float]:
+        """Return the seconds until each upstream with a model takes adapter orders."""
+        now = self._clock()
+        return {
+            state.record.name: max(0.0, state.busy_until - now)
+            for state in self._by_service[request.service]
+            if request.model is not None and state.has(request.model, None, now)
+        }
+
     def own_work(self) -> tuple[UpstreamWork, ...]:
         """Return the work of this entry at each upstream, as sent to peers."""
         return tuple(
