Test of a refused adapter that is never loaded, failing

An adapter that is refused because its only engine loads a model is forgotten: the entry does not tell the leader, and nothing loads it when the engine is free.

--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -143,3 +143,18 @@
     work = UpstreamWork(Upstream("e1"), 1, 100, 0, (ModelUse(BIG, None),))
     leader.receive_entry_update(Vm("b"), entry_update({}, (work,)))
     assert {use.model for use in leader._uses_by_upstream()[Upstream("e1")]} == {BIG}
+
+
+def test_refused_adapter_is_loaded_after_the_model_load(leader):
+    """Guards against adapters that are refused during each model load and never loaded,
+    because callers return before or after the pause between two loads.
+    """
+    engine = leader._client
+    engine.load_time = 1.0
+    leader.receive_entry_update(Vm("b"), entry_update({SMALL: 9000.0}))
+    leader.receive_load_request(Vm("b"), LoadRequest(SMALL, None, None))
+    wait_for(lambda: any(o.model == SMALL for o, _ in engine.log), "the model load")
+    leader.receive_load_request(Vm("b"), LoadRequest(BIG, Adapter("a1"), None))
+    engine.clock.now = 1.0
+    wait_for(lambda: SMALL in engine.models, "the end of the model load")
+    wait_for(lambda: Adapter("a1") in engine.models[BIG], "the adapter load")
