Unloads wait for running requests before they are ordered, not after

Callers saw adapters refused for up to 10 s where nothing was loaded: an engine that is ordered to unload a model in use takes no other order until the model's last stream has ended. The leader now stops new requests for the evicted model, waits until no entry reports any, and orders the unload then; adapters of the other models are loaded meanwhile. Callers of the new model get an estimate that is at least its load time.

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -31,7 +31,7 @@
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
-from .peer_messages import EntryUpdate, InventoryUpdate, LoadRequest
+from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
 from .poison import PoisonGuard
 from .upstream_limits import UpstreamLimits
 from .upstream_table import UpstreamTable
@@ -335,6 +335,12 @@
                 if msg.loading and waiter.request.model in msg.loading:
                     self._refuse_if_load_is_late(waiter, now)
 
+    def receive_drain(self, msg: DrainUpdate) -> None:
+        """Apply the leader's report that an engine waits before a load."""
+        with self._lock:
+            self._table.receive_drain(msg)
+            self._match_waiters()
+
     def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
         """Apply a peer's work at each upstream; ``tick`` matches waiting requests.
 
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -73,6 +73,15 @@
     """Expected end of the load in progress."""
     drain_time: DrainEstimate = field(default_factory=DrainEstimate)
     evicting: frozenset[Model] = frozenset()
+    draining: bool = False
+    """Whether the load in progress waits for requests of evicted models, without any
+    order. In this time the engine accepts orders for adapters."""
+    load_s: float = 0.0
+    """Expected time of the load in progress once it is ordered."""
+
+    def remaining_load_s(self, now: float) -> float:
+        """Return the expected seconds until the load in progress has ended."""
+        return max(0.0, self.ready_at - now, self.load_s if self.draining else 0.0)
 
     def memory_used(self) -> float:
         """Return the MB used by models, including one being loaded, and adapters."""
@@ -104,6 +113,13 @@
     Every order states how many orders the engine must have accepted before. If the
     engine has accepted another order since, or an earlier order arrives late, the count
     differs and the engine refuses the order. This prevents loads into memory in use.
+
+    Parameters
+    ----------
+    in_use : callable
+        Returns whether running requests use an adapter.
+    running_models : callable
+        Returns the models that running requests use at the engine, as far as reported.
     """
 
     def __init__(
@@ -115,6 +131,7 @@
         in_use: Callable[[EngineState, Model, Adapter], bool],
         clock: Clock = time.monotonic,
         sleep: Callable[[float], object] = time.sleep,
+        running_models: Callable[[EngineState], Collection[Model]] = lambda _engine: (),
     ) -> None:
         self.engine = engine
         self.lock = threading.Lock()
@@ -122,6 +139,7 @@
         self._epoch = epoch
         self._publish = publish
         self._in_use = in_use
+        self._running_models = running_models
         self._clock = clock
         self._sleep = sleep
         self.orders_allowed_at = 0.0
@@ -217,7 +235,9 @@
                 return False
             if (model, adapter) in engine.unloading:
                 return False
-            if model in engine.evicting or engine.loading or inventory.busy:
+            if model in engine.evicting or inventory.busy:
+                return False
+            if engine.loading is not None and not engine.draining:
                 # An engine accepts no adapter orders during a model load.
                 return False
             if inventory.has(model, adapter) or adapter in inventory.loading.get(
@@ -332,7 +352,9 @@
         with self.lock:
             engine.evicting = frozenset(evictions)
             engine.loading = model
+            engine.load_s = load_s
             engine.ready_at = self._clock() + drain_s + load_s
+            engine.draining = drain_s > 0
             self._publish(self)
         begun_at = drained_at = self._clock()
         loaded = False
@@ -340,7 +362,8 @@
             if evictions:
                 self._sleep(UNLOAD_DELAY_S)
             started_at = self._clock()
-            if all(self._unload_model(evicted, drain_s > 0) for evicted in evictions):
+            in_use = drain_s > 0 and not self._drain(evictions)
+            if all(self._unload_model(evicted, in_use) for evicted in evictions):
                 drained_at = self._clock()
                 if drain_s:
                     engine.drain_time.record(drained_at - started_at)
@@ -350,6 +373,7 @@
                 if engine.spec.adapter_slots:
                     self.loads_allowed_at = self._clock() + ADAPTER_WINDOW_S
                 engine.loading = None
+                engine.draining = False
                 engine.evicting = frozenset()
                 self._publish(self)
             log(
@@ -362,6 +386,24 @@
                 seconds=self._clock() - begun_at,
             )
 
+    def _drain(self, evictions: tuple[Model, ...]) -> bool:
+        """Wait until no request uses the evicted models; return whether none does.
+
+        An engine that is ordered to unload a model in use accepts no other order until
+        the last of its requests has ended, and streams may run for many seconds.
+        """
+        engine = self.engine
+        deadline = self._clock() + CONFIRMATION_TIMEOUT_S
+        while not set(evictions).isdisjoint(self._running_models(engine)):
+            if self._clock() >= deadline or self._epoch() is None:
+                break
+            self._sleep(POLL_INTERVAL_S)
+        with self.lock:
+            engine.draining = False
+            engine.ready_at = self._clock() + engine.load_s
+            self._publish(self)
+        return set(evictions).isdisjoint(self._running_models(engine))
+
     def _order_load(self, model: Model, load_s: float) -> bool:
         """Order a load and wait for its end; return whether the model is loaded."""
         engine = self.engine
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -35,7 +35,13 @@
 from .engine_client import EngineClient
 from .engine_controller import EngineController, EngineState, usable_models
 from .leader_election import LeaderElection
-from .peer_messages import EntryUpdate, InventoryUpdate, LoadRequest, ModelUse
+from .peer_messages import (
+    DrainUpdate,
+    EntryUpdate,
+    InventoryUpdate,
+    LoadRequest,
+    ModelUse,
+)
 from .peer_work import PeerWork
 from .upstream_limits import UpstreamLimits
 
@@ -67,22 +73,25 @@
         Builds the leader election from a function that returns the time of the last
         order to each engine.
     broadcast : callable
-        Sends an engine's inventory to this entry and all others.
+        Sends an engine's inventory, or that its load waits, to this entry and all
+        others.
     prompt_read_rate : callable
         Returns the prompt tokens per second that an engine of a service processes.
     send : callable
-        Sends an engine's inventory to the entry that requested an adapter load.
+        Sends the same to the entry that requested an adapter load.
     """
 
     def __init__(
         self,
         vm: Vm,
         make_election: Callable[[LastOrderTimes], LeaderElection],
-        broadcast: Callable[[InventoryUpdate], None],
+        broadcast: Callable[[InventoryUpdate | DrainUpdate], None],
         prompt_read_rate: Callable[[Service], float],
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
-        send: Callable[[Vm, InventoryUpdate], object] = lambda _vm, _update: None,
+        send: Callable[[Vm, InventoryUpdate | DrainUpdate], object] = (
+            lambda _vm, _update: None
+        ),
         evacuations: ZoneEvacuations | None = None,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
     ) -> None:
@@ -224,8 +233,7 @@
                 evicting=",".join(sorted(controller.engine.evicting)) or "-",
             )
             return
-        update = self._inventory_update(controller)
-        if update is not None:
+        for update in self._inventory_updates(controller):
             self._send(vm, update)
 
     # -- rounds ----------------------------------------------------------------------
@@ -330,7 +338,12 @@
             return self._epoch() if self._controllers.get(name) is controller else None
 
         controller = EngineController(
-            engine, self._client, epoch, self._publish, self._is_in_use
+            engine,
+            self._client,
+            epoch,
+            self._publish,
+            self._is_in_use,
+            running_models=self._running_models,
         )
         controller.orders_allowed_at = self.election.orders_allowed_at(
             engine.record.name, self._leading_since
@@ -345,6 +358,11 @@
                 uses[work.upstream].update(work.model_uses)
         return uses
 
+    def _running_models(self, engine: EngineState) -> set[Model]:
+        with self._lock:
+            uses = self._peer_work.model_uses(engine.record.name)
+        return {use.model for use in uses}
+
     def _is_in_use(self, engine: EngineState, model: Model, adapter: Adapter) -> bool:
         with self._lock:
             return ModelUse(model, adapter) in self._peer_work.model_uses(
@@ -352,19 +370,19 @@
             )
 
     def _publish(self, controller: EngineController) -> None:
-        update = self._inventory_update(controller)
-        if update is not None:
+        for update in self._inventory_updates(controller):
             self._broadcast(update)
 
-    def _inventory_update(self, controller: EngineController) -> InventoryUpdate | None:
+    def _inventory_updates(
+        self, controller: EngineController
+    ) -> list[InventoryUpdate | DrainUpdate]:
         engine = controller.engine
         if engine.inventory is None:
-            return None
-        now = self._clock()
+            return []
         loading = {}
         if engine.loading is not None:
-            loading[engine.loading] = max(0.0, engine.ready_at - now)
-        return InventoryUpdate(
+            loading[engine.loading] = engine.remaining_load_s(self._clock())
+        update = InventoryUpdate(
             engine.record.name,
             engine.record.started_at_ms,
             engine.inventory.order_count,
@@ -373,6 +391,12 @@
             self._published_epoch,
             next(self._sequence_numbers),
         )
+        if not engine.draining:
+            return [update]
+        drain = DrainUpdate(
+            update.upstream, update.started_at_ms, update.epoch, update.sequence
+        )
+        return [update, drain]
 
     def _place_models(self) -> None:
         now = self._clock()
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from dataclasses import replace
+from functools import singledispatchmethod
 from pathlib import Path
 from typing import Final
 
@@ -65,6 +66,7 @@
 from .peer_messages import (
     BroadcastBatch,
     CrashUpdate,
+    DrainUpdate,
     EntryUpdate,
     EraUpdate,
     InventoryUpdate,
@@ -246,6 +248,7 @@
         self.mesh.on(StorePush, lambda _vm, msg: self.relay.receive(msg))
         self.mesh.on(LoadRequest, self.leader.receive_load_request)
         self.mesh.on(InventoryUpdate, self._on_inventory_update)
+        self.mesh.on(DrainUpdate, lambda _vm, msg: self.dispatcher.receive_drain(msg))
         self.mesh.on(StoreProbeReply, self.election.receive_probe_reply)
         self.mesh.on(LimitRequest, self._on_limit_request)
         self.mesh.on(
@@ -263,6 +266,7 @@
         on(VersionsSeen, self.origins.receive_versions)
         on(EraUpdate, self._on_era_update)
         on(InventoryUpdate, lambda vm, msg, _at: self._on_inventory_update(vm, msg))
+        on(DrainUpdate, lambda _vm, msg, _at: self.dispatcher.receive_drain(msg))
         on(LoadRequest, lambda vm, msg, _at: self.leader.receive_load_request(vm, msg))
         on(StoreProbe, lambda vm, msg, _at: self.election.receive_probe(vm, msg))
         on(
@@ -425,7 +429,17 @@
         self.election.receive_inventory_update(vm, msg)
         self.dispatcher.receive_inventory(msg)
 
-    def _publish_inventory(self, msg: InventoryUpdate) -> None:
+    @singledispatchmethod
+    def _publish_inventory(self, msg: object) -> None:
+        raise TypeError(f"not an inventory message: {msg!r}")
+
+    @_publish_inventory.register
+    def _publish_drain(self, msg: DrainUpdate) -> None:
+        self.dispatcher.receive_drain(msg)
+        self.broadcast.publish(msg)
+
+    @_publish_inventory.register
+    def _publish_inventory_update(self, msg: InventoryUpdate) -> None:
         self.leader_vm = None
         self.dispatcher.receive_inventory(msg)
         models = frozenset(msg.models), frozenset(msg.loading)
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -87,6 +87,21 @@
     """Increases within an epoch: messages arrive over several paths, out of order."""
 
 
+@message(81)
+@dataclass(frozen=True)
+class DrainUpdate:
+    """Announces that the load in an ``InventoryUpdate`` is not ordered yet.
+
+    It waits for requests of evicted models; until then the engine accepts orders for
+    adapters. ``epoch`` and ``sequence`` are those of the ``InventoryUpdate``.
+    """
+
+    upstream: Upstream
+    started_at_ms: int
+    epoch: Epoch
+    sequence: int
+
+
 @message(63)
 @dataclass(frozen=True)
 class LeaseRenewed:
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -15,7 +15,7 @@
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm
 from .local_work import LocalWork
-from .peer_messages import EntryUpdate, InventoryUpdate, UpstreamWork
+from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, UpstreamWork
 from .peer_work import PeerWork
 
 MISSING_TTL_S: Final = 1.0
@@ -50,6 +50,8 @@
     """Newest inventory from the leader, received at ``reported_at``."""
     reported_at: float = 0.0
     reported_version: tuple[int, int] = (0, 0)
+    draining_version: tuple[int, int] = (0, 0)
+    """Version of the inventory whose load waits for requests to end."""
     busy_until: float = 0.0
     """Expected end of a model load; the engine rejects other orders until then."""
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
@@ -146,6 +148,18 @@
         state.reported_at = self._clock()
         loads = msg.loading.values()
         state.busy_until = state.reported_at + max(loads, default=-1.0) + BUSY_MARGIN_S
+        self._apply_drain(state)
+
+    def receive_drain(self, msg: DrainUpdate) -> None:
+        """Record that an engine accepts adapter orders despite an announced load."""
+        state = self._states.get(msg.upstream)
+        if state is not None and state.record.started_at_ms == msg.started_at_ms:
+            state.draining_version = msg.epoch, msg.sequence
+            self._apply_drain(state)
+
+    def _apply_drain(self, state: UpstreamState) -> None:
+        if state.draining_version == state.reported_version:
+            state.busy_until = 0.0
 
     def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
         """Apply the work of a peer at each upstream."""
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -162,7 +162,13 @@
         return Err("refused")
 
 
-def controller_of(engine, clock, in_use=lambda *_: False, epoch=lambda: Epoch(1)):
+def controller_of(
+    engine,
+    clock,
+    in_use=lambda *_: False,
+    epoch=lambda: Epoch(1),
+    running_models=lambda _: (),
+):
     """Return a controller for an engine, and the inventories that it publishes."""
     published = []
     controller = EngineController(
@@ -173,5 +179,6 @@
         in_use,
         clock,
         clock.sleep,
+        running_models,
     )
     return controller, published
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -207,6 +207,28 @@
     assert [order.load for order, _ in engine.log] == [False]
 
 
+def test_adapters_load_while_requests_of_an_evicted_model_end():
+    """Guards against adapters refused for as long as streams of another model run."""
+    clock = Clock()
+    engine = FakeEngine(clock, models=("big", "other"))
+    engine.in_use = {BIG}
+    loaded = []
+
+    def running_models(_engine):
+        if clock.now > 102.0 and not loaded:
+            loaded.append(controller.load_adapter(OTHER, Adapter("a1")))
+        if clock.now > 105.0:
+            engine.finish_requests()
+        return engine.in_use
+
+    controller, _published = controller_of(engine, clock, running_models=running_models)
+    controller.refresh()
+    controller.load_model(SMALL, (BIG,), 1.7, drain_s=2.0)
+    assert loaded == [True]
+    assert SMALL in engine.models and "a1" in engine.models[OTHER]
+    assert not engine.over_capacity
+
+
 def test_adapter_loads_run_between_model_loads():
     """Guards against adapters refused throughout consecutive model loads."""
     clock = Clock()
