Load refused adapters when an engine is free, without waiting for their callers

Callers of an adapter were refused again and again, each time during another model load of the only engine with their model; nobody remembered them, and half a second is open between two loads. Entries now tell the leader of requests that wait for a model load, or for a model with an adapter; the leader keeps refused adapters for as long as their callers are expected to return (decide/refused_adapters.py) and loads them at the end of the load that they were refused for. New lines: adapter_missing, adapter_missing_ended, refused_adapter_load.

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -40,6 +41,8 @@
 """Interval between load requests for a model or adapter that is still missing.
 
 The sender can't detect a lost message; an adapter load takes a tenth of this time."""
+LOAD_STEPS: Final = (Step.LOAD, Step.LOAD_ADAPTER, Step.WAIT_FOR_MODEL)
+"""Steps of requests whose model or adapter the leader must load."""
 
 
 @dataclass(eq=False)
@@ -287,11 +290,8 @@
         elif choice.step is Step.NO_UPSTREAM:
             waiter.failure = self._no_upstream_failure(waiter)
             waiter.decided.set()
-        elif (
-            choice.step in (Step.LOAD_ADAPTER, Step.LOAD) and request.model is not None
-        ):
-            adapter = request.adapter if choice.step is Step.LOAD_ADAPTER else None
-            self._request_load(request.model, adapter, choice.upstream)
+        elif choice.step in LOAD_STEPS and request.model is not None:
+            self._request_load(request.model, request.adapter, choice.upstream)
 
     def _no_upstream_failure(self, waiter: _Waiter) -> Failure:
         """Return the refusal of a request that no upstream is left for."""
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -160,6 +160,15 @@
             return max(UNKNOWN_STATE_BUSY_S, self.orders_allowed_at - now)
         return max(0.0, self.orders_allowed_at - now, self.loads_allowed_at - now)
 
+    def accepts_adapters(self) -> bool:
+        """Return whether the engine is expected to accept orders for adapters now."""
+        engine = self.engine
+        if engine.inventory is None or engine.inventory.busy:
+            return False
+        if engine.loading is not None and not engine.draining:
+            return False
+        return self._clock() >= self.orders_allowed_at
+
     def needs_report(self) -> bool:
         """Return whether the inventory is unknown and a new report is due."""
         inventory = self.engine.inventory
@@ -235,9 +244,7 @@
                 return False
             if (model, adapter) in engine.unloading:
                 return False
-            if model in engine.evicting or inventory.busy:
-                return False
-            if engine.loading is not None and not engine.draining:
+            if model in engine.evicting or not self.accepts_adapters():
                 # An engine accepts no adapter orders during a model load.
                 return False
             if inventory.has(model, adapter) or adapter in inventory.loading.get(
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -19,6 +19,7 @@
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.load_rate import LoadRateLimiter
 from ..decide.missing import Availability, MissingModels
+from ..decide.refused_adapters import ModelAdapter, RefusedAdapters
 from ..decide.residency import (
     SETTLE_S,
     EngineView,
@@ -33,7 +34,12 @@
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
 from ..observe.logs import log
 from .engine_client import EngineClient
-from .engine_controller import EngineController, EngineState, usable_models
+from .engine_controller import (
+    MAX_CONCURRENT_ADAPTER_LOADS,
+    EngineController,
+    EngineState,
+    usable_models,
+)
 from .leader_election import LeaderElection
 from .peer_messages import (
     DrainUpdate,
@@ -123,6 +129,7 @@
         """Engines that have loaded an uncached model while idle. Each engine does so
         at most once, since a request may arrive during the load."""
         self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
+        self._refused_adapters = RefusedAdapters()
         self._published_at = 0.0
         self._published_epoch = Epoch(0)
         self._sequence_numbers = itertools.count()
@@ -204,10 +211,13 @@
     def receive_load_request(self, vm: Vm, msg: LoadRequest) -> None:
         """Load a model or adapter on request of an entry.
 
-        A missing model triggers a placement round; an adapter is loaded right away.
+        A missing model triggers a placement round; an adapter is loaded right away if
+        an upstream is given, otherwise as soon as one with its model accepts the order.
         """
         if not self._is_active():
             return
+        if msg.adapter is not None:
+            self._record_refused_adapter(msg.model, msg.adapter)
         if msg.upstream is None or msg.adapter is None:
             if msg.demand:
                 with self._lock:
@@ -219,6 +229,67 @@
         if controller is not None:
             self._pool.submit(self._run_step, self._load_adapter, vm, controller, msg)
 
+    def _record_refused_adapter(self, model: Model, adapter: Adapter) -> None:
+        with self._lock:
+            is_new = self._refused_adapters.record(model, adapter, self._clock())
+        if is_new:
+            log("adapter_missing", model=model, adapter=adapter)
+
+    def _load_refused_adapters(self) -> None:
+        """Load the adapters of refused requests on engines that accept the orders."""
+        now = self._clock()
+        with self._lock:
+            controllers = list(self._controllers.values())
+            self._refused_adapters.expire(now)
+            pending = self._refused_adapters.pending()
+        if not pending:
+            return
+        self._forget_loaded_adapters(pending, controllers, now)
+        for controller in controllers:
+            if not controller.accepts_adapters():
+                continue
+            models = usable_models(controller.engine)
+            with self._lock:
+                pairs = self._refused_adapters.next_loads(
+                    models, MAX_CONCURRENT_ADAPTER_LOADS, now
+                )
+            for pair in pairs:
+                self._pool.submit(
+                    self._run_step, self._load_refused_adapter, controller, pair
+                )
+
+    def _forget_loaded_adapters(
+        self,
+        pending: list[ModelAdapter],
+        controllers: list[EngineController],
+        now: float,
+    ) -> None:
+        usable = [usable_models(controller.engine) for controller in controllers]
+        for model, adapter in pending:
+            if not any(adapter in models.get(model, ()) for models in usable):
+                continue
+            with self._lock:
+                seconds = self._refused_adapters.record_loaded((model, adapter), now)
+            if seconds is not None:
+                log(
+                    "adapter_missing_ended",
+                    model=model,
+                    adapter=adapter,
+                    missing_for=seconds,
+                )
+
+    def _load_refused_adapter(
+        self, controller: EngineController, pair: ModelAdapter
+    ) -> None:
+        loaded = controller.load_adapter(*pair)
+        log(
+            "refused_adapter_load",
+            upstream=controller.engine.record.name,
+            model=pair[0],
+            adapter=pair[1],
+            loaded=loaded,
+        )
+
     def _load_adapter(
         self, vm: Vm, controller: EngineController, msg: LoadRequest
     ) -> None:
@@ -271,6 +342,7 @@
         if not self._active:
             self._start_term()
         self._sync_controllers()
+        self._load_refused_adapters()
         self._place_models()
         if self._clock() - self._published_at >= PUBLISH_INTERVAL_S:
             self._published_at = self._clock()
@@ -535,7 +607,8 @@
         threading.Thread(
             target=self._run_step,
             args=(
-                controller.load_model,
+                self._load_model,
+                controller,
                 move.model,
                 move.evicted,
                 move.load_s,
@@ -545,6 +618,18 @@
             daemon=True,
         ).start()
 
+    def _load_model(
+        self,
+        controller: EngineController,
+        model: Model,
+        evictions: tuple[Model, ...],
+        load_s: float,
+        drain_s: float,
+    ) -> None:
+        controller.load_model(model, evictions, load_s, drain_s)
+        # Refused adapters are loaded before the next model load of the engine begins.
+        self._round_due.set()
+
 
 def _is_candidate(controller: EngineController, service: Service) -> bool:
     """Return whether an engine belongs to a service and accepts new requests.
