Requests for an adapter wait for the end of a load, and refusals say when it ends

A request whose adapter has to wait for a model load was refused at nine tenths of its latency target, whatever the load, and told to return in 0.5 to 0.75 s; one whose model nobody loads was told the same. Callers spent their retries within 1.2 s of a load of 8. Both now follow the rule for models that are being loaded: the request waits if the load ends in time for its first event, and is refused at once otherwise, with the end of the load as Retry-After. Without a load, callers return after the time of a load from the weight store, at most a third of the time that they have left. The spread of retry times after a load is at most a second.

test_refusal_names_the_load_time_only_if_known calls load_refusal, which takes the place of refusal(Step.LOAD, ...), with the same assertions.

--- a/src/persimmonhitch/decide/wait_limits.py
+++ b/src/persimmonhitch/decide/wait_limits.py
@@ -3,7 +3,8 @@
 Load pattern: for seconds, callers request more than the engines can serve, or a model
 that is resident on no engine. A request refused only at its deadline costs the caller
 the time in which a retry or another service could have answered; a request refused too
-early fails although a slot would have become free a moment later.
+early fails although a slot would have become free a moment later. A caller that returns
+too early has spent its retries when the model is loaded.
 
 A request waits as long as its answer can still meet the latency target of its route;
 after that a later retry serves the caller as well. ``MIN_WAIT_S`` prevents the refusal
@@ -39,6 +40,12 @@
 FIRST_EVENT_S: Final = 0.4
 """Seconds from the end of a load to the first event: the adapter load and the prompt
 of this request and of others that waited for the same load."""
+RETRY_SHARE: Final = 1 / 3
+"""Share of the time until its deadline after which a caller returns at the latest if no
+load has begun; it needs the rest for the request itself."""
+MAX_RETRY_SPREAD_S: Final = 1.0
+"""Largest extension of a retry time after a load; a rare model may be evicted again
+some seconds after its load."""
 RETRY_JITTER: Final = 0.5
 """Largest random extension of a retry time, as a share of it."""
 
@@ -82,29 +89,41 @@
     return Failure(ErrorCode.OVERLOADED, reason, retry_after=delay)
 
 
-def refusal(step: Step, request: DispatchRequest, wait: float | None = None) -> Failure:
-    """Return the refusal of a request that found no slot.
+def load_refusal(
+    step: Step, request: DispatchRequest, wait: float, now: float, loading: bool
+) -> Failure:
+    """Return the refusal of a request that would wait too long for a model load.
 
-    ``wait`` is the time in seconds until its model is loaded, None without a load.
+    Parameters
+    ----------
+    wait : float
+        Expected seconds until the load has ended.
+    loading : bool
+        Whether the load has begun.
     """
+    delay = max(RETRY_S, wait)
+    if not loading:
+        latest = (request.deadline_at - now) * RETRY_SHARE
+        delay = max(RETRY_S, min(delay, latest))
+    delay += min(delay * RETRY_JITTER, MAX_RETRY_SPREAD_S) * random.random()
+    reason = f"no upstream has {request.model}, and none loads it yet"
+    if step is Step.WAIT_FOR_MODEL:
+        reason = (
+            f"the upstreams with {request.model} load no adapter until a load has ended"
+        )
+    elif loading:
+        reason = f"{request.model} is being loaded, ready in {wait:.1f} s"
+    return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=delay)
+
+
+def refusal(step: Step, request: DispatchRequest) -> Failure:
+    """Return the refusal of a request that found no slot."""
     jitter = 1.0 + random.random() * RETRY_JITTER
     if step is Step.NO_UPSTREAM:
         reason = f"no upstream of {request.service} is known"
         return Failure(ErrorCode.NO_UPSTREAM, reason, retry_after=RETRY_S * jitter)
-    if step is Step.LOAD and wait is None:
-        reason = f"no upstream has {request.model}, and none loads it yet"
-        return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=RETRY_S * jitter)
-    if step is Step.LOAD:
-        reason = f"{request.model} is being loaded, ready in {wait:.1f} s"
-        delay = max(RETRY_S, wait or 0.0)
-        return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=delay * jitter)
     if step is Step.LOAD_ADAPTER:
         reason = f"an adapter of {request.model} is being loaded"
         return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=RETRY_S * jitter)
-    if step is Step.WAIT_FOR_MODEL:
-        reason = (
-            f"the upstreams with {request.model} load no adapter until a load has ended"
-        )
-        return Failure(ErrorCode.MODEL_LOADING, reason, retry_after=RETRY_S * jitter)
     reason = f"all upstreams of {request.service} that can run this are full"
     return Failure(ErrorCode.OVERLOADED, reason, retry_after=RETRY_S * jitter)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -21,6 +21,7 @@
     LIMIT_REPLY_TIMEOUT_S,
     LOAD_REPORT_TIMEOUT_S,
     limit_refusal,
+    load_refusal,
     load_wait_deadline,
     queue_key,
     refusal,
@@ -162,8 +163,6 @@
         return Success(Permit(self, waiter.upstream, request, sent_at, unread))
 
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
-        if waiter.last_choice.step is Step.WAIT_FOR_MODEL:
-            self._log_adapter_refusal(waiter.request)
         trial_failure = None
         if waiter.last_choice.step is Step.WAIT:
             trial_failure = self._poison.trial_refusal(
@@ -171,24 +170,48 @@
             )
         if trial_failure is None and waiter.limited_by:
             return limit_refusal(waiter.request, self._limits.wait_s(waiter.limited_by))
-        return trial_failure or refusal(waiter.last_choice.step, waiter.request)
-
-    def _log_adapter_refusal(self, request: DispatchRequest) -> None:
-        """Log which upstreams load a model while their adapters are requested."""
-        ends = self._table.busy_seconds(request)
-        log(
-            "adapter_refused",
-            model=request.model,
-            adapter=request.adapter,
-            upstreams=",".join(f"{name}:{left:.1f}" for name, left in ends.items()),
-        )
+        if trial_failure is not None:
+            return trial_failure
+        if waiter.last_choice.step in (Step.LOAD, Step.WAIT_FOR_MODEL):
+            return self._load_refusal(waiter, self._clock())
+        return refusal(waiter.last_choice.step, waiter.request)
+
+    def _load_refusal(self, waiter: _Waiter, now: float) -> Failure:
+        request, step = waiter.request, waiter.last_choice.step
+        ready_at = self._load_ends_at(waiter, now)
+        loading = ready_at > now
+        wait = ready_at - now if loading else self._cold_load_s(request)
+        if step is Step.WAIT_FOR_MODEL:
+            ends = self._table.busy_seconds(request).items()
+            log(
+                "adapter_refused",
+                model=request.model,
+                adapter=request.adapter,
+                upstreams=",".join(f"{name}:{left:.1f}" for name, left in ends),
+            )
+        return load_refusal(step, request, wait, now, loading)
 
-    def _refuse_if_load_is_late(self, waiter: _Waiter, now: float) -> None:
-        """Refuse a waiting request at once if its model will be loaded too late."""
+    def _load_ends_at(self, waiter: _Waiter, now: float) -> float:
+        """Return the expected end of the load that a request waits for."""
         request = waiter.request
-        if waiter.last_choice.step is not Step.LOAD or request.model is None:
+        if waiter.last_choice.step is Step.WAIT_FOR_MODEL:
+            ends = self._table.busy_seconds(request)
+            return now + min(ends.values(), default=0.0)
+        return self._ready_at.get(request.model, 0.0) if request.model else 0.0
+
+    def _cold_load_s(self, request: DispatchRequest) -> float:
+        service = self._cfg.services.get(request.service) if self._cfg else None
+        if service is None or service.engine is None or request.model is None:
+            return 0.0
+        spec = service.engine.models.get(request.model)
+        return spec.cold_load_s if spec is not None else 0.0
+
+    def _refuse_if_load_is_late(self, waiter: _Waiter, now: float) -> None:
+        """Refuse a waiting request at once if it would wait too long for a load."""
+        request, step = waiter.request, waiter.last_choice.step
+        if step not in (Step.LOAD, Step.WAIT_FOR_MODEL):
             return
-        ready_at = self._ready_at.get(request.model, 0.0)
+        ready_at = self._load_ends_at(waiter, now)
         if ready_at <= now:
             # The leader has not reported a load of this model yet.
             waiter.give_up_at = min(request.deadline_at, now + LOAD_REPORT_TIMEOUT_S)
@@ -196,7 +219,7 @@
         if ready_at < load_wait_deadline(request):
             waiter.give_up_at = load_wait_deadline(request)
             return
-        waiter.failure = refusal(Step.LOAD, request, ready_at - now)
+        waiter.failure = self._load_refusal(waiter, now)
         waiter.decided.set()
 
     def record_demand(self, model: Model, tokens: float) -> None:
@@ -332,7 +355,10 @@
             self._table.receive_inventory(msg)
             self._match_waiters()
             for waiter in list(self._waiters):
-                if msg.loading and waiter.request.model in msg.loading:
+                if msg.loading and (
+                    waiter.request.model in msg.loading
+                    or waiter.last_choice.step is Step.WAIT_FOR_MODEL
+                ):
                     self._refuse_if_load_is_late(waiter, now)
 
     def receive_drain(self, msg: DrainUpdate) -> None:
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -22,14 +22,21 @@
     traffic_shares,
 )
 from persimmonhitch.decide.load_rate import MAX_SAVED_LOADS, LoadRateLimiter
-from persimmonhitch.decide.wait_limits import load_wait_deadline, refusal, wait_deadline
+from persimmonhitch.decide.wait_limits import (
+    load_refusal,
+    load_wait_deadline,
+    refusal,
+    wait_deadline,
+)
 from persimmonhitch.ids import Adapter, Model, Service, Upstream, Vm, Zone
 
 Z1, Z2 = Zone("z1"), Zone("z2")
 M1 = Model("m1")
 
 
-def request(model=M1, adapter=None, prompt=1000, tokens=1100, event_by=5.0):
+def request(
+    model=M1, adapter=None, prompt=1000, tokens=1100, event_by=5.0, deadline=5.0
+):
     return DispatchRequest(
         service=Service("llm"),
         model=model,
@@ -40,7 +47,7 @@
         arrived=0.0,
         latency_target_at=1.0,
         first_event_by=event_by,
-        deadline_at=5.0,
+        deadline_at=deadline,
     )
 
 
@@ -268,13 +275,22 @@
     second, callers would retry and be refused again, and operators would search for a
     load that does not exist.
     """
-    unknown = refusal(Step.LOAD, request())
-    known = refusal(Step.LOAD, request(), 2.0)
+    unknown = load_refusal(Step.LOAD, request(), 2.0, 0.0, loading=False)
+    known = load_refusal(Step.LOAD, request(), 2.0, 0.0, loading=True)
     assert "ready in" not in unknown.message
     assert "ready in 2.0 s" in known.message
     assert 2.0 <= known.retry_after <= 3.0
 
 
+@pytest.mark.parametrize(
+    ("deadline", "earliest"), [(15.0, 5.0), (60.0, 8.0), (5.0, 5 / 3), (0.9, 0.5)]
+)
+def test_callers_of_a_model_that_none_loads_leave_it_time_to_load(deadline, earliest):
+    """Guards against callers that spend their retries before a load can end."""
+    failure = load_refusal(Step.LOAD, request(deadline=deadline), 8.0, 0.0, False)
+    assert earliest <= failure.retry_after <= earliest + 1.0
+
+
 # -- loads and demand -----------------------------------------------------------
 
 
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -13,10 +13,11 @@
 from persimmonhitch.decide.health import EJECT_AFTER_FAILURES
 from persimmonhitch.direct.abort import Abort
 from persimmonhitch.direct.dispatcher import Dispatcher
+from persimmonhitch.direct.peer_messages import DrainUpdate, InventoryUpdate
 from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.upstream_table import UpstreamTable
 from persimmonhitch.fleet.upstream import NOT_COUNTED, EngineInventory, UpstreamRecord
-from persimmonhitch.ids import Model, Service, Upstream, Vm, Zone
+from persimmonhitch.ids import Adapter, Epoch, Model, Service, Upstream, Vm, Zone
 from persimmonhitch.verdict import ErrorCode, Failure
 
 LLM, Z1, BIG = Service("llm"), Zone("z1"), Model("big")
@@ -167,3 +168,59 @@
         table.record_first_token(Upstream("e1"), req, seconds, unread)
         table.record_finish(Upstream("e1"), req, True)
     assert minimum <= table.solo_read_rate(LLM) <= maximum
+
+
+def loading_update(seconds, sequence=1, adapters=()):
+    loading = {Model("small"): seconds} if seconds else {}
+    models = {BIG: adapters}
+    return InventoryUpdate(Upstream("e1"), 1, 2, models, loading, Epoch(1), sequence)
+
+
+@pytest.mark.parametrize(
+    ("load_s", "deadline", "retry_after"),
+    [(8.0, 15.0, 8.0), (8.0, 60.0, 8.0), (3.5, 30.0, 3.5)],
+)
+def test_refused_adapter_request_returns_when_the_load_has_ended(
+    load_s, deadline, retry_after
+):
+    """Guards against retries during the load that a request was refused for."""
+    dispatcher = make_dispatcher(record())
+    dispatcher.receive_inventory(loading_update(load_s))
+    asked = request(latency_target=0.5, deadline=deadline, adapter=Adapter("a1"))
+    asked = replace(asked, first_event_by=asked.arrived + 2.4)
+    failure = dispatcher.acquire(asked, abort()).failure()
+    assert time.monotonic() - asked.arrived < 0.2
+    assert failure.code is ErrorCode.MODEL_LOADING
+    assert retry_after <= failure.retry_after <= retry_after + 1.3
+
+
+def test_adapter_request_waits_for_the_end_of_a_short_load():
+    """Guards against a refusal at the latency target while the load is about to end."""
+    dispatcher = make_dispatcher(record())
+    dispatcher.receive_inventory(loading_update(1.2))
+    waiting = WaitingRequest(
+        dispatcher, request(latency_target=0.2, adapter=Adapter("a1"))
+    )
+    time.sleep(0.4)
+    dispatcher.receive_inventory(loading_update(0.0, 2, (Adapter("a1"),)))
+    assert isinstance(waiting.outcome(), Success)
+
+
+@pytest.mark.parametrize("drain_first", [True, False])
+def test_adapters_are_requested_while_a_load_waits(drain_first):
+    """Guards against refusals for a load that is not ordered yet."""
+    sent = []
+    dispatcher = Dispatcher(Z1, sent.append, PoisonGuard(Vm("e1")), no_limits())
+    dispatcher.update([record()])
+    drain = DrainUpdate(Upstream("e1"), 1, Epoch(1), 1)
+    updates = [loading_update(8.0), drain]
+    for update in reversed(updates) if drain_first else updates:
+        if update is drain:
+            dispatcher.receive_drain(update)
+        else:
+            dispatcher.receive_inventory(update)
+    waiting = WaitingRequest(dispatcher, request(0.2, adapter=Adapter("a1")))
+    wait_for(lambda: sent, "the load request")
+    assert (sent[0].adapter, sent[0].upstream) == (Adapter("a1"), Upstream("e1"))
+    dispatcher.close(STOPPING)
+    waiting.outcome()
