A new leader knows missing models, loads in progress and loads that have just ended

All entries now keep what leaders publish (direct/observed_engines.py) and which models are missing; a new leader begins with that. Loads of a previous leader count as loading, are published as such, and settle like its own. No new message. New line: missing_known.

--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -68,6 +68,8 @@
     """Adapters with an unload in progress; each occupies its slot until completion."""
     loaded_at: dict[Model, float] = field(default_factory=dict)
     """When the last load of each model was confirmed."""
+    inherited_loads: dict[Model, float] = field(default_factory=dict)
+    """Expected end of a load that a previous leader has ordered."""
     loading: Model | None = None
     ready_at: float = 0.0
     """Expected end of the load in progress."""
@@ -196,7 +198,13 @@
         return True
 
     def _set_inventory(self, inventory: EngineInventory) -> None:
-        self.engine.inventory = inventory
+        old, self.engine.inventory = self.engine.inventory, inventory
+        if old is not None and old.busy:
+            # A load of a previous leader has ended.
+            for model in inventory.models.keys() - old.models.keys():
+                self.engine.loaded_at[model] = self._clock()
+        if not inventory.busy:
+            self.engine.inherited_loads = {}
         # An adapter that is no longer loaded, e.g. since its model was unloaded, has
         # released its slot.
         self.engine.unloading = {p for p in self.engine.unloading if inventory.has(*p)}
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -41,6 +41,7 @@
     usable_models,
 )
 from .leader_election import LeaderElection
+from .observed_engines import ObservedEngines
 from .peer_messages import (
     DrainUpdate,
     EntryUpdate,
@@ -130,6 +131,7 @@
         at most once, since a request may arrive during the load."""
         self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
         self._refused_adapters = RefusedAdapters()
+        self._observed = ObservedEngines()
         self._published_at = 0.0
         self._published_epoch = Epoch(0)
         self._sequence_numbers = itertools.count()
@@ -201,6 +203,11 @@
         with self._lock:
             self._records = {record.name: record for record in records}
 
+    def receive_inventory_update(self, msg: InventoryUpdate) -> None:
+        """Record what another leader publishes, for the time when it is succeeded."""
+        with self._lock:
+            self._observed.receive(msg, self._clock())
+
     def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
         """Record the requests in progress and the demand of an entry."""
         now = self._clock()
@@ -338,6 +345,7 @@
             if self._active:
                 log("orders_ended")
             self._active = False
+            self._follow_missing()
             return
         if not self._active:
             self._start_term()
@@ -349,6 +357,30 @@
             for controller in list(self._controllers.values()):
                 self._publish(controller)
 
+    def _follow_missing(self) -> None:
+        """Track which models are missing while another entry is the leader."""
+        now = self._clock()
+        with self._lock:
+            self._observed.retain(self._records)
+            resident = {
+                model
+                for name, record in self._records.items()
+                if not record.draining
+                for model in self._observed.get(name, record.started_at_ms).models
+            }
+            services = self._cfg.services.values() if self._cfg is not None else ()
+        if not resident:
+            # Nothing has been published since this entry started.
+            return
+        for service in services:
+            if service.engine is not None:
+                requests = self._requests_for(service.engine)
+                self._missing[service.name].update(requests, resident, now)
+
+    def _requests_for(self, spec: EngineSpec) -> dict[Model, float]:
+        """Return the time of the last request for each model of a service."""
+        return {m: at for m, at in self._requested_at.items() if m in spec.models}
+
     def _start_term(self) -> None:
         self._leading_since = self._clock()
         with self._lock:
@@ -364,6 +396,9 @@
             before=predecessor.vm if predecessor else "-",
             held_for=predecessor.held_s if predecessor else 0.0,
         )
+        now = self._clock()
+        for service, missing in self._missing.items():
+            log("missing_known", service=service, models=_durations_text(missing, now))
 
     def _sync_controllers(self) -> None:
         with self._lock:
@@ -378,7 +413,7 @@
                 controller = self._controllers.get(name)
                 if controller is None or _restarted(controller, record):
                     self._controllers[name] = self._make_controller(
-                        EngineState(record, spec, drain_time=self._drain_time)
+                        self._make_engine(record, spec)
                     )
                 else:
                     controller.engine.record = record
@@ -402,6 +437,17 @@
         finally:
             self._refreshing.discard(controller.engine.record.name)
 
+    def _make_engine(self, record: UpstreamRecord, spec: EngineSpec) -> EngineState:
+        """Return the state of an engine, with the loads of a previous leader."""
+        known = self._observed.get(record.name, record.started_at_ms)
+        return EngineState(
+            record,
+            spec,
+            drain_time=self._drain_time,
+            loaded_at=dict(known.loaded_at),
+            inherited_loads=dict(known.ready_at),
+        )
+
     def _make_controller(self, engine: EngineState) -> EngineController:
         name = engine.record.name
 
@@ -444,6 +490,8 @@
     def _publish(self, controller: EngineController) -> None:
         for update in self._inventory_updates(controller):
             self._broadcast(update)
+            if isinstance(update, InventoryUpdate):
+                self.receive_inventory_update(update)
 
     def _inventory_updates(
         self, controller: EngineController
@@ -451,9 +499,13 @@
         engine = controller.engine
         if engine.inventory is None:
             return []
-        loading = {}
+        now, loading = self._clock(), {}
+        if engine.inventory.busy:
+            loading = {
+                m: max(0.0, at - now) for m, at in engine.inherited_loads.items()
+            }
         if engine.loading is not None:
-            loading[engine.loading] = engine.remaining_load_s(self._clock())
+            loading = {engine.loading: engine.remaining_load_s(now)}
         update = InventoryUpdate(
             engine.record.name,
             engine.record.started_at_ms,
@@ -534,7 +586,7 @@
         views: list[EngineView],
         now: float,
     ) -> None:
-        requests = {m: at for m, at in self._requested_at.items() if m in spec.models}
+        requests = self._requests_for(spec)
         resident = frozenset().union(*(view.models for view in views))
         for change in missing.update(requests, resident, now):
             if change.availability is Availability.MISSING:
@@ -641,6 +693,11 @@
     return record.service == service and not record.draining
 
 
+def _durations_text(missing: MissingModels, now: float) -> str:
+    durations = missing.missing_durations(now)
+    return ",".join(f"{model}:{s:.1f}" for model, s in durations.items()) or "-"
+
+
 def _restarted(controller: EngineController, record: UpstreamRecord) -> bool:
     return record.started_at_ms != controller.engine.record.started_at_ms
 
@@ -652,6 +709,8 @@
     load_times = engine.loaded_at.items()
     inventory = engine.inventory
     loading = frozenset({engine.loading} if engine.loading is not None else ())
+    if inventory is not None and inventory.busy:
+        loading |= engine.inherited_loads.keys()
     return EngineView(
         upstream=engine.record.name,
         memory_mb=engine.spec.memory_mb,
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -427,6 +427,7 @@
     def _on_inventory_update(self, vm: Vm, msg: InventoryUpdate) -> None:
         self.leader_vm = vm
         self.election.receive_inventory_update(vm, msg)
+        self.leader.receive_inventory_update(msg)
         self.dispatcher.receive_inventory(msg)
 
     @singledispatchmethod
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -1,6 +1,7 @@
 """The leader, from an entry's load request to the order to an engine."""
 
 import math
+import time
 from contextlib import contextmanager
 
 import pytest
@@ -12,6 +13,7 @@
 from persimmonhitch.direct.leader import Leader
 from persimmonhitch.direct.peer_messages import (
     EntryUpdate,
+    InventoryUpdate,
     LoadRequest,
     ModelUse,
     UpstreamWork,
@@ -30,6 +32,7 @@
 )
 
 LLM, BIG, SMALL = Service("llm"), Model("big"), Model("small")
+OTHER = Model("other")
 READ_RATE = 20_000.0
 CFG = FleetConfig(
     ConfigVersion(1), services={LLM: ServiceSpec(LLM, "/health", 100, SPEC)}
@@ -158,3 +161,70 @@
     engine.clock.now = 1.0
     wait_for(lambda: SMALL in engine.models, "the end of the model load")
     wait_for(lambda: Adapter("a1") in engine.models[BIG], "the adapter load")
+
+
+class PassingElection(StubElection):
+    """An election that another entry has won until ``epoch`` is set."""
+
+    current = None
+
+    def epoch(self):
+        return self.current
+
+
+@pytest.fixture
+def follower():
+    """Return a leader-to-be, its election and clock; e1 loads ``SMALL`` for 5 s."""
+    election, clock = PassingElection(), Clock()
+    leader = Leader(
+        Vm("a"),
+        lambda _last: election,
+        lambda _msg: None,
+        lambda _s: READ_RATE,
+        no_limits(),
+        clock,
+    )
+    leader._client = FakeEngine(clock, models=("big",))
+    leader._client.loading, leader._client.loaded_at = SMALL, 5.0
+    leader.configure(CFG)
+    leader.update_upstreams([record()])
+    loading = InventoryUpdate(
+        Upstream("e1"), 1, 0, {BIG: ()}, {SMALL: 5.0}, Epoch(1), 1
+    )
+    leader.receive_inventory_update(loading)
+    return leader, election, clock
+
+
+def take_over(leader, election, clock, now):
+    leader.run_round()
+    clock.now, election.current = now, Epoch(2)
+    leader.run_round()
+    wait_for(lambda: not leader._refreshing, "the inventories of the engines")
+    return leader._controllers[Upstream("e1")]
+
+
+def test_new_leader_knows_how_long_models_are_missing(follower):
+    """Guards against models that a new leader counts as missing since its start."""
+    leader, _election, _clock = follower
+    leader.receive_entry_update(Vm("b"), entry_update({OTHER: 10.0}))
+    take_over(*follower, now=4.0)
+    assert leader._missing[LLM].missing_durations(4.0) == {OTHER: 4.0}
+
+
+def test_new_leader_knows_the_load_in_progress(follower):
+    """Guards against a second load of a model that is about to be ready."""
+    controller = take_over(*follower, now=4.0)
+    view = leader_module._engine_view(controller, {}, 4.0)
+    assert view.loading == {SMALL}
+    (update,) = follower[0]._inventory_updates(controller)
+    assert update.loading == {SMALL: 1.0}
+
+
+def test_new_leader_keeps_a_model_whose_load_has_just_ended(follower):
+    """Guards against the eviction of a model at the moment its load ends."""
+    _leader, _election, clock = follower
+    controller = take_over(*follower, now=4.0)
+    clock.now = 5.0
+    controller.refresh()
+    view = leader_module._engine_view(controller, {}, time.monotonic())
+    assert view.settling == {SMALL} and view.loading == frozenset()
