Adapters of absent callers do not evict adapters that were used a moment ago

Such loads now evict only adapters that were neither loaded nor used for two seconds; loads for waiting callers are as before.

--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -49,6 +49,9 @@
 """Minimum seconds between two model loads of an engine. An engine accepts no adapter
 orders during a model load; without a pause, consecutive loads would cause refusals of
 all requests for adapters that are not loaded."""
+ADAPTER_SETTLE_S: Final = 2.0
+"""Seconds after its last use or load for which an adapter is not evicted for callers
+that are not waiting; its own callers may be about to return."""
 UNLOAD_DELAY_S: Final = 0.03
 """Seconds between the broadcast of an eviction and the unload order; without a delay,
 the engine would refuse requests for the model that are already in transit."""
@@ -223,12 +226,17 @@
 
     # -- adapters ----------------------------------------------------------------
 
-    def load_adapter(self, model: Model, adapter: Adapter) -> bool:
-        """Load an adapter; return whether it is ready for requests."""
+    def load_adapter(
+        self, model: Model, adapter: Adapter, waiting: bool = True
+    ) -> bool:
+        """Load an adapter; return whether it is ready for requests.
+
+        Unless callers are ``waiting`` for it, adapters used lately are not evicted.
+        """
         with self.lock:
             if self._epoch() is None or self._clock() < self.orders_allowed_at:
                 return False
-            if not self._start_adapter_load(model, adapter):
+            if not self._start_adapter_load(model, adapter, waiting):
                 return False
             engine = self.engine
             if engine.inventory is not None and engine.inventory.has(model, adapter):
@@ -242,7 +250,9 @@
             self._publish(self)
         return True
 
-    def _start_adapter_load(self, model: Model, adapter: Adapter) -> bool:
+    def _start_adapter_load(
+        self, model: Model, adapter: Adapter, waiting: bool
+    ) -> bool:
         engine = self.engine
         if engine.inventory is None and not self.refresh():
             return False
@@ -260,7 +270,7 @@
             ):
                 return True
             if inventory.adapter_slots_used() >= engine.spec.adapter_slots:
-                if not self._free_adapter_slot():
+                if not self._free_adapter_slot(waiting):
                     return False
                 continue
             outcome = self._send(Order(True, model, adapter))
@@ -288,23 +298,31 @@
         self.engine.inventory = replace(inventory, models=models, loading=loading)
         self.engine.adapter_used_at[model, adapter] = self._clock()
 
-    def _free_adapter_slot(self) -> bool:
+    def _free_adapter_slot(self, waiting: bool) -> bool:
         if self.engine.unloading:
             return self._check_unloads()
-        return self._evict_adapter()
+        settled_before = self._clock() - (0.0 if waiting else ADAPTER_SETTLE_S)
+        return self._evict_adapter(settled_before)
 
-    def _evict_adapter(self) -> bool:
-        """Unload the least recently used adapter that is not in use."""
+    def _evict_adapter(self, settled_before: float) -> bool:
+        """Unload the least recently used adapter that is not in use.
+
+        Adapters that were used after ``settled_before`` are kept.
+        """
         inventory = self.engine.inventory
         assert inventory is not None
         loaded = [(m, a) for m, names in inventory.models.items() for a in names]
-        idle = [pair for pair in loaded if not self._in_use(self.engine, *pair)]
+        used_at = self.engine.adapter_used_at
+        idle = [
+            pair
+            for pair in loaded
+            if used_at.get(pair, 0.0) <= settled_before
+            and not self._in_use(self.engine, *pair)
+        ]
         if not idle:
             log("no_adapter_slot", upstream=self.engine.record.name, held=len(loaded))
             return False
-        model, adapter = min(
-            idle, key=lambda p: self.engine.adapter_used_at.get(p, 0.0)
-        )
+        model, adapter = min(idle, key=lambda p: used_at.get(p, 0.0))
         self.engine.unloading.add((model, adapter))
         self._publish(self)
         outcome = self._send(Order(False, model, adapter))
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -288,7 +288,7 @@
     def _load_refused_adapter(
         self, controller: EngineController, pair: ModelAdapter
     ) -> None:
-        loaded = controller.load_adapter(*pair)
+        loaded = controller.load_adapter(*pair, waiting=False)
         log(
             "refused_adapter_load",
             upstream=controller.engine.record.name,
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -13,7 +13,7 @@
     Order,
     OrderOutcome,
 )
-from persimmonhitch.direct.engine_controller import ADAPTER_WINDOW_S
+from persimmonhitch.direct.engine_controller import ADAPTER_SETTLE_S, ADAPTER_WINDOW_S
 from persimmonhitch.ids import Adapter, Epoch, Model, Vm
 
 BIG, OTHER, SMALL = Model("big"), Model("other"), Model("small")
@@ -195,6 +195,22 @@
     assert "a3" in engine.models[BIG]
 
 
+@pytest.mark.parametrize(
+    ("waiting", "idle_s", "loaded"),
+    [(True, 0.5, True), (False, 0.5, False), (False, ADAPTER_SETTLE_S, True)],
+)
+def test_adapters_of_absent_callers_do_not_evict_each_other(waiting, idle_s, loaded):
+    """Guards against adapters that are unloaded before their callers return."""
+    clock = Clock()
+    engine = FakeEngine(clock, adapters=("a1", "a2"))
+    controller, _published = controller_of(engine, clock)
+    controller.load_adapter(BIG, Adapter("a1"))
+    controller.load_adapter(BIG, Adapter("a2"))
+    clock.now += idle_s
+    assert controller.load_adapter(BIG, Adapter("a3"), waiting) is loaded
+    assert ("a3" in engine.models[BIG]) is loaded
+
+
 def test_one_pending_adapter_unload_at_a_time():
     """Guards against another adapter eviction at each attempt to free a single slot."""
     clock = Clock()
