--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -76,6 +76,8 @@
     loading: Model | None = None
     ready_at: float = 0.0
     """Expected end of the load in progress."""
+    due_at: float = 0.0
+    """End of the load in progress as planned when it began."""
     drain_time: DrainEstimate = field(default_factory=DrainEstimate)
     evicting: frozenset[Model] = frozenset()
     draining: bool = False
@@ -84,6 +86,11 @@
     load_s: float = 0.0
     """Expected time of the load in progress once it is ordered."""
 
+    def plan_load(self, model: Model, evictions: Iterable[Model], end: float) -> None:
+        """Set the load that is to begin, with its planned end."""
+        self.loading, self.evicting = model, frozenset(evictions)
+        self.ready_at = self.due_at = end
+
     def remaining_load_s(self, now: float) -> float:
         """Return the expected seconds until the load in progress has ended."""
         return max(0.0, self.ready_at - now, self.load_s if self.draining else 0.0)
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -642,9 +642,8 @@
     def _start_load(
         self, controller: EngineController, move: Move, demand: dict[Model, float]
     ) -> None:
-        controller.engine.loading = move.model
-        controller.engine.evicting = frozenset(move.evicted)
-        controller.engine.ready_at = self._clock() + move.total_s
+        end = self._clock() + move.total_s
+        controller.engine.plan_load(move.model, move.evicted, end)
         log(
             "load_begins",
             upstream=move.upstream,
@@ -718,7 +717,7 @@
         models=frozenset(inventory.models) if inventory else frozenset(),
         busy_s=controller.busy_s(),
         loading=loading,
-        load_overdue=engine.loading is not None and now >= engine.ready_at,
+        load_overdue=engine.loading is not None and now >= engine.due_at,
         evicting=engine.evicting,
         in_memory=inventory.in_memory if inventory else frozenset(),
         on_disk=inventory.on_disk if inventory else frozenset(),
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -66,9 +66,8 @@
         self.loads = []
 
     def _start_load(self, controller, move, demand):
-        controller.engine.loading = move.model
-        controller.engine.evicting = frozenset(move.evicted)
-        controller.engine.ready_at = self._clock() + move.total_s
+        end = self._clock() + move.total_s
+        controller.engine.plan_load(move.model, move.evicted, end)
         self.loads.append((controller, move))
 
 
