Adapters are evicted by their last use, not by their last load

The leader knew when it had loaded an adapter, and requests for a loaded one do not reach it: an adapter that is used by one request after the other was the first to be evicted in any moment without one. Its last use now follows the running requests that entries report.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -350,6 +350,7 @@
         if not self._active:
             self._start_term()
         self._sync_controllers()
+        self._record_adapter_uses()
         self._load_refused_adapters()
         self._place_models()
         if self._clock() - self._published_at >= PUBLISH_INTERVAL_S:
@@ -428,6 +429,18 @@
                 self._refreshing.add(controller.engine.record.name)
                 self._pool.submit(self._run_step, self._refresh_inventory, controller)
 
+    def _record_adapter_uses(self) -> None:
+        """Record the adapters that running requests use, for the choice of evictions.
+
+        Requests for a loaded adapter do not reach the leader.
+        """
+        now, uses = self._clock(), self._uses_by_upstream()
+        for controller in list(self._controllers.values()):
+            engine = controller.engine
+            for use in uses.get(engine.record.name, ()):
+                if use.adapter is not None:
+                    engine.adapter_used_at[use.model, use.adapter] = now
+
     def _refresh_inventory(self, controller: EngineController) -> None:
         try:
             with controller.lock:
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -228,3 +228,14 @@
     controller.refresh()
     view = leader_module._engine_view(controller, {}, time.monotonic())
     assert view.settling == {SMALL} and view.loading == frozenset()
+
+
+def test_adapters_in_use_count_as_used(leader):
+    """Guards against the eviction of an adapter that was loaded long ago and is used
+    by one request after the other.
+    """
+    controller = leader._controllers[Upstream("e1")]
+    work = UpstreamWork(Upstream("e1"), 1, 100, 0, (ModelUse(BIG, Adapter("a1")),))
+    leader.receive_entry_update(Vm("b"), entry_update({}, (work,)))
+    leader.run_round()
+    assert set(controller.engine.adapter_used_at) == {(BIG, Adapter("a1"))}
