The expected wait of an unload follows the number of running requests

The unload waits for the last request; its expected time is now the mean time to the end of a request times the harmonic number of the requests that entries report for the model.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -80,9 +80,9 @@
     on_disk: frozenset[Model] = frozenset()
     settling: frozenset[Model] = frozenset()
     """Models that were loaded less than ``SETTLE_S`` ago."""
-    in_use: frozenset[Model] = frozenset()
-    """Models that requests use; their unload waits ``drain_s`` for the requests."""
-    drain_s: float = 0.0
+    drains: Mapping[Model, float] = field(default_factory=dict)
+    """Expected seconds until the running requests of each model in use have ended; its
+    unload waits for them."""
 
 
 @dataclass(frozen=True)
@@ -347,7 +347,7 @@
             free += state.specs[evictee].memory_mb
     if free < spec.memory_mb:
         return None
-    drain_s = engine.drain_s if engine.in_use.intersection(evicted) else 0.0
+    drain_s = max((engine.drains.get(m, 0.0) for m in evicted), default=0.0)
     cached = model in engine.in_memory | engine.on_disk
     load_s = spec.cold_load_s
     if cached:
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -131,7 +131,8 @@
     in_use : callable
         Returns whether running requests use an adapter.
     running_models : callable
-        Returns the models that running requests use at the engine, as far as reported.
+        Returns the number of running requests of each model at the engine, as far as
+        they are reported.
     """
 
     def __init__(
@@ -143,7 +144,7 @@
         in_use: Callable[[EngineState, Model, Adapter], bool],
         clock: Clock = time.monotonic,
         sleep: Callable[[float], object] = time.sleep,
-        running_models: Callable[[EngineState], Collection[Model]] = lambda _engine: (),
+        running_models: Callable[[EngineState], Mapping[Model, int]] = lambda _: {},
     ) -> None:
         self.engine = engine
         self.lock = threading.Lock()
@@ -402,11 +403,13 @@
             if evictions:
                 self._sleep(UNLOAD_DELAY_S)
             started_at = self._clock()
+            running = self._running_models(engine)
+            requests = max((running.get(m, 0) for m in evictions), default=0)
             in_use = drain_s > 0 and not self._drain(evictions)
             if all(self._unload_model(evicted, in_use) for evicted in evictions):
                 drained_at = self._clock()
                 if drain_s:
-                    engine.drain_time.record(drained_at - started_at)
+                    engine.drain_time.record(drained_at - started_at, requests)
                 loaded = self._order_load(model, load_s)
         finally:
             with self.lock:
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -9,7 +9,7 @@
 import math
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
@@ -489,10 +489,19 @@
                 uses[work.upstream].update(work.model_uses)
         return uses
 
-    def _running_models(self, engine: EngineState) -> set[Model]:
+    def _running_models(self, engine: EngineState) -> Counter[Model]:
+        return self._running_requests().get(engine.record.name, Counter())
+
+    def _running_requests(self) -> dict[Upstream, Counter[Model]]:
+        """Return the running requests per model of each engine, over all entries.
+
+        Requests of one entry for the same model and adapter count as one.
+        """
+        running: defaultdict[Upstream, Counter[Model]] = defaultdict(Counter)
         with self._lock:
-            uses = self._peer_work.model_uses(engine.record.name)
-        return {use.model for use in uses}
+            for work in self._peer_work.all_work():
+                running[work.upstream].update(use.model for use in work.model_uses)
+        return running
 
     def _is_in_use(self, engine: EngineState, model: Model, adapter: Adapter) -> bool:
         with self._lock:
@@ -573,12 +582,9 @@
             # A seemingly missing model may be resident on an engine yet to report.
             return
         by_name = {c.engine.record.name: c for c in controllers}
-        in_use = {
-            name: {use.model for use in uses}
-            for name, uses in self._uses_by_upstream().items()
-        }
+        running = self._running_requests()
         for _ in range(len(controllers)):
-            views = [_engine_view(c, in_use, now) for c in controllers]
+            views = [_engine_view(c, running, now) for c in controllers]
             cold_allowed = self._load_rate.may_start(spec.cold_loads_per_s, now)
             self._update_missing(spec, missing, views, now)
             move = self._overdue_move(spec, missing, demand, views, cold_allowed)
@@ -715,7 +721,9 @@
 
 
 def _engine_view(
-    controller: EngineController, in_use: Mapping[Upstream, set[Model]], now: float
+    controller: EngineController,
+    running: Mapping[Upstream, Mapping[Model, int]],
+    now: float,
 ) -> EngineView:
     engine = controller.engine
     load_times = engine.loaded_at.items()
@@ -735,6 +743,8 @@
         in_memory=inventory.in_memory if inventory else frozenset(),
         on_disk=inventory.on_disk if inventory else frozenset(),
         settling=frozenset(model for model, at in load_times if now - at < SETTLE_S),
-        in_use=frozenset(in_use.get(engine.record.name, ())),
-        drain_s=engine.drain_time.expected_s,
+        drains={
+            model: engine.drain_time.expected_s(requests)
+            for model, requests in running.get(engine.record.name, {}).items()
+        },
     )
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -167,7 +167,7 @@
     clock,
     in_use=lambda *_: False,
     epoch=lambda: Epoch(1),
-    running_models=lambda _: (),
+    running_models=lambda _: {},
 ):
     """Return a controller for an engine, and the inventories that it publishes."""
     published = []
--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -150,10 +150,9 @@
     several seconds, for which its unload waits. The engine accepts no other order in
     this time, and callers of the new model are refused.
     """
-    running = frozenset({Model("b")})
     disk = ("a", "b", "c")
     engines = [
-        engine("e1", "a", "b", disk=disk, in_use=running, drain_s=4.0),
+        engine("e1", "a", "b", disk=disk, drains={Model("b"): 4.0}),
         engine("e2", "a", "b", disk=disk),
     ]
     demand = demand_of(a=5000, b=0, c=9000)
@@ -166,8 +165,23 @@
 def test_drain_time_is_learned_from_unloads():
     estimate = DrainEstimate()
     for _ in range(20):
-        estimate.record(7.0)
-    assert 6.5 < estimate.expected_s <= 7.0
+        estimate.record(7.0, 4)
+    assert 6.5 < estimate.expected_s(4) <= 7.0
+
+
+def test_unloads_of_models_with_few_requests_are_expected_to_be_short():
+    """Guards against the eviction of a model whose many streams run for long, where
+    another of the same value has a single one.
+    """
+    estimate = DrainEstimate()
+    assert estimate.expected_s(0) == 0.0
+    drains = [estimate.expected_s(requests) for requests in (8, 1)]
+    engines = [
+        engine(f"e{n}", "a", "b", disk=("a", "b", "c"), drains={Model("b"): drain})
+        for n, drain in enumerate(drains)
+    ]
+    move = next_load(SPECS, demand_of(a=5000, b=0, c=9000), engines, True)
+    assert (move.upstream, move.drain_s) == ("e1", drains[1])
 
 
 def test_busy_model_gets_a_second_copy():
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -235,7 +235,7 @@
             loaded.append(controller.load_adapter(OTHER, Adapter("a1")))
         if clock.now > 105.0:
             engine.finish_requests()
-        return engine.in_use
+        return dict.fromkeys(engine.in_use, 1)
 
     controller, _published = controller_of(engine, clock, running_models=running_models)
     controller.refresh()
