Overdue loads are placed where they disrupt few callers and wait for few streams

A load of an overdue model went to the engine whose evicted models had the lowest value, even if it kept the adapters of a busy model out for nine seconds, or waited for streams where another engine could load at once. Its cost now includes the disrupted demand for adapters and grows with its time, as for other loads. Two of the three cases of the new test failed before (e1 in place of e2).

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -172,7 +172,8 @@
 
     ``missing_for`` gives the seconds for which each model has been missing, ``loading``
     the overdue models that engines are loading already. Engines with cached weights are
-    preferred, then evictions of low value. Return None if no model is overdue.
+    preferred, then evictions of low value and loads that disrupt little demand for
+    adapters, both in proportion to their time. Return None if no model is overdue.
 
     While few engines are loading, several overdue models may load at a time. If they
     were loaded one after the other, callers of the last model would wait for the loads
@@ -192,10 +193,16 @@
         plans = [_plan(state, engine, model) for engine in free]
         moves = [move for move in plans if move and (cold_allowed or not move.cold)]
         if moves:
-            return min(moves, key=lambda move: (move.cold, _evicted_value(state, move)))
+            return min(moves, key=lambda move: (move.cold, _overdue_cost(state, move)))
     return None
 
 
+def _overdue_cost(state: _PlacementState, move: Move) -> float:
+    engine = next(e for e in state.engines if e.upstream == move.upstream)
+    disrupted = DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, engine, move)
+    return (_evicted_value(state, move) + disrupted) * (1.0 + move.total_s)
+
+
 def _evicted_value(state: _PlacementState, move: Move) -> float:
     return sum(state.copy_value(model) for model in move.evicted)
 
--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -1,6 +1,7 @@
 """Choice of the models that engines load and evict, by load pattern."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -88,6 +89,27 @@
     assert (move.model, move.upstream, move.cold) == ("c", "e1", False)
 
 
+@pytest.mark.parametrize(
+    ("drain_s", "adapters_beside", "expected"),
+    [(0.0, False, "e1"), (6.0, False, "e2"), (0.0, True, "e2")],
+)
+def test_overdue_load_disrupts_few_callers(drain_s, adapters_beside, expected):
+    """Guards against an overdue load that refuses adapters, or waits for streams, for
+    many seconds where another engine could load the model at once.
+    """
+    specs = dict(SPECS)
+    if adapters_beside:
+        specs[Model("a")] = replace(SPECS[Model("a")], adapter_count=8)
+    engines = [
+        engine("e1", "a", "d", drains={Model("d"): drain_s}),
+        engine("e2", "b", "e"),
+    ]
+    demand = demand_of(a=9000, b=9000, d=2000, e=2100, c=900)
+    missing = {Model("c"): OVERDUE_AFTER_S}
+    move = next_overdue_load(specs, demand, engines, missing, True)
+    assert move.upstream == expected
+
+
 def test_overdue_model_that_is_loading_is_not_loaded_twice():
     engines = [engine("e1", "a", loading=frozenset({Model("c")})), engine("e2", "a")]
     missing = {Model("c"): OVERDUE_AFTER_S * 2}
