Revert "A model that was missing for long is kept until a refused caller has returned"

There jefi772105, asked for 174 times, found no engine for 10 s: each held rare models that were kept for callers who had not returned. Keeping a rare model from every other costs more than it brings.

This reverts.

--- a/src/persimmonhitch/decide/missing.py
+++ b/src/persimmonhitch/decide/missing.py
@@ -7,11 +7,6 @@
 An order to load the model does not suffice, since the load may be lost with its engine.
 A model without requests for ``DEMAND_TTL_S`` seconds is no longer missing, since its
 callers are not expected to retry.
-
-The callers that have been refused return some seconds after the load. By its value, a
-rare model would be evicted again before the first of them. A model that has been
-missing for long is therefore kept until a request uses it, for ``UNSERVED_TTL_S`` at
-most.
 """
 
 from collections.abc import Collection, Mapping
@@ -23,11 +18,6 @@
 
 DEMAND_TTL_S: Final = 30.0
 """Seconds for which a request counts as demand for its model."""
-UNSERVED_AFTER_S: Final = 6.0
-"""Seconds for which a model must have been missing to be kept until it is used."""
-UNSERVED_TTL_S: Final = 6.0
-"""Maximum seconds for which a model is kept without a request; refused callers return
-within that time."""
 
 
 class Availability(Enum):
@@ -54,44 +44,22 @@
     loading: set[Model] = field(default_factory=set)
     """Overdue models that engines are loading."""
     _since: dict[Model, float] = field(default_factory=dict)
-    _unserved_since: dict[Model, float] = field(default_factory=dict)
-    """When models that had been missing for long became resident."""
 
     def update(
-        self,
-        demand_at: Mapping[Model, float],
-        resident: Collection[Model],
-        now: float,
-        in_use: Collection[Model] = (),
+        self, demand_at: Mapping[Model, float], resident: Collection[Model], now: float
     ) -> list[AvailabilityChange]:
-        """Update from the last request for each model and the resident models.
-
-        ``in_use`` gives the models that running requests use.
-        """
+        """Update from the last request for each model and the resident models."""
         requested = {m for m, at in demand_at.items() if now - at <= DEMAND_TTL_S}
         changes = []
         for model in [m for m in self._since if m in resident or m not in requested]:
             state = Availability.RESIDENT if model in resident else Availability.IDLE
             duration = now - self._since.pop(model)
-            if state is Availability.RESIDENT and duration >= UNSERVED_AFTER_S:
-                self._unserved_since[model] = now
             changes.append(AvailabilityChange(model, state, duration))
         for model in sorted(requested - self._since.keys() - set(resident)):
             self._since[model] = now
             changes.append(AvailabilityChange(model, Availability.MISSING, 0.0))
-        self._unserved_since = {
-            model: since
-            for model, since in self._unserved_since.items()
-            if model in resident
-            and model not in in_use
-            and now - since < UNSERVED_TTL_S
-        }
         return changes
 
-    def unserved(self) -> frozenset[Model]:
-        """Return the resident models that are to be kept until a request uses them."""
-        return frozenset(self._unserved_since)
-
     def missing_durations(self, now: float) -> dict[Model, float]:
         """Return the seconds for which each model has been missing."""
         return {model: now - since for model, since in self._since.items()}
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -12,7 +12,6 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import replace
 from typing import Final
 
 from ..decide.demand import DemandTracker
@@ -587,9 +586,7 @@
         for _ in range(len(controllers)):
             views = [_engine_view(c, running, now) for c in controllers]
             cold_allowed = self._load_rate.may_start(spec.cold_loads_per_s, now)
-            in_use = frozenset(model for models in running.values() for model in models)
-            self._update_missing(spec, missing, views, in_use, now)
-            views = [_with_unserved(view, missing.unserved()) for view in views]
+            self._update_missing(spec, missing, views, now)
             move = self._overdue_move(spec, missing, demand, views, cold_allowed)
             if move is None:
                 move = next_load(spec.models, demand, views, cold_allowed)
@@ -606,12 +603,11 @@
         spec: EngineSpec,
         missing: MissingModels,
         views: list[EngineView],
-        in_use: frozenset[Model],
         now: float,
     ) -> None:
         requests = self._requests_for(spec)
         resident = frozenset().union(*(view.models for view in views))
-        for change in missing.update(requests, resident, now, in_use):
+        for change in missing.update(requests, resident, now):
             if change.availability is Availability.MISSING:
                 log("model_missing", model=change.model)
                 continue
@@ -724,10 +720,6 @@
     return record.started_at_ms != controller.engine.record.started_at_ms
 
 
-def _with_unserved(view: EngineView, unserved: frozenset[Model]) -> EngineView:
-    return replace(view, settling=view.settling | (unserved & view.models))
-
-
 def _engine_view(
     controller: EngineController,
     running: Mapping[Upstream, Mapping[Model, int]],
