Running requests are counted for one engine, not for all at each look

A load that waits for requests looked through the work of all entries at all engines ten times a second, and each placement round twice: with 360 entries and 22 engines some eight thousand items a look. The count now reads the one engine's items. No decision changes; the tests of loads that wait and of the expected waits pass as before.

--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -130,7 +130,7 @@
     ----------
     in_use : callable
         Returns whether running requests use an adapter.
-    running_models : callable
+    running_requests : callable
         Returns the number of running requests of each model at the engine, as far as
         they are reported.
     """
@@ -144,7 +144,7 @@
         in_use: Callable[[EngineState, Model, Adapter], bool],
         clock: Clock = time.monotonic,
         sleep: Callable[[float], object] = time.sleep,
-        running_models: Callable[[EngineState], Mapping[Model, int]] = lambda _: {},
+        running_requests: Callable[[EngineState], Mapping[Model, int]] = lambda _: {},
     ) -> None:
         self.engine = engine
         self.lock = threading.Lock()
@@ -152,7 +152,7 @@
         self._epoch = epoch
         self._publish = publish
         self._in_use = in_use
-        self._running_models = running_models
+        self._running_requests = running_requests
         self._clock = clock
         self._sleep = sleep
         self.orders_allowed_at = 0.0
@@ -403,7 +403,7 @@
             if evictions:
                 self._sleep(UNLOAD_DELAY_S)
             started_at = self._clock()
-            running = self._running_models(engine)
+            running = self._running_requests(engine)
             requests = max((running.get(m, 0) for m in evictions), default=0)
             in_use = drain_s > 0 and not self._drain(evictions)
             if all(self._unload_model(evicted, in_use) for evicted in evictions):
@@ -437,7 +437,7 @@
         """
         engine = self.engine
         deadline = self._clock() + CONFIRMATION_TIMEOUT_S
-        while not set(evictions).isdisjoint(self._running_models(engine)):
+        while not set(evictions).isdisjoint(self._running_requests(engine)):
             if self._clock() >= deadline or self._epoch() is None:
                 break
             self._sleep(POLL_INTERVAL_S)
@@ -445,7 +445,7 @@
             engine.draining = False
             engine.ready_at = self._clock() + engine.load_s
             self._publish(self)
-        return set(evictions).isdisjoint(self._running_models(engine))
+        return set(evictions).isdisjoint(self._running_requests(engine))
 
     def _order_load(self, model: Model, load_s: float) -> bool:
         """Order a load and wait for its end; return whether the model is loaded."""
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -272,8 +272,11 @@
         now: float,
     ) -> None:
         usable = [usable_models(controller.engine) for controller in controllers]
+        loaded = {
+            (m, a) for models in usable for m, names in models.items() for a in names
+        }
         for model, adapter in pending:
-            if not any(adapter in models.get(model, ()) for models in usable):
+            if (model, adapter) not in loaded:
                 continue
             with self._lock:
                 seconds = self._refused_adapters.record_loaded((model, adapter), now)
@@ -363,13 +366,13 @@
         now = self._clock()
         with self._lock:
             self._observed.retain(self._records)
+            services = self._cfg.services.values() if self._cfg is not None else ()
             resident = {
                 model
                 for name, record in self._records.items()
                 if not record.draining
                 for model in self._observed.get(name, record.started_at_ms).models
             }
-            services = self._cfg.services.values() if self._cfg is not None else ()
         if not resident:
             # Nothing has been published since this entry started.
             return
@@ -474,7 +477,7 @@
             epoch,
             self._publish,
             self._is_in_use,
-            running_models=self._running_models,
+            running_requests=self._running_requests,
         )
         controller.orders_allowed_at = self.election.orders_allowed_at(
             engine.record.name, self._leading_since
@@ -489,19 +492,9 @@
                 uses[work.upstream].update(work.model_uses)
         return uses
 
-    def _running_models(self, engine: EngineState) -> Counter[Model]:
-        return self._running_requests().get(engine.record.name, Counter())
-
-    def _running_requests(self) -> dict[Upstream, Counter[Model]]:
-        """Return the running requests per model of each engine, over all entries.
-
-        Requests of one entry for the same model and adapter count as one.
-        """
-        running: defaultdict[Upstream, Counter[Model]] = defaultdict(Counter)
+    def _running_requests(self, engine: EngineState) -> Counter[Model]:
         with self._lock:
-            for work in self._peer_work.all_work():
-                running[work.upstream].update(use.model for use in work.model_uses)
-        return running
+            return self._peer_work.running_requests(engine.record.name)
 
     def _is_in_use(self, engine: EngineState, model: Model, adapter: Adapter) -> bool:
         with self._lock:
@@ -582,7 +575,9 @@
             # A seemingly missing model may be resident on an engine yet to report.
             return
         by_name = {c.engine.record.name: c for c in controllers}
-        running = self._running_requests()
+        running = {
+            name: self._running_requests(c.engine) for name, c in by_name.items()
+        }
         for _ in range(len(controllers)):
             views = [_engine_view(c, running, now) for c in controllers]
             cold_allowed = self._load_rate.may_start(spec.cold_loads_per_s, now)
--- a/src/persimmonhitch/direct/peer_work.py
+++ b/src/persimmonhitch/direct/peer_work.py
@@ -1,10 +1,10 @@
 """Work of the peers at each upstream, from the updates that they send."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..ids import Upstream, Vm
+from ..ids import Model, Upstream, Vm
 from .peer_messages import EntryUpdate, ModelUse, UpstreamWork
 
 PEER_UPDATE_TTL_S: Final = 1.5
@@ -83,6 +83,16 @@
         work = (peer.work.get(upstream) for peer in self._peers.values())
         return {use for item in work if item is not None for use in item.model_uses}
 
+    def running_requests(self, upstream: Upstream) -> Counter[Model]:
+        """Return the running requests per model at an upstream, over all peers.
+
+        Requests of one peer for the same model and adapter count as one.
+        """
+        work = (peer.work.get(upstream) for peer in self._peers.values())
+        return Counter(
+            use.model for item in work if item is not None for use in item.model_uses
+        )
+
     def all_work(self) -> list[UpstreamWork]:
         """Return the work of all peers at all upstreams."""
         return [item for peer in self._peers.values() for item in peer.work.values()]
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -167,7 +167,7 @@
     clock,
     in_use=lambda *_: False,
     epoch=lambda: Epoch(1),
-    running_models=lambda _: {},
+    running_requests=lambda _: {},
 ):
     """Return a controller for an engine, and the inventories that it publishes."""
     published = []
@@ -179,6 +179,6 @@
         in_use,
         clock,
         clock.sleep,
-        running_models,
+        running_requests,
     )
     return controller, published
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -230,14 +230,16 @@
     engine.in_use = {BIG}
     loaded = []
 
-    def running_models(_engine):
+    def running_requests(_engine):
         if clock.now > 102.0 and not loaded:
             loaded.append(controller.load_adapter(OTHER, Adapter("a1")))
         if clock.now > 105.0:
             engine.finish_requests()
         return dict.fromkeys(engine.in_use, 1)
 
-    controller, _published = controller_of(engine, clock, running_models=running_models)
+    controller, _published = controller_of(
+        engine, clock, running_requests=running_requests
+    )
     controller.refresh()
     controller.load_model(SMALL, (BIG,), 1.7, drain_s=2.0)
     assert loaded == [True]
