--- a/src/persimmonhitch/decide/refused_adapters.py
+++ b/src/persimmonhitch/decide/refused_adapters.py
@@ -27,6 +27,7 @@
     first_at: float
     last_at: float
     attempted_at: float | None = None
+    """When the last attempt to load the adapter began."""
 
 
 @dataclass
@@ -36,7 +37,10 @@
     _refusals: dict[ModelAdapter, _Refusals] = field(default_factory=dict)
 
     def record(self, model: Model, adapter: Adapter, now: float) -> bool:
-        """Record a request without an engine; return whether it is the first."""
+        """Record a request that found no engine with the adapter.
+
+        Return whether it is the first one.
+        """
         known = self._refusals.get((model, adapter))
         if known is not None:
             known.last_at = now
@@ -45,9 +49,9 @@
         return True
 
     def record_loaded(self, pair: ModelAdapter, now: float) -> float | None:
-        """Forget an adapter that is loaded; return since how many seconds it was not.
+        """Forget an adapter that is loaded; return the seconds since its first refusal.
 
-        The result is None if no request for the adapter was recorded.
+        The result is None if no refusal of the adapter was recorded.
         """
         known = self._refusals.pop(pair, None)
         return None if known is None else now - known.first_at
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -243,7 +243,10 @@
             log("adapter_missing", model=model, adapter=adapter)
 
     def _load_refused_adapters(self) -> None:
-        """Load the adapters of refused requests on engines that accept the orders."""
+        """Load the adapters of refused requests on engines that accept the orders.
+
+        Their callers may have left; they find the adapter loaded when they return.
+        """
         now = self._clock()
         with self._lock:
             controllers = list(self._controllers.values())
