Entries learn that a load waits before they learn of the load

The report of a load that waits for requests was sent as two messages, the load first. The message that the load waits now comes first; entries keep it for the inventory that it belongs to, as they did before for messages out of order. The new test failed before: the request was decided.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -538,7 +538,8 @@
         drain = DrainUpdate(
             update.upstream, update.started_at_ms, update.epoch, update.sequence
         )
-        return [update, drain]
+        # An entry that learned of the load first would refuse requests for adapters.
+        return [drain, update]
 
     def _place_models(self) -> None:
         now = self._clock()
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -8,6 +8,7 @@
 from direct_help import no_limits
 from fake_engine import SPEC, FakeEngine
 from fleet import wait_for
+from test_direct_dispatcher import STOPPING, WaitingRequest, make_dispatcher, request
 
 from persimmonhitch.direct import leader as leader_module
 from persimmonhitch.direct.leader import Leader
@@ -235,3 +236,24 @@
     leader.receive_entry_update(Vm("b"), entry_update({}, (work,)))
     leader.run_round()
     assert set(controller.engine.adapter_used_at) == {(BIG, Adapter("a1"))}
+
+
+def test_report_of_a_load_that_waits_refuses_no_adapter_request(leader):
+    """Guards against refusals between the report of a load and that it waits."""
+    controller = leader._controllers[Upstream("e1")]
+    controller.engine.plan_load(SMALL, (), time.monotonic() + 8.0)
+    controller.engine.draining = True
+    dispatcher = make_dispatcher(record())
+    waiting = WaitingRequest(
+        dispatcher, request(latency_target=2.0, model=BIG, adapter=Adapter("a1"))
+    )
+    for update in leader._inventory_updates(controller):
+        apply = (
+            dispatcher.receive_inventory
+            if isinstance(update, InventoryUpdate)
+            else dispatcher.receive_drain
+        )
+        apply(update)
+        assert not any(waiter.decided.is_set() for waiter in dispatcher._waiters)
+    dispatcher.close(STOPPING)
+    assert waiting.outcome().failure() == STOPPING
