Late inventories of a leader do not change what entries know of its loads

Inventories arrive over several paths, out of order; the table of upstreams compares their versions, the record for the next leader did not. A late one made a load end, or begin again, so that its model settled at the wrong time or counted as loading. Both compare InventoryUpdate.inventory_version now. Two of three cases of the new test failed before.

--- a/src/persimmonhitch/direct/observed_engines.py
+++ b/src/persimmonhitch/direct/observed_engines.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from ..ids import Model, Upstream
+from ..ids import Epoch, Model, Upstream
 from .peer_messages import InventoryUpdate
 
 
@@ -24,6 +24,8 @@
     """When each model became usable after a load."""
     ready_at: dict[Model, float] = field(default_factory=dict)
     """Expected end of the load in progress."""
+    version: tuple[Epoch, int] = (Epoch(0), 0)
+    """Version of the newest inventory; older ones may arrive later."""
 
 
 class ObservedEngines:
@@ -37,12 +39,14 @@
         old = self._engines.get(msg.upstream)
         if old is None or old.started_at_ms != msg.started_at_ms:
             old = ObservedEngine(msg.started_at_ms, frozenset(msg.models))
+        if msg.inventory_version < old.version:
+            return
         models = frozenset(msg.models)
         loaded = {m: at for m, at in old.loaded_at.items() if m in models}
         loaded |= dict.fromkeys(models & old.ready_at.keys() - old.models, now)
         ready_at = {model: now + seconds for model, seconds in msg.loading.items()}
         self._engines[msg.upstream] = ObservedEngine(
-            msg.started_at_ms, models, loaded, ready_at
+            msg.started_at_ms, models, loaded, ready_at, msg.inventory_version
         )
 
     def get(self, upstream: Upstream, started_at_ms: int) -> ObservedEngine:
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -86,6 +86,11 @@
     sequence: int = 0
     """Increases within an epoch: messages arrive over several paths, out of order."""
 
+    @property
+    def inventory_version(self) -> tuple[Epoch, int]:
+        """Return the sort key of inventories of an engine, which rises with time."""
+        return self.epoch, self.sequence
+
 
 @message(81)
 @dataclass(frozen=True)
@@ -101,6 +106,11 @@
     epoch: Epoch
     sequence: int
 
+    @property
+    def inventory_version(self) -> tuple[Epoch, int]:
+        """Return the version of the inventory that the message belongs to."""
+        return self.epoch, self.sequence
+
 
 @message(63)
 @dataclass(frozen=True)
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -136,9 +136,9 @@
         state = self._states.get(msg.upstream)
         if state is None or state.record.started_at_ms != msg.started_at_ms:
             return
-        if (msg.epoch, msg.sequence) < state.reported_version:
+        if msg.inventory_version < state.reported_version:
             return
-        state.reported_version = msg.epoch, msg.sequence
+        state.reported_version = msg.inventory_version
         models = {model: frozenset(names) for model, names in msg.models.items()}
         for model, names in models.items():
             state.missing_at.pop((model, None), None)
@@ -154,7 +154,7 @@
         """Record that an engine accepts adapter orders despite an announced load."""
         state = self._states.get(msg.upstream)
         if state is not None and state.record.started_at_ms == msg.started_at_ms:
-            state.draining_version = msg.epoch, msg.sequence
+            state.draining_version = msg.inventory_version
             self._apply_drain(state)
 
     def _apply_drain(self, state: UpstreamState) -> None:
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -257,3 +257,15 @@
         assert not any(waiter.decided.is_set() for waiter in dispatcher._waiters)
     dispatcher.close(STOPPING)
     assert waiting.outcome().failure() == STOPPING
+
+
+@pytest.mark.parametrize(
+    ("epoch", "sequence", "expected"), [(1, 0, True), (0, 9, True), (1, 2, False)]
+)
+def test_late_inventory_of_a_leader_is_ignored(follower, epoch, sequence, expected):
+    """Guards against a load that ends again, or begins again, by a late message."""
+    leader, _election, _clock = follower
+    late = InventoryUpdate(Upstream("e1"), 1, 0, {BIG: ()}, {}, Epoch(epoch), sequence)
+    leader.receive_inventory_update(late)
+    known = leader._observed.get(Upstream("e1"), 1)
+    assert (SMALL in known.ready_at) is expected
