Followers count missing models by service, and as the leader does

An entry that is not the leader counted a model as present if an engine of any service had it, or one whose zone is evacuated; the leader asks for an engine of the service that takes requests. One method answers both now (Leader._is_available). The new test failed before: nothing was missing.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -370,19 +370,17 @@
         with self._lock:
             self._observed.retain(self._records)
             services = self._cfg.services.values() if self._cfg is not None else ()
-            resident = {
-                model
-                for name, record in self._records.items()
-                if not record.draining
-                for model in self._observed.get(name, record.started_at_ms).models
-            }
-        if not resident:
-            # Nothing has been published since this entry started.
-            return
+            resident: defaultdict[Service, set[Model]] = defaultdict(set)
+            for name, record in self._records.items():
+                if self._is_available(record, now):
+                    known = self._observed.get(name, record.started_at_ms)
+                    resident[record.service] |= known.models
         for service in services:
-            if service.engine is not None:
-                requests = self._requests_for(service.engine)
-                self._missing[service.name].update(requests, resident, now)
+            # Nothing may have been published since this entry started.
+            if service.engine is not None and resident[service.name]:
+                self._missing[service.name].update(
+                    self._requests_for(service.engine), resident[service.name], now
+                )
 
     def _requests_for(self, spec: EngineSpec) -> dict[Model, float]:
         """Return the time of the last request for each model of a service."""
@@ -555,16 +553,22 @@
             candidates = [
                 c
                 for c in controllers
-                if _is_candidate(c, service.name) and not self._is_evacuated(c, now)
+                if c.engine.record.service == service.name
+                and self._is_available(c.engine.record, now)
             ]
             engine_rate = self._prompt_read_rate(service.name)
             demand = {model: rate / engine_rate for model, rate in demand_rates.items()}
             missing = self._missing[service.name]
             self._place_service(service.engine, missing, demand, candidates, now)
 
-    def _is_evacuated(self, controller: EngineController, now: float) -> bool:
-        zone = controller.engine.record.zone
-        return self._evacuations.state(zone, now) is not ZoneState.OPEN
+    def _is_available(self, record: UpstreamRecord, now: float) -> bool:
+        """Return whether an engine accepts new requests for the time to come.
+
+        Otherwise models of an engine that drains, or whose zone is evacuated, would be
+        loaded elsewhere only after it has stopped, and requests be refused until then.
+        """
+        open_zone = self._evacuations.state(record.zone, now) is ZoneState.OPEN
+        return open_zone and not record.draining
 
     def _place_service(
         self,
@@ -700,16 +704,6 @@
         self._round_due.set()
 
 
-def _is_candidate(controller: EngineController, service: Service) -> bool:
-    """Return whether an engine belongs to a service and accepts new requests.
-
-    Draining engines are excluded: otherwise their models would be loaded elsewhere only
-    after they have stopped, and requests would be refused until then.
-    """
-    record = controller.engine.record
-    return record.service == service and not record.draining
-
-
 def _durations_text(missing: MissingModels, now: float) -> str:
     durations = missing.missing_durations(now)
     return ",".join(f"{model}:{s:.1f}" for model, s in durations.items()) or "-"
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -3,6 +3,7 @@
 import math
 import time
 from contextlib import contextmanager
+from dataclasses import replace
 
 import pytest
 from direct_help import no_limits
@@ -269,3 +270,14 @@
     leader.receive_inventory_update(late)
     known = leader._observed.get(Upstream("e1"), 1)
     assert (SMALL in known.ready_at) is expected
+
+
+def test_follower_counts_models_of_another_service_as_missing(follower):
+    """Guards against a model that is missing where it is asked for, not elsewhere."""
+    leader, _election, _clock = follower
+    leader.update_upstreams([record(), replace(record("x1"), service=Service("other"))])
+    held = InventoryUpdate(Upstream("x1"), 1, 0, {OTHER: ()}, {}, Epoch(1), 2)
+    leader.receive_inventory_update(held)
+    leader.receive_entry_update(Vm("b"), entry_update({OTHER: 10.0}))
+    leader.run_round()
+    assert leader._missing[LLM].longest_first() == [OTHER]
