Only adapters that fail to load count as refused

Each request to load an adapter at a given upstream was also recorded as refused, so that the next round loaded it once more: a job, and an inventory sent to all entries if it was there already. Such a request is now recorded if its load fails; requests without an upstream are recorded at once, as before. The new test failed before (1 recorded in place of 0).

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -223,9 +223,9 @@
         """
         if not self._is_active():
             return
-        if msg.adapter is not None:
-            self._record_refused_adapter(msg.model, msg.adapter)
         if msg.upstream is None or msg.adapter is None:
+            if msg.adapter is not None:
+                self._record_refused_adapter(msg.model, msg.adapter)
             if msg.demand:
                 with self._lock:
                     self._demand.receive(vm, {msg.model: msg.demand}, self._clock())
@@ -316,6 +316,7 @@
                 loading=controller.engine.loading or "-",
                 evicting=",".join(sorted(controller.engine.evicting)) or "-",
             )
+            self._record_refused_adapter(msg.model, msg.adapter)
             return
         for update in self._inventory_updates(controller):
             self._send(vm, update)
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -281,3 +281,14 @@
     leader.receive_entry_update(Vm("b"), entry_update({OTHER: 10.0}))
     leader.run_round()
     assert leader._missing[LLM].longest_first() == [OTHER]
+
+
+@pytest.mark.parametrize(("loading", "expected"), [(None, 0), (SMALL, 1)])
+def test_only_adapters_that_fail_to_load_count_as_refused(leader, loading, expected):
+    """Guards against a second load of each adapter that a waiting caller has loaded."""
+    leader._controllers[Upstream("e1")].engine.loading = loading
+    leader.receive_load_request(
+        Vm("b"), LoadRequest(BIG, Adapter("a1"), Upstream("e1"))
+    )
+    leader._pool.shutdown()
+    assert len(leader._refused_adapters.pending()) == expected
