One look at the running requests of all entries in each round

Each round went through the work of all entries twice, once for the adapters in use and once for the requests that unloads would wait for; PeerWork had two methods for the same items. model_uses now counts each model and adapter once per entry, one look a round serves both, and all_work is gone. No decision changes. test_totals_follow_peer_updates also states the count.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -53,6 +53,7 @@
 from .upstream_limits import UpstreamLimits
 
 LastOrderTimes = Callable[[], Mapping[Upstream, float]]
+UsesByUpstream = Mapping[Upstream, Counter[ModelUse]]
 
 ROUND_INTERVAL_S: Final = 0.1
 """Seconds between two placement rounds if no load request triggers one earlier."""
@@ -357,9 +358,10 @@
         if not self._active:
             self._start_term()
         self._sync_controllers()
-        self._record_adapter_uses()
+        uses = self._uses_by_upstream()
+        self._record_adapter_uses(uses)
         self._load_refused_adapters()
-        self._place_models()
+        self._place_models(uses)
         if self._clock() - self._published_at >= PUBLISH_INTERVAL_S:
             self._published_at = self._clock()
             for controller in list(self._controllers.values()):
@@ -434,12 +436,12 @@
                 self._refreshing.add(controller.engine.record.name)
                 self._pool.submit(self._run_step, self._refresh_inventory, controller)
 
-    def _record_adapter_uses(self) -> None:
+    def _record_adapter_uses(self, uses: UsesByUpstream) -> None:
         """Record the adapters that running requests use, for the choice of evictions.
 
         Requests for a loaded adapter do not reach the leader.
         """
-        now, uses = self._clock(), self._uses_by_upstream()
+        now = self._clock()
         for controller in list(self._controllers.values()):
             engine = controller.engine
             for use in uses.get(engine.record.name, ()):
@@ -486,23 +488,22 @@
         )
         return controller
 
-    def _uses_by_upstream(self) -> dict[Upstream, set[ModelUse]]:
+    def _uses_by_upstream(self) -> UsesByUpstream:
         """Return the models and adapters in use at each engine, over all entries."""
-        uses: defaultdict[Upstream, set[ModelUse]] = defaultdict(set)
         with self._lock:
-            for work in self._peer_work.all_work():
-                uses[work.upstream].update(work.model_uses)
-        return uses
+            return {
+                name: self._peer_work.model_uses(name) for name in self._controllers
+            }
 
-    def _running_requests(self, engine: EngineState) -> Counter[Model]:
+    def _uses(self, engine: EngineState) -> Counter[ModelUse]:
         with self._lock:
-            return self._peer_work.running_requests(engine.record.name)
+            return self._peer_work.model_uses(engine.record.name)
+
+    def _running_requests(self, engine: EngineState) -> Counter[Model]:
+        return running_requests(self._uses(engine))
 
     def _is_in_use(self, engine: EngineState, model: Model, adapter: Adapter) -> bool:
-        with self._lock:
-            return ModelUse(model, adapter) in self._peer_work.model_uses(
-                engine.record.name
-            )
+        return ModelUse(model, adapter) in self._uses(engine)
 
     def _publish(self, controller: EngineController) -> None:
         for update in self._inventory_updates(controller):
@@ -540,7 +541,7 @@
         # An entry that learned of the load first would refuse requests for adapters.
         return [drain, update]
 
-    def _place_models(self) -> None:
+    def _place_models(self, uses: UsesByUpstream) -> None:
         now = self._clock()
         with self._lock:
             cfg = self._cfg
@@ -560,7 +561,7 @@
             engine_rate = self._prompt_read_rate(service.name)
             demand = {model: rate / engine_rate for model, rate in demand_rates.items()}
             missing = self._missing[service.name]
-            self._place_service(service.engine, missing, demand, candidates, now)
+            self._place_service(service.engine, missing, demand, candidates, uses, now)
 
     def _is_available(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether an engine accepts new requests for the time to come.
@@ -577,6 +578,7 @@
         missing: MissingModels,
         demand: dict[Model, float],
         controllers: list[EngineController],
+        uses: UsesByUpstream,
         now: float,
     ) -> None:
         incomplete = any(c.engine.inventory is None for c in controllers)
@@ -584,9 +586,7 @@
             # A seemingly missing model may be resident on an engine yet to report.
             return
         by_name = {c.engine.record.name: c for c in controllers}
-        running = {
-            name: self._running_requests(c.engine) for name, c in by_name.items()
-        }
+        running = {name: running_requests(uses[name]) for name in by_name}
         for _ in range(len(controllers)):
             views = [_engine_view(c, running, now) for c in controllers]
             cold_allowed = self._load_rate.may_start(spec.cold_loads_per_s, now)
@@ -705,6 +705,17 @@
         self._round_due.set()
 
 
+def running_requests(uses: Counter[ModelUse]) -> Counter[Model]:
+    """Return the running requests of each model.
+
+    Requests of one entry for the same model and adapter count as one.
+    """
+    running: Counter[Model] = Counter()
+    for use, entries in uses.items():
+        running[use.model] += entries
+    return running
+
+
 def _durations_text(missing: MissingModels, now: float) -> str:
     durations = missing.missing_durations(now)
     return ",".join(f"{model}:{s:.1f}" for model, s in durations.items()) or "-"
--- a/src/persimmonhitch/direct/peer_work.py
+++ b/src/persimmonhitch/direct/peer_work.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..ids import Model, Upstream, Vm
+from ..ids import Upstream, Vm
 from .peer_messages import EntryUpdate, ModelUse, UpstreamWork
 
 PEER_UPDATE_TTL_S: Final = 1.5
@@ -78,21 +78,12 @@
         """Return the work of all peers at an upstream."""
         return self._totals.get(upstream) or WorkTotals()
 
-    def model_uses(self, upstream: Upstream) -> set[ModelUse]:
-        """Return the models and adapters that requests of peers use at an upstream."""
-        work = (peer.work.get(upstream) for peer in self._peers.values())
-        return {use for item in work if item is not None for use in item.model_uses}
-
-    def running_requests(self, upstream: Upstream) -> Counter[Model]:
-        """Return the running requests per model at an upstream, over all peers.
+    def model_uses(self, upstream: Upstream) -> Counter[ModelUse]:
+        """Return the models and adapters that requests of peers use at an upstream.
 
-        Requests of one peer for the same model and adapter count as one.
+        Each is counted once per peer, however many of its requests use it.
         """
         work = (peer.work.get(upstream) for peer in self._peers.values())
         return Counter(
-            use.model for item in work if item is not None for use in item.model_uses
+            use for item in work if item is not None for use in item.model_uses
         )
-
-    def all_work(self) -> list[UpstreamWork]:
-        """Return the work of all peers at all upstreams."""
-        return [item for peer in self._peers.values() for item in peer.work.values()]
--- a/tests/test_peer_work.py
+++ b/tests/test_peer_work.py
@@ -36,7 +36,7 @@
     assert (work.totals_at(E1).requests, work.totals_at(E2).requests) == (3, 1)
     work.receive(A, update(work_at(E1, 0), is_full=False), 0.2)
     assert work.totals_at(E1).requests == 2
-    assert work.model_uses(E2) == {USE}
+    assert work.model_uses(E2) == {USE: 1}
 
 
 @pytest.mark.parametrize("times", [1, 3])
