The time to return comes from the upstreams that the request may use

The wait of a request for an adapter was the shortest over all upstreams with the model, also those at which it had failed, of another software version, or in a closed zone: a second filter beside the one that chooses. The view of an upstream now has the seconds until it takes adapters, and the choice the shortest of them; the table's own method is gone. The test with an excluded upstream failed before (0.52 s, of an upstream that takes adapters, in place of 8). adapter_refused has ready_in= in place of the upstreams' names.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -95,8 +95,8 @@
     """Prompt tokens that the engine has yet to read."""
     has_model: bool
     has_adapter: bool
-    loads_adapters: bool = True
-    """Whether the engine accepts adapter loads; it accepts none during a model load."""
+    adapters_wait_s: float = 0.0
+    """Seconds until the engine accepts adapter loads; none during a model load."""
     read_rate: float = DEFAULT_READ_RATE
     traffic_share: float = 1.0
     """Share of the usual traffic during recovery from failures; 0 for none."""
@@ -129,6 +129,8 @@
 
     step: Step
     upstream: Upstream | None = None
+    wait_s: float = 0.0
+    """Seconds until a load ends that ``WAIT_FOR_MODEL`` waits for."""
 
 
 def first_token_delay(view: UpstreamView, request: DispatchRequest) -> float:
@@ -168,16 +170,17 @@
     candidates = list(views)
     if not candidates:
         return Choice(Step.NO_UPSTREAM)
-    eligible = [v for v in candidates if request.model is None or v.has_model]
-    if not eligible:
+    capable = [v for v in candidates if request.model is None or v.has_model]
+    if not capable:
         return Choice(Step.LOAD)
     eligible = [
         v
-        for v in eligible
-        if request.adapter is None or v.has_adapter or v.loads_adapters
+        for v in capable
+        if request.adapter is None or v.has_adapter or v.adapters_wait_s <= 0.0
     ]
     if not eligible:
-        return Choice(Step.WAIT_FOR_MODEL)
+        wait_s = min(view.adapters_wait_s for view in capable)
+        return Choice(Step.WAIT_FOR_MODEL, wait_s=wait_s)
     available = [view for view in eligible if has_capacity(view, request)]
     available = [view for view in available if not view.leaving] or available
     if not available:
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -182,22 +182,20 @@
         loading = ready_at > now
         wait = ready_at - now if loading else self._cold_load_s(request)
         if step is Step.WAIT_FOR_MODEL:
-            ends = self._table.busy_seconds(request).items()
             log(
                 "adapter_refused",
                 model=request.model,
                 adapter=request.adapter,
-                upstreams=",".join(f"{name}:{left:.1f}" for name, left in ends),
+                ready_in=wait,
             )
         return load_refusal(step, request, wait, now, loading)
 
     def _load_ends_at(self, waiter: _Waiter, now: float) -> float:
         """Return the expected end of the load that a request waits for."""
-        request = waiter.request
-        if waiter.last_choice.step is Step.WAIT_FOR_MODEL:
-            ends = self._table.busy_seconds(request)
-            return now + min(ends.values(), default=0.0)
-        return self._ready_at.get(request.model, 0.0) if request.model else 0.0
+        choice, model = waiter.last_choice, waiter.request.model
+        if choice.step is Step.WAIT_FOR_MODEL:
+            return now + choice.wait_s
+        return self._ready_at.get(model, 0.0) if model is not None else 0.0
 
     def _cold_load_s(self, request: DispatchRequest) -> float:
         service = self._cfg.services.get(request.service) if self._cfg else None
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -301,22 +301,13 @@
             unread=own.prefill_tokens + peers.prefill_tokens,
             has_model=model is not None and state.has(model, None, now),
             has_adapter=model is not None and state.has(model, request.adapter, now),
-            loads_adapters=now >= state.busy_until,
+            adapters_wait_s=max(0.0, state.busy_until - now),
             read_rate=state.read_rate,
             traffic_share=0.0 if unresponsive else share,
             leaving=state.record.zone in self._evacuations.close_at,
             unresponsive=unresponsive,
         )
 
-    def busy_seconds(self, request: DispatchRequest) -> dict[Upstream, float]:
-        """Return the seconds until each upstream with a model takes adapter orders."""
-        now = self._clock()
-        return {
-            state.record.name: max(0.0, state.busy_until - now)
-            for state in self._by_service[request.service]
-            if request.model is not None and state.has(request.model, None, now)
-        }
-
     def own_work(self) -> tuple[UpstreamWork, ...]:
         """Return the work of this entry at each upstream, as sent to peers."""
         return tuple(
--- a/tests/test_decide_direct.py
+++ b/tests/test_decide_direct.py
@@ -94,14 +94,14 @@
             "e1",
         ),
         (
-            [view(has_adapter=False, loads_adapters=False)],
+            [view(has_adapter=False, adapters_wait_s=4.0)],
             request(adapter=Adapter("a")),
             Step.WAIT_FOR_MODEL,
             None,
         ),
         (
             [
-                view(has_adapter=False, loads_adapters=False),
+                view(has_adapter=False, adapters_wait_s=4.0),
                 view("e2", traffic_share=0.0),
             ],
             request(adapter=Adapter("a")),
@@ -256,6 +256,17 @@
     assert load_wait_deadline(request()) == pytest.approx(3.0)
 
 
+def test_wait_for_a_load_is_the_shortest_of_the_upstreams_that_may_be_used():
+    """Guards against a wait for the load of an upstream that failed or has no model."""
+    views = [
+        view(has_adapter=False, adapters_wait_s=4.0),
+        view("e2", has_adapter=False, adapters_wait_s=2.5),
+        view("e3", has_model=False, has_adapter=False),
+    ]
+    choice = choose_upstream(views, request(adapter=Adapter("a")), Z1)
+    assert (choice.step, choice.wait_s) == (Step.WAIT_FOR_MODEL, 2.5)
+
+
 def test_load_wait_ends_before_the_caller_disconnects():
     """A caller disconnects from a stream without events after two seconds, although its
     deadline is five seconds. If its model is ready only after two and a half seconds,
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -224,3 +224,13 @@
     assert (sent[0].adapter, sent[0].upstream) == (Adapter("a1"), Upstream("e1"))
     dispatcher.close(STOPPING)
     waiting.outcome()
+
+
+def test_failed_upstream_does_not_set_the_time_to_return():
+    """Guards against retries timed by an upstream that the request may not use."""
+    dispatcher = make_dispatcher(record(), record("e2"))
+    dispatcher.receive_inventory(loading_update(8.0))
+    asked = request(latency_target=0.5, deadline=6.0, adapter=Adapter("a1"))
+    excluded = frozenset({Upstream("e2")})
+    failure = dispatcher.acquire(asked, abort(), excluded).failure()
+    assert failure.retry_after >= 8.0
