--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -2,18 +2,17 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Final
 
 from returns.result import Success
 
-from ..decide.drain_estimate import DrainEstimate
-from ..fleet.config import EngineSpec, ModelSpec
-from ..fleet.upstream import EngineInventory, UpstreamRecord
+from ..fleet.upstream import EngineInventory
 from ..ids import Adapter, Epoch, Model
 from ..observe.logs import log
 from .engine_client import ORDER_TIMEOUT_S, EngineClient, Order, OrderOutcome
+from .engine_state import EngineState
 
 ADAPTER_LOAD_S: Final = 0.02
 """Seconds from an order until the adapter is ready; a load takes 5 to 14 ms while few
@@ -27,6 +26,9 @@
 CONFIRMATION_TIMEOUT_S: Final = 12.0
 """Seconds after which an order that no report confirms counts as lost; the engine
 may still execute an unanswered order until then."""
+MAX_DRAIN_S: Final = 12.0
+"""Maximum seconds that a load waits for reported requests of evicted models; then the
+unload is ordered, and the engine waits for those that still run."""
 MAX_IDLE_WAIT_S: Final = 1.0
 """Seconds that a load waits for another order of the engine; then it is given up, and a
 later placement round decides anew."""
@@ -59,66 +61,6 @@
 Clock = Callable[[], float]
 
 
-@dataclass
-class EngineState:
-    """State of one engine as known to the leader."""
-
-    record: UpstreamRecord
-    spec: EngineSpec
-    inventory: EngineInventory | None = None
-    adapter_used_at: dict[tuple[Model, Adapter], float] = field(default_factory=dict)
-    unloading: set[tuple[Model, Adapter]] = field(default_factory=set)
-    """Adapters with an unload in progress; each occupies its slot until completion."""
-    loaded_at: dict[Model, float] = field(default_factory=dict)
-    """When the last load of each model was confirmed."""
-    inherited_loads: dict[Model, float] = field(default_factory=dict)
-    """Expected end of a load that a previous leader has ordered."""
-    loading: Model | None = None
-    ready_at: float = 0.0
-    """Expected end of the load in progress."""
-    due_at: float = 0.0
-    """End of the load in progress as planned when it began."""
-    drain_time: DrainEstimate = field(default_factory=DrainEstimate)
-    evicting: frozenset[Model] = frozenset()
-    draining: bool = False
-    """Whether the load in progress waits for requests of evicted models, without any
-    order. In this time the engine accepts orders for adapters."""
-    load_s: float = 0.0
-    """Expected time of the load in progress once it is ordered."""
-
-    def plan_load(self, model: Model, evictions: Iterable[Model], end: float) -> None:
-        """Set the load that is to begin, with its planned end."""
-        self.loading, self.evicting = model, frozenset(evictions)
-        self.ready_at = self.due_at = end
-
-    def remaining_load_s(self, now: float) -> float:
-        """Return the expected seconds until the load in progress has ended."""
-        return max(0.0, self.ready_at - now, self.load_s if self.draining else 0.0)
-
-    def memory_used(self) -> float:
-        """Return the MB used by models, including one being loaded, and adapters."""
-        if self.inventory is None:
-            return self.spec.memory_mb
-        resident = set(self.inventory.models)
-        if self.loading is not None:
-            resident.add(self.loading)
-        used = sum(self._model_spec(m).memory_mb for m in resident)
-        return used + self.adapters_memory()
-
-    def adapters_memory(self) -> float:
-        """Return the MB to reserve for adapters: all slots at the largest size."""
-        if self.inventory is None:
-            return 0.0
-        size = max((m.adapter_mb for m in self.spec.models.values()), default=0.0)
-        return size * self.spec.adapter_slots
-
-    def _model_spec(self, name: Model) -> ModelSpec:
-        spec = self.spec.models.get(name)
-        # A model that was removed from the configuration still uses memory. Its size is
-        # unknown, so it counts as the engine's whole memory.
-        return spec or ModelSpec(name, self.spec.memory_mb, 0, 0, 0, 0, 0)
-
-
 class EngineController:
     """Sends orders to a single engine, one after the other, each with a precondition.
 
@@ -391,11 +333,7 @@
         """
         engine = self.engine
         with self.lock:
-            engine.evicting = frozenset(evictions)
-            engine.loading = model
-            engine.load_s = load_s
-            engine.ready_at = self._clock() + drain_s + load_s
-            engine.draining = drain_s > 0
+            engine.plan_load(model, evictions, load_s, drain_s, self._clock())
             self._publish(self)
         begun_at = drained_at = self._clock()
         loaded = False
@@ -415,9 +353,7 @@
             with self.lock:
                 if engine.spec.adapter_slots:
                     self.loads_allowed_at = self._clock() + ADAPTER_WINDOW_S
-                engine.loading = None
-                engine.draining = False
-                engine.evicting = frozenset()
+                engine.end_load()
                 self._publish(self)
             log(
                 "load_ended",
@@ -436,14 +372,13 @@
         the last of its requests has ended, and streams may run for many seconds.
         """
         engine = self.engine
-        deadline = self._clock() + CONFIRMATION_TIMEOUT_S
+        deadline = self._clock() + MAX_DRAIN_S
         while not set(evictions).isdisjoint(self._running_requests(engine)):
             if self._clock() >= deadline or self._epoch() is None:
                 break
             self._sleep(POLL_INTERVAL_S)
         with self.lock:
-            engine.draining = False
-            engine.ready_at = self._clock() + engine.load_s
+            engine.end_drain(self._clock())
             self._publish(self)
         return set(evictions).isdisjoint(self._running_requests(engine))
 
@@ -625,15 +560,3 @@
         self._sleep(REPORT_LAG_S)
         self.engine.inventory = None
         return self.refresh()
-
-
-def usable_models(engine: EngineState) -> Mapping[Model, tuple[Adapter, ...]]:
-    """Return the models and adapters that requests may use, without evicted ones."""
-    if engine.inventory is None:
-        return {}
-    unloading = engine.unloading
-    return {
-        model: tuple(sorted(name for name in names if (model, name) not in unloading))
-        for model, names in engine.inventory.models.items()
-        if model not in engine.evicting
-    }
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -34,12 +34,8 @@
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
 from ..observe.logs import log
 from .engine_client import EngineClient
-from .engine_controller import (
-    MAX_CONCURRENT_ADAPTER_LOADS,
-    EngineController,
-    EngineState,
-    usable_models,
-)
+from .engine_controller import MAX_CONCURRENT_ADAPTER_LOADS, EngineController
+from .engine_state import EngineState, usable_models
 from .leader_election import LeaderElection
 from .observed_engines import ObservedEngines
 from .peer_messages import (
@@ -665,8 +661,9 @@
     def _start_load(
         self, controller: EngineController, move: Move, demand: dict[Model, float]
     ) -> None:
-        end = self._clock() + move.total_s
-        controller.engine.plan_load(move.model, move.evicted, end)
+        controller.engine.plan_load(
+            move.model, move.evicted, move.load_s, move.drain_s, self._clock()
+        )
         log(
             "load_begins",
             upstream=move.upstream,
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -4,7 +4,8 @@
 from returns.result import Success
 
 from persimmonhitch.direct.engine_client import OrderOutcome
-from persimmonhitch.direct.engine_controller import EngineController, EngineState
+from persimmonhitch.direct.engine_controller import EngineController
+from persimmonhitch.direct.engine_state import EngineState
 from persimmonhitch.fleet.config import EngineSpec, ModelSpec
 from persimmonhitch.fleet.upstream import EngineInventory, UpstreamRecord
 from persimmonhitch.ids import Adapter, Epoch, Model, Service, Upstream, Zone
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -242,8 +242,7 @@
 def test_report_of_a_load_that_waits_refuses_no_adapter_request(leader):
     """Guards against refusals between the report of a load and that it waits."""
     controller = leader._controllers[Upstream("e1")]
-    controller.engine.plan_load(SMALL, (), time.monotonic() + 8.0)
-    controller.engine.draining = True
+    controller.engine.plan_load(SMALL, (), 7.0, 1.0, time.monotonic())
     dispatcher = make_dispatcher(record())
     waiting = WaitingRequest(
         dispatcher, request(latency_target=2.0, model=BIG, adapter=Adapter("a1"))
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -66,8 +66,9 @@
         self.loads = []
 
     def _start_load(self, controller, move, demand):
-        end = self._clock() + move.total_s
-        controller.engine.plan_load(move.model, move.evicted, end)
+        controller.engine.plan_load(
+            move.model, move.evicted, move.load_s, move.drain_s, self._clock()
+        )
         self.loads.append((controller, move))
 
 
@@ -163,7 +164,7 @@
             models[move.model] = frozenset()
             disk = engine.inventory.on_disk | frozenset(models)
             engine.inventory = replace(engine.inventory, models=models, on_disk=disk)
-            engine.loading, engine.evicting = None, frozenset()
+            engine.end_load()
             engine.loaded_at[move.model] = self.clock.now
 
 
