Adapter loads leave the leader for a module of their own

The leader placed models, followed other leaders, and loaded adapters. The names of log lines and all decisions are as they were.

--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -19,7 +19,6 @@
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.load_rate import LoadRateLimiter
 from ..decide.missing import Availability, MissingModels
-from ..decide.refused_adapters import ModelAdapter, RefusedAdapters
 from ..decide.residency import (
     SETTLE_S,
     EngineView,
@@ -33,8 +32,9 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
 from ..observe.logs import log
+from .adapter_loads import AdapterLoads
 from .engine_client import EngineClient
-from .engine_controller import MAX_CONCURRENT_ADAPTER_LOADS, EngineController
+from .engine_controller import EngineController
 from .engine_state import EngineState, usable_models
 from .leader_election import LeaderElection
 from .observed_engines import ObservedEngines
@@ -127,7 +127,7 @@
         """Engines that have loaded an uncached model while idle. Each engine does so
         at most once, since a request may arrive during the load."""
         self._missing: defaultdict[Service, MissingModels] = defaultdict(MissingModels)
-        self._refused_adapters = RefusedAdapters()
+        self._adapters = AdapterLoads(self._submit, clock)
         self._observed = ObservedEngines()
         self._published_at = 0.0
         self._published_epoch = Epoch(0)
@@ -222,7 +222,7 @@
             return
         if msg.upstream is None or msg.adapter is None:
             if msg.adapter is not None:
-                self._record_refused_adapter(msg.model, msg.adapter)
+                self._adapters.record_refused(msg.model, msg.adapter)
             if msg.demand:
                 with self._lock:
                     self._demand.receive(vm, {msg.model: msg.demand}, self._clock())
@@ -231,92 +231,14 @@
         with self._lock:
             controller = self._controllers.get(msg.upstream)
         if controller is not None:
-            self._pool.submit(self._run_step, self._load_adapter, vm, controller, msg)
-
-    def _record_refused_adapter(self, model: Model, adapter: Adapter) -> None:
-        with self._lock:
-            is_new = self._refused_adapters.record(model, adapter, self._clock())
-        if is_new:
-            log("adapter_missing", model=model, adapter=adapter)
-
-    def _load_refused_adapters(self) -> None:
-        """Load the adapters of refused requests on engines that accept the orders.
-
-        Their callers may have left; they find the adapter loaded when they return.
-        """
-        now = self._clock()
-        with self._lock:
-            controllers = list(self._controllers.values())
-            self._refused_adapters.expire(now)
-            pending = self._refused_adapters.pending()
-        if not pending:
-            return
-        self._forget_loaded_adapters(pending, controllers, now)
-        for controller in controllers:
-            if not controller.accepts_adapters():
-                continue
-            models = usable_models(controller.engine)
-            with self._lock:
-                pairs = self._refused_adapters.next_loads(
-                    models, MAX_CONCURRENT_ADAPTER_LOADS, now
-                )
-            for pair in pairs:
-                self._pool.submit(
-                    self._run_step, self._load_refused_adapter, controller, pair
-                )
-
-    def _forget_loaded_adapters(
-        self,
-        pending: list[ModelAdapter],
-        controllers: list[EngineController],
-        now: float,
-    ) -> None:
-        usable = [usable_models(controller.engine) for controller in controllers]
-        loaded = {
-            (m, a) for models in usable for m, names in models.items() for a in names
-        }
-        for model, adapter in pending:
-            if (model, adapter) not in loaded:
-                continue
-            with self._lock:
-                seconds = self._refused_adapters.record_loaded((model, adapter), now)
-            if seconds is not None:
-                log(
-                    "adapter_missing_ended",
-                    model=model,
-                    adapter=adapter,
-                    missing_for=seconds,
-                )
-
-    def _load_refused_adapter(
-        self, controller: EngineController, pair: ModelAdapter
-    ) -> None:
-        loaded = controller.load_adapter(*pair, waiting=False)
-        log(
-            "refused_adapter_load",
-            upstream=controller.engine.record.name,
-            model=pair[0],
-            adapter=pair[1],
-            loaded=loaded,
-        )
+            self._submit(self._load_adapter, vm, controller, msg.model, msg.adapter)
 
     def _load_adapter(
-        self, vm: Vm, controller: EngineController, msg: LoadRequest
+        self, vm: Vm, controller: EngineController, model: Model, adapter: Adapter
     ) -> None:
-        assert msg.adapter is not None
-        if not controller.load_adapter(msg.model, msg.adapter):
-            log(
-                "adapter_not_loaded",
-                upstream=msg.upstream,
-                model=msg.model,
-                adapter=msg.adapter,
-                loading=controller.engine.loading or "-",
-                evicting=",".join(sorted(controller.engine.evicting)) or "-",
-            )
-            self._record_refused_adapter(msg.model, msg.adapter)
-            return
-        for update in self._inventory_updates(controller):
-            self._send(vm, update)
+        if self._adapters.load(controller, model, adapter):
+            for update in self._inventory_updates(controller):
+                self._send(vm, update)
 
     # -- rounds ----------------------------------------------------------------------
 
@@ -333,6 +255,9 @@
             self._run_step(self.run_round)
             self._stopping.wait(MIN_ROUND_INTERVAL_S)
 
+    def _submit(self, step: Callable[..., object], *args: object) -> None:
+        self._pool.submit(self._run_step, step, *args)
+
     def _run_step(self, step: Callable[..., object], *args: object) -> None:
         try:
             step(*args)
@@ -356,7 +281,7 @@
         self._sync_controllers()
         uses = self._uses_by_upstream()
         self._record_adapter_uses(uses)
-        self._load_refused_adapters()
+        self._adapters.load_refused(self._controllers.values())
         self._place_models(uses)
         if self._clock() - self._published_at >= PUBLISH_INTERVAL_S:
             self._published_at = self._clock()
@@ -430,7 +355,7 @@
                 and controller.engine.record.name not in self._refreshing
             ):
                 self._refreshing.add(controller.engine.record.name)
-                self._pool.submit(self._run_step, self._refresh_inventory, controller)
+                self._submit(self._refresh_inventory, controller)
 
     def _record_adapter_uses(self, uses: UsesByUpstream) -> None:
         """Record the adapters that running requests use, for the choice of evictions.
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -290,4 +290,4 @@
         Vm("b"), LoadRequest(BIG, Adapter("a1"), Upstream("e1"))
     )
     leader._pool.shutdown()
-    assert len(leader._refused_adapters.pending()) == expected
+    assert len(leader._adapters.pending()) == expected
