Read the fourth figure of an upstream's load, and keep what upstreams state

Cause: the header with four figures was read as none, and no decision kept the load. Change: three or four figures, each plausible; the newest load of an upstream is kept. Services whose upstreams state a slowdown are known; nothing depends on it yet. Measured: test_load_of_upstream, 12 cases.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -239,6 +239,8 @@
             self._limits.answered(record, parsed.limit, request.sent_at)
             if parsed.cold_s > 0:
                 self._limits.reported_cold(record, parsed.cold_s)
+        if parsed.load is not None and _is_from(record, reply):
+            self._dispatcher.record_load(record, parsed.load)
         if parsed.leaving and _is_from(record, reply):
             self._on_leaving(record)
         if parsed.backoff_s and _is_from(record, reply):
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -27,6 +27,7 @@
     refusal,
     wait_deadline,
 )
+from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
@@ -374,6 +375,11 @@
         with self._lock:
             self._table.receive_entry_update(vm, msg)
 
+    def record_load(self, record: UpstreamRecord, load: ServerLoad) -> None:
+        """Record the load that an upstream stated in an answer."""
+        with self._lock:
+            self._table.record_load(record.name, load)
+
     def record_missing(self, record: UpstreamRecord, request: DispatchRequest) -> None:
         """Record that an engine lacks a model or adapter listed in its inventory."""
         with self._lock:
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -63,6 +63,8 @@
     missing_at: dict[tuple[Model, Adapter | None], float] = field(default_factory=dict)
     """When the engine last answered that a model or adapter is missing."""
     load: ServerLoad | None = None
+    """Load that the upstream stated last, at ``load_at``."""
+    load_at: float = 0.0
 
     def add_solo_sample(self, sample: float) -> None:
         """Add a sample to the weighted average of the single-prompt rate."""
@@ -101,6 +103,8 @@
         self._by_service: defaultdict[Service, list[UpstreamState]] = defaultdict(list)
         self._own_work: defaultdict[Upstream, LocalWork] = defaultdict(LocalWork)
         self._peer_work = PeerWork()
+        self._load_services: set[Service] = set()
+        """Services whose upstreams state how slow they are at the moment."""
 
     def configure(self, cfg: FleetConfig) -> None:
         """Apply a new configuration."""
@@ -165,6 +169,19 @@
         """Apply the work of a peer at each upstream."""
         self._peer_work.receive(vm, msg, self._clock())
 
+    def record_load(self, upstream: Upstream, load: ServerLoad) -> None:
+        """Record the load that an upstream stated in an answer."""
+        state = self._states.get(upstream)
+        if state is None:
+            return
+        state.load, state.load_at = load, self._clock()
+        if load.slowdown is not None:
+            self._load_services.add(state.record.service)
+
+    def states_slowdown(self, service: Service) -> bool:
+        """Return whether upstreams of a service state how slow they are."""
+        return service in self._load_services
+
     def expire_peers(self) -> None:
         """Drop the work of unresponsive peers."""
         self._peer_work.expire(self._clock())
--- a/src/persimmonhitch/fleet/call.py
+++ b/src/persimmonhitch/fleet/call.py
@@ -88,6 +88,8 @@
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
+    """How many times as long as usual work takes at the moment; None if not stated."""
 
 
 @dataclass(frozen=True)
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -23,6 +23,8 @@
 """HTTP statuses with which an upstream rejects requests for a time."""
 RESUMPTION_ID: Final = re.compile(r"[\x21-\x7e]{0,128}")
 """Form of the ids of requests and events that a resumption names."""
+LOAD_FIGURE: Final = re.compile(r"[0-9]{1,6}")
+"""Form of a figure of an upstream's load; larger numbers are no plausible load."""
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout=(\d+)")
 
 
@@ -109,11 +111,14 @@
 
 
 def _parse_load(text: str) -> ServerLoad | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Return the load that an upstream states, None if missing or out of range."""
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) not in (3, 4) or not all(LOAD_FIGURE.fullmatch(p) for p in parts):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
+    running, waiting, slots, *rest = (int(part) for part in parts)
+    if slots == 0 or rest == [0]:
+        return None
+    return ServerLoad(running, waiting, slots, rest[0] / 100 if rest else None)
 
 
 def parse_era(headers: Headers) -> Era | None:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.result import Success
 
-from persimmonhitch.fleet.call import RateLimit
+from persimmonhitch.fleet.call import RateLimit, ServerLoad
 from persimmonhitch.fleet.config import RouteKind
 from persimmonhitch.fleet.routes import RouteTable
 from persimmonhitch.ids import Account, Adapter, Model, Service, Upstream
@@ -254,3 +254,24 @@
 )
 def test_reads_rate_limit_of_upstream(fields, limit):
     assert headers.parse_limit(fields) == limit
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("12,3,64", ServerLoad(12, 3, 64)),
+        ("12, 3, 64, 250", ServerLoad(12, 3, 64, 2.5)),
+        ("0,0,6,100", ServerLoad(0, 0, 6, 1.0)),
+        ("", None),
+        ("12,3", None),
+        ("12,3,64,100,1", None),
+        ("12,3,0,100", None),
+        ("12,3,64,0", None),
+        ("-1,3,64,100", None),
+        ("12,3,64,1.5", None),
+        ("12,3,64,99999999", None),
+        ("²,3,64", None),
+    ],
+)
+def test_load_of_upstream(text, expected):
+    assert headers.parse_reply(200, {headers.names.SERVER_LOAD: text}).load == expected
