Prompts count by the time that they take, and few may lie unread at an engine

Cause: prompt tokens counted alike for all models of a service, though a token of one takes up to eight times as long as of another; slots and KV memory alone held requests back, so that engines of busy slow models had seconds of prompts unread. Change: factors of models and speeds of engines, learned from first tokens; a bound on the unread prompts of an engine from the routes' targets; a first token lets the next request go. Only where upstreams state a slowdown or the settings ask for it.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -42,6 +42,7 @@
     Upstream,
     Zone,
 )
+from .prompt_backlog import fits_backlog
 
 ADAPTER_LOAD_COST_S: Final = 0.08
 """Additional wait accepted to use an engine on which the adapter is resident."""
@@ -79,6 +80,14 @@
     """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
     """Software version required of the upstream; None for any."""
+    read_tokens: int | None = None
+    """Work of reading the prompt in tokens of the reference model; None if the prompts
+    of all models count alike."""
+
+    @property
+    def read_work(self) -> int:
+        """Return the work of reading the prompt, in the unit of unread tokens."""
+        return self.prompt_tokens if self.read_tokens is None else self.read_tokens
 
 
 @dataclass
@@ -105,6 +114,8 @@
     requests that no other upstream can take."""
     unresponsive: bool = False
     """Whether the requests that run there have received no output for a time."""
+    backlog_limit_s: float | None = None
+    """Seconds of unread prompts that the engine may have; None for no limit."""
 
 
 class Step(Enum):
@@ -135,16 +146,21 @@
 
 def first_token_delay(view: UpstreamView, request: DispatchRequest) -> float:
     """Return the seconds until the first token of a request that is sent now."""
-    return (view.unread + request.prompt_tokens) / view.read_rate
+    return (view.unread + request.read_work) / view.read_rate
 
 
 def has_capacity(view: UpstreamView, request: DispatchRequest) -> bool:
-    """Return whether an upstream has a slot and memory for one more request."""
+    """Return whether an upstream has a slot, memory and time for one more request."""
     if view.traffic_share <= 0 or view.running >= max(
         1.0, view.slots * view.traffic_share
     ):
         return False
-    if view.kv_capacity <= 0 or view.running == 0:
+    if view.running == 0:
+        return True
+    unread_s, read_s = view.unread / view.read_rate, request.read_work / view.read_rate
+    if not fits_backlog(unread_s, read_s, view.backlog_limit_s):
+        return False
+    if view.kv_capacity <= 0:
         return True
     return view.kv_tokens + request.kv_tokens <= view.kv_capacity * MAX_KV_SHARE
 
--- /dev/null
+++ b/src/persimmonhitch/decide/read_costs.py
@@ -0,0 +1,132 @@
+"""Time that engines take to read prompts, by model and by engine.
+
+Load pattern: the models of one service differ by several times in the time that a
+prompt token takes, engines of one service differ in speed, and the busiest model is the
+fastest one. If all prompt tokens counted alike, prompts of slow models would be sent to
+engines that can't read them in time, while engines with many tokens of a fast model
+would be considered full.
+
+The work of a prompt is therefore counted in tokens of a reference model, which an
+engine of usual speed reads at ``REFERENCE_RATE``. The factor of a model and the speed
+of an engine are learned from the time between sending a prompt to an engine that reads
+no other one and its first token. Prompts of other entries that are not known yet
+lengthen such a sample, and cached parts of a prompt shorten it, so each sample counts
+little. A model without samples has the factor of the known model whose weights are
+closest in size, since larger models read more slowly.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from ..ids import Model, Upstream
+
+REFERENCE_RATE: Final = 15_000.0
+"""Prompt tokens per second of the reference model that an engine reads."""
+FIRST_TOKEN_S: Final = 0.03
+"""Seconds of a first token that are not spent on reading: the round trip and a step."""
+MIN_SAMPLE_TOKENS: Final = 500
+"""Below this prompt size, most of the time to the first token is not reading."""
+FACTOR_WEIGHT: Final = 0.2
+"""Weight of the newest sample in the factor of a model."""
+SPEED_WEIGHT: Final = 0.1
+"""Weight of the newest sample in the speed of an engine."""
+MIN_FACTOR: Final = 0.02
+MAX_FACTOR: Final = 10.0
+MIN_SPEED: Final = 0.3
+MAX_SPEED: Final = 3.0
+MIN_MODEL_SAMPLES: Final = 4
+"""Samples of a model after which its factor tells the speed of an engine."""
+
+
+@dataclass
+class _ModelFactor:
+    value: float = 1.0
+    samples: int = 0
+
+    def add(self, sample: float) -> None:
+        self.samples += 1
+        # The first samples form their mean, so that the initial value has no weight.
+        weight = max(FACTOR_WEIGHT, 1.0 / self.samples)
+        self.value += weight * (sample - self.value)
+
+
+@dataclass
+class ReadCosts:
+    """Read costs of the models and engines of one service.
+
+    Parameters
+    ----------
+    sizes : mapping
+        Size of the weights of each model in MB.
+    """
+
+    sizes: Mapping[Model, float] = field(default_factory=dict)
+    _factors: dict[Model, _ModelFactor] = field(default_factory=dict)
+    _speeds: dict[Upstream, float] = field(default_factory=dict)
+
+    def factor(self, model: Model | None) -> float:
+        """Return the reference tokens that one prompt token of a model counts as."""
+        if model is None:
+            return 1.0
+        known = self._factors.get(model)
+        if known is not None:
+            return known.value
+        size = self.sizes.get(model)
+        if size is None or not self._factors:
+            return 1.0
+        nearest = min(
+            self._factors, key=lambda m: (abs(self.sizes.get(m, 0.0) - size), m)
+        )
+        return self._factors[nearest].value
+
+    def speed(self, upstream: Upstream) -> float:
+        """Return the speed of an engine relative to the usual one."""
+        return self._speeds.get(upstream, 1.0)
+
+    def speeds(self) -> dict[Upstream, float]:
+        """Return the speed of each engine with samples."""
+        return dict(self._speeds)
+
+    def read_rates(self) -> dict[Model, float]:
+        """Return the tokens per second that a usual engine reads of each model."""
+        return {m: REFERENCE_RATE / f.value for m, f in self._factors.items()}
+
+    def work(self, model: Model | None, tokens: int) -> int:
+        """Return the reference tokens that a prompt counts as."""
+        return max(1, round(tokens * self.factor(model))) if tokens > 0 else 0
+
+    def record_solo(
+        self,
+        upstream: Upstream,
+        model: Model,
+        tokens: int,
+        seconds: float,
+        slowdown: float,
+    ) -> None:
+        """Record the first token of a prompt that an engine read alone.
+
+        Parameters
+        ----------
+        tokens : int
+            Tokens of the prompt.
+        seconds : float
+            Time from sending the request to its first token.
+        slowdown : float
+            How many times as long as usual work took at the engine meanwhile.
+        """
+        if tokens < MIN_SAMPLE_TOKENS or slowdown <= 0:
+            return
+        read_s = max(0.0, seconds / slowdown - FIRST_TOKEN_S)
+        cost = read_s * REFERENCE_RATE / tokens
+        speed = self.speed(upstream)
+        factor = self._factors.setdefault(model, _ModelFactor())
+        if factor.samples >= MIN_MODEL_SAMPLES and cost > 0:
+            sample = min(MAX_SPEED, max(MIN_SPEED, factor.value / cost))
+            self._speeds[upstream] = speed + SPEED_WEIGHT * (sample - speed)
+        factor.add(min(MAX_FACTOR, max(MIN_FACTOR, cost * speed)))
+
+    def retain(self, upstreams: Mapping[Upstream, object]) -> None:
+        """Forget engines that are not listed any more."""
+        for name in self._speeds.keys() - upstreams.keys():
+            del self._speeds[name]
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -113,6 +113,7 @@
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
+        controls_load: bool = False,
     ) -> None:
         self._zone = zone
         self._send_load_request = send_load_request
@@ -120,7 +121,7 @@
         self._limits = limits
         self._clock = clock
         self._lock = threading.Lock()
-        self._table = UpstreamTable(clock, evacuations)
+        self._table = UpstreamTable(clock, evacuations, controls_load)
         self._waiters: list[_Waiter] = []
         self._requested: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         """When each load request was last sent."""
@@ -141,8 +142,9 @@
     ) -> Result[Permit, Failure]:
         """Wait for a slot; return a permit, or a failure if no slot is free in time."""
         now = self._clock()
-        waiter = _Waiter(request, excluded, wait_deadline(request))
         with self._lock:
+            request = self._table.with_read_work(request)
+            waiter = _Waiter(request, excluded, wait_deadline(request))
             if self._closing is not None:
                 return Err(self._closing)
             self._waiters.append(waiter)
@@ -238,6 +240,9 @@
             self._table.record_first_token(
                 record.name, request, self._clock() - sent_at, unread
             )
+            if request.read_tokens is not None and self._waiters:
+                # The engine has time for another prompt.
+                self._match_waiters(record)
 
     def release(
         self, record: UpstreamRecord, request: DispatchRequest, prefill_done: bool
@@ -433,6 +438,19 @@
         with self._lock:
             return self._table.solo_read_rate(service)
 
+    def model_read_rates(self, service: Service) -> dict[Model, float] | None:
+        """Return the tokens per second that a usual engine reads of each known model.
+
+        None if the models of the service are not told apart.
+        """
+        with self._lock:
+            return self._table.model_read_rates(service)
+
+    def engine_speeds(self, service: Service) -> dict[Upstream, float]:
+        """Return the speed of the engines of a service relative to the usual one."""
+        with self._lock:
+            return self._table.engine_speeds(service)
+
     def tick(self) -> None:
         """Expire old state and match waiting requests: upstream health recovers."""
         now = self._clock()
--- a/src/persimmonhitch/direct/local_work.py
+++ b/src/persimmonhitch/direct/local_work.py
@@ -14,7 +14,7 @@
     requests: int = 0
     kv_tokens: int = 0
     prefill_tokens: int = 0
-    """Prompt tokens of requests that have not returned their first token yet."""
+    """Work of reading the prompts that have not returned their first token yet."""
     model_counts: dict[tuple[Model, Adapter | None], int] = field(default_factory=dict)
     """Number of requests per model and adapter."""
     busy_since: float = 0.0
@@ -26,7 +26,7 @@
             self.busy_since = now
         self.requests += 1
         self.kv_tokens += request.kv_tokens
-        self.prefill_tokens += request.prompt_tokens
+        self.prefill_tokens += request.read_work
         if request.model is not None:
             key = (request.model, request.adapter)
             self.model_counts[key] = self.model_counts.get(key, 0) + 1
@@ -36,7 +36,7 @@
         self.requests -= 1
         self.kv_tokens -= request.kv_tokens
         if not prefill_done:
-            self.prefill_tokens -= request.prompt_tokens
+            self.prefill_tokens -= request.read_work
         if request.model is not None:
             key = (request.model, request.adapter)
             self.model_counts[key] -= 1
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -182,6 +182,7 @@
             self.poison,
             self.limits,
             evacuations=self.evacuations,
+            controls_load=cfg.controls_load,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -38,7 +38,8 @@
     kv_tokens: int
     """Prompt tokens plus the output limits: the memory that the requests may use."""
     prefill_tokens: int
-    """Prompt tokens of requests that have not returned their first token yet."""
+    """Prompt tokens of requests that have not returned their first token yet, in tokens
+    of the reference model where models differ in the time that they take."""
     model_uses: tuple[ModelUse, ...] = ()
 
 
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..platform.names import asks_for_load_control
 from ..settings import RetrySettings, setting
 
 Addresses = tuple[tuple[str, int], ...]
@@ -63,6 +64,14 @@
     cold_slack: int = setting(
         "zones", "cold_slack", "requests in a second allowed beyond that", 0, 0
     )
+    contracts: str = setting(
+        "load",
+        "contracts",
+        "parts of the platform's rules in force, separated by commas; `pressure` turns "
+        "on load control for all services, which otherwise those have whose upstreams "
+        "state how slow they are",
+        "",
+    )
     known_streams: int = setting(
         "streams",
         "known",
@@ -79,3 +88,8 @@
     stop_limit: float = setting(
         "stop", "limit", "seconds from the signal to the end", 8.0, low=0
     )
+
+    @property
+    def controls_load(self) -> bool:
+        """Return whether the rules in force ask for load control of all services."""
+        return asks_for_load_control(self.contracts.split(","))
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -3,13 +3,15 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from statistics import median
 from typing import Final
 
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.health import UpstreamHealth, is_unresponsive, traffic_shares
+from ..decide.prompt_backlog import backlog_limit_s
+from ..decide.read_costs import REFERENCE_RATE, ReadCosts
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import EngineInventory, UpstreamRecord
@@ -95,8 +97,10 @@
         self,
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
+        controls_all: bool = False,
     ) -> None:
         self._clock = clock
+        self._controls_all = controls_all
         self._evacuations = evacuations or ZoneEvacuations()
         self._cfg: FleetConfig | None = None
         self._states: dict[Upstream, UpstreamState] = {}
@@ -105,10 +109,16 @@
         self._peer_work = PeerWork()
         self._load_services: set[Service] = set()
         """Services whose upstreams state how slow they are at the moment."""
+        self._read_costs: defaultdict[Service, ReadCosts] = defaultdict(ReadCosts)
+        self._backlog_limits: dict[Service, float | None] = {}
 
     def configure(self, cfg: FleetConfig) -> None:
         """Apply a new configuration."""
         self._cfg = cfg
+        for name, spec in cfg.services.items():
+            self._backlog_limits[name] = backlog_limit_s(cfg.routes, name)
+            models = spec.engine.models if spec.engine is not None else {}
+            self._read_costs[name].sizes = {m: s.memory_mb for m, s in models.items()}
 
     def update(self, records: Iterable[UpstreamRecord]) -> None:
         """Apply a list of upstreams; retain the state of those listed before."""
@@ -127,6 +137,8 @@
             old.record = record
             states[record.name] = old
         self._states = states
+        for costs in self._read_costs.values():
+            costs.retain(states)
         own_work = self._own_work.items()
         in_use = {name: w for name, w in own_work if w.requests or name in states}
         self._own_work = defaultdict(LocalWork, in_use)
@@ -178,9 +190,35 @@
         if load.slowdown is not None:
             self._load_services.add(state.record.service)
 
-    def states_slowdown(self, service: Service) -> bool:
-        """Return whether upstreams of a service state how slow they are."""
-        return service in self._load_services
+    def controls_load(self, service: Service) -> bool:
+        """Return whether the load of the upstreams of a service is controlled.
+
+        It is where upstreams state how slow they are, or the settings ask for it.
+        """
+        return self._controls_all or service in self._load_services
+
+    def with_read_work(self, request: DispatchRequest) -> DispatchRequest:
+        """Return a request with the work of its prompt, where models are told apart."""
+        if request.model is None or not self.controls_load(request.service):
+            return request
+        costs = self._read_costs[request.service]
+        work = costs.work(request.model, request.prompt_tokens)
+        return replace(request, read_tokens=work)
+
+    def model_read_rates(self, service: Service) -> dict[Model, float] | None:
+        """Return the tokens per second that a usual engine reads of each known model.
+
+        None if the models of the service are not told apart.
+        """
+        if not self.controls_load(service):
+            return None
+        return self._read_costs[service].read_rates()
+
+    def engine_speeds(self, service: Service) -> dict[Upstream, float]:
+        """Return the speed of the engines of a service relative to the usual one."""
+        if not self.controls_load(service):
+            return {}
+        return self._read_costs[service].speeds()
 
     def expire_peers(self) -> None:
         """Drop the work of unresponsive peers."""
@@ -222,8 +260,11 @@
         ``unread`` counts the prompt tokens pending at that upstream when the request
         was sent, its own included.
         """
-        self._own_work[upstream].prefill_tokens -= request.prompt_tokens
+        self._own_work[upstream].prefill_tokens -= request.read_work
         state = self._states.get(upstream)
+        if state is not None and request.read_tokens is not None:
+            self._record_read(state, request, seconds, unread)
+            return
         if state is not None and unread >= MIN_SAMPLE_TOKENS and seconds > 0:
             state.read_rate += READ_RATE_WEIGHT * (unread / seconds - state.read_rate)
             # Prompts of other requests distort a sample: tokens reported as pending may
@@ -231,6 +272,24 @@
             if unread == request.prompt_tokens >= MIN_SOLO_SAMPLE_TOKENS:
                 state.add_solo_sample(unread / seconds)
 
+    def _record_read(
+        self,
+        state: UpstreamState,
+        request: DispatchRequest,
+        seconds: float,
+        unread: int,
+    ) -> None:
+        if request.model is None or unread != request.read_work:
+            return
+        slowdown = state.load.slowdown if state.load is not None else None
+        self._read_costs[request.service].record_solo(
+            state.record.name,
+            request.model,
+            request.prompt_tokens,
+            seconds,
+            slowdown or 1.0,
+        )
+
     def solo_read_rate(self, service: Service) -> float:
         """Return the median prompt tokens per second of the engines of a service."""
         rates = [
@@ -308,6 +367,11 @@
         unresponsive = is_unresponsive(
             own.requests, state.last_activity_at, own.busy_since, now
         )
+        read_rate, limit_s = state.read_rate, None
+        if request.read_tokens is not None:
+            speed = self._read_costs[request.service].speed(name)
+            read_rate = REFERENCE_RATE * speed
+            limit_s = self._backlog_limits.get(request.service)
         return UpstreamView(
             upstream=name,
             zone=state.record.zone,
@@ -319,7 +383,8 @@
             has_model=model is not None and state.has(model, None, now),
             has_adapter=model is not None and state.has(model, request.adapter, now),
             adapters_wait_s=max(0.0, state.busy_until - now),
-            read_rate=state.read_rate,
+            read_rate=read_rate,
+            backlog_limit_s=limit_s,
             traffic_share=0.0 if unresponsive else share,
             leaving=state.record.zone in self._evacuations.close_at,
             unresponsive=unresponsive,
--- a/src/persimmonhitch/platform/names.py
+++ b/src/persimmonhitch/platform/names.py
@@ -1,5 +1,6 @@
 """Paths and header names of the platform's APIs."""
 
+from collections.abc import Iterable
 from typing import Final
 
 # Request headers set by callers.
@@ -56,5 +57,12 @@
 STORE_ERA: Final = "store-era"
 """Incremented each time the store is restored from an older copy."""
 OBJECTS_PATH: Final = "/api/objects"
+PRESSURE_CONTRACT: Final = "pressure"
+"""Part of the platform's rules for callers that ask for more than there is room for."""
 CONFIG_NAME: Final = "main"
 """Name of the only object of the configuration kind."""
+
+
+def asks_for_load_control(contracts: Iterable[str]) -> bool:
+    """Return whether rules for callers that compete for room are in force."""
+    return PRESSURE_CONTRACT in {name.strip() for name in contracts}
