Demand for a model takes the read rate of that model, not that of the fastest

Cause: demand was the tokens of a model over one read rate of its service. Models of a service differ by up to 8 times in the time that a prompt token takes, and the rate was that of the fastest: a busy slow model kept one copy where it needs four, and its callers were refused as its only upstream was full, beside ten copies of a fast model.

The load of a model is its tokens over its own rate and decides how many copies it takes; the value is its tokens over a common rate, since a refused caller loses the same whatever the model costs. `load_begins` tells share and read rate of such a load.

Rates learned over the first seconds with an error of a fifth cause no load of a model where it stood before.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -5,13 +5,15 @@
 requests for a model that is resident nowhere are refused until a load has ended; those
 for a model whose only copy is on a full engine wait while other engines are idle.
 
-Demand is expressed in shares of the tokens that one engine reads. A copy serves up to
-``COPY_CAPACITY``; demand beyond that queues. The relief of a further copy is the demand
-that no longer queues, and its cost is the demand that queues once other models are
-evicted for it. The value of the last copy of a model is its whole demand times
-``LAST_COPY_WEIGHT``, since without this copy all callers of the model are refused. The
-value of a copy beyond the demand is a small share of the demand, because the copy
-spreads the requests. A last copy without demand has the value ``IDLE_COPY_VALUE``.
+Demand is expressed in shares of the tokens that one engine reads. A copy serves a load
+of up to ``COPY_CAPACITY`` times the speed of its engine; demand beyond that queues. The
+load may differ from the demand: the engine time of a token depends on its model, its
+value to callers does not. The relief of a further copy is the demand that no longer
+queues, and its cost is the demand that queues once other models are evicted for it. The
+value of the last copy of a model is its whole demand times ``LAST_COPY_WEIGHT``, since
+without this copy all callers of the model are refused. The value of a copy beyond the
+demand is a small share of the demand, because the copy spreads the requests. A last
+copy without demand has the value ``IDLE_COPY_VALUE``.
 
 A move is made only if the relief exceeds ``MIN_RELIEF_RATIO`` times the cost and a
 floor that grows with the time until the copy serves; a model is not evicted for
@@ -83,6 +85,8 @@
     drains: Mapping[Model, float] = field(default_factory=dict)
     """Expected seconds until the running requests of each model in use have ended; its
     unload waits for them."""
+    speed: float = 1.0
+    """Speed relative to a typical engine of the service."""
 
 
 @dataclass(frozen=True)
@@ -109,12 +113,22 @@
     specs: Mapping[Model, ModelSpec]
     demand: Mapping[Model, float]
     engines: list[EngineView]
+    loads: Mapping[Model, float]
+    """Share of a typical engine's time that the demand for each model takes."""
     copies: dict[Model, int] = field(default_factory=dict)
+    speeds: dict[Model, float] = field(default_factory=dict)
+    """Sum of the speeds of the engines with each model."""
 
     def __post_init__(self) -> None:
         for engine in self.engines:
             for model in (engine.models | engine.loading) - engine.evicting:
                 self.copies[model] = self.copies.get(model, 0) + 1
+                self.speeds[model] = self.speeds.get(model, 0.0) + engine.speed
+        self._by_name = {engine.upstream: engine for engine in self.engines}
+
+    def engine(self, move: Move) -> EngineView:
+        """Return the engine of a move."""
+        return self._by_name[move.upstream]
 
     def load_count(self) -> int:
         """Return the number of engines that are loading a model."""
@@ -124,26 +138,39 @@
         """Return the number of loads at which only urgent ones may start."""
         return max(1, len(self.engines) // ENGINES_PER_RARE_LOAD)
 
-    def relief(self, model: Model) -> float:
-        """Return the demand that one more copy of a model relieves."""
+    def relief(self, model: Model, speed: float = 1.0) -> float:
+        """Return the demand that one more copy of a model relieves.
+
+        ``speed`` is that of the copy's engine. The first copy relieves all callers, but
+        less the more of them queue there than on a typical engine.
+        """
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
         if count == 0:
-            return demand * LAST_COPY_WEIGHT
-        return _queued_demand(demand, count) - _queued_demand(demand, count + 1)
+            excess = self._queued(model, speed) - self._queued(model, 1.0)
+            return demand * LAST_COPY_WEIGHT - excess
+        held = self.speeds[model]
+        return self._queued(model, held) - self._queued(model, held + speed)
 
-    def copy_value(self, model: Model) -> float:
-        """Return the value of one copy of a model."""
+    def copy_value(self, model: Model, speed: float = 1.0) -> float:
+        """Return the value of the copy of a model on an engine of some speed."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
         if count <= 1:
             floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
             return max(floor, demand * LAST_COPY_WEIGHT)
-        relief = _queued_demand(demand, count - 1) - _queued_demand(demand, count)
-        return relief + EXTRA_COPY_WEIGHT * demand / count
+        held = self.speeds[model]
+        relief = self._queued(model, held - speed) - self._queued(model, held)
+        return relief + EXTRA_COPY_WEIGHT * demand * speed / held
 
+    def _queued(self, model: Model, speeds: float) -> float:
+        """Return the demand for a model beyond the capacity of copies.
 
-def _queued_demand(demand: float, copies: int) -> float:
-    """Return the demand beyond the capacity of a number of copies."""
-    return max(0.0, demand - copies * COPY_CAPACITY)
+        ``speeds`` is the sum of the speeds of their engines.
+        """
+        load = self.loads.get(model, 0.0)
+        if load <= 0:
+            return 0.0
+        value_of_load = self.demand.get(model, 0.0) / load
+        return max(0.0, load - speeds * COPY_CAPACITY) * value_of_load
 
 
 def next_load(
@@ -151,9 +178,16 @@
     demand: Mapping[Model, float],
     engines: Iterable[EngineView],
     cold_allowed: bool,
+    loads: Mapping[Model, float] | None = None,
 ) -> Move | None:
-    """Return the model load with the largest positive gain, None if no load has one."""
-    state = _PlacementState(specs, demand, list(engines))
+    """Return the model load with the largest positive gain, None if no load has one.
+
+    ``loads`` gives the share of a typical engine's time that the demand for each model
+    takes; None if equal to ``demand``.
+    """
+    state = _PlacementState(
+        specs, demand, list(engines), demand if loads is None else loads
+    )
     requested = [m for m in demand if m in specs and state.relief(m) > 0]
     best_gains = [_best_gain(state, model, cold_allowed) for model in requested]
     worthwhile = [gain for gain in best_gains if gain is not None]
@@ -167,11 +201,13 @@
     missing_for: Mapping[Model, float],
     cold_allowed: bool,
     loading: Collection[Model] = (),
+    loads: Mapping[Model, float] | None = None,
 ) -> Move | None:
     """Return a load for the model whose callers have been refused for longest.
 
     ``missing_for`` gives the seconds for which each model has been missing, ``loading``
-    the overdue models that engines are loading already. Engines with cached weights are
+    the overdue models that engines are loading already, and ``loads`` is that of
+    ``next_load``. Engines with cached weights are
     preferred, then evictions of low value and loads that disrupt little demand for
     adapters, both in proportion to their time. Return None if no model is overdue.
 
@@ -181,7 +217,9 @@
     models of far higher demand. A load that should have ended by now, for example
     because its order was lost, does not delay the loads of overdue models.
     """
-    state = _PlacementState(specs, demand, list(engines))
+    state = _PlacementState(
+        specs, demand, list(engines), demand if loads is None else loads
+    )
     busy = [e for e in state.engines if not e.load_overdue and e.loading & set(loading)]
     if busy and state.load_count() >= state.max_rare_loads():
         return None
@@ -198,13 +236,13 @@
 
 
 def _overdue_cost(state: _PlacementState, move: Move) -> float:
-    engine = next(e for e in state.engines if e.upstream == move.upstream)
-    disrupted = DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, engine, move)
+    disrupted = DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, move)
     return (_evicted_value(state, move) + disrupted) * (1.0 + move.total_s)
 
 
 def _evicted_value(state: _PlacementState, move: Move) -> float:
-    return sum(state.copy_value(model) for model in move.evicted)
+    speed = state.engine(move).speed
+    return sum(state.copy_value(model, speed) for model in move.evicted)
 
 
 @dataclass(frozen=True)
@@ -235,8 +273,9 @@
             continue
         evicted_value = _evicted_value(state, move)
         floor = MIN_RELIEF_PER_S * move.total_s if state.copies.get(model) else 0.0
-        gain = relief - MIN_RELIEF_RATIO * evicted_value - floor
-        gain -= DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, engine, move)
+        gain = state.relief(model, engine.speed) - MIN_RELIEF_RATIO * evicted_value
+        gain -= floor
+        gain -= DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, move)
         # Of two equal loads, prefer the shorter one, since callers wait for its end.
         gain /= 1.0 + move.total_s
         if gain > 0 and (best is None or gain > best.gain):
@@ -271,7 +310,7 @@
     the weight store, which takes several times as long as a load from a disk, and
     longer than the deadlines of many requests.
     """
-    state = _PlacementState(specs, demand, list(engines))
+    state = _PlacementState(specs, demand, list(engines), demand)
     requested = [m for m in missing if m in specs and not state.copies.get(m)]
     candidates = requested or [
         model
@@ -298,7 +337,7 @@
     which models are busy. They are restored only while there is no demand at all;
     otherwise ``next_load`` chooses the models.
     """
-    state = _PlacementState(specs, demand, list(engines))
+    state = _PlacementState(specs, demand, list(engines), demand)
     if any(demand.values()):
         return None
     for engine in state.engines:
@@ -327,8 +366,9 @@
     return len(move.evicted), sum(state.copies.get(model, 1) for model in move.evicted)
 
 
-def _disrupted_demand(state: _PlacementState, engine: EngineView, move: Move) -> float:
+def _disrupted_demand(state: _PlacementState, move: Move) -> float:
     """Return the demand at an engine for models that could not load adapters."""
+    engine = state.engine(move)
     remaining = engine.models - engine.evicting - frozenset(move.evicted)
     return sum(
         state.demand.get(model, 0.0) / max(1, state.copies.get(model, 1))
@@ -344,7 +384,8 @@
     free -= sum(state.specs[m].memory_mb for m in resident if m in state.specs)
     evicted: list[Model] = []
     candidates = sorted(
-        engine.models - engine.evicting - engine.settling, key=state.copy_value
+        engine.models - engine.evicting - engine.settling,
+        key=lambda evictee: state.copy_value(evictee, engine.speed),
     )
     for evictee in candidates:
         if free >= spec.memory_mb:
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -16,6 +16,7 @@
 
 from ..decide.demand import DemandTracker
 from ..decide.drain_estimate import DrainEstimate
+from ..decide.engine_demand import ServiceDemand
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.load_rate import LoadRateLimiter
 from ..decide.missing import Availability, MissingModels
@@ -49,6 +50,7 @@
 from .upstream_limits import UpstreamLimits
 
 LastOrderTimes = Callable[[], Mapping[Upstream, float]]
+ModelReadRates = Callable[[Service], Mapping[Model, float] | None]
 UsesByUpstream = Mapping[Upstream, Counter[ModelUse]]
 
 ROUND_INTERVAL_S: Final = 0.1
@@ -83,6 +85,9 @@
         Returns the prompt tokens per second that an engine of a service processes.
     send : callable
         Sends the same to the entry that requested an adapter load.
+    model_read_rates : callable
+        Returns the prompt tokens per second that a typical engine of a service reads of
+        each model, as far as known; None if all models are to count alike.
     """
 
     def __init__(
@@ -98,11 +103,13 @@
         ),
         evacuations: ZoneEvacuations | None = None,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
+        model_read_rates: ModelReadRates = lambda _service: None,
     ) -> None:
         self._evacuations = evacuations or ZoneEvacuations()
         self.election = make_election(self._last_order_times)
         self._broadcast = broadcast
         self._prompt_read_rate = prompt_read_rate
+        self._model_read_rates = model_read_rates
         self._send = send
         self._leading_since = 0.0
         self._clock = clock
@@ -479,11 +486,21 @@
                 if c.engine.record.service == service.name
                 and self._is_available(c.engine.record, now)
             ]
-            engine_rate = self._prompt_read_rate(service.name)
-            demand = {model: rate / engine_rate for model, rate in demand_rates.items()}
+            demand = self._service_demand(service.name, service.engine, demand_rates)
             missing = self._missing[service.name]
             self._place_service(service.engine, missing, demand, candidates, uses, now)
 
+    def _service_demand(
+        self, service: Service, spec: EngineSpec, token_rates: Mapping[Model, float]
+    ) -> ServiceDemand:
+        read_rate = self._prompt_read_rate(service)
+        by_model = self._model_read_rates(service)
+        if by_model is None:
+            return ServiceDemand.from_single_rate(token_rates, read_rate)
+        return ServiceDemand.from_model_rates(
+            token_rates, spec.models, by_model, read_rate
+        )
+
     def _is_available(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether an engine accepts new requests for the time to come.
 
@@ -497,7 +514,7 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         controllers: list[EngineController],
         uses: UsesByUpstream,
         now: float,
@@ -514,7 +531,9 @@
             self._update_missing(spec, missing, views, now)
             move = self._overdue_move(spec, missing, demand, views, cold_allowed)
             if move is None:
-                move = next_load(spec.models, demand, views, cold_allowed)
+                move = next_load(
+                    spec.models, demand.values, views, cold_allowed, demand.loads
+                )
             if move is None:
                 move = self._idle_move(spec, missing, demand, views, cold_allowed)
             if move is None:
@@ -547,14 +566,20 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         views: list[EngineView],
         cold_allowed: bool,
     ) -> Move | None:
         missing.loading &= frozenset().union(*(view.loading for view in views))
         missing_for = missing.missing_durations(self._clock())
         move = next_overdue_load(
-            spec.models, demand, views, missing_for, cold_allowed, missing.loading
+            spec.models,
+            demand.values,
+            views,
+            missing_for,
+            cold_allowed,
+            missing.loading,
+            demand.loads,
         )
         if move is not None:
             missing.loading.add(move.model)
@@ -565,7 +590,7 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         views: list[EngineView],
         cold_allowed: bool,
     ) -> Move | None:
@@ -574,17 +599,19 @@
                 self._home_models.setdefault(view.upstream, view.models)
         unstaged = [v for v in views if v.upstream not in self._staged]
         staging = (
-            next_staging(spec.models, demand, unstaged, views, missing.longest_first())
+            next_staging(
+                spec.models, demand.values, unstaged, views, missing.longest_first()
+            )
             if cold_allowed
             else None
         )
         if staging is not None:
             self._staged.add(staging.upstream)
             return staging
-        return next_restore(spec.models, demand, views, self._home_models)
+        return next_restore(spec.models, demand.values, views, self._home_models)
 
     def _start_load(
-        self, controller: EngineController, move: Move, demand: dict[Model, float]
+        self, controller: EngineController, move: Move, demand: ServiceDemand
     ) -> None:
         controller.engine.plan_load(
             move.model, move.evicted, move.load_s, move.drain_s, self._clock()
@@ -596,7 +623,8 @@
             instead=",".join(move.evicted) or "-",
             cold=move.cold,
             drain=move.drain_s,
-            demand=demand.get(move.model, 0.0),
+            demand=demand.values.get(move.model, 0.0),
+            **_load_fields(move, demand),
         )
         # Model loads take seconds. In the worker pool they could occupy all threads and
         # delay adapter orders, so each gets its own thread, at most one per engine.
@@ -643,6 +671,16 @@
     return ",".join(f"{model}:{s:.1f}" for model, s in durations.items()) or "-"
 
 
+def _load_fields(move: Move, demand: ServiceDemand) -> dict[str, float]:
+    """Return the log fields of a load whose model has a read rate of its own."""
+    if move.model not in demand.read_rates:
+        return {}
+    return {
+        "share": demand.loads.get(move.model, 0.0),
+        "read_rate": demand.read_rates[move.model],
+    }
+
+
 def _restarted(controller: EngineController, record: UpstreamRecord) -> bool:
     return record.started_at_ms != controller.engine.record.started_at_ms
 
--- /dev/null
+++ b/tests/test_engine_demand.py
@@ -0,0 +1,109 @@
+"""Placement of models whose prompts take up to eight times as long as others."""
+
+import pytest
+from placement_replay import SLOW_RATE, Caller, Replay, single_rate, spec_of
+
+from persimmonhitch.decide.engine_demand import ServiceDemand
+from persimmonhitch.ids import Model
+
+FAST_COST = 0.13
+FAST_RATE = SLOW_RATE / FAST_COST
+SHARES = {"m0": 0.48, "m1": 0.18, "m2": 0.13, "m3": 0.11, "m4": 0.10}
+REQUESTS_PER_S = 85.0
+MODELS = [Model(f"m{n}") for n in range(66)]
+COSTS = {m: FAST_COST if n % 3 == 0 else 1.0 for n, m in enumerate(MODELS)}
+SPECS = {m: spec_of(m, COSTS[m] < 1.0) for m in MODELS}
+READ_RATES = {m: SLOW_RATE / cost for m, cost in COSTS.items()}
+
+
+def by_model(known):
+    """Return the demand at the read rates that are known at a time."""
+    return lambda rates, now: ServiceDemand.from_model_rates(
+        rates, SPECS, known(now), FAST_RATE
+    )
+
+
+def busy_callers(shift=0):
+    """Return callers of five busy models; a shift gives their shares to others."""
+    return [
+        Caller(MODELS[(int(name[1:]) + shift) % 8], share * REQUESTS_PER_S)
+        for name, share in SHARES.items()
+    ]
+
+
+def fleet(make_demand, **fields):
+    """Return engines on which the busy fast model alone has several copies."""
+    resident = [{MODELS[10 + n], MODELS[31 + n]} for n in range(21)]
+    for n, models in enumerate(resident):
+        models.add(MODELS[0 if n < 10 else n - 9 if n < 17 else n + 35])
+    return Replay(SPECS, COSTS, resident, make_demand, **fields)
+
+
+KNOWN = by_model(lambda _now: READ_RATES)
+
+
+def test_a_caller_counts_the_same_and_takes_the_time_of_its_model():
+    """Guards against rare fast models that are evicted since they take little time."""
+    fast, slow = MODELS[0], MODELS[1]
+    demand = ServiceDemand.from_model_rates(
+        {fast: 1000.0, slow: 1000.0, Model("of another service"): 1000.0},
+        SPECS,
+        READ_RATES,
+        FAST_RATE,
+    )
+    assert demand.values[fast] == demand.values[slow]
+    assert demand.loads[slow] * FAST_COST == pytest.approx(demand.loads[fast])
+    assert demand.loads.keys() == {fast, slow}
+
+
+@pytest.mark.parametrize(
+    ("known", "of_fast", "of_slow"),
+    [
+        ({}, FAST_RATE, FAST_RATE),
+        ({"m0": 150_000.0}, 150_000.0, 150_000.0),
+        ({"m1": 20_000.0}, 20_000.0, 20_000.0),
+        ({"m1": 20_000.0, "m0": 150_000.0}, 150_000.0, 20_000.0),
+        ({"m1": 20_000.0, "m2": 30_000.0}, 24_000.0, 24_000.0),
+        ({"m1": 0.0, "m0": 150_000.0, "gone": 5.0}, 150_000.0, 150_000.0),
+    ],
+)
+def test_unknown_models_read_like_those_of_the_nearest_size(known, of_fast, of_slow):
+    known = {Model(name): rate for name, rate in known.items()}
+    rates = ServiceDemand.from_model_rates({}, SPECS, known, FAST_RATE).read_rates
+    assert (rates[MODELS[3]], rates[MODELS[4]]) == pytest.approx((of_fast, of_slow))
+
+
+@pytest.mark.parametrize(
+    ("make_demand", "least", "most"),
+    [(single_rate(FAST_RATE), 0.25, 1.0), (KNOWN, 0.0, 0.05)],
+)
+def test_busy_slow_models_get_the_copies_that_they_need(make_demand, least, most):
+    """Guards against callers refused at the one copy of a slow model, beside engines
+    that hold needless copies of a fast one. Busy models change every few seconds.
+    """
+    replay = fleet(make_demand)
+    rare = [Caller(model, 0.25, 5.0) for model in MODELS[10:]]
+    for seconds, shift in ((10, 0), (8, 3), (8, 6), (8, 0)):
+        replay.run(seconds, busy_callers(shift) + rare)
+    assert least <= replay.refused_share(MODELS[1]) <= most
+    assert replay.refused_share(MODELS[0]) == 0.0
+    assert replay.refused_share(*MODELS[:8]) <= max(0.15, most)
+
+
+def learned(now):
+    """Return rates that become known one by one and vary by a fifth."""
+    error = 0.2 if int(now / 0.6) % 2 else -0.2
+    known = list(READ_RATES.items())[: max(0, int(now - 1))]
+    return {model: rate * (1.0 + error) for model, rate in known}
+
+
+def test_learned_rates_cause_no_swaps():
+    """Guards against models that evict each other when estimates of rates change."""
+    counts = {}
+    for name, known in (("known", lambda _now: READ_RATES), ("learned", learned)):
+        replay = fleet(by_model(known))
+        replay.run(20, busy_callers())
+        loads = [move for _, move in replay.loads]
+        assert len({(m.model, m.upstream) for m in loads}) == len(loads)
+        counts[name] = len(loads)
+    assert counts["learned"] <= counts["known"] + 3
