--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -239,3 +239,31 @@
 def test_draining_engine_accepts_no_load():
     engines = [engine("e1", "a", "b", disk=("a", "b", "c"), busy_s=math.inf)]
     assert next_load(SPECS, demand_of(c=9000, b=0), engines, True) is None
+
+
+@pytest.mark.parametrize(
+    ("speeds", "expected"), [((1.0, 0.5), "e2"), ((0.5, 1.0), "e3")]
+)
+def test_further_copies_of_busy_models_go_to_fast_engines(speeds, expected):
+    """Guards against busy models on slow engines beside rare ones on fast engines."""
+    disk = ("a", "c", "d")
+    engines = [engine("e1", "a", "b")] + [
+        engine(f"e{n}", "c", "d", disk=disk, speed=speed)
+        for n, speed in enumerate(speeds, 2)
+    ]
+    demand = demand_of(a=40_000, b=9000, c=0, d=0)
+    assert next_load(SPECS, demand, engines, True).upstream == expected
+
+
+@pytest.mark.parametrize(
+    ("speeds", "expected"), [((1.0, 0.5), "e2"), ((0.5, 1.0), "e1")]
+)
+def test_copies_on_slow_engines_are_evicted_first(speeds, expected):
+    """Guards against the eviction of the copy that serves most callers."""
+    disk = ("a", "b", "c")
+    engines = [
+        engine(f"e{n}", "a", "b", disk=disk, speed=speed)
+        for n, speed in enumerate(speeds, 1)
+    ]
+    demand = demand_of(a=9000, b=9000, c=3000)
+    assert next_load(SPECS, demand, engines, True).upstream == expected
