The leader plans copies by the read rates and speeds that its entry has learned

Cause: the leader's callables for read rates by model and for engine speeds had their defaults. Change: they come from the dispatcher.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -237,6 +237,8 @@
             send=self.mesh.send,
             evacuations=self.evacuations,
             on_leaving=self.leaving.reported,
+            model_read_rates=self.dispatcher.model_read_rates,
+            engine_speeds=self.dispatcher.engine_speeds,
         )
 
     @classmethod
