Links between entries are compressed

Cause: messages between entries repeat the names of upstreams and models; each goes over every link of the overlay, and bytes between zones are what grows fastest with the fleet. Change: links between entries offer compression; those to sidecars do not, as answers are paused by what is unsent. A peer of an earlier version gets messages as they are.

--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -14,7 +14,7 @@
 from ..store.objects import StoredObject
 from ..store.watcher import View
 from ..wire.codec import encode
-from ..wire.link import Link, LinkServer, open_link
+from ..wire.link import COMPRESSION, Link, LinkServer, open_link
 from ..wire.messages import PROTOCOL, Hello, Role
 
 M = TypeVar("M")
@@ -104,7 +104,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._handler_pool = ThreadPoolExecutor(1, thread_name_prefix="peer-messages")
-        self._server = LinkServer(host, port, secret, self._accept)
+        self._server = LinkServer(host, port, secret, self._accept, COMPRESSION)
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
     @property
@@ -195,7 +195,9 @@
             if address in links or address in self._own_addresses:
                 continue
             handler = _OpenedLink(self)
-            result = open_link(*address, self._secret, handler, self._hello())
+            result = open_link(
+                *address, self._secret, handler, self._hello(), COMPRESSION
+            )
             if isinstance(result, Success):
                 with self._lock:
                     if not result.unwrap().ended.is_set():
@@ -209,7 +211,12 @@
 
     def _open_link(self, info: PeerInfo) -> None:
         result = open_link(
-            info.host, info.port, self._secret, _OpenedLink(self), self._hello()
+            info.host,
+            info.port,
+            self._secret,
+            _OpenedLink(self),
+            self._hello(),
+            COMPRESSION,
         )
         if not isinstance(result, Success):
             return
--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -30,6 +30,9 @@
 """A frozen or disconnected peer is detected after at most 2 + 4 = 6 seconds."""
 OPEN_TIMEOUT_S: Final = 2.0
 CLOSE_TIMEOUT_S: Final = 1.0
+COMPRESSION: Final = "deflate"
+"""Compression of links whose messages repeat most names. A peer that does not offer it
+gets messages as they are."""
 CLOSE_POLICY_VIOLATION: Final = 1008
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 """Maximum queued bytes per link to a slow peer: two frames of the largest size."""
@@ -161,18 +164,25 @@
 
 
 def open_link(
-    host: str, port: int, secret: bytes, handler: LinkHandler, first_message: Any
+    host: str,
+    port: int,
+    secret: bytes,
+    handler: LinkHandler,
+    first_message: Any,
+    compression: str | None = None,
 ) -> Result[Link, Exception]:
     """Open a link, send ``first_message`` and start to receive messages."""
     try:
-        link = run_on_loop(_open(host, port, secret, handler))
+        link = run_on_loop(_open(host, port, secret, handler, compression))
     except (WebSocketException, OSError, TimeoutError) as exc:
         return Err(exc)
     link.send(first_message)
     return Success(link)
 
 
-async def _open(host: str, port: int, secret: bytes, handler: LinkHandler) -> Link:
+async def _open(
+    host: str, port: int, secret: bytes, handler: LinkHandler, compression: str | None
+) -> Link:
     conn = await connect(
         f"ws://{host}:{port}/link",
         additional_headers={auth.HEADER: auth.sign(secret, time.time())},
@@ -181,7 +191,7 @@
         ping_interval=PING_INTERVAL_S,
         ping_timeout=PING_TIMEOUT_S,
         max_size=MAX_FRAME_BYTES,
-        compression=None,
+        compression=compression,
         proxy=None,
     )
     link = Link(conn, f"{host}:{port}")
@@ -203,8 +213,14 @@
     """Accepts links from peers that authenticate with the fleet's secret."""
 
     def __init__(
-        self, host: str, port: int, secret: bytes, accept: Callable[[Link], LinkHandler]
+        self,
+        host: str,
+        port: int,
+        secret: bytes,
+        accept: Callable[[Link], LinkHandler],
+        compression: str | None = None,
     ) -> None:
+        self._compression = compression
         self._secret = secret
         self._accept = accept
         self._server: Server = run_on_loop(self._listen(host, port))
@@ -220,7 +236,7 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
             max_size=MAX_FRAME_BYTES,
-            compression=None,
+            compression=self._compression,
             start_serving=False,
         )
 
