Engines' speeds are those that they state; read factors begin at the reference model

Change: speed is the inverse of the stated slowdown, its average once the statement is 0.5 s old; a factor begins at 1 and follows short samples.

--- a/src/persimmonhitch/decide/engine_demand.py
+++ b/src/persimmonhitch/decide/engine_demand.py
@@ -16,6 +16,11 @@
 so a further token of one stream adds to a step about what a slow model takes to read
 one prompt token.
 
+A model that takes little engine time would keep a single copy however many callers it
+has, and all of them would be refused for the time of a load when its engine is lost.
+Its load therefore counts as at least ``MIN_LOAD_SHARE`` of its value, so that a copy
+has a bounded share of the callers.
+
 The rate of a model is unknown until an engine has run some of its requests. Weights of
 similar size read at a similar rate, so the mean of the known models with the nearest
 size is used until then.
@@ -25,10 +30,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from statistics import harmonic_mean
+from typing import Final
 
 from ..fleet.config import ModelSpec
 from ..ids import Model, Upstream
 
+MIN_LOAD_SHARE: Final = 0.5
+"""Least load of a model as a share of its value: a model whose callers bring two
+engines' worth of tokens keeps two copies, however fast it reads them."""
+
 
 @dataclass(frozen=True)
 class ServiceDemand:
@@ -71,11 +81,12 @@
         rates = _all_rates(specs, known_rates, default_rate)
         common_rate = harmonic_mean(rates.values()) if rates else default_rate
         requested = {m: rate for m, rate in token_rates.items() if m in rates}
-        return cls(
-            {model: rate / common_rate for model, rate in requested.items()},
-            {model: rate / rates[model] for model, rate in requested.items()},
-            rates,
-        )
+        values = {model: rate / common_rate for model, rate in requested.items()}
+        loads = {
+            model: max(rate / rates[model], values[model] * MIN_LOAD_SHARE)
+            for model, rate in requested.items()
+        }
+        return cls(values, loads, rates)
 
 
 def _all_rates(
--- a/src/persimmonhitch/decide/read_costs.py
+++ b/src/persimmonhitch/decide/read_costs.py
@@ -1,4 +1,4 @@
-"""Time that engines take to read prompts, by model and by engine.
+"""Time that engines take to read prompts, by model.
 
 Load pattern: the models of one service differ by several times in the time that a
 prompt token takes, engines of one service differ in speed, and the busiest model is the
@@ -7,22 +7,22 @@
 would be considered full.
 
 The work of a prompt is therefore counted in tokens of a reference model, which an
-engine of usual speed reads at ``REFERENCE_RATE``. The factor of a model and the speed
-of an engine are learned from the time between sending a prompt to an engine that reads
-no other one and its first token. Under load most of these samples are too long, some by
-several times: other entries have sent prompts there that are not known yet. Nothing
-shortens a sample but cached parts, a small share of a prompt. A sample that is shorter
-than expected therefore counts for many longer ones, and the time by which a longer one
-exceeds ``MAX_EXCESS`` of what was expected does not count. A model without samples has
-the factor of the known model whose weights are closest in size, since larger models
-read more slowly.
+engine of usual speed reads at ``REFERENCE_RATE``. The factor of a model is learned from
+the time between sending a prompt to an engine that reads no other one and its first
+token, less the slowdown that the engine states. Under load most of these samples are
+too long, some by several times: other entries have sent prompts there that are not
+known yet. Nothing shortens a sample but cached parts, a small share of a prompt. A
+sample that is shorter than expected therefore counts for many longer ones, and the time
+by which a longer one exceeds ``MAX_EXCESS`` of what was expected does not count. A
+model without samples has the factor of the known model whose weights are closest in
+size, since larger models read more slowly.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..ids import Model, Upstream
+from ..ids import Model
 
 REFERENCE_RATE: Final = 15_000.0
 """Prompt tokens per second of the reference model that an engine reads."""
@@ -30,7 +30,7 @@
 """Seconds of a first token that are not spent on reading: the round trip and a step."""
 MIN_SAMPLE_TOKENS: Final = 500
 """Below this prompt size, most of the time to the first token is not reading."""
-SHORT_WEIGHT: Final = 0.25
+SHORT_WEIGHT: Final = 0.4
 """Weight of a sample that took less time than expected."""
 LONG_WEIGHT: Final = 0.02
 """Weight of a sample that took longer; prompts of others may be the reason."""
@@ -38,29 +38,20 @@
 """Largest ratio of a sample to the expected time that counts."""
 MIN_FACTOR: Final = 0.02
 MAX_FACTOR: Final = 10.0
-MIN_SPEED: Final = 0.3
-MAX_SPEED: Final = 3.0
-MIN_MODEL_SAMPLES: Final = 4
-"""Samples of a model after which its factor tells the speed of an engine."""
 
 
 @dataclass
 class _ModelFactor:
     value: float = 1.0
-    samples: int = 0
 
     def add(self, sample: float) -> None:
-        self.samples += 1
-        if self.samples == 1:
-            self.value = sample
-            return
         weight = SHORT_WEIGHT if sample < self.value else LONG_WEIGHT
         self.value += weight * (min(sample, self.value * MAX_EXCESS) - self.value)
 
 
 @dataclass
 class ReadCosts:
-    """Read costs of the models and engines of one service.
+    """Read costs of the models of one service.
 
     Parameters
     ----------
@@ -70,7 +61,6 @@
 
     sizes: Mapping[Model, float] = field(default_factory=dict)
     _factors: dict[Model, _ModelFactor] = field(default_factory=dict)
-    _speeds: dict[Upstream, float] = field(default_factory=dict)
 
     def factor(self, model: Model | None) -> float:
         """Return the reference tokens that one prompt token of a model counts as."""
@@ -87,14 +77,6 @@
         )
         return self._factors[nearest].value
 
-    def speed(self, upstream: Upstream) -> float:
-        """Return the speed of an engine relative to the usual one."""
-        return self._speeds.get(upstream, 1.0)
-
-    def speeds(self) -> dict[Upstream, float]:
-        """Return the speed of each engine with samples."""
-        return dict(self._speeds)
-
     def read_rates(self) -> dict[Model, float]:
         """Return the tokens per second that a usual engine reads of each model."""
         return {m: REFERENCE_RATE / f.value for m, f in self._factors.items()}
@@ -104,12 +86,7 @@
         return max(1, round(tokens * self.factor(model))) if tokens > 0 else 0
 
     def record_solo(
-        self,
-        upstream: Upstream,
-        model: Model,
-        tokens: int,
-        seconds: float,
-        slowdown: float,
+        self, model: Model, tokens: int, seconds: float, slowdown: float
     ) -> None:
         """Record the first token of a prompt that an engine read alone.
 
@@ -125,17 +102,6 @@
         if tokens < MIN_SAMPLE_TOKENS or slowdown <= 0:
             return
         read_s = max(0.0, seconds / slowdown - FIRST_TOKEN_S)
-        cost = read_s * REFERENCE_RATE / tokens
-        speed = self.speed(upstream)
+        sample = read_s * REFERENCE_RATE / tokens
         factor = self._factors.setdefault(model, _ModelFactor())
-        if factor.samples >= MIN_MODEL_SAMPLES and cost > 0:
-            sample = max(factor.value / cost, speed / MAX_EXCESS)
-            sample = min(MAX_SPEED, max(MIN_SPEED, sample))
-            weight = SHORT_WEIGHT if sample > speed else LONG_WEIGHT
-            self._speeds[upstream] = speed + weight * (sample - speed)
-        factor.add(min(MAX_FACTOR, max(MIN_FACTOR, cost * speed)))
-
-    def retain(self, upstreams: Mapping[Upstream, object]) -> None:
-        """Forget engines that are not listed any more."""
-        for name in self._speeds.keys() - upstreams.keys():
-            del self._speeds[name]
+        factor.add(min(MAX_FACTOR, max(MIN_FACTOR, sample)))
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -39,6 +39,10 @@
 """Below this prompt size, most of the time to first token is not prompt processing."""
 READ_RATE_WEIGHT: Final = 0.2
 """Weight of the newest sample in ``UpstreamState.read_rate``."""
+SLOWDOWN_WEIGHT: Final = 0.1
+"""Weight of the newest stated slowdown in their average."""
+SLOWDOWN_TTL_S: Final = 0.5
+"""Time for which a stated slowdown holds; it changes several times a second."""
 MIN_SAMPLE_TOKENS: Final = 200
 """Below this prompt size, the time to first token is no measure of the rate."""
 
@@ -67,6 +71,8 @@
     load: ServerLoad | None = None
     """Load that the upstream stated last, at ``load_at``."""
     load_at: float = 0.0
+    usual_slowdown: float = 1.0
+    """Average of the slowdowns that the upstream stated."""
 
     def add_solo_sample(self, sample: float) -> None:
         """Add a sample to the weighted average of the single-prompt rate."""
@@ -76,6 +82,21 @@
         weight = RISE_WEIGHT if sample > self.solo_read_rate else FALL_WEIGHT
         self.solo_read_rate += weight * (sample - self.solo_read_rate)
 
+    def add_load(self, load: ServerLoad, now: float) -> None:
+        """Keep the load that the upstream has just stated."""
+        if load.slowdown is not None:
+            known = self.load is not None and self.load.slowdown is not None
+            weight = SLOWDOWN_WEIGHT if known else 1.0
+            self.usual_slowdown += weight * (load.slowdown - self.usual_slowdown)
+        self.load, self.load_at = load, now
+
+    def slowdown(self, now: float) -> float:
+        """Return how many times as long as usual work is expected to take."""
+        stated = self.load.slowdown if self.load is not None else None
+        if stated is None or now - self.load_at > SLOWDOWN_TTL_S:
+            return self.usual_slowdown
+        return stated
+
     def has(self, model: Model, adapter: Adapter | None, now: float) -> bool:
         """Return whether the upstream can run a model with an adapter now."""
         inventory = self._inventory(now)
@@ -137,8 +158,6 @@
             old.record = record
             states[record.name] = old
         self._states = states
-        for costs in self._read_costs.values():
-            costs.retain(states)
         own_work = self._own_work.items()
         in_use = {name: w for name, w in own_work if w.requests or name in states}
         self._own_work = defaultdict(LocalWork, in_use)
@@ -186,7 +205,7 @@
         state = self._states.get(upstream)
         if state is None:
             return
-        state.load, state.load_at = load, self._clock()
+        state.add_load(load, self._clock())
         if load.slowdown is not None:
             self._load_services.add(state.record.service)
 
@@ -218,7 +237,10 @@
         """Return the speed of the engines of a service relative to the usual one."""
         if not self.controls_load(service):
             return {}
-        return self._read_costs[service].speeds()
+        return {
+            state.record.name: 1.0 / state.usual_slowdown
+            for state in self._by_service[service]
+        }
 
     def expire_peers(self) -> None:
         """Drop the work of unresponsive peers."""
@@ -281,13 +303,9 @@
     ) -> None:
         if request.model is None or unread != request.read_work:
             return
-        slowdown = state.load.slowdown if state.load is not None else None
+        stated = state.load.slowdown if state.load is not None else None
         self._read_costs[request.service].record_solo(
-            state.record.name,
-            request.model,
-            request.prompt_tokens,
-            seconds,
-            slowdown or 1.0,
+            request.model, request.prompt_tokens, seconds, stated or 1.0
         )
 
     def solo_read_rate(self, service: Service) -> float:
@@ -369,8 +387,7 @@
         )
         read_rate, limit_s = state.read_rate, None
         if request.read_tokens is not None:
-            speed = self._read_costs[request.service].speed(name)
-            read_rate = REFERENCE_RATE * speed
+            read_rate = REFERENCE_RATE / state.slowdown(now)
             limit_s = self._backlog_limits.get(request.service)
         return UpstreamView(
             upstream=name,
