Unhurried callers' demand weighs less while prompts queue at all engines

Cause: a token of a request that can wait six seconds weighed as much as one whose caller can wait 0.8 s. Under overload, loads of rare models that a burst of unhurried requests asks for take copies from models of urgent callers.

The entry weights tokens as it counts them (no new bytes in any message), only for services whose upstreams state how slow they are and whose routes differ in weight, and only while the prompts at the engines take a quarter of the time that the most urgent callers can wait. Loads of overdue models don't depend on weights.

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -34,6 +34,7 @@
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
+from .demand_weights import DemandWeights
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
 from .poison import PoisonGuard
 from .upstream_limits import UpstreamLimits
@@ -128,6 +129,7 @@
         """Expected end of each model load, as reported by the leader."""
         self._demand: dict[Model, float] = {}
         """Tokens requested of each model since the start."""
+        self._demand_weights = DemandWeights()
         self._cfg: FleetConfig | None = None
         self._closing: Failure | None = None
 
@@ -221,9 +223,13 @@
         waiter.failure = self._load_refusal(waiter, now)
         waiter.decided.set()
 
-    def record_demand(self, model: Model, tokens: float) -> None:
+    def record_demand(self, request: DispatchRequest) -> None:
         """Add a request's tokens to the demand for its model, whatever its outcome."""
+        model = request.model
+        if model is None:
+            return
         with self._lock:
+            tokens = self._demand_weights.weigh(request)
             self._demand[model] = self._demand.get(model, 0.0) + tokens
 
     def record_first_token(
@@ -338,6 +344,7 @@
         with self._lock:
             self._cfg = cfg
             self._table.configure(cfg)
+            self._demand_weights.configure(cfg)
 
     def update(self, records: list[UpstreamRecord]) -> None:
         """Apply a new list of upstreams."""
@@ -440,5 +447,6 @@
             items = self._requested.items()
             self._requested = {k: at for k, at in items if now - at < RESEND_INTERVAL_S}
             self._table.expire_peers()
+            self._demand_weights.update(self._table.backlog_s, now)
             if self._waiters:
                 self._match_waiters()
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -97,10 +97,7 @@
         ) or self._charge(admitted)
         if refusal is not None:
             return self._deny(refusal, caller, active)
-        if admitted.request.model is not None:
-            self._dispatcher.record_demand(
-                admitted.request.model, admitted.request.kv_tokens
-            )
+        self._dispatcher.record_demand(admitted.request)
         request = InFlightRequest(
             admitted, Abort(req.disconnected, admitted.deadline_at), admitted.route.name
         )
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from statistics import fmean as mean
 from statistics import median
 from typing import Final
 
@@ -253,6 +254,16 @@
             + self._peer_work.totals_at(upstream).prefill_tokens
         )
 
+    def backlog_s(self, service: Service) -> float | None:
+        """Return the seconds that engines need on average for the prompts they hold.
+
+        None if the upstreams of the service do not state how slow they are.
+        """
+        states = self._by_service[service]
+        if not states or not self.states_slowdown(service):
+            return None
+        return mean(self.unread_tokens(s.record.name) / s.read_rate for s in states)
+
     def views(
         self, request: DispatchRequest, excluded: frozenset[Upstream]
     ) -> list[UpstreamView]:
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
+from statistics import mean
 
 from persimmonhitch.decide.demand import DemandTracker
 from persimmonhitch.decide.engine_demand import ServiceDemand
@@ -14,6 +15,7 @@
     next_load,
     next_overdue_load,
 )
+from persimmonhitch.decide.urgency import RankWeights
 from persimmonhitch.decide.wait_limits import LOAD_REPORT_TIMEOUT_S
 from persimmonhitch.fleet.config import ModelSpec
 from persimmonhitch.ids import Model, Upstream, Vm
@@ -40,9 +42,8 @@
     """Longest wait at an engine; requests that would wait longer are refused."""
     load_wait_s: float = 2.8
     """Longest wait for a load of the model."""
+    rank: int = 0
     tokens: int = 2400
-    weight: float = 1.0
-    """Weight of the tokens in the demand."""
 
 
 @dataclass
@@ -68,6 +69,7 @@
     make_demand: object
     speeds: list = field(default_factory=list)
     speeds_known: bool = True
+    ranks: RankWeights | None = None
     seed: int = 1
     now: float = 0.0
     loads: list = field(default_factory=list)
@@ -108,13 +110,19 @@
             self._place()
             for engine in self.engines.values():
                 engine.work_s = max(0.0, engine.work_s - ROUND_S * engine.speed)
+            weigh = self._has_backlog()
             for caller in callers:
+                weight = self.ranks.weight(caller.rank) if weigh else 1.0
                 for _ in range(self._draw_count(caller.requests_per_s * ROUND_S)):
                     self.asked[caller.model] += 1
-                    self._totals[caller.model] += caller.tokens * caller.weight
+                    self._totals[caller.model] += caller.tokens * weight
                     self._waiting.append((caller, self.now))
             self._waiting = [one for one in self._waiting if not self._answer(*one)]
 
+    def _has_backlog(self):
+        work = [engine.work_s / engine.speed for engine in self.engines.values()]
+        return self.ranks is not None and self.ranks.makes_late(mean(work))
+
     def _draw_count(self, mean):
         """Return a number of requests by the Poisson distribution."""
         count, product = 0, self._random.random()
--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -25,10 +25,10 @@
     )
 
 
-def busy_callers(shift=0):
+def busy_callers(shift=0, requests_per_s=REQUESTS_PER_S):
     """Return callers of five busy models; a shift gives their shares to others."""
     return [
-        Caller(MODELS[(int(name[1:]) + shift) % 8], share * REQUESTS_PER_S)
+        Caller(MODELS[(int(name[1:]) + shift) % 8], share * requests_per_s)
         for name, share in SHARES.items()
     ]
 
