--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -164,13 +164,17 @@
     def _queued(self, model: Model, speeds: float) -> float:
         """Return the demand for a model beyond the capacity of copies.
 
-        ``speeds`` is the sum of the speeds of their engines.
+        ``speeds`` is the sum of the speeds of their engines. What exceeds
+        their whole time is refused, like the demand for a model without a copy.
         """
         load = self.loads.get(model, 0.0)
         if load <= 0:
             return 0.0
         value_of_load = self.demand.get(model, 0.0) / load
-        return max(0.0, load - speeds * COPY_CAPACITY) * value_of_load
+        queued = max(0.0, load - speeds * COPY_CAPACITY)
+        if self.loads is not self.demand:
+            queued += (LAST_COPY_WEIGHT - 1.0) * max(0.0, load - speeds)
+        return queued * value_of_load
 
 
 def next_load(
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from statistics import fmean as mean
 from statistics import median
 from typing import Final
 
@@ -330,6 +331,20 @@
             + self._peer_work.totals_at(upstream).prefill_tokens
         )
 
+    def backlog_s(self, service: Service) -> float | None:
+        """Return the seconds that engines need on average for the prompts they hold.
+
+        None if the load of the service is not controlled.
+        """
+        states = self._by_service[service]
+        if not states or not self.controls_load(service):
+            return None
+        now = self._clock()
+        return mean(
+            self.unread_tokens(state.record.name) * state.slowdown(now) / REFERENCE_RATE
+            for state in states
+        )
+
     def views(
         self, request: DispatchRequest, excluded: frozenset[Upstream]
     ) -> list[UpstreamView]:
--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -5,7 +5,7 @@
 import pytest
 from placement_replay import SLOW_RATE, Caller, Replay, single_rate, spec_of
 
-from persimmonhitch.decide.engine_demand import ServiceDemand
+from persimmonhitch.decide.engine_demand import MIN_LOAD_SHARE, ServiceDemand
 from persimmonhitch.ids import Model
 
 FAST_COST = 0.13
@@ -25,10 +25,10 @@
     )
 
 
-def busy_callers(shift=0):
+def busy_callers(shift=0, requests_per_s=REQUESTS_PER_S):
     """Return callers of five busy models; a shift gives their shares to others."""
     return [
-        Caller(MODELS[(int(name[1:]) + shift) % 8], share * REQUESTS_PER_S)
+        Caller(MODELS[(int(name[1:]) + shift) % 8], share * requests_per_s)
         for name, share in SHARES.items()
     ]
 
@@ -54,7 +54,8 @@
         FAST_RATE,
     )
     assert demand.values[fast] == demand.values[slow]
-    assert demand.loads[slow] * FAST_COST == pytest.approx(demand.loads[fast])
+    least = demand.values[fast] * MIN_LOAD_SHARE
+    assert demand.loads[fast] == max(demand.loads[slow] * FAST_COST, least)
     assert demand.loads.keys() == {fast, slow}
 
 
