--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -195,7 +195,9 @@
     requested = [m for m in demand if m in specs and state.relief(m) > 0]
     best_gains = [_best_gain(state, model, cold_allowed) for model in requested]
     worthwhile = [gain for gain in best_gains if gain is not None]
-    return max(worthwhile, key=lambda gain: gain.gain).move if worthwhile else None
+    if not worthwhile:
+        return None
+    return max(worthwhile, key=lambda gain: (gain.gain, gain.move.model)).move
 
 
 def next_overdue_load(
@@ -228,7 +230,7 @@
     if busy and state.load_count() >= state.max_rare_loads():
         return None
     overdue = [m for m, duration in missing_for.items() if duration >= OVERDUE_AFTER_S]
-    for model in sorted(overdue, key=lambda m: -missing_for[m]):
+    for model in sorted(overdue, key=lambda m: (-missing_for[m], m)):
         if model not in specs or state.copies.get(model):
             continue
         free = [engine for engine in state.engines if engine.busy_s <= 0]
@@ -389,7 +391,7 @@
     evicted: list[Model] = []
     candidates = sorted(
         engine.models - engine.evicting - engine.settling,
-        key=lambda evictee: state.copy_value(evictee, engine.speed),
+        key=lambda evictee: (state.copy_value(evictee, engine.speed), evictee),
     )
     for evictee in candidates:
         if free >= spec.memory_mb:
