Choose upstreams by stated load and by how long reports stay true

Cause: entries chose by counts 0.05 to 1 s old, and all took the same upstream. Change: an estimate joins own, reported and stated requests, each worth less with age; unreported requests are poured evenly over the upstreams; a request waits at the entry only if all upstreams are full beyond doubt. Only for services that state a slowdown.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -42,11 +42,18 @@
     Upstream,
     Zone,
 )
+from .even_choice import Option, choose_even
+from .load_estimate import LoadEstimate
 
 ADAPTER_LOAD_COST_S: Final = 0.08
 """Additional wait accepted to use an engine on which the adapter is resident."""
 CROSS_ZONE_COST_S: Final = 0.04
 """Additional wait accepted to stay within the availability zone."""
+MAX_CROSSING_SHARE: Final = 0.5
+"""Share of a plain upstream's slots that may be taken before requests leave its zone,
+although crossing costs more than the wait."""
+FULL_BATCH_COST_S: Final = 0.05
+"""Additional wait at an upstream with all slots taken: tokens take longer there."""
 DEFAULT_READ_RATE: Final = 15_000.0
 """Prompt tokens per second that an engine reads; a third below the published rate of an
 engine that does nothing else."""
@@ -105,6 +112,8 @@
     requests that no other upstream can take."""
     unresponsive: bool = False
     """Whether the requests that run there have received no output for a time."""
+    estimate: LoadEstimate | None = None
+    """Expected load if upstreams of the service state theirs, else None."""
 
 
 class Step(Enum):
@@ -140,9 +149,10 @@
 
 def has_capacity(view: UpstreamView, request: DispatchRequest) -> bool:
     """Return whether an upstream has a slot and memory for one more request."""
-    if view.traffic_share <= 0 or view.running >= max(
-        1.0, view.slots * view.traffic_share
-    ):
+    running: float = view.running
+    if view.estimate is not None and view.traffic_share >= 1.0:
+        running = view.estimate.certain_running
+    if view.traffic_share <= 0 or running >= max(1.0, view.slots * view.traffic_share):
         return False
     if view.kv_capacity <= 0 or view.running == 0:
         return True
@@ -152,7 +162,7 @@
 def weighted_wait(view: UpstreamView, request: DispatchRequest, zone: Zone) -> float:
     """Return the expected wait at an upstream plus the costs of adapter and zone."""
     wait = first_token_delay(view, request)
-    wait += view.running / max(1, view.slots) * 0.05
+    wait += view.running / max(1, view.slots) * FULL_BATCH_COST_S
     if request.adapter is not None and not view.has_adapter:
         wait += ADAPTER_LOAD_COST_S
     if view.zone != zone:
@@ -195,6 +205,8 @@
     views: Sequence[UpstreamView], request: DispatchRequest, zone: Zone, sample: float
 ) -> UpstreamView:
     """Return the best upstream, or one whose wait differs by an uncertain amount."""
+    if all(view.estimate is not None for view in views):
+        return _choose_even(views, request, zone, sample)
     costs = [weighted_wait(view, request, zone) for view in views]
     error = max(MIN_WAIT_ERROR_S, mean(view.unread / view.read_rate for view in views))
     least = min(costs)
@@ -215,3 +227,48 @@
     """Return whether an upstream differs from the best one only in its wait."""
     same_locality = (view.zone == zone) == (best.zone == zone)
     return same_locality and view.has_adapter == best.has_adapter
+
+
+def _choose_even(
+    views: Sequence[UpstreamView], request: DispatchRequest, zone: Zone, sample: float
+) -> UpstreamView:
+    """Return an upstream so that the decisions of all entries spread the load."""
+    options = [_option(view, request, zone) for view in views]
+    if request.adapter is not None:
+        costs = [
+            option.known_s
+            + option.request_s
+            + option.crossing_s
+            + (0.0 if view.has_adapter else ADAPTER_LOAD_COST_S)
+            for view, option in zip(views, options, strict=True)
+        ]
+        has_adapter = views[costs.index(min(costs))].has_adapter
+        views = [view for view in views if view.has_adapter == has_adapter]
+        options = [_option(view, request, zone) for view in views]
+    return views[choose_even(options, sample)]
+
+
+def _option(view: UpstreamView, request: DispatchRequest, zone: Zone) -> Option:
+    """Return the expected waits at an upstream whose load is estimated."""
+    estimate, share = view.estimate, max(view.traffic_share, 0.05)
+    assert estimate is not None
+    if request.model is None:
+        request_s = estimate.service_s * estimate.slowdown / max(1, view.slots)
+        known_s = request_s * estimate.known_running
+        unseen = estimate.running - estimate.known_running
+        crossing_s = min(CROSS_ZONE_COST_S, MAX_CROSSING_SHARE * estimate.service_s)
+    else:
+        total_s = first_token_delay(view, request) * estimate.slowdown
+        tokens = max(1, request.prompt_tokens)
+        request_s = max(MIN_WAIT_ERROR_S, total_s * tokens / (view.unread + tokens))
+        wait_s = max(0.0, total_s - request_s)
+        known_s = wait_s * estimate.known_unread
+        unseen = (wait_s - known_s) / request_s
+        known_s += estimate.known_running / max(1, view.slots) * FULL_BATCH_COST_S
+        crossing_s = CROSS_ZONE_COST_S
+    return Option(
+        known_s / share,
+        unseen,
+        request_s / share,
+        crossing_s if view.zone != zone else 0.0,
+    )
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -239,7 +239,7 @@
             self._limits.answered(record, parsed.limit, request.sent_at)
             if parsed.cold_s > 0:
                 self._limits.reported_cold(record, parsed.cold_s)
-        if parsed.load is not None and _is_from(record, reply):
+        if _is_from(record, reply):
             self._dispatcher.record_load(record, parsed.load)
         if parsed.leaving and _is_from(record, reply):
             self._on_leaving(record)
@@ -257,6 +257,7 @@
             return Err(failure)
         if reply.status < SERVER_ERROR_STATUS:
             self._dispatcher.record_success(record)
+            request.permit.record_answer(self._clock())
             return Success(reply)
         self._dispatcher.record_failure(record, False)
         self._poison.completed(request.fingerprint)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -81,6 +81,7 @@
         self._sent_at = sent_at
         self._unread = unread
         self._prefill_done = False
+        self._answered_at: float | None = None
         self._released = False
 
     def record_activity(self) -> None:
@@ -95,11 +96,28 @@
                 self.record, self.request, self._sent_at, self._unread
             )
 
+    def record_answer(self, now: float) -> None:
+        """Record that the upstream runs or has run the request."""
+        self._answered_at = now
+
     def release(self) -> None:
         """Release the slot."""
         if not self._released:
             self._released = True
-            self._dispatcher.release(self.record, self.request, self._prefill_done)
+            self._dispatcher.release(
+                self.record, self.request, self._prefill_done, self._occupancy_s()
+            )
+
+    def _occupancy_s(self) -> float | None:
+        """Return the seconds for which the request held a slot, None if it did not.
+
+        A plain upstream answers when it is done; its caller may still be reading.
+        """
+        if self._answered_at is None:
+            return None
+        is_done = self.request.model is None
+        end = self._answered_at if is_done else self._dispatcher.now()
+        return end - self._sent_at
 
 
 class Dispatcher:
@@ -221,6 +239,10 @@
         waiter.failure = self._load_refusal(waiter, now)
         waiter.decided.set()
 
+    def now(self) -> float:
+        """Return the monotonic time of this dispatcher's clock."""
+        return self._clock()
+
     def record_demand(self, model: Model, tokens: float) -> None:
         """Add a request's tokens to the demand for its model, whatever its outcome."""
         with self._lock:
@@ -240,11 +262,17 @@
             )
 
     def release(
-        self, record: UpstreamRecord, request: DispatchRequest, prefill_done: bool
+        self,
+        record: UpstreamRecord,
+        request: DispatchRequest,
+        prefill_done: bool,
+        occupancy_s: float | None = None,
     ) -> None:
         """Count the end of an attempt and assign the free slot to a waiting request."""
         with self._lock:
             self._table.record_finish(record.name, request, prefill_done)
+            if occupancy_s is not None:
+                self._table.record_occupancy(record, occupancy_s)
             self._poison.ended(request.fingerprint, record.name)
             self._match_waiters(record)
 
@@ -366,19 +394,23 @@
             self._table.receive_drain(msg)
             self._match_waiters()
 
-    def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
+    def receive_entry_update(
+        self, vm: Vm, msg: EntryUpdate, as_of: float | None = None
+    ) -> None:
         """Apply a peer's work at each upstream; ``tick`` matches waiting requests.
 
         Dozens of peers send updates more often than their slots change, and matching
         all waiting requests at each update would use all CPU time of a small VM.
         """
         with self._lock:
-            self._table.receive_entry_update(vm, msg)
+            self._table.receive_entry_update(vm, msg, as_of)
 
-    def record_load(self, record: UpstreamRecord, load: ServerLoad) -> None:
-        """Record the load that an upstream stated in an answer."""
+    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
+        """Record the load that an upstream stated in an answer, None if it did not."""
+        if load is None and not self._table.states_slowdown(record.service):
+            return
         with self._lock:
-            self._table.record_load(record.name, load)
+            self._table.record_load(record, load)
 
     def record_missing(self, record: UpstreamRecord, request: DispatchRequest) -> None:
         """Record that an engine lacks a model or adapter listed in its inventory."""
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -421,7 +421,7 @@
 
     def _on_entry_update(self, vm: Vm, msg: EntryUpdate, as_of: float) -> None:
         self.quota.receive(vm, msg.usage, as_of)
-        self.dispatcher.receive_entry_update(vm, msg)
+        self.dispatcher.receive_entry_update(vm, msg, as_of)
         self.leader.receive_entry_update(vm, msg)
 
     def _on_inventory_update(self, vm: Vm, msg: InventoryUpdate) -> None:
--- a/src/persimmonhitch/direct/peer_work.py
+++ b/src/persimmonhitch/direct/peer_work.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ..decide.load_estimate import DEFAULT_NEWS_AGE_S, RunningMean
 from ..ids import Upstream, Vm
 from .peer_messages import EntryUpdate, ModelUse, UpstreamWork
 
@@ -42,10 +43,20 @@
     def __init__(self) -> None:
         self._peers: dict[Vm, _Peer] = {}
         self._totals: defaultdict[Upstream, WorkTotals] = defaultdict(WorkTotals)
+        self._news_age = RunningMean(DEFAULT_NEWS_AGE_S)
 
-    def receive(self, vm: Vm, msg: EntryUpdate, now: float) -> None:
-        """Apply the full or incremental update of a peer."""
+    @property
+    def news_age_s(self) -> float:
+        """Mean age of the counts: that of an update on arrival and half an interval."""
+        return self._news_age.value
+
+    def receive(
+        self, vm: Vm, msg: EntryUpdate, now: float, as_of: float | None = None
+    ) -> None:
+        """Apply the full or incremental update of a peer, sent at ``as_of``."""
         peer = self._peers.setdefault(vm, _Peer(now))
+        if as_of is not None:
+            self._news_age.add(now - as_of + (now - peer.received_at) / 2)
         peer.received_at = now
         if msg.is_full:
             reported = {item.upstream for item in msg.work}
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -4,16 +4,25 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from statistics import fmean as mean
 from statistics import median
 from typing import Final
 
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.health import UpstreamHealth, is_unresponsive, traffic_shares
+from ..decide.load_estimate import (
+    DEFAULT_OCCUPANCY_S,
+    CountedWork,
+    LoadEstimate,
+    RunningMean,
+    estimate_load,
+)
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm
+from .load_figures import LoadFigures
 from .local_work import LocalWork
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, UpstreamWork
 from .peer_work import PeerWork
@@ -65,6 +74,7 @@
     load: ServerLoad | None = None
     """Load that the upstream stated last, at ``load_at``."""
     load_at: float = 0.0
+    figures: LoadFigures = field(default_factory=LoadFigures)
 
     def add_solo_sample(self, sample: float) -> None:
         """Add a sample to the weighted average of the single-prompt rate."""
@@ -105,6 +115,10 @@
         self._peer_work = PeerWork()
         self._load_services: set[Service] = set()
         """Services whose upstreams state how slow they are at the moment."""
+        self._occupancy: defaultdict[Service, RunningMean] = defaultdict(
+            lambda: RunningMean(DEFAULT_OCCUPANCY_S)
+        )
+        """Seconds for which a request of each service holds a slot."""
 
     def configure(self, cfg: FleetConfig) -> None:
         """Apply a new configuration."""
@@ -165,18 +179,26 @@
         if state.draining_version == state.reported_version:
             state.busy_until = 0.0
 
-    def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
-        """Apply the work of a peer at each upstream."""
-        self._peer_work.receive(vm, msg, self._clock())
+    def receive_entry_update(
+        self, vm: Vm, msg: EntryUpdate, as_of: float | None = None
+    ) -> None:
+        """Apply the work of a peer at each upstream, as of a monotonic time."""
+        self._peer_work.receive(vm, msg, self._clock(), as_of)
 
-    def record_load(self, upstream: Upstream, load: ServerLoad) -> None:
-        """Record the load that an upstream stated in an answer."""
-        state = self._states.get(upstream)
-        if state is None:
+    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
+        """Record the load that an upstream stated in an answer, None if it did not."""
+        state = self._states.get(record.name)
+        if state is None or state.record.started_at_ms != record.started_at_ms:
             return
-        state.load, state.load_at = load, self._clock()
-        if load.slowdown is not None:
-            self._load_services.add(state.record.service)
+        now = self._clock()
+        if load is not None:
+            state.load, state.load_at = load, now
+        if load is not None and load.slowdown is not None:
+            self._load_services.add(record.service)
+        if self.states_slowdown(record.service):
+            own = self._own_work[record.name].requests
+            peers = self._peer_work.totals_at(record.name).requests
+            state.figures.record(record.name, load, own, peers, now)
 
     def states_slowdown(self, service: Service) -> bool:
         """Return whether upstreams of a service state how slow they are."""
@@ -246,6 +268,15 @@
         """Count the end of a request at an upstream."""
         self._own_work[upstream].finish(request, prefill_done)
 
+    def record_occupancy(self, record: UpstreamRecord, seconds: float) -> None:
+        """Record the time for which an answered request held a slot."""
+        state = self._states.get(record.name)
+        if state is None or not self.states_slowdown(record.service):
+            return
+        mean_s = self._occupancy[record.service]
+        mean_s.add(seconds)
+        state.figures.record_occupancy(seconds, mean_s.value)
+
     def unread_tokens(self, upstream: Upstream) -> int:
         """Return the prompt tokens pending at an upstream, sent by all entries."""
         return (
@@ -276,6 +307,8 @@
             for state, share in zip(states, shares, strict=True)
             if state.record.name not in excluded
         ]
+        if views and self.states_slowdown(request.service):
+            self._add_estimates(views, now)
         self._restore_last_capable(views, capable)
         return views
 
@@ -325,6 +358,32 @@
             unresponsive=unresponsive,
         )
 
+    def _add_estimates(self, views: list[UpstreamView], now: float) -> None:
+        """Add the expected load of each upstream to its view."""
+        mean_peers = mean(
+            self._peer_work.totals_at(view.upstream).requests for view in views
+        )
+        for view in views:
+            view.estimate = self._estimate(view, mean_peers, now)
+
+    def _estimate(
+        self, view: UpstreamView, mean_peers: float, now: float
+    ) -> LoadEstimate:
+        state = self._states[view.upstream]
+        own = self._own_work[view.upstream]
+        peers = self._peer_work.totals_at(view.upstream)
+        work = CountedWork(
+            own_requests=own.requests,
+            own_unread_s=own.prefill_tokens / state.read_rate,
+            peer_requests=peers.requests,
+            peer_unread_s=peers.prefill_tokens / state.read_rate,
+            news_age_s=self._peer_work.news_age_s,
+        )
+        service_s = state.figures.occupancy_s
+        if service_s is None:
+            service_s = self._occupancy[state.record.service].value
+        return estimate_load(work, state.figures.usable, service_s, mean_peers, now)
+
     def own_work(self) -> tuple[UpstreamWork, ...]:
         """Return the work of this entry at each upstream, as sent to peers."""
         return tuple(
