--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -11,12 +11,21 @@
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.health import UpstreamHealth, is_unresponsive, traffic_shares
+from ..decide.load_estimate import (
+    DEFAULT_OCCUPANCY_S,
+    CountedWork,
+    LoadEstimate,
+    RunningMean,
+    effective_slowdown,
+    estimate_load,
+)
 from ..decide.prompt_backlog import backlog_limit_s
 from ..decide.read_costs import REFERENCE_RATE, ReadCosts
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm
+from .load_figures import LoadFigures
 from .local_work import LocalWork
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, UpstreamWork
 from .peer_work import PeerWork
@@ -42,8 +51,6 @@
 """Weight of the newest sample in ``UpstreamState.read_rate``."""
 SLOWDOWN_WEIGHT: Final = 0.1
 """Weight of the newest stated slowdown in their average."""
-SLOWDOWN_TTL_S: Final = 0.5
-"""Time for which a stated slowdown holds; it changes several times a second."""
 MIN_SAMPLE_TOKENS: Final = 200
 """Below this prompt size, the time to first token is no measure of the rate."""
 
@@ -74,6 +81,7 @@
     load_at: float = 0.0
     usual_slowdown: float = 1.0
     """Average of the slowdowns that the upstream stated."""
+    figures: LoadFigures = field(default_factory=LoadFigures)
 
     def add_solo_sample(self, sample: float) -> None:
         """Add a sample to the weighted average of the single-prompt rate."""
@@ -94,9 +102,9 @@
     def slowdown(self, now: float) -> float:
         """Return how many times as long as usual work is expected to take."""
         stated = self.load.slowdown if self.load is not None else None
-        if stated is None or now - self.load_at > SLOWDOWN_TTL_S:
+        if stated is None:
             return self.usual_slowdown
-        return stated
+        return effective_slowdown(stated, now - self.load_at, self.usual_slowdown)
 
     def has(self, model: Model, adapter: Adapter | None, now: float) -> bool:
         """Return whether the upstream can run a model with an adapter now."""
@@ -133,6 +141,10 @@
         """Services whose upstreams state how slow they are at the moment."""
         self._read_costs: defaultdict[Service, ReadCosts] = defaultdict(ReadCosts)
         self._backlog_limits: dict[Service, float | None] = {}
+        self._occupancy: defaultdict[Service, RunningMean] = defaultdict(
+            lambda: RunningMean(DEFAULT_OCCUPANCY_S)
+        )
+        """Seconds for which a request of each service holds a slot."""
 
     def configure(self, cfg: FleetConfig) -> None:
         """Apply a new configuration."""
@@ -197,18 +209,26 @@
         if state.draining_version == state.reported_version:
             state.busy_until = 0.0
 
-    def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
-        """Apply the work of a peer at each upstream."""
-        self._peer_work.receive(vm, msg, self._clock())
+    def receive_entry_update(
+        self, vm: Vm, msg: EntryUpdate, as_of: float | None = None
+    ) -> None:
+        """Apply the work of a peer at each upstream, as of a monotonic time."""
+        self._peer_work.receive(vm, msg, self._clock(), as_of)
 
-    def record_load(self, upstream: Upstream, load: ServerLoad) -> None:
-        """Record the load that an upstream stated in an answer."""
-        state = self._states.get(upstream)
-        if state is None:
+    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
+        """Record the load that an upstream stated in an answer, None if it did not."""
+        state = self._states.get(record.name)
+        if state is None or state.record.started_at_ms != record.started_at_ms:
             return
-        state.add_load(load, self._clock())
-        if load.slowdown is not None:
-            self._load_services.add(state.record.service)
+        now = self._clock()
+        if load is not None:
+            state.add_load(load, now)
+        if load is not None and load.slowdown is not None:
+            self._load_services.add(record.service)
+        if self.controls_load(record.service):
+            own = self._own_work[record.name].requests
+            peers = self._peer_work.totals_at(record.name).requests
+            state.figures.record(record.name, load, own, peers, now)
 
     def controls_load(self, service: Service) -> bool:
         """Return whether the load of the upstreams of a service is controlled.
@@ -324,6 +344,15 @@
         """Count the end of a request at an upstream."""
         self._own_work[upstream].finish(request, prefill_done)
 
+    def record_occupancy(self, record: UpstreamRecord, seconds: float) -> None:
+        """Record the time for which an answered request held a slot."""
+        state = self._states.get(record.name)
+        if state is None or not self.controls_load(record.service):
+            return
+        mean_s = self._occupancy[record.service]
+        mean_s.add(seconds)
+        state.figures.record_occupancy(seconds, mean_s.value)
+
     def unread_tokens(self, upstream: Upstream) -> int:
         """Return the prompt tokens pending at an upstream, sent by all entries."""
         return (
@@ -368,6 +397,8 @@
             for state, share in zip(states, shares, strict=True)
             if state.record.name not in excluded
         ]
+        if views and self.controls_load(request.service):
+            self._add_estimates(views, now)
         self._restore_last_capable(views, capable)
         return views
 
@@ -422,6 +453,34 @@
             unresponsive=unresponsive,
         )
 
+    def _add_estimates(self, views: list[UpstreamView], now: float) -> None:
+        """Add the expected load of each upstream to its view."""
+        mean_peers = mean(
+            self._peer_work.totals_at(view.upstream).requests for view in views
+        )
+        for view in views:
+            view.estimate = self._estimate(view, mean_peers, now)
+
+    def _estimate(
+        self, view: UpstreamView, mean_peers: float, now: float
+    ) -> LoadEstimate:
+        state = self._states[view.upstream]
+        own = self._own_work[view.upstream]
+        peers = self._peer_work.totals_at(view.upstream)
+        work = CountedWork(
+            own_requests=own.requests,
+            own_unread_s=own.prefill_tokens / view.read_rate,
+            peer_requests=peers.requests,
+            peer_unread_s=peers.prefill_tokens / view.read_rate,
+            news_age_s=self._peer_work.news_age_s,
+        )
+        service_s = state.figures.occupancy_s
+        if service_s is None:
+            service_s = self._occupancy[state.record.service].value
+        return estimate_load(
+            work, state.figures.usable, service_s, mean_peers, now, state.slowdown(now)
+        )
+
     def own_work(self) -> tuple[UpstreamWork, ...]:
         """Return the work of this entry at each upstream, as sent to peers."""
         return tuple(
