Callers beyond the time of a model's engines count as refused, not as queued

Change, only where loads are known by model: demand beyond the whole time of the engines of a model is refused and weighs like that of a missing model; a new copy counts for the time that other models leave on its engine.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -15,6 +15,12 @@
 demand is a small share of the demand, because the copy spreads the requests. A last
 copy without demand has the value ``IDLE_COPY_VALUE``.
 
+If loads are known by model, demand beyond the whole time of the engines of a model
+counts as refused, too. By what queues alone, one more copy of a model in overload would
+relieve less than a burst of requests for a rare model, and the busy model would keep
+the copies that it had. A new copy counts for the time that other models on its engine
+leave.
+
 A move is made only if the relief exceeds ``MIN_RELIEF_RATIO`` times the cost and a
 floor that grows with the time until the copy serves; a model is not evicted for
 ``SETTLE_S`` after its load. Otherwise models with rare requests would evict each other
@@ -54,6 +60,9 @@
 returns to a model whose demand has ended."""
 COPY_CAPACITY: Final = 0.5
 """Share of the tokens read by an engine that one copy serves without a queue."""
+MIN_SHARE: Final = 0.1
+"""Least share of its engine's time that a copy has beside busy models: all models share
+the slots of an engine by the urgency of their requests."""
 EXTRA_COPY_WEIGHT: Final = 0.3
 """Value of a copy beyond the demand, as a share of the demand per copy."""
 OVERDUE_AFTER_S: Final = 6.0
@@ -113,8 +122,9 @@
     specs: Mapping[Model, ModelSpec]
     demand: Mapping[Model, float]
     engines: list[EngineView]
-    loads: Mapping[Model, float]
-    """Share of a typical engine's time that the demand for each model takes."""
+    loads: Mapping[Model, float] | None = None
+    """Share of a typical engine's time that the demand for each model takes; None if
+    equal to the demand for lack of read rates by model."""
     copies: dict[Model, int] = field(default_factory=dict)
     speeds: dict[Model, float] = field(default_factory=dict)
     """Sum of the speeds of the engines with each model."""
@@ -141,36 +151,53 @@
     def relief(self, model: Model, speed: float = 1.0) -> float:
         """Return the demand that one more copy of a model relieves.
 
-        ``speed`` is that of the copy's engine. The first copy relieves all callers, but
-        less the more of them queue there than on a typical engine.
+        ``speed`` is that of its engine, as far as other models leave it.
         """
-        count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
-        if count == 0:
-            excess = self._queued(model, speed) - self._queued(model, 1.0)
-            return demand * LAST_COPY_WEIGHT - excess
-        held = self.speeds[model]
-        return self._queued(model, held) - self._queued(model, held + speed)
+        if self.loads is None and not self.copies.get(model):
+            return self.demand.get(model, 0.0) * LAST_COPY_WEIGHT
+        held = self.speeds.get(model, 0.0)
+        return self._lost_demand(model, held) - self._lost_demand(model, held + speed)
 
     def copy_value(self, model: Model, speed: float = 1.0) -> float:
         """Return the value of the copy of a model on an engine of some speed."""
         count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
-        if count <= 1:
-            floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
-            return max(floor, demand * LAST_COPY_WEIGHT)
-        held = self.speeds[model]
-        relief = self._queued(model, held - speed) - self._queued(model, held)
-        return relief + EXTRA_COPY_WEIGHT * demand * speed / held
-
-    def _queued(self, model: Model, speeds: float) -> float:
+        held = self.speeds.get(model, 0.0)
+        if count > 1:
+            lost = self._lost_demand(model, held - speed)
+            relief = lost - self._lost_demand(model, held)
+            return relief + EXTRA_COPY_WEIGHT * demand * speed / held
+        value = demand * LAST_COPY_WEIGHT
+        if self.loads is not None:
+            value -= self._lost_demand(model, held)
+        floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
+        return max(floor, value)
+
+    def _lost_demand(self, model: Model, speeds: float) -> float:
         """Return the demand for a model beyond the capacity of copies.
 
-        ``speeds`` is the sum of the speeds of their engines.
+        ``speeds`` is the sum of the speeds of their engines. Demand beyond the whole
+        time of the engines is refused, like demand without a copy, if loads are known.
         """
+        if self.loads is None:
+            return max(0.0, self.demand.get(model, 0.0) - speeds * COPY_CAPACITY)
         load = self.loads.get(model, 0.0)
         if load <= 0:
             return 0.0
-        value_of_load = self.demand.get(model, 0.0) / load
-        return max(0.0, load - speeds * COPY_CAPACITY) * value_of_load
+        queued = max(0.0, load - speeds * COPY_CAPACITY)
+        refused = max(0.0, load - speeds)
+        lost = queued + (LAST_COPY_WEIGHT - 1.0) * refused
+        return lost * self.demand.get(model, 0.0) / load
+
+    def usable_speed(self, move: Move) -> float:
+        """Return the speed that an engine has left for a model to be loaded."""
+        engine = self.engine(move)
+        if self.loads is None:
+            return engine.speed
+        kept = (engine.models | engine.loading) - engine.evicting - set(move.evicted)
+        shares = [
+            min(1.0, self.loads.get(model, 0.0) / self.speeds[model]) for model in kept
+        ]
+        return engine.speed * max(MIN_SHARE, 1.0 - sum(shares))
 
 
 def next_load(
@@ -183,11 +210,10 @@
     """Return the model load with the largest positive gain, None if no load has one.
 
     ``loads`` gives the share of a typical engine's time that the demand for each model
-    takes; None if equal to ``demand``.
+    takes, if known by model. Callers beyond that time count as refused then, and other
+    models on an engine leave a new copy the rest of its time.
     """
-    state = _PlacementState(
-        specs, demand, list(engines), demand if loads is None else loads
-    )
+    state = _PlacementState(specs, demand, list(engines), loads)
     requested = [m for m in demand if m in specs and state.relief(m) > 0]
     best_gains = [_best_gain(state, model, cold_allowed) for model in requested]
     worthwhile = [gain for gain in best_gains if gain is not None]
@@ -217,9 +243,7 @@
     models of far higher demand. A load that should have ended by now, for example
     because its order was lost, does not delay the loads of overdue models.
     """
-    state = _PlacementState(
-        specs, demand, list(engines), demand if loads is None else loads
-    )
+    state = _PlacementState(specs, demand, list(engines), loads)
     busy = [e for e in state.engines if not e.load_overdue and e.loading & set(loading)]
     if busy and state.load_count() >= state.max_rare_loads():
         return None
@@ -273,7 +297,8 @@
             continue
         evicted_value = _evicted_value(state, move)
         floor = MIN_RELIEF_PER_S * move.total_s if state.copies.get(model) else 0.0
-        gain = state.relief(model, engine.speed) - MIN_RELIEF_RATIO * evicted_value
+        gain = state.relief(model, state.usable_speed(move))
+        gain -= MIN_RELIEF_RATIO * evicted_value
         gain -= floor
         gain -= DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, move)
         # Of two equal loads, prefer the shorter one, since callers wait for its end.
@@ -310,7 +335,7 @@
     the weight store, which takes several times as long as a load from a disk, and
     longer than the deadlines of many requests.
     """
-    state = _PlacementState(specs, demand, list(engines), demand)
+    state = _PlacementState(specs, demand, list(engines))
     requested = [m for m in missing if m in specs and not state.copies.get(m)]
     candidates = requested or [
         model
@@ -337,7 +362,7 @@
     which models are busy. They are restored only while there is no demand at all;
     otherwise ``next_load`` chooses the models.
     """
-    state = _PlacementState(specs, demand, list(engines), demand)
+    state = _PlacementState(specs, demand, list(engines))
     if any(demand.values()):
         return None
     for engine in state.engines:
--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -267,3 +267,24 @@
     ]
     demand = demand_of(a=9000, b=9000, c=3000)
     assert next_load(SPECS, demand, engines, True).upstream == expected
+
+
+def test_model_in_overload_gets_copies_beside_rare_models():
+    """Guards against a model that keeps one copy while most of its callers are refused,
+    since one more copy serves a small share of them.
+    """
+    a, rare = Model("a"), [Model(name) for name in "bcdef"]
+    engines = [engine("e1", "a", "b"), engine("e2", "c", "d"), engine("e3", "e", "f")]
+    demand = {a: 6.0} | dict.fromkeys(rare, 0.1)
+    assert next_load(SPECS, demand, engines, True) is None
+    loads = {a: 12.0} | dict.fromkeys(rare, 0.1)
+    move = next_load(SPECS, demand, engines, True, loads)
+    assert move.model == "a"
+
+
+def test_copies_go_where_other_models_leave_time():
+    """Guards against two busy models on one engine while others idle."""
+    engines = [engine("e1", "a", "b"), engine("e2", "b", "d"), engine("e3", "c", "d")]
+    demand = demand_of(a=30_000, b=30_000, c=2000, d=2000)
+    move = next_load(SPECS, demand, engines, True, demand)
+    assert (move.model, move.upstream) == ("a", "e3")
--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -99,6 +99,23 @@
     return {model: rate * (1.0 + error) for model, rate in known}
 
 
+@pytest.mark.parametrize("factor", [0.5, 1.0, 1.5])
+def test_overloaded_model_gets_copies_despite_errors_of_its_rate(factor):
+    """Guards against a model that takes half of the traffic and keeps few copies when
+    engines are lost, since its rate is estimated wrong.
+    """
+    replay = fleet(
+        by_model(lambda _now: {m: r * factor for m, r in READ_RATES.items()})
+    )
+    rare = [Caller(model, 0.28, 5.0, 4.8) for model in MODELS[10:]]
+    replay.run(4, busy_callers(0) + rare)
+    replay.lose(5)
+    replay.run(12, busy_callers(1) + rare)
+    needed = 0.48 * REQUESTS_PER_S * 2400 / SLOW_RATE
+    assert replay.copies(MODELS[1]) > needed
+    assert replay.refused_share(*MODELS[:8]) <= 0.12
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_learned_rates_cause_no_swaps(seed):
     """Guards against models that evict each other when estimates of rates change."""
