--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -182,6 +182,7 @@
             self.poison,
             self.limits,
             evacuations=self.evacuations,
+            controls_load=cfg.controls_load,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
@@ -236,6 +237,8 @@
             send=self.mesh.send,
             evacuations=self.evacuations,
             on_leaving=self.leaving.reported,
+            model_read_rates=self.dispatcher.model_read_rates,
+            engine_speeds=self.dispatcher.engine_speeds,
         )
 
     @classmethod
