The limit of unread prompts shrinks while streams pause for too long

Cause: on one deployment 0.44 of the answers of the most urgent route had a pause beyond its target although unread prompts were bounded by that time; on the other 0.00. Change: the limit follows the share of streams that paused, down to 0.4 of the target.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -121,8 +121,8 @@
     requests that no other upstream can take."""
     unresponsive: bool = False
     """Whether the requests that run there have received no output for a time."""
-    backlog_limit_s: float | None = None
-    """Seconds of unread prompts that the engine may have; None for no limit."""
+    backlog_limit_s: float = math.inf
+    """Seconds of unread prompts that the engine may have."""
     estimate: LoadEstimate | None = None
     """Expected load if upstreams of the service state theirs, else None."""
 
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -101,6 +101,10 @@
         """Record that the upstream runs or has run the request."""
         self._answered_at = now
 
+    def record_stream(self, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        self._dispatcher.record_stream(self.request, longest_pause_s)
+
     def release(self) -> None:
         """Release the slot."""
         if not self._released:
@@ -256,6 +260,11 @@
             tokens = self._demand_weights.weigh(request)
             self._demand[model] = self._demand.get(model, 0.0) + tokens
 
+    def record_stream(self, request: DispatchRequest, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        with self._lock:
+            self._table.record_stream(request, longest_pause_s)
+
     def record_first_token(
         self,
         record: UpstreamRecord,
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -148,6 +148,8 @@
         request.settled = True
         self._watchdog.remove(request.abort)
         upstream = request.permit.record.name if request.permit else "-"
+        if request.permit is not None and request.first_event_s is not None:
+            request.permit.record_stream(request.longest_gap)
         request.release()
         admitted = request.admitted
         account = admitted.account.name if admitted.account is not None else None
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -1,5 +1,6 @@
 """State of each upstream at this entry: its record, its work and its failures."""
 
+import math
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -19,7 +20,7 @@
     effective_slowdown,
     estimate_load,
 )
-from ..decide.prompt_backlog import backlog_limit_s
+from ..decide.prompt_backlog import BacklogLimit
 from ..decide.read_costs import REFERENCE_RATE, ReadCosts
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
@@ -140,7 +141,9 @@
         self._load_services: set[Service] = set()
         """Services whose upstreams state how slow they are at the moment."""
         self._read_costs: defaultdict[Service, ReadCosts] = defaultdict(ReadCosts)
-        self._backlog_limits: dict[Service, float | None] = {}
+        self._backlog_limits: defaultdict[Service, BacklogLimit] = defaultdict(
+            BacklogLimit
+        )
         self._occupancy: defaultdict[Service, RunningMean] = defaultdict(
             lambda: RunningMean(DEFAULT_OCCUPANCY_S)
         )
@@ -150,7 +153,9 @@
         """Apply a new configuration."""
         self._cfg = cfg
         for name, spec in cfg.services.items():
-            self._backlog_limits[name] = backlog_limit_s(cfg.routes, name)
+            limit = BacklogLimit.from_routes(cfg.routes, name)
+            known = self._backlog_limits[name]
+            self._backlog_limits[name] = limit.with_pauses_of(known)
             models = spec.engine.models if spec.engine is not None else {}
             self._read_costs[name].sizes = {m: s.memory_mb for m, s in models.items()}
 
@@ -329,6 +334,11 @@
             request.model, request.prompt_tokens, seconds, stated or 1.0
         )
 
+    def record_stream(self, request: DispatchRequest, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        if request.read_tokens is not None:
+            self._backlog_limits[request.service].record_stream(longest_pause_s)
+
     def solo_read_rate(self, service: Service) -> float:
         """Return the median prompt tokens per second of the engines of a service."""
         rates = [
@@ -431,10 +441,10 @@
         unresponsive = is_unresponsive(
             own.requests, state.last_activity_at, own.busy_since, now
         )
-        read_rate, limit_s = state.read_rate, None
+        read_rate, limit_s = state.read_rate, math.inf
         if request.read_tokens is not None:
             read_rate = REFERENCE_RATE / state.slowdown(now)
-            limit_s = self._backlog_limits.get(request.service)
+            limit_s = self._backlog_limits[request.service].seconds
         return UpstreamView(
             upstream=name,
             zone=state.record.zone,
--- a/tests/test_decide_prompt_backlog.py
+++ b/tests/test_decide_prompt_backlog.py
@@ -1,5 +1,6 @@
 """A burst of prompts at engines that read them one after the other."""
 
+import math
 import random
 from collections import deque
 
@@ -11,7 +12,7 @@
     UpstreamView,
     choose_upstream,
 )
-from persimmonhitch.decide.prompt_backlog import backlog_limit_s, fits_backlog
+from persimmonhitch.decide.prompt_backlog import BacklogLimit, fits_backlog
 from persimmonhitch.decide.wait_limits import queue_key
 from persimmonhitch.fleet.config import Route, RouteKind, Target
 from persimmonhitch.ids import Model, Service, Upstream, Zone
@@ -31,15 +32,34 @@
 @pytest.mark.parametrize(
     ("routes", "limit"),
     [
-        ([], None),
-        ([route(0.8, service=Service("other"))], None),
-        ([route(0.2, kind=RouteKind.IDEMPOTENT)], None),
+        ([], math.inf),
+        ([route(0.8, service=Service("other"))], math.inf),
+        ([route(0.2, kind=RouteKind.IDEMPOTENT)], math.inf),
         ([route(0.8), route(6.0)], 0.4),
         ([route(2.0, gap=0.3)], 0.3),
     ],
 )
 def test_limit_of_unread_prompts(routes, limit):
-    assert backlog_limit_s(routes, LLM) == limit
+    assert BacklogLimit.from_routes(routes, LLM).seconds == limit
+
+
+@pytest.mark.parametrize(
+    ("pauses", "expected"),
+    [
+        ([0.1] * 50, 0.4),
+        ([0.1] * 40 + [0.5], 0.4),
+        ([0.1, 0.1, 0.5] * 30, 0.16),
+        ([0.5] * 50 + [0.1] * 100, 0.4),
+    ],
+)
+def test_limit_follows_the_pauses_of_streams(pauses, expected):
+    """Guards against streams that pause while their engine reads prompts in a row."""
+    limit = BacklogLimit.from_routes([route(2.0, gap=0.4)], LLM)
+    for pause_s in pauses:
+        limit.record_stream(pause_s)
+    assert limit.seconds == pytest.approx(expected)
+    newer = BacklogLimit.from_routes([route(2.0, gap=0.4)], LLM)
+    assert newer.with_pauses_of(limit).seconds == limit.seconds
 
 
 @pytest.mark.parametrize(
@@ -48,7 +68,7 @@
         (0.0, 9.0, 0.4, True),
         (0.2, 0.1, 0.4, True),
         (0.2, 0.3, 0.4, False),
-        (9.0, 9.0, None, True),
+        (9.0, 9.0, math.inf, True),
     ],
 )
 def test_prompts_that_fit(unread_s, read_s, limit_s, fits):
@@ -120,7 +140,7 @@
 def test_urgent_requests_are_in_time_during_a_burst():
     """Guards against seconds of unread prompts that delay what could be in time."""
     in_time, late_until = play(limit_s=0.4)
-    unlimited, unlimited_late_until = play(limit_s=None)
+    unlimited, unlimited_late_until = play(limit_s=math.inf)
     assert in_time >= 0.95
     assert unlimited <= 0.7
     assert late_until <= BURST_S < unlimited_late_until
