Bound the heads, framing and bodies of answers in a client of our own

http.client skips interim heads and discards trailers without a bound of its own, and reports, orders' answers and the store's replies were read whole. A subclass of its response counts the bytes of all heads, of chunk lines and of trailers, and limits the time from their first byte on; read_body bounds bodies of a known size. What is over counts as garbled, and its connection is closed at once. The sidecar reads through the same client. A limit for each part rather than one budget: a body may be large, a head may not.

--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -14,7 +14,9 @@
 from urllib3.connection import HTTPConnection
 
 from ..fleet.upstream import EngineInventory, UpstreamRecord
+from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model, Vm
+from ..observe.logs import log
 from ..platform import headers, names
 from ..platform.upstream_format import decode_report, encode_order
 from .upstream_limits import UpstreamLimits
@@ -22,6 +24,11 @@
 ORDER_TIMEOUT_S: Final = 0.5
 """Engines answer orders in milliseconds; the precondition of the next order detects
 an order whose answer was lost."""
+MAX_ORDER_ANSWER_BYTES: Final = 64 * 1024
+MAX_REPORT_BYTES: Final = 1024 * 1024
+"""Maximum size of a report; one of a hundred models with all adapters is smaller."""
+MAX_BODY_S: Final = 1.0
+"""Maximum time to read the body of an engine's answer."""
 RESET_ON_CLOSE: Final = (
     socket.SOL_SOCKET,
     socket.SO_LINGER,
@@ -79,8 +86,7 @@
         self._vm = vm
         self._on_leaving = on_leaving
         self._limits = limits
-        self._http = urllib3.PoolManager(
-            retries=False,
+        self._http = bounded_pool(
             maxsize=4,
             num_pools=64,
             timeout=urllib3.Timeout(total=ORDER_TIMEOUT_S),
@@ -102,7 +108,12 @@
                 f"http://{record.host}:{record.port}{names.ORDER_PATH}",
                 body=json.dumps(body).encode(),
                 headers=headers.order_headers(record.name),
+                preload_content=False,
             )
+            read_body(answer, MAX_ORDER_ANSWER_BYTES, MAX_BODY_S)
+        except AnswerBoundExceeded as exc:
+            _log_bound_exceeded(record, exc)
+            return OrderOutcome.UNKNOWN
         except (urllib3.exceptions.HTTPError, OSError):
             return OrderOutcome.UNKNOWN
         self._check_leaving(record, answer)
@@ -115,13 +126,20 @@
         url = f"http://{record.host}:{record.port}{names.REPORT_PATH}"
         try:
             answer = self._http.request(
-                "GET", url, headers=headers.order_headers(record.name)
+                "GET",
+                url,
+                headers=headers.order_headers(record.name),
+                preload_content=False,
             )
+            data = read_body(answer, MAX_REPORT_BYTES, MAX_BODY_S)
             self._check_leaving(record, answer)
-            body: Any = json.loads(answer.data)
+            body: Any = json.loads(data)
             if answer.status != 200:
                 return Err(f"status {answer.status}")
             return Success(decode_report(body))
+        except AnswerBoundExceeded as exc:
+            _log_bound_exceeded(record, exc)
+            return Err(repr(exc))
         except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError) as exc:
             return Err(repr(exc))
 
@@ -131,3 +149,7 @@
         fields = {name.lower(): text for name, text in answer.headers.items()}
         if answer.status != headers.MISDIRECTED and headers.is_leaving(fields):
             self._on_leaving(record)
+
+
+def _log_bound_exceeded(record: UpstreamRecord, exc: AnswerBoundExceeded) -> None:
+    log("engine_answer_cut", upstream=record.name, reason=str(exc))
--- /dev/null
+++ b/src/persimmonhitch/http_client/response.py
@@ -0,0 +1,198 @@
+"""Response of ``http.client`` whose heads, chunk sizes and trailers are bounded.
+
+``http.client`` bounds single lines. It skips any number of interim heads and reads any
+number of trailers, and a peer that sends a line byte by byte holds the reader for as
+long as it likes.
+"""
+
+import io
+import socket
+import time
+from http.client import HTTPException, HTTPResponse, IncompleteRead, LineTooLong
+from typing import Any, Final
+
+from .bounds import (
+    FREE_CHUNK_LINE_BYTES,
+    MAX_BLOCK_S,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    AnswerBoundExceeded,
+    AnswerPart,
+)
+
+FRAMING: Final = AnswerPart.FRAMING
+MAX_CHUNK_LINE_BYTES: Final = FREE_CHUNK_LINE_BYTES + MAX_FRAMING_BYTES + 1
+THAW_READ_S: Final = 0.01
+"""Timeout of one read after the end of a block's time: a process that was stopped in
+between reads what has arrived meanwhile."""
+LINE_ERRORS: Final = (HTTPException, LineTooLong)
+"""Errors of ``http.client`` for too many lines and for too long ones."""
+LINE_ENDS: Final = (b"\r\n", b"\n")
+
+
+class _Block:
+    """Block that is being read; it has slots since each chunk changes it."""
+
+    __slots__ = ("has_begun", "part")
+
+    def __init__(self) -> None:
+        self.part: AnswerPart | None = None
+        """Kind of the block, or None outside of a block."""
+        self.has_begun = False
+        """Whether bytes of the block have arrived."""
+
+
+class _BoundedReader(socket.SocketIO):
+    """Reads a socket; bounds the bytes of heads and the time of blocks.
+
+    A block is a head, a chunk size line or the trailers. Its time starts when the
+    reader waits for more after the first bytes.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, "r")
+        # As ``makefile`` does: the socket closes with its last reader.
+        sock._io_refs += 1  # type: ignore[attr-defined]
+        self._socket = sock
+        self.block = _Block()
+        self._deadline_at: float | None = None
+        self._body_ends_at: float | None = None
+        self._is_late = False
+        self._head_left = MAX_HEAD_BYTES
+
+    def makefile(self, _mode: str) -> io.BufferedReader:
+        """Return a buffered reader, as the socket itself does."""
+        return io.BufferedReader(self)
+
+    def limit_body(self, seconds: float) -> None:
+        """Limit the time to the end of the body."""
+        self._body_ends_at = time.monotonic() + seconds
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read available bytes into a buffer."""
+        part = self.block.part
+        if self._body_ends_at is not None:
+            return self._read_until(AnswerPart.BODY, self._body_ends_at, buffer)
+        if part is None:
+            return super().readinto(buffer)
+        count = self._read_block(part, buffer)
+        if part is AnswerPart.HEAD and count:
+            self._head_left -= count
+            if self._head_left < 0:
+                raise AnswerBoundExceeded(part, f"{MAX_HEAD_BYTES} bytes")
+        return count
+
+    def _read_block(self, part: AnswerPart, buffer: Any) -> int | None:
+        if not self.block.has_begun:
+            self.block.has_begun, self._deadline_at = True, None
+            return super().readinto(buffer)
+        if self._deadline_at is None:
+            limit = self._socket.gettimeout()
+            seconds = MAX_BLOCK_S if limit is None else min(limit, MAX_BLOCK_S)
+            self._deadline_at = time.monotonic() + seconds
+        return self._read_until(part, self._deadline_at, buffer)
+
+    def _read_until(
+        self, part: AnswerPart, deadline_at: float, buffer: Any
+    ) -> int | None:
+        left = deadline_at - time.monotonic()
+        if left <= 0:
+            if self._is_late:
+                raise AnswerBoundExceeded(part, "its time")
+            self._is_late = True
+        previous = self._socket.gettimeout()
+        self._socket.settimeout(max(left, THAW_READ_S))
+        try:
+            return super().readinto(buffer)
+        except TimeoutError:
+            raise AnswerBoundExceeded(part, "its time") from None
+        finally:
+            self._socket.settimeout(previous)
+
+
+class BoundedResponse(HTTPResponse):
+    """Response that raises ``AnswerBoundExceeded`` for its head or framing."""
+
+    fp: Any
+    chunk_left: int | None
+    _framing_left = MAX_FRAMING_BYTES
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
+        self._reader = _BoundedReader(sock)
+        self._block = self._reader.block
+        super().__init__(self._reader, *args, **kwargs)  # type: ignore[arg-type]
+
+    def limit_body(self, seconds: float) -> None:
+        """Raise ``AnswerBoundExceeded`` if the body takes longer."""
+        self._reader.limit_body(seconds)
+
+    def begin(self) -> None:
+        """Read the head."""
+        if self.headers is not None:
+            return
+        try:
+            super().begin()
+        except HTTPException as exc:
+            if type(exc) not in LINE_ERRORS:
+                raise
+            raise AnswerBoundExceeded(AnswerPart.HEAD, "its lines") from exc
+        finally:
+            self._block.part = None
+
+    def _read_status(self) -> Any:
+        self._block.part, self._block.has_begun = AnswerPart.HEAD, False
+        return super()._read_status()  # type: ignore[misc]
+
+    def _get_chunk_left(self) -> int | None:
+        """Return the unread bytes of the chunk, read the next size if there are none.
+
+        Returns None after the last chunk.
+        """
+        left = self.chunk_left
+        if left:
+            return left
+        if left is not None and len(self.fp.read(2)) < 2:
+            raise IncompleteRead(b"")
+        line = self._read_chunk_line()
+        try:
+            size = int(line.partition(b";")[0] if b";" in line else line, 16)
+        except ValueError:
+            size = -1
+        if size < 0:
+            self._close_conn()  # type: ignore[attr-defined]
+            raise IncompleteRead(b"")
+        if size == 0:
+            self._read_and_discard_trailer()
+            self._close_conn()  # type: ignore[attr-defined]
+        left = self.chunk_left = size or None
+        return left
+
+    def _read_chunk_line(self) -> bytes:
+        block = self._block
+        block.part = FRAMING
+        block.has_begun = False
+        line: bytes = self.fp.readline(MAX_CHUNK_LINE_BYTES)
+        block.part = None
+        if len(line) > FREE_CHUNK_LINE_BYTES:
+            self._charge(len(line) - FREE_CHUNK_LINE_BYTES)
+        return line
+
+    def _read_and_discard_trailer(self) -> None:
+        self._block.part, self._block.has_begun = FRAMING, False
+        is_first = True
+        while True:
+            line = self.fp.readline(self._framing_left + 1)
+            self._charge(len(line))
+            if line in LINE_ENDS or (is_first and not line):
+                # Some upstreams close after the last chunk without an empty line.
+                break
+            if not line.endswith(b"\n"):
+                raise IncompleteRead(b"")
+            is_first = False
+        self._block.part = None
+
+    def _charge(self, count: int) -> None:
+        self._framing_left -= max(0, count)
+        if self._framing_left < 0:
+            bound = f"{MAX_FRAMING_BYTES} bytes"
+            raise AnswerBoundExceeded(AnswerPart.FRAMING, bound)
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -8,6 +8,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
 from ..store.era import Era, EraState, era_of, revision_of
 from ..store.objects import (
     Changes,
@@ -37,10 +38,21 @@
     413: StoreError.INVALID,
     422: StoreError.INVALID,
 }
+STORE_ERRORS: Final = (
+    urllib3.exceptions.HTTPError,
+    AnswerBoundExceeded,
+    ValueError,
+    OSError,
+)
+"""Errors raised for a lost or a malformed reply."""
 WATCH_TIMEOUT_MARGIN_S: Final = 0.6
 """Time that a watch call may exceed its duration before its connection counts as dead.
 A reply takes milliseconds; only this timeout reveals an unresponsive connection."""
 RESTORED_DETAIL: Final = "store restored from an older copy"
+MAX_REPLY_BYTES: Final = 8 * 1024 * 1024
+"""Maximum size of a reply; the largest is a page of a list or a configuration."""
+MAX_REPLY_S: Final = 10.0
+"""Maximum time to read a reply; a link of a few Mbit/s takes seconds for a list."""
 MAX_CONNECTIONS: Final = 16
 """Pooled connections: one watch per kind, the lease, and short calls."""
 
@@ -74,9 +86,7 @@
         self._timeout = timeout
         # No retries: a write whose reply was lost may have been applied, and a retry of
         # the write would then fail with a conflict.
-        self._http = urllib3.PoolManager(
-            retries=False, maxsize=MAX_CONNECTIONS, timeout=timeout
-        )
+        self._http = bounded_pool(maxsize=MAX_CONNECTIONS, timeout=timeout)
 
     def _request(
         self,
@@ -93,9 +103,11 @@
                 body=data,
                 headers={"Content-Type": "application/json"},
                 timeout=timeout or self._timeout,
+                preload_content=False,
             )
-            parsed = json.loads(reply.data or b"{}")
-        except (urllib3.exceptions.HTTPError, ValueError, OSError) as exc:
+            body_text = read_body(reply, MAX_REPLY_BYTES, MAX_REPLY_S)
+            parsed = json.loads(body_text or b"{}")
+        except STORE_ERRORS as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
         era = parse_era({k.lower(): v for k, v in reply.headers.items()})
         if not self._eras.observe(era):
--- a/src/persimmonhitch/sidecar/engine_api.py
+++ b/src/persimmonhitch/sidecar/engine_api.py
@@ -8,6 +8,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model
 from ..wire.placement import Copy
 from .ledger import Answer, Listed
@@ -18,6 +19,10 @@
 UNLOAD_ADAPTER: Final = "/v1/unload_lora_adapter"
 MODELS: Final = "/v1/models"
 LIST_TIMEOUT_S: Final = 2.0
+MAX_LISTING_BYTES: Final = 1024 * 1024
+MAX_ORDER_ANSWER_BYTES: Final = 64 * 1024
+MAX_BODY_S: Final = 2.0
+"""Maximum time to read the body of an answer."""
 
 
 class ListingError(Enum):
@@ -58,7 +63,7 @@
         self.url = url.rstrip("/")
         self._timeout = order_timeout
         # The ledger would not know of an order that the library repeats.
-        self._http = urllib3.PoolManager(retries=False, maxsize=8)
+        self._http = bounded_pool(maxsize=8)
 
     def load(self, copy: Copy, memory: float, epoch: Epoch) -> Answer:
         """Load a copy; return when it is ready for requests."""
@@ -74,9 +79,13 @@
         """Return the copies that use memory."""
         try:
             answer = self._http.request(
-                "GET", self.url + MODELS, timeout=LIST_TIMEOUT_S
+                "GET",
+                self.url + MODELS,
+                timeout=LIST_TIMEOUT_S,
+                preload_content=False,
             )
-            items = json.loads(answer.data)["data"] if answer.status == 200 else None
+            data = read_body(answer, MAX_LISTING_BYTES, MAX_BODY_S)
+            items = json.loads(data)["data"] if answer.status == 200 else None
             if items is None:
                 return Err(ListingError.BROKEN)
             return Success(tuple(_listed(item) for item in items))
@@ -84,7 +93,7 @@
             return Err(ListingError.REFUSED)
         except (urllib3.exceptions.HTTPError, OSError):
             return Err(ListingError.NO_ANSWER)
-        except (ValueError, KeyError, TypeError):
+        except (AnswerBoundExceeded, ValueError, KeyError, TypeError):
             return Err(ListingError.BROKEN)
 
     def _order(self, path: str, body: dict[str, Any]) -> Answer:
@@ -95,8 +104,10 @@
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=self._timeout,
+                preload_content=False,
             )
-        except (urllib3.exceptions.HTTPError, OSError):
+            read_body(answer, MAX_ORDER_ANSWER_BYTES, MAX_BODY_S)
+        except (urllib3.exceptions.HTTPError, AnswerBoundExceeded, OSError):
             return Answer.UNKNOWN
         if answer.status == 200:
             return Answer.DONE
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -11,6 +11,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from ..http_client import AnswerBoundExceeded, BoundedConnection
 from ..ids import Tokens
 from ..verdict import ErrorCode, Failure, Verdict
 from ..wire.messages import CLOSE, CONNECTION, Submit, UpstreamKind
@@ -94,13 +95,13 @@
                 job.fail(Failure(ErrorCode.DUPLICATE, "given up", Verdict.NOT_RUN))
                 return
             self._exchange(conn, job, timing)
-        except (HTTPError, OSError, ValueError) as exc:
+        except (HTTPError, AnswerBoundExceeded, OSError, ValueError) as exc:
             job.fail(self._lost(job, exc))
         finally:
             conn.close()
 
     def _open(self, job: Job) -> HTTPConnection | None:
-        conn = HTTPConnection(
+        conn = BoundedConnection(
             self._address.host, self._address.port, timeout=CONNECT_TIMEOUT_S
         )
         try:
@@ -184,7 +185,9 @@
 
 
 def _parts(answer: BaseHTTPResponse) -> Iterator[bytes]:
-    return answer.stream(READ_SIZE_BYTES, decode_content=False)
+    # ``stream`` parses chunks itself, without a bound on the trailers.
+    while part := answer.read1(READ_SIZE_BYTES, decode_content=False):
+        yield part
 
 
 class TokenMeter:
