A link ends when a peer's frame exceeds the size limit

websockets fails such a connection and then discards what the peer sends until it closes; the link stayed open meanwhile, for as long as the peer went on sending.

--- a/src/persimmonhitch/wire/link.py
+++ b/src/persimmonhitch/wire/link.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
@@ -182,6 +182,7 @@
         ping_timeout=PING_TIMEOUT_S,
         max_size=MAX_FRAME_BYTES,
         compression=None,
+        create_connection=_ClientConnection,
         proxy=None,
     )
     link = Link(conn, f"{host}:{port}")
@@ -199,6 +200,27 @@
     task.add_done_callback(_tasks.discard)
 
 
+def _abort_if_failed(conn: Connection) -> None:
+    """Abort a connection whose peer has violated the protocol or the frame size.
+
+    The library would otherwise read and discard what this peer sends until it closes.
+    """
+    if conn.protocol.parser_exc is not None:
+        conn.transport.abort()
+
+
+class _ClientConnection(ClientConnection):
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        _abort_if_failed(self)
+
+
+class _ServerConnection(ServerConnection):
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        _abort_if_failed(self)
+
+
 class LinkServer:
     """Accepts links from peers that authenticate with the fleet's secret."""
 
@@ -221,6 +243,7 @@
             ping_timeout=PING_TIMEOUT_S,
             max_size=MAX_FRAME_BYTES,
             compression=None,
+            create_connection=_ServerConnection,
             start_serving=False,
         )
 
