Answers without end are cut in the direct entry, and all answers have one bound

With [vm] memory_mb known, all plain bodies and unfinished events in memory stay below a quarter of it: the largest goes first. persimmonhitch_answers_cut counts them by part.

--- /dev/null
+++ b/src/persimmonhitch/direct/answer_memory.py
@@ -0,0 +1,114 @@
+"""Memory that answers occupy in this process, with a bound on their total."""
+
+import threading
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ..decide.held_answers import answers_to_cut
+from ..http_client import AnswerBoundExceeded, AnswerPart
+from ..observe.logs import log
+
+FREE_BYTES: Final = 65536
+"""Size of an answer up to which it is not counted: one read, as small as the buffers
+that each request has anyway."""
+
+
+class HeldAnswer:
+    """The part of an answer that is held in memory; its thread reports the size."""
+
+    __slots__ = ("_memory", "cut", "is_cut", "size")
+
+    def __init__(self, memory: "AnswerMemory", cut: Callable[[], None]) -> None:
+        self._memory = memory
+        self.cut = cut
+        """Ends the connection on which the thread of the answer may be blocked."""
+        self.size = 0
+        self.is_cut = False
+
+    def resize(self, size: int) -> None:
+        """Report the bytes held; raise ``AnswerBoundExceeded`` if the answer is cut."""
+        if size > FREE_BYTES or self.size:
+            self._memory.resize(self, size)
+        self.check()
+
+    def check(self) -> None:
+        """Raise ``AnswerBoundExceeded`` if the answer is cut."""
+        if self.is_cut:
+            raise AnswerBoundExceeded(AnswerPart.MEMORY, "the memory for all answers")
+
+    def release(self) -> None:
+        """Report that nothing is held any longer."""
+        if self.size:
+            self._memory.resize(self, 0)
+
+
+class AnswerMemory:
+    """Total of all answers held; thread-safe.
+
+    Parameters
+    ----------
+    max_bytes : int or None
+        Bound on the total; None for no bound.
+    """
+
+    def __init__(self, max_bytes: int | None = None) -> None:
+        self._max_bytes = max_bytes
+        self._held: dict[HeldAnswer, int] = {}
+        self._total = 0
+        self._lock = threading.Lock()
+
+    @property
+    def total(self) -> int:
+        """Return the bytes held by all answers that are not cut."""
+        return self._total
+
+    def hold(self, cut: Callable[[], None]) -> HeldAnswer:
+        """Return the entry of a new answer."""
+        return HeldAnswer(self, cut)
+
+    def resize(self, answer: HeldAnswer, size: int) -> None:
+        """Set the size of an answer; cut the largest ones if the total is too large."""
+        if self._max_bytes is None:
+            return
+        with self._lock:
+            if answer.is_cut:
+                return
+            self._set(answer, size)
+            if self._total <= self._max_bytes:
+                return
+            cut = answers_to_cut(self._held, self._max_bytes)
+            sizes = [self._held[each] for each in cut]
+            for each in cut:
+                each.is_cut = True
+                self._set(each, 0)
+        for each, held in zip(cut, sizes, strict=True):
+            log("answer_memory_full", bytes=held, limit=self._max_bytes)
+            each.cut()
+
+    def _set(self, answer: HeldAnswer, size: int) -> None:
+        self._total += size - answer.size
+        answer.size = size
+        if size:
+            self._held[answer] = size
+        else:
+            self._held.pop(answer, None)
+
+
+class HeldBody:
+    """Body of a complete answer, held until its caller has read it."""
+
+    def __init__(self, blocks: list[bytearray], held: HeldAnswer) -> None:
+        self._blocks = deque(blocks)
+        self._held = held
+
+    def __iter__(self) -> Iterator[bytes]:
+        while self._blocks:
+            self._held.check()
+            yield bytes(self._blocks.popleft())
+            self._held.resize(sum(map(len, self._blocks)))
+
+    def close(self) -> None:
+        """Release the memory; the server calls this at the end of each answer."""
+        self._blocks.clear()
+        self._held.release()
--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -10,6 +10,7 @@
 from ..decide.poison import RECENT_START_S
 from ..fleet.config import RouteKind
 from ..fleet.upstream import UpstreamRecord
+from ..http_client import AnswerBoundExceeded
 from ..ids import Upstream
 from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
@@ -20,12 +21,12 @@
 from .admit import Admitted
 from .dispatcher import Dispatcher
 from .exchange import (
-    EXCHANGE_ERRORS,
     MIN_ATTEMPT_S,
     RETRY_AFTER,
     Exchange,
     OutgoingRequest,
     Reply,
+    loss_reason,
     time_over,
 )
 from .in_flight import InFlightRequest
@@ -273,10 +274,7 @@
         misdirected = reply.status == wire.MISDIRECTED
         other_instance = reply.parsed_headers.instance not in (None, record.name)
         code = ErrorCode.OVERLOADED
-        try:
-            reply.read_all()
-        except EXCHANGE_ERRORS:
-            reply.close()
+        reply.discard()
         if misdirected and other_instance:
             code = ErrorCode.STALE_INCARNATION
             self._dispatcher.record_failure(record, True)
@@ -323,8 +321,10 @@
             return self._abort_failure(
                 request, Failure(ErrorCode.DEADLINE, "", Verdict.RAN)
             )
-        reason = f"the answer was cut short ({type(exc).__name__})"
+        reason = f"the answer was cut short ({loss_reason(exc)})"
         failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
+        if isinstance(exc, AnswerBoundExceeded):
+            self._metrics.answer_cut(exc.part)
         if request.permit is not None:
             record = request.permit.record
             self._report_loss(request, record)
--- a/src/persimmonhitch/direct/connection_pool.py
+++ b/src/persimmonhitch/direct/connection_pool.py
@@ -9,10 +9,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util.wait import wait_for_read
 
+from ..http_client import BoundedConnection
+
 CONNECT_TIMEOUT_S: Final = 0.6
 """Several hundred round trips between two availability zones. A VM without power never
 answers, and callers must reach another upstream before their deadline."""
@@ -31,7 +32,7 @@
 
 @dataclass(frozen=True)
 class _IdleConn:
-    conn: HTTPConnection
+    conn: BoundedConnection
     idle_since: float
     expires_at: float
 
@@ -44,7 +45,7 @@
         self._idle: defaultdict[Address, list[_IdleConn]] = defaultdict(list)
         self._lock = threading.Lock()
 
-    def acquire(self, address: Address, max_idle_s: float) -> HTTPConnection | None:
+    def acquire(self, address: Address, max_idle_s: float) -> BoundedConnection | None:
         """Return a pooled connection idle for at most ``max_idle_s``, or None."""
         while True:
             with self._lock:
@@ -59,9 +60,9 @@
                     return idle.conn
             idle.conn.close()
 
-    def open(self, address: Address, timeout_s: float) -> HTTPConnection | None:
+    def open(self, address: Address, timeout_s: float) -> BoundedConnection | None:
         """Return a new connection, or None if it can't be opened in time."""
-        conn = HTTPConnection(*address, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
+        conn = BoundedConnection(*address, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
         try:
             conn.connect()
         except (HTTPError, OSError):
@@ -76,7 +77,7 @@
         return conn
 
     def release(
-        self, address: Address, conn: HTTPConnection, idle_limit: float | None
+        self, address: Address, conn: BoundedConnection, idle_limit: float | None
     ) -> None:
         """Return a connection to the pool after its answer was read completely.
 
@@ -100,7 +101,7 @@
             item.conn.close()
 
 
-def _readable(conn: HTTPConnection) -> bool:
+def _readable(conn: BoundedConnection) -> bool:
     if conn.sock is None:
         return True
     try:
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -12,19 +12,30 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 from urllib3 import BaseHTTPResponse
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from ..fleet.call import ReplyHeaders
+from ..http_client import (
+    AnswerBoundExceeded,
+    AnswerPart,
+    BoundedConnection,
+    BoundedResponse,
+)
 from ..ids import RequestId
 from ..verdict import ErrorCode, Failure, Verdict
 from .abort import Abort, AbortReason
+from .answer_memory import AnswerMemory, HeldAnswer
 from .connection_pool import Address, ConnectionPool
 
 READ_SIZE_BYTES: Final = 65536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of an answer; answers of plain services are smaller."""
+MAX_REFUSAL_BYTES: Final = READ_SIZE_BYTES
+"""Maximum size of the body of a refusal, which is read to keep the connection."""
+REFUSAL_READ_S: Final = 0.25
+"""Maximum time to read the body of a refusal: it comes with its head, and the request
+goes to another upstream next."""
 EVENT_STREAM: Final = "text/event-stream"
 MIN_ATTEMPT_S: Final = 0.02
 """Least time left to the deadline for which a request is sent."""
@@ -36,7 +47,7 @@
 Upstreams close idle connections after several seconds; a request sent during the close
 is lost."""
 
-EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError, AnswerBoundExceeded)
 """Errors raised for a lost upstream or a malformed answer."""
 
 
@@ -70,19 +81,44 @@
     headers: dict[str, str]
     parsed_headers: ReplyHeaders
     _response: BaseHTTPResponse
-    _conn: HTTPConnection
+    _answer: BoundedResponse | None
+    _conn: BoundedConnection
     _sock: socket.socket
     _abort: Abort
     _release_conn: Callable[[], None]
     _content_length: int | None
     framing: Framing
+    held: HeldAnswer
+    """What the process holds of this answer in memory."""
     _complete: bool = field(default=False)
 
-    def read_all(self) -> bytes:
-        """Return the whole body; raise one of ``EXCHANGE_ERRORS`` if truncated."""
-        return b"".join(self.chunks())
+    def read_blocks(self) -> list[bytearray]:
+        """Return the whole body in blocks that are not much larger than a read.
 
-    def chunks(self) -> Iterator[bytes]:
+        Raises one of ``EXCHANGE_ERRORS`` if the body is truncated or exceeds a bound.
+        """
+        blocks: list[bytearray] = []
+        size = 0
+        for chunk in self.chunks(MAX_ANSWER_BYTES):
+            size += len(chunk)
+            self.held.resize(size)
+            if blocks and len(blocks[-1]) < READ_SIZE_BYTES:
+                blocks[-1] += chunk
+            else:
+                blocks.append(bytearray(chunk))
+        return blocks
+
+    def discard(self) -> None:
+        """Read the short body of a refusal; close the connection if it is not short."""
+        if self._answer is not None:
+            self._answer.limit_body(REFUSAL_READ_S)
+        # The head alone states that the request has not run.
+        with contextlib.suppress(*EXCHANGE_ERRORS):
+            for _chunk in self.chunks(MAX_REFUSAL_BYTES):
+                pass
+        self.close()
+
+    def chunks(self, max_bytes: int | None) -> Iterator[bytes]:
         """Yield the body in chunks; raise one of ``EXCHANGE_ERRORS`` if truncated."""
         received = 0
         while True:
@@ -90,9 +126,10 @@
             if not chunk:
                 break
             received += len(chunk)
-            if received > MAX_ANSWER_BYTES:
-                raise ValueError("answer exceeds the size limit")
+            if max_bytes is not None and received > max_bytes:
+                raise AnswerBoundExceeded(AnswerPart.BODY, f"{max_bytes} bytes")
             yield chunk
+        self.held.check()
         if self.framing is Framing.CLOSE and self._abort.reason is not None:
             # The abort of a request closes its connection, as the upstream does.
             raise TruncatedAnswer("the request was aborted")
@@ -125,12 +162,20 @@
 
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
+        self.held.release()
         if not self._complete:
             _shut_down(self._sock)
             self._response.close()
             self._conn.close()
 
 
+def loss_reason(exc: Exception) -> str:
+    """Return the reason of a lost answer for logs and callers."""
+    if isinstance(exc, AnswerBoundExceeded):
+        return f"{type(exc).__name__}: {exc}"
+    return type(exc).__name__
+
+
 class TruncatedAnswer(OSError):
     """Raised if the content of an answer shows that it is incomplete."""
 
@@ -160,9 +205,13 @@
         self,
         pool: ConnectionPool,
         parse_headers: Callable[[int, dict[str, str]], ReplyHeaders],
+        memory: AnswerMemory | None = None,
+        on_cut: Callable[[AnswerPart], None] = lambda _part: None,
     ) -> None:
         self._pool = pool
         self._parse_headers = parse_headers
+        self._memory = AnswerMemory() if memory is None else memory
+        self._on_cut = on_cut
 
     def send(
         self, address: Address, req: OutgoingRequest, abort: Abort, timeout_s: float
@@ -191,13 +240,15 @@
             return self._exchange(address, conn, req, abort, timeout_s)
         except EXCHANGE_ERRORS as exc:
             conn.close()
-            reason = f"the upstream was lost ({type(exc).__name__})"
+            if isinstance(exc, AnswerBoundExceeded):
+                self._on_cut(exc.part)
+            reason = f"the upstream was lost ({loss_reason(exc)})"
             return Err(Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN))
 
     def _exchange(
         self,
         address: Address,
-        conn: HTTPConnection,
+        conn: BoundedConnection,
         req: OutgoingRequest,
         abort: Abort,
         timeout_s: float,
@@ -229,11 +280,13 @@
                 headers,
                 parsed,
                 response,
+                conn.take_answer(),
                 conn,
                 sock,
                 abort,
                 lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
                 length,
                 _framing(headers, length),
+                self._memory.hold(lambda: _shut_down(sock)),
             )
         )
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -20,12 +20,14 @@
 from ..web import Answer, Request, UnframedBody, json_answer
 from .abort import Abort, Watchdog
 from .admit import ActiveConfig, Admitted, admit
+from .answer_memory import HeldBody
 from .attempts import SERVER_ERROR_STATUS, AttemptRunner
 from .dispatcher import Dispatcher
-from .events import EventSplitter, StreamEvent, tail_of
+from .events import EventSplitter, StreamEvent, scan_events
 from .exchange import (
     EVENT_STREAM,
     EXCHANGE_ERRORS,
+    MAX_ANSWER_BYTES,
     Exchange,
     Framing,
     Reply,
@@ -161,10 +163,9 @@
     def _buffered_answer(self, request: InFlightRequest, reply: Reply) -> Answer:
         while True:
             try:
-                body = reply.read_all()
+                blocks = reply.read_blocks()
                 if reply.media_type == EVENT_STREAM:
-                    tail = tail_of(body)
-                    reply.check_events(tail != body, tail)
+                    reply.check_events(*scan_events(blocks))
                 break
             except EXCHANGE_ERRORS as exc:
                 reply.close()
@@ -176,10 +177,13 @@
         headers = wire.response_headers(reply.headers)
         self._record_completed(request, reply)
         self._tracker.settle(request, None, reply.status)
+        body = HeldBody(blocks, reply.held)
+        # The thread waits for its caller from here on, no longer for the upstream.
+        reply.held.cut = request.admitted.http_request.drop
         if reply.framing is Framing.CLOSE:
-            return Answer(reply.status, headers, UnframedBody([body]))
-        headers["content-length"] = str(len(body))
-        return Answer(reply.status, headers, [body])
+            return Answer(reply.status, headers, UnframedBody(body))
+        headers["content-length"] = str(sum(map(len, blocks)))
+        return Answer(reply.status, headers, body)
 
     def _record_completed(self, request: InFlightRequest, reply: Reply) -> None:
         """Record that a request ran to its end; a failure proves no part innocent."""
@@ -214,8 +218,9 @@
 
     def _events(self, request: InFlightRequest, reply: Reply) -> Iterator[StreamEvent]:
         """Yield the events of one answer, and the bytes after the last one."""
-        splitter, has_events = EventSplitter(), False
-        for chunk in reply.chunks():
+        is_event_stream = reply.media_type == EVENT_STREAM
+        splitter, has_events = EventSplitter(needs_data=is_event_stream), False
+        for chunk in reply.chunks(None if is_event_stream else MAX_ANSWER_BYTES):
             if request.permit is not None:
                 request.permit.record_activity()
             for event in splitter.feed(chunk):
@@ -224,6 +229,8 @@
                 self._tracker.record_event(request)
                 has_events = True
                 yield event
+            if splitter.tail_bytes or reply.held.size:
+                reply.held.resize(splitter.tail_bytes)
         if reply.media_type in (None, EVENT_STREAM):
             reply.check_events(has_events, splitter.tail)
         if splitter.tail:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -22,6 +22,7 @@
 from ..decide.admission import connections_refusal
 from ..decide.cold_start import may_fall_back
 from ..decide.evacuation import ZoneEvacuations
+from ..decide.held_answers import max_held_bytes
 from ..decide.overlay import Member, Overlay
 from ..decide.retry_share import LEARN_S
 from ..decide.update_rate import update_interval
@@ -51,6 +52,7 @@
 from ..wire.messages import PROTOCOL, Hello, Role
 from .abort import Watchdog
 from .admit import ActiveConfig
+from .answer_memory import AnswerMemory
 from .app import CallerApp, StatusApp
 from .blocked_requests import BlockedRequests
 from .broadcast import Broadcast
@@ -282,7 +284,12 @@
             lambda: self.active_config,
             self.quota,
             self.dispatcher,
-            Exchange(self.connection_pool, parse_reply),
+            Exchange(
+                self.connection_pool,
+                parse_reply,
+                AnswerMemory(max_held_bytes(cfg.memory_mb)),
+                self.metrics.answer_cut,
+            ),
             self.watchdog,
             self.metrics,
             self.poison,
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -29,6 +29,9 @@
     cpu_cores: float = setting(
         "vm", "cpu_cores", "speed of its processor against others", 1.0, 0.001
     )
+    memory_mb: int = setting(
+        "vm", "memory_mb", "megabytes of memory of this VM; 0 if unknown", 0, 0
+    )
     threads: int = setting(
         "http", "threads", "most requests at a time, a thread for each", 192, 8, 1024
     )
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -17,6 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
+from ..http_client import AnswerPart
 from ..ids import Account, ConfigVersion
 from ..verdict import ErrorCode, Failure
 
@@ -110,6 +111,12 @@
     "Retries that the budget allowed or refused, by the code of the failure before.",
     ("code", "outcome"),
 )
+ANSWERS_CUT: Final = Instrument(
+    "persimmonhitch.answers.cut",
+    "",
+    "Answers of upstreams cut off beyond a bound, by the part that exceeds it.",
+    ("part",),
+)
 BORROWED_TOKENS: Final = Instrument(
     "persimmonhitch.limiter.borrowed",
     "",
@@ -176,6 +183,7 @@
     TOKENS,
     RETRIES,
     RETRY_DECISIONS,
+    ANSWERS_CUT,
     BORROWED_TOKENS,
     CONFIG_VERSION,
     STORE_ERA,
@@ -245,6 +253,7 @@
         self._tokens = self._counter(TOKENS)
         self._retries = self._counter(RETRIES)
         self._retry_decisions = self._counter(RETRY_DECISIONS)
+        self._answers_cut = self._counter(ANSWERS_CUT)
         self._borrowed = self._counter(BORROWED_TOKENS)
         self._duration = self._histogram(DURATION)
         self._queue_time = self._histogram(QUEUE_TIME)
@@ -333,6 +342,10 @@
         outcome = "allowed" if allowed else "refused"
         self._retry_decisions.add(1, {"code": cause.value, "outcome": outcome})
 
+    def answer_cut(self, part: AnswerPart) -> None:
+        """Count an answer that was cut off beyond a bound."""
+        self._answers_cut.add(1, {"part": part.value})
+
     def borrowed(self, account: Account, tokens: float) -> None:
         """Count tokens borrowed from another entry's share."""
         self._borrowed.add(tokens, self._account_labels(account))
--- a/src/persimmonhitch/web/http.py
+++ b/src/persimmonhitch/web/http.py
@@ -21,10 +21,18 @@
 ENVIRON_HEADER_PREFIX: Final = "HTTP_"
 
 
+DROP: Final = "persimmonhitch.drop"
+"""Key of the function that breaks off the connection of a request."""
+
+
 def _never_disconnected() -> bool:
     return False
 
 
+def _do_nothing() -> None:
+    return
+
+
 @dataclass(frozen=True)
 class Request:
     """An HTTP request of a caller; header names are in lower case."""
@@ -37,6 +45,8 @@
     disconnected: Callable[[], bool] = _never_disconnected
     target: str = ""
     """Path and query exactly as received, to be forwarded unchanged."""
+    drop: Callable[[], None] = _do_nothing
+    """Breaks off the connection, from any thread."""
 
 
 class UnframedBody:
@@ -119,5 +129,6 @@
                 "waitress.client_disconnected", _never_disconnected
             ),
             target=environ.get("REQUEST_URI", ""),
+            drop=environ.get(DROP, _do_nothing),
         )
     )
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -18,6 +18,7 @@
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from .http import (
+    DROP,
     MAX_BODY_BYTES,
     Answer,
     Body,
@@ -97,6 +98,11 @@
 
     chunked_response: bool = False
 
+    def get_environment(self) -> Environ:
+        environ: Environ = super().get_environment()
+        environ[DROP] = self.channel.drop
+        return environ
+
     def set_close_on_finish(self) -> None:
         # A chunked response is self-delimiting, so its connection can be reused.
         # waitress closes it, and each client would reconnect after every stream.
@@ -167,6 +173,12 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
+    def drop(self) -> None:
+        """Break off the connection; its unsent bytes are lost."""
+        self.reset_on_close()
+        self.will_close = True
+        self.server.pull_trigger()
+
     def has_input(self) -> bool:
         """Return whether a request, or a part of one, has arrived without an answer."""
         if self.requests or self.request is not None:
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -236,7 +236,14 @@
     """A gateway behind the web server of an entry."""
 
     def __init__(
-        self, *upstreams, cfg=None, refusal=None, retries=None, vm="e1", threads=8
+        self,
+        *upstreams,
+        cfg=None,
+        refusal=None,
+        retries=None,
+        vm="e1",
+        threads=8,
+        memory=None,
     ):
         cfg = cfg or config()
         self.vm = Vm(vm)
@@ -263,12 +270,12 @@
         threading.Thread(target=self._tick, daemon=True).start()
         self.watchdog = Watchdog()
         self.watchdog.start()
-        metrics = Metrics("direct", "test")
+        self.metrics = metrics = Metrics("direct", "test")
         gateway = Gateway(
             lambda: ActiveConfig(cfg, RouteTable(cfg.routes)),
             self.quota,
             self.dispatcher,
-            Exchange(conns, parse_reply),
+            Exchange(conns, parse_reply, memory, metrics.answer_cut),
             self.watchdog,
             metrics,
             self.poison,
