--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -5,13 +5,21 @@
 requests for a model that is resident nowhere are refused until a load has ended; those
 for a model whose only copy is on a full engine wait while other engines are idle.
 
-Demand is expressed in shares of the tokens that one engine reads. A copy serves up to
-``COPY_CAPACITY``; demand beyond that queues. The relief of a further copy is the demand
-that no longer queues, and its cost is the demand that queues once other models are
-evicted for it. The value of the last copy of a model is its whole demand times
-``LAST_COPY_WEIGHT``, since without this copy all callers of the model are refused. The
-value of a copy beyond the demand is a small share of the demand, because the copy
-spreads the requests. A last copy without demand has the value ``IDLE_COPY_VALUE``.
+Demand is expressed in shares of the tokens that one engine reads. A copy serves a load
+of up to ``COPY_CAPACITY`` times the speed of its engine; demand beyond that queues. The
+load may differ from the demand: the engine time of a token depends on its model, its
+value to callers does not. The relief of a further copy is the demand that no longer
+queues, and its cost is the demand that queues once other models are evicted for it. The
+value of the last copy of a model is its whole demand times ``LAST_COPY_WEIGHT``, since
+without this copy all callers of the model are refused. The value of a copy beyond the
+demand is a small share of the demand, because the copy spreads the requests. A last
+copy without demand has the value ``IDLE_COPY_VALUE``.
+
+If loads are known by model, demand beyond the whole time of the engines of a model
+counts as refused, too. By what queues alone, one more copy of a model in overload would
+relieve less than a burst of requests for a rare model, and the busy model would keep
+the copies that it had. A new copy counts for the time that other models on its engine
+leave.
 
 A move is made only if the relief exceeds ``MIN_RELIEF_RATIO`` times the cost and a
 floor that grows with the time until the copy serves; a model is not evicted for
@@ -52,6 +60,9 @@
 returns to a model whose demand has ended."""
 COPY_CAPACITY: Final = 0.5
 """Share of the tokens read by an engine that one copy serves without a queue."""
+MIN_SHARE: Final = 0.1
+"""Least share of its engine's time that a copy has beside busy models: all models share
+the slots of an engine by the urgency of their requests."""
 EXTRA_COPY_WEIGHT: Final = 0.3
 """Value of a copy beyond the demand, as a share of the demand per copy."""
 OVERDUE_AFTER_S: Final = 6.0
@@ -83,6 +94,8 @@
     drains: Mapping[Model, float] = field(default_factory=dict)
     """Expected seconds until the running requests of each model in use have ended; its
     unload waits for them."""
+    speed: float = 1.0
+    """Speed relative to a typical engine of the service."""
 
 
 @dataclass(frozen=True)
@@ -109,12 +122,23 @@
     specs: Mapping[Model, ModelSpec]
     demand: Mapping[Model, float]
     engines: list[EngineView]
+    loads: Mapping[Model, float] | None = None
+    """Share of a typical engine's time that the demand for each model takes; None if
+    equal to the demand for lack of read rates by model."""
     copies: dict[Model, int] = field(default_factory=dict)
+    speeds: dict[Model, float] = field(default_factory=dict)
+    """Sum of the speeds of the engines with each model."""
 
     def __post_init__(self) -> None:
         for engine in self.engines:
             for model in (engine.models | engine.loading) - engine.evicting:
                 self.copies[model] = self.copies.get(model, 0) + 1
+                self.speeds[model] = self.speeds.get(model, 0.0) + engine.speed
+        self._by_name = {engine.upstream: engine for engine in self.engines}
+
+    def engine(self, move: Move) -> EngineView:
+        """Return the engine of a move."""
+        return self._by_name[move.upstream]
 
     def load_count(self) -> int:
         """Return the number of engines that are loading a model."""
@@ -124,26 +148,57 @@
         """Return the number of loads at which only urgent ones may start."""
         return max(1, len(self.engines) // ENGINES_PER_RARE_LOAD)
 
-    def relief(self, model: Model) -> float:
-        """Return the demand that one more copy of a model relieves."""
-        count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
-        if count == 0:
-            return demand * LAST_COPY_WEIGHT
-        return _queued_demand(demand, count) - _queued_demand(demand, count + 1)
+    def relief(self, model: Model, speed: float = 1.0) -> float:
+        """Return the demand that one more copy of a model relieves.
 
-    def copy_value(self, model: Model) -> float:
-        """Return the value of one copy of a model."""
-        count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
-        if count <= 1:
-            floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
-            return max(floor, demand * LAST_COPY_WEIGHT)
-        relief = _queued_demand(demand, count - 1) - _queued_demand(demand, count)
-        return relief + EXTRA_COPY_WEIGHT * demand / count
+        ``speed`` is that of its engine, as far as other models leave it.
+        """
+        if self.loads is None and not self.copies.get(model):
+            return self.demand.get(model, 0.0) * LAST_COPY_WEIGHT
+        held = self.speeds.get(model, 0.0)
+        return self._lost_demand(model, held) - self._lost_demand(model, held + speed)
 
-
-def _queued_demand(demand: float, copies: int) -> float:
-    """Return the demand beyond the capacity of a number of copies."""
-    return max(0.0, demand - copies * COPY_CAPACITY)
+    def copy_value(self, model: Model, speed: float = 1.0) -> float:
+        """Return the value of the copy of a model on an engine of some speed."""
+        count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
+        held = self.speeds.get(model, 0.0)
+        if count > 1:
+            lost = self._lost_demand(model, held - speed)
+            relief = lost - self._lost_demand(model, held)
+            return relief + EXTRA_COPY_WEIGHT * demand * speed / held
+        value = demand * LAST_COPY_WEIGHT
+        if self.loads is not None:
+            value -= self._lost_demand(model, held)
+        floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
+        return max(floor, value)
+
+    def _lost_demand(self, model: Model, speeds: float) -> float:
+        """Return the demand for a model beyond the capacity of copies.
+
+        ``speeds`` is the sum of the speeds of their engines. Demand beyond the whole
+        time of the engines is refused, like demand without a copy, if loads are known.
+        """
+        if self.loads is None:
+            return max(0.0, self.demand.get(model, 0.0) - speeds * COPY_CAPACITY)
+        load = self.loads.get(model, 0.0)
+        if load <= 0:
+            return 0.0
+        queued = max(0.0, load - speeds * COPY_CAPACITY)
+        refused = max(0.0, load - speeds)
+        lost = queued + (LAST_COPY_WEIGHT - 1.0) * refused
+        return lost * self.demand.get(model, 0.0) / load
+
+    def usable_speed(self, move: Move) -> float:
+        """Return the speed that an engine has left for a model to be loaded."""
+        engine = self.engine(move)
+        if self.loads is None:
+            return engine.speed
+        kept = (engine.models | engine.loading) - engine.evicting - set(move.evicted)
+        shares = [
+            min(1.0, self.loads.get(model, 0.0) / self.speeds[model])
+            for model in sorted(kept)
+        ]
+        return engine.speed * max(MIN_SHARE, 1.0 - sum(shares))
 
 
 def next_load(
@@ -151,13 +206,21 @@
     demand: Mapping[Model, float],
     engines: Iterable[EngineView],
     cold_allowed: bool,
+    loads: Mapping[Model, float] | None = None,
 ) -> Move | None:
-    """Return the model load with the largest positive gain, None if no load has one."""
-    state = _PlacementState(specs, demand, list(engines))
+    """Return the model load with the largest positive gain, None if no load has one.
+
+    ``loads`` gives the share of a typical engine's time that the demand for each model
+    takes, if known by model. Callers beyond that time count as refused then, and other
+    models on an engine leave a new copy the rest of its time.
+    """
+    state = _PlacementState(specs, demand, list(engines), loads)
     requested = [m for m in demand if m in specs and state.relief(m) > 0]
     best_gains = [_best_gain(state, model, cold_allowed) for model in requested]
     worthwhile = [gain for gain in best_gains if gain is not None]
-    return max(worthwhile, key=lambda gain: gain.gain).move if worthwhile else None
+    if not worthwhile:
+        return None
+    return max(worthwhile, key=lambda gain: (gain.gain, gain.move.model)).move
 
 
 def next_overdue_load(
@@ -167,11 +230,13 @@
     missing_for: Mapping[Model, float],
     cold_allowed: bool,
     loading: Collection[Model] = (),
+    loads: Mapping[Model, float] | None = None,
 ) -> Move | None:
     """Return a load for the model whose callers have been refused for longest.
 
     ``missing_for`` gives the seconds for which each model has been missing, ``loading``
-    the overdue models that engines are loading already. Engines with cached weights are
+    the overdue models that engines are loading already, and ``loads`` is that of
+    ``next_load``. Engines with cached weights are
     preferred, then evictions of low value and loads that disrupt little demand for
     adapters, both in proportion to their time. Return None if no model is overdue.
 
@@ -181,12 +246,12 @@
     models of far higher demand. A load that should have ended by now, for example
     because its order was lost, does not delay the loads of overdue models.
     """
-    state = _PlacementState(specs, demand, list(engines))
+    state = _PlacementState(specs, demand, list(engines), loads)
     busy = [e for e in state.engines if not e.load_overdue and e.loading & set(loading)]
     if busy and state.load_count() >= state.max_rare_loads():
         return None
     overdue = [m for m, duration in missing_for.items() if duration >= OVERDUE_AFTER_S]
-    for model in sorted(overdue, key=lambda m: -missing_for[m]):
+    for model in sorted(overdue, key=lambda m: (-missing_for[m], m)):
         if model not in specs or state.copies.get(model):
             continue
         free = [engine for engine in state.engines if engine.busy_s <= 0]
@@ -198,13 +263,13 @@
 
 
 def _overdue_cost(state: _PlacementState, move: Move) -> float:
-    engine = next(e for e in state.engines if e.upstream == move.upstream)
-    disrupted = DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, engine, move)
+    disrupted = DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, move)
     return (_evicted_value(state, move) + disrupted) * (1.0 + move.total_s)
 
 
 def _evicted_value(state: _PlacementState, move: Move) -> float:
-    return sum(state.copy_value(model) for model in move.evicted)
+    speed = state.engine(move).speed
+    return sum(state.copy_value(model, speed) for model in move.evicted)
 
 
 @dataclass(frozen=True)
@@ -235,8 +300,10 @@
             continue
         evicted_value = _evicted_value(state, move)
         floor = MIN_RELIEF_PER_S * move.total_s if state.copies.get(model) else 0.0
-        gain = relief - MIN_RELIEF_RATIO * evicted_value - floor
-        gain -= DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, engine, move)
+        gain = state.relief(model, state.usable_speed(move))
+        gain -= MIN_RELIEF_RATIO * evicted_value
+        gain -= floor
+        gain -= DISRUPTION_PER_S * move.total_s * _disrupted_demand(state, move)
         # Of two equal loads, prefer the shorter one, since callers wait for its end.
         gain /= 1.0 + move.total_s
         if gain > 0 and (best is None or gain > best.gain):
@@ -327,8 +394,9 @@
     return len(move.evicted), sum(state.copies.get(model, 1) for model in move.evicted)
 
 
-def _disrupted_demand(state: _PlacementState, engine: EngineView, move: Move) -> float:
+def _disrupted_demand(state: _PlacementState, move: Move) -> float:
     """Return the demand at an engine for models that could not load adapters."""
+    engine = state.engine(move)
     remaining = engine.models - engine.evicting - frozenset(move.evicted)
     return sum(
         state.demand.get(model, 0.0) / max(1, state.copies.get(model, 1))
@@ -344,7 +412,8 @@
     free -= sum(state.specs[m].memory_mb for m in resident if m in state.specs)
     evicted: list[Model] = []
     candidates = sorted(
-        engine.models - engine.evicting - engine.settling, key=state.copy_value
+        engine.models - engine.evicting - engine.settling,
+        key=lambda evictee: (state.copy_value(evictee, engine.speed), evictee),
     )
     for evictee in candidates:
         if free >= spec.memory_mb:
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -34,6 +34,7 @@
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
+from .demand_weights import DemandWeights
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
 from .poison import PoisonGuard
 from .upstream_limits import UpstreamLimits
@@ -81,6 +82,7 @@
         self._sent_at = sent_at
         self._unread = unread
         self._prefill_done = False
+        self._answered_at: float | None = None
         self._released = False
 
     def record_activity(self) -> None:
@@ -95,11 +97,28 @@
                 self.record, self.request, self._sent_at, self._unread
             )
 
+    def record_answer(self, now: float) -> None:
+        """Record that the upstream runs or has run the request."""
+        self._answered_at = now
+
     def release(self) -> None:
         """Release the slot."""
         if not self._released:
             self._released = True
-            self._dispatcher.release(self.record, self.request, self._prefill_done)
+            self._dispatcher.release(
+                self.record, self.request, self._prefill_done, self._occupancy_s()
+            )
+
+    def _occupancy_s(self) -> float | None:
+        """Return the seconds for which the request held a slot, None if it did not.
+
+        A plain upstream answers when it is done; its caller may still be reading.
+        """
+        if self._answered_at is None:
+            return None
+        is_done = self.request.model is None
+        end = self._answered_at if is_done else self._dispatcher.now()
+        return end - self._sent_at
 
 
 class Dispatcher:
@@ -113,6 +132,7 @@
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
+        controls_load: bool = False,
     ) -> None:
         self._zone = zone
         self._send_load_request = send_load_request
@@ -120,7 +140,7 @@
         self._limits = limits
         self._clock = clock
         self._lock = threading.Lock()
-        self._table = UpstreamTable(clock, evacuations)
+        self._table = UpstreamTable(clock, evacuations, controls_load)
         self._waiters: list[_Waiter] = []
         self._requested: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         """When each load request was last sent."""
@@ -128,6 +148,7 @@
         """Expected end of each model load, as reported by the leader."""
         self._demand: dict[Model, float] = {}
         """Tokens requested of each model since the start."""
+        self._demand_weights = DemandWeights()
         self._cfg: FleetConfig | None = None
         self._closing: Failure | None = None
 
@@ -141,8 +162,9 @@
     ) -> Result[Permit, Failure]:
         """Wait for a slot; return a permit, or a failure if no slot is free in time."""
         now = self._clock()
-        waiter = _Waiter(request, excluded, wait_deadline(request))
         with self._lock:
+            request = self._table.with_read_work(request)
+            waiter = _Waiter(request, excluded, wait_deadline(request))
             if self._closing is not None:
                 return Err(self._closing)
             self._waiters.append(waiter)
@@ -221,9 +243,17 @@
         waiter.failure = self._load_refusal(waiter, now)
         waiter.decided.set()
 
-    def record_demand(self, model: Model, tokens: float) -> None:
+    def now(self) -> float:
+        """Return the monotonic time of this dispatcher's clock."""
+        return self._clock()
+
+    def record_demand(self, request: DispatchRequest) -> None:
         """Add a request's tokens to the demand for its model, whatever its outcome."""
+        model = request.model
+        if model is None:
+            return
         with self._lock:
+            tokens = self._demand_weights.weigh(request)
             self._demand[model] = self._demand.get(model, 0.0) + tokens
 
     def record_first_token(
@@ -238,13 +268,22 @@
             self._table.record_first_token(
                 record.name, request, self._clock() - sent_at, unread
             )
+            if request.read_tokens is not None and self._waiters:
+                # The engine has time for another prompt.
+                self._match_waiters(record)
 
     def release(
-        self, record: UpstreamRecord, request: DispatchRequest, prefill_done: bool
+        self,
+        record: UpstreamRecord,
+        request: DispatchRequest,
+        prefill_done: bool,
+        occupancy_s: float | None = None,
     ) -> None:
         """Count the end of an attempt and assign the free slot to a waiting request."""
         with self._lock:
             self._table.record_finish(record.name, request, prefill_done)
+            if occupancy_s is not None:
+                self._table.record_occupancy(record, occupancy_s)
             self._poison.ended(request.fingerprint, record.name)
             self._match_waiters(record)
 
@@ -338,6 +377,7 @@
         with self._lock:
             self._cfg = cfg
             self._table.configure(cfg)
+            self._demand_weights.configure(cfg)
 
     def update(self, records: list[UpstreamRecord]) -> None:
         """Apply a new list of upstreams."""
@@ -366,19 +406,23 @@
             self._table.receive_drain(msg)
             self._match_waiters()
 
-    def receive_entry_update(self, vm: Vm, msg: EntryUpdate) -> None:
+    def receive_entry_update(
+        self, vm: Vm, msg: EntryUpdate, as_of: float | None = None
+    ) -> None:
         """Apply a peer's work at each upstream; ``tick`` matches waiting requests.
 
         Dozens of peers send updates more often than their slots change, and matching
         all waiting requests at each update would use all CPU time of a small VM.
         """
         with self._lock:
-            self._table.receive_entry_update(vm, msg)
+            self._table.receive_entry_update(vm, msg, as_of)
 
-    def record_load(self, record: UpstreamRecord, load: ServerLoad) -> None:
-        """Record the load that an upstream stated in an answer."""
+    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
+        """Record the load that an upstream stated in an answer, None if it did not."""
+        if load is None and not self._table.controls_load(record.service):
+            return
         with self._lock:
-            self._table.record_load(record.name, load)
+            self._table.record_load(record, load)
 
     def record_missing(self, record: UpstreamRecord, request: DispatchRequest) -> None:
         """Record that an engine lacks a model or adapter listed in its inventory."""
@@ -433,6 +477,19 @@
         with self._lock:
             return self._table.solo_read_rate(service)
 
+    def model_read_rates(self, service: Service) -> dict[Model, float] | None:
+        """Return the tokens per second that a usual engine reads of each known model.
+
+        None if the models of the service are not told apart.
+        """
+        with self._lock:
+            return self._table.model_read_rates(service)
+
+    def engine_speeds(self, service: Service) -> dict[Upstream, float]:
+        """Return the speed of the engines of a service relative to the usual one."""
+        with self._lock:
+            return self._table.engine_speeds(service)
+
     def tick(self) -> None:
         """Expire old state and match waiting requests: upstream health recovers."""
         now = self._clock()
@@ -440,5 +497,6 @@
             items = self._requested.items()
             self._requested = {k: at for k, at in items if now - at < RESEND_INTERVAL_S}
             self._table.expire_peers()
+            self._demand_weights.update(self._table.backlog_s, now)
             if self._waiters:
                 self._match_waiters()
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -12,10 +12,13 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from typing import Final
 
 from ..decide.demand import DemandTracker
 from ..decide.drain_estimate import DrainEstimate
+from ..decide.engine_demand import ServiceDemand
+from ..decide.engine_speeds import EngineSpeeds
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.load_rate import LoadRateLimiter
 from ..decide.missing import Availability, MissingModels
@@ -28,7 +31,7 @@
     next_restore,
     next_staging,
 )
-from ..fleet.config import EngineSpec, FleetConfig
+from ..fleet.config import EngineSpec, FleetConfig, ServiceSpec
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, Upstream, Vm
 from ..observe.logs import log
@@ -49,6 +52,8 @@
 from .upstream_limits import UpstreamLimits
 
 LastOrderTimes = Callable[[], Mapping[Upstream, float]]
+ModelReadRates = Callable[[Service], Mapping[Model, float] | None]
+SpeedsOfEngines = Callable[[Service], Mapping[Upstream, float]]
 UsesByUpstream = Mapping[Upstream, Counter[ModelUse]]
 
 ROUND_INTERVAL_S: Final = 0.1
@@ -83,6 +88,11 @@
         Returns the prompt tokens per second that an engine of a service processes.
     send : callable
         Sends the same to the entry that requested an adapter load.
+    model_read_rates : callable
+        Returns the prompt tokens per second that a typical engine of a service reads of
+        each model, as far as known; None if all models and engines are to count alike.
+    engine_speeds : callable
+        Returns the speeds of the engines of a service relative to a typical one.
     """
 
     def __init__(
@@ -98,11 +108,16 @@
         ),
         evacuations: ZoneEvacuations | None = None,
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
+        model_read_rates: ModelReadRates = lambda _service: None,
+        engine_speeds: SpeedsOfEngines = lambda _service: {},
     ) -> None:
         self._evacuations = evacuations or ZoneEvacuations()
         self.election = make_election(self._last_order_times)
         self._broadcast = broadcast
         self._prompt_read_rate = prompt_read_rate
+        self._model_read_rates = model_read_rates
+        self._engine_speeds = engine_speeds
+        self._speeds: defaultdict[Service, EngineSpeeds] = defaultdict(EngineSpeeds)
         self._send = send
         self._leading_since = 0.0
         self._clock = clock
@@ -479,11 +494,30 @@
                 if c.engine.record.service == service.name
                 and self._is_available(c.engine.record, now)
             ]
-            engine_rate = self._prompt_read_rate(service.name)
-            demand = {model: rate / engine_rate for model, rate in demand_rates.items()}
+            demand = self._service_demand(service, demand_rates, candidates, now)
             missing = self._missing[service.name]
             self._place_service(service.engine, missing, demand, candidates, uses, now)
 
+    def _service_demand(
+        self,
+        service: ServiceSpec,
+        token_rates: Mapping[Model, float],
+        controllers: list[EngineController],
+        now: float,
+    ) -> ServiceDemand:
+        read_rate = self._prompt_read_rate(service.name)
+        by_model = self._model_read_rates(service.name)
+        if by_model is None or service.engine is None:
+            return ServiceDemand.from_single_rate(token_rates, read_rate)
+        demand = ServiceDemand.from_model_rates(
+            token_rates, service.engine.models, by_model, read_rate
+        )
+        reported = self._engine_speeds(service.name)
+        names = [controller.engine.record.name for controller in controllers]
+        speeds = {name: reported.get(name, 1.0) for name in names}
+        averages = self._speeds[service.name].update(speeds, now)
+        return replace(demand, speeds=averages)
+
     def _is_available(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether an engine accepts new requests for the time to come.
 
@@ -497,7 +531,7 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         controllers: list[EngineController],
         uses: UsesByUpstream,
         now: float,
@@ -509,12 +543,17 @@
         by_name = {c.engine.record.name: c for c in controllers}
         running = {name: running_requests(uses[name]) for name in by_name}
         for _ in range(len(controllers)):
-            views = [_engine_view(c, running, now) for c in controllers]
+            views = [
+                _engine_view(c, running, now, demand.speed(c.engine.record.name))
+                for c in controllers
+            ]
             cold_allowed = self._load_rate.may_start(spec.cold_loads_per_s, now)
             self._update_missing(spec, missing, views, now)
             move = self._overdue_move(spec, missing, demand, views, cold_allowed)
             if move is None:
-                move = next_load(spec.models, demand, views, cold_allowed)
+                move = next_load(
+                    spec.models, demand.values, views, cold_allowed, demand.loads
+                )
             if move is None:
                 move = self._idle_move(spec, missing, demand, views, cold_allowed)
             if move is None:
@@ -547,14 +586,20 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         views: list[EngineView],
         cold_allowed: bool,
     ) -> Move | None:
         missing.loading &= frozenset().union(*(view.loading for view in views))
         missing_for = missing.missing_durations(self._clock())
         move = next_overdue_load(
-            spec.models, demand, views, missing_for, cold_allowed, missing.loading
+            spec.models,
+            demand.values,
+            views,
+            missing_for,
+            cold_allowed,
+            missing.loading,
+            demand.loads,
         )
         if move is not None:
             missing.loading.add(move.model)
@@ -565,7 +610,7 @@
         self,
         spec: EngineSpec,
         missing: MissingModels,
-        demand: dict[Model, float],
+        demand: ServiceDemand,
         views: list[EngineView],
         cold_allowed: bool,
     ) -> Move | None:
@@ -574,17 +619,19 @@
                 self._home_models.setdefault(view.upstream, view.models)
         unstaged = [v for v in views if v.upstream not in self._staged]
         staging = (
-            next_staging(spec.models, demand, unstaged, views, missing.longest_first())
+            next_staging(
+                spec.models, demand.values, unstaged, views, missing.longest_first()
+            )
             if cold_allowed
             else None
         )
         if staging is not None:
             self._staged.add(staging.upstream)
             return staging
-        return next_restore(spec.models, demand, views, self._home_models)
+        return next_restore(spec.models, demand.values, views, self._home_models)
 
     def _start_load(
-        self, controller: EngineController, move: Move, demand: dict[Model, float]
+        self, controller: EngineController, move: Move, demand: ServiceDemand
     ) -> None:
         controller.engine.plan_load(
             move.model, move.evicted, move.load_s, move.drain_s, self._clock()
@@ -596,7 +643,8 @@
             instead=",".join(move.evicted) or "-",
             cold=move.cold,
             drain=move.drain_s,
-            demand=demand.get(move.model, 0.0),
+            demand=demand.values.get(move.model, 0.0),
+            **_load_fields(move, demand),
         )
         # Model loads take seconds. In the worker pool they could occupy all threads and
         # delay adapter orders, so each gets its own thread, at most one per engine.
@@ -643,6 +691,17 @@
     return ",".join(f"{model}:{s:.1f}" for model, s in durations.items()) or "-"
 
 
+def _load_fields(move: Move, demand: ServiceDemand) -> dict[str, float]:
+    """Return the log fields of a load whose model has a read rate of its own."""
+    if demand.loads is None or move.model not in demand.read_rates:
+        return {}
+    return {
+        "share": demand.loads.get(move.model, 0.0),
+        "read_rate": demand.read_rates[move.model],
+        "speed": demand.speed(move.upstream),
+    }
+
+
 def _restarted(controller: EngineController, record: UpstreamRecord) -> bool:
     return record.started_at_ms != controller.engine.record.started_at_ms
 
@@ -651,6 +710,7 @@
     controller: EngineController,
     running: Mapping[Upstream, Mapping[Model, int]],
     now: float,
+    speed: float = 1.0,
 ) -> EngineView:
     engine = controller.engine
     load_times = engine.loaded_at.items()
@@ -674,4 +734,5 @@
             model: engine.drain_time.expected_s(requests)
             for model, requests in running.get(engine.record.name, {}).items()
         },
+        speed=speed,
     )
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -184,6 +184,7 @@
             self.poison,
             self.limits,
             evacuations=self.evacuations,
+            controls_load=cfg.controls_load,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
@@ -238,6 +239,8 @@
             send=self.mesh.send,
             evacuations=self.evacuations,
             on_leaving=self.leaving.reported,
+            model_read_rates=self.dispatcher.model_read_rates,
+            engine_speeds=self.dispatcher.engine_speeds,
         )
 
     @classmethod
@@ -428,7 +431,7 @@
 
     def _on_entry_update(self, vm: Vm, msg: EntryUpdate, as_of: float) -> None:
         self.quota.receive(vm, msg.usage, as_of)
-        self.dispatcher.receive_entry_update(vm, msg)
+        self.dispatcher.receive_entry_update(vm, msg, as_of)
         self.leader.receive_entry_update(vm, msg)
 
     def _on_inventory_update(self, vm: Vm, msg: InventoryUpdate) -> None:
