The slowest readers go first when unread answers take too much memory or too many places

A caller that reads nothing held the thread of its request for ever once its buffers were full: neither the deadline nor the server's own close wakes it. A dropped connection is closed by the server loop itself, writable or not.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -25,6 +25,7 @@
 from ..decide.held_answers import max_held_bytes
 from ..decide.overlay import Member, Overlay
 from ..decide.retry_share import LEARN_S
+from ..decide.slow_readers import max_unread_bytes
 from ..decide.update_rate import update_interval
 from ..entry.peers import PeerInfo, PeerMesh
 from ..fleet.config import EMPTY_CONFIG, FleetConfig
@@ -304,7 +305,14 @@
         callers = CallerApp(gateway, self._refusal)
         status = StatusApp(self._is_ready, self.metrics)
         host, port = cfg.callers[0]
-        self.server = WebServer(callers, host, port, cfg.threads, keep_streams=True)
+        self.server = WebServer(
+            callers,
+            host,
+            port,
+            cfg.threads,
+            keep_streams=True,
+            max_unread=max_unread_bytes(cfg.memory_mb),
+        )
         self.status_servers = [
             WebServer(status, *address, STATUS_THREADS)
             for address in (cfg.ready[0], cfg.metrics[0])
@@ -530,6 +538,7 @@
             self._tick_due.wait(TICK_INTERVAL_S)
             self._tick_due.clear()
             try:
+                self.server.drop_slow_readers()
                 self.upstreams.expire()
                 self.leaving.apply()
                 self.dispatcher.tick()
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -27,6 +27,7 @@
     UnframedBody,
     json_answer,
 )
+from .slow_readers import SlowReaders
 
 # The application logs failed responses by request; waitress would log them again.
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
@@ -39,6 +40,8 @@
 """The listener and the trigger pipe, which waitress counts as connections."""
 MAX_UNSENT_BYTES: Final = 256 * 1024
 """Maximum buffered bytes of a response to a slow client."""
+MIN_UNSENT_BYTES: Final = 64 * 1024
+"""Buffered bytes that any client may have: several seconds of a stream."""
 REQUEST_LOOKAHEAD: Final = 1
 """Requests read ahead per connection; with 0 a client's disconnect is not detected."""
 MAX_IDLE_CONNS: Final = 2000
@@ -152,6 +155,14 @@
 class _Channel(HTTPChannel):  # type: ignore[misc]
     task_class = _Task
     error_task_class = _ErrorTask
+    sent_bytes = 0
+    """Bytes that the kernel has accepted for the caller."""
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send some bytes; return their number."""
+        count: int = super().send(data, do_close=do_close)
+        self.sent_bytes += count
+        return count
 
     def service(self) -> None:
         """Run one request; then close the connection if idle ones are being closed.
@@ -176,8 +187,13 @@
     def drop(self) -> None:
         """Break off the connection; its unsent bytes are lost."""
         self.reset_on_close()
-        self.will_close = True
-        self.server.pull_trigger()
+        # With ``will_close`` alone, the server loop would wait until the connection is
+        # writable, and that of a caller that reads nothing never is.
+        self.server.trigger.pull_trigger(self._close_if_open)
+
+    def _close_if_open(self) -> None:
+        if self.socket is not None:
+            self.handle_close()
 
     def has_input(self) -> bool:
         """Return whether a request, or a part of one, has arrived without an answer."""
@@ -223,6 +239,8 @@
     the queue is always empty, and the connection limit bounds the requests. Threads
     start on demand.
 
+    With ``max_unread``, the unread bytes of all callers are bounded by this number.
+
     With ``keep_streams`` a connection stays open after a chunked answer, and up to
     ``MAX_IDLE_CONNS`` idle connections are permitted in addition to ``threads``.
     """
@@ -235,7 +253,17 @@
         threads: int,
         build_refusal: RefusalBuilder = _plain_refusal,
         keep_streams: bool = False,
+        max_unread: int | None = None,
     ) -> None:
+        max_buffered = MAX_UNSENT_BYTES
+        if max_unread is not None:
+            share = max(MIN_UNSENT_BYTES, max_unread // threads)
+            max_buffered = min(MAX_UNSENT_BYTES, share)
+        self._slow_readers = (
+            None
+            if max_unread is None
+            else SlowReaders(max_unread, max_buffered, threads)
+        )
         # Idle connections occupy no thread. If callers keep many of them open, these
         # must not use up the limit for new connections.
         conns = MAX_IDLE_CONNS + threads if keep_streams else threads
@@ -252,7 +280,7 @@
             # VMs have no disks, so bodies must stay in memory. The high watermark
             # blocks the thread of a slow reader before its response spills to a file.
             inbuf_overflow=2 * MAX_BODY_BYTES,
-            outbuf_high_watermark=MAX_UNSENT_BYTES,
+            outbuf_high_watermark=max_buffered,
             # With select() the loop fails at the first descriptor of 1,024 or more.
             asyncore_use_poll=True,
             ident=None,
@@ -312,6 +340,14 @@
 
         self._server.trigger.pull_trigger(close_all)
 
+    def drop_slow_readers(self) -> None:
+        """Drop the slowest readers if unread answers exceed a bound.
+
+        To be called several times per second, by one thread.
+        """
+        if self._slow_readers is not None:
+            self._slow_readers.check(list(self._server.active_channels.values()))
+
     def busy_conns(self) -> int:
         """Return the number of connections with a request or unsent bytes."""
         channels = list(self._server.active_channels.values())
