A loading copy of a busy model replaces no resident one

Cause: copies that are loading counted like resident ones when a model was chosen for eviction.

Change, only where loads are known by model: the value of a copy counts resident copies.

--- a/src/persimmonhitch/decide/residency.py
+++ b/src/persimmonhitch/decide/residency.py
@@ -28,6 +28,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
@@ -126,11 +127,14 @@
     """Share of a typical engine's time that the demand for each model takes; None if
     equal to the demand for lack of read rates by model."""
     copies: dict[Model, int] = field(default_factory=dict)
+    resident: Counter[Model] = field(default_factory=Counter)
+    """Copies without those that are loading."""
     speeds: dict[Model, float] = field(default_factory=dict)
     """Sum of the speeds of the engines with each model."""
 
     def __post_init__(self) -> None:
         for engine in self.engines:
+            self.resident.update(engine.models - engine.evicting)
             for model in (engine.models | engine.loading) - engine.evicting:
                 self.copies[model] = self.copies.get(model, 0) + 1
                 self.speeds[model] = self.speeds.get(model, 0.0) + engine.speed
@@ -159,16 +163,20 @@
         return self._lost_demand(model, held) - self._lost_demand(model, held + speed)
 
     def copy_value(self, model: Model, speed: float = 1.0) -> float:
-        """Return the value of the copy of a model on an engine of some speed."""
-        count, demand = self.copies.get(model, 0), self.demand.get(model, 0.0)
-        held = self.speeds.get(model, 0.0)
-        if count > 1:
+        """Return the value of the copy of a model on an engine of some speed.
+
+        If loads are known, loading copies replace no resident one: their loads may take
+        several seconds, or be lost.
+        """
+        demand, held = self.demand.get(model, 0.0), self.speeds.get(model, 0.0)
+        copies = self.copies if self.loads is None else self.resident
+        if copies.get(model, 0) > 1:
             lost = self._lost_demand(model, held - speed)
             relief = lost - self._lost_demand(model, held)
             return relief + EXTRA_COPY_WEIGHT * demand * speed / held
         value = demand * LAST_COPY_WEIGHT
         if self.loads is not None:
-            value -= self._lost_demand(model, held)
+            value -= self._lost_demand(model, speed)
         floor = IDLE_COPY_VALUE if model in self.demand else NEW_COPY_VALUE
         return max(floor, value)
 
--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -288,3 +288,18 @@
     demand = demand_of(a=30_000, b=30_000, c=2000, d=2000)
     move = next_load(SPECS, demand, engines, True, demand)
     assert (move.model, move.upstream) == ("a", "e3")
+
+
+@pytest.mark.parametrize(("loading", "expected"), [(True, None), (False, "f")])
+def test_resident_copy_is_kept_while_the_others_are_loading(loading, expected):
+    """Guards against a busy model that is resident nowhere until a load has ended."""
+    a = frozenset({Model("a")})
+    others = engine("e2", loading=a) if loading else engine("e2", "a")
+    engines = [
+        engine("e1", "a", "b", disk=("f",)),
+        replace(others, busy_s=8.0),
+        engine("e3", "c", loading=frozenset({Model("d")}), busy_s=8.0),
+    ]
+    demand = demand_of(a=6000, b=6000, c=6000, d=6000, f=5000)
+    move = next_load(SPECS, demand, engines, True, demand)
+    assert (move and move.model) == expected
