--- a/src/persimmonhitch/decide/engine_demand.py
+++ b/src/persimmonhitch/decide/engine_demand.py
@@ -58,6 +58,11 @@
         """Return the speed of an engine relative to a typical one."""
         return self.speeds.get(upstream, 1.0)
 
+    def load_share(self) -> float:
+        """Return the share of the time of all engines that the demand takes."""
+        loads, speeds = self.loads or {}, self.speeds
+        return sum(loads.values()) / sum(speeds.values()) if speeds else 0.0
+
     @classmethod
     def from_single_rate(
         cls, token_rates: Mapping[Model, float], read_rate: float
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -93,6 +93,8 @@
         each model, as far as known; None if all models and engines are to count alike.
     engine_speeds : callable
         Returns the speeds of the engines of a service relative to a typical one.
+    observe_load : callable
+        Is told the share of the engines' time that the demand for a service takes.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         on_leaving: Callable[[UpstreamRecord], None] = lambda _record: None,
         model_read_rates: ModelReadRates = lambda _service: None,
         engine_speeds: SpeedsOfEngines = lambda _service: {},
+        observe_load: Callable[[Service, float], None] = lambda _service, _share: None,
     ) -> None:
         self._evacuations = evacuations or ZoneEvacuations()
         self.election = make_election(self._last_order_times)
@@ -117,6 +120,7 @@
         self._prompt_read_rate = prompt_read_rate
         self._model_read_rates = model_read_rates
         self._engine_speeds = engine_speeds
+        self._observe_load = observe_load
         self._speeds: defaultdict[Service, EngineSpeeds] = defaultdict(EngineSpeeds)
         self._send = send
         self._leading_since = 0.0
@@ -516,7 +520,9 @@
         names = [controller.engine.record.name for controller in controllers]
         speeds = {name: reported.get(name, 1.0) for name in names}
         averages = self._speeds[service.name].update(speeds, now)
-        return replace(demand, speeds=averages)
+        demand = replace(demand, speeds=averages)
+        self._observe_load(service.name, demand.load_share())
+        return demand
 
     def _is_available(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether an engine accepts new requests for the time to come.
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -242,6 +242,7 @@
             on_leaving=self.leaving.reported,
             model_read_rates=self.dispatcher.model_read_rates,
             engine_speeds=self.dispatcher.engine_speeds,
+            observe_load=self.metrics.placement_load,
         )
 
     @classmethod
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -18,7 +18,7 @@
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
 from ..http_client import AnswerPart
-from ..ids import Account, ConfigVersion
+from ..ids import Account, ConfigVersion, Service
 from ..verdict import ErrorCode, Failure
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
@@ -172,6 +172,12 @@
     (),
     BUCKETS,
 )
+PLACEMENT_LOAD: Final = Instrument(
+    "persimmonhitch.placement.load",
+    "",
+    "Share of the time of a service's engines that its demand takes, at the leader.",
+    ("service",),
+)
 INSTRUMENTS: Final = (
     REQUESTS,
     REFUSALS,
@@ -194,6 +200,7 @@
     KNOWN_STREAMS,
     SHARE_GENERATION,
     UPDATE_AGE,
+    PLACEMENT_LOAD,
 )
 
 
@@ -267,6 +274,7 @@
         self._era = self._gauge(STORE_ERA)
         self._evacuated = self._gauge(EVACUATED_ZONES)
         self._cold = self._gauge(COLD_UPSTREAMS)
+        self._placement_load = self._gauge(PLACEMENT_LOAD)
         self._blocked = self._gauge(BLOCKED_CAUSES)
         self._resumptions = self._counter(RESUMPTIONS)
         self._known_streams = self._gauge(KNOWN_STREAMS)
@@ -362,6 +370,10 @@
         """Set the number of evacuated zones."""
         self._evacuated.set(count)
 
+    def placement_load(self, service: Service, share: float) -> None:
+        """Set the share of the time of a service's engines that its demand takes."""
+        self._placement_load.set(share, {"service": service})
+
     def cold_upstreams(self, count: int) -> None:
         """Set the number of cold upstreams."""
         self._cold.set(count)
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from persimmonhitch.ids import Account, ConfigVersion
+from persimmonhitch.ids import Account, ConfigVersion, Service
 from persimmonhitch.observe import traces as traces_module
 from persimmonhitch.observe.metrics import INSTRUMENTS, OTHER_ACCOUNTS, Metrics
 from persimmonhitch.observe.traces import HopName, Traces
@@ -45,6 +45,7 @@
     metrics.store_era(2)
     metrics.evacuated_zones(1)
     metrics.cold_upstreams(3)
+    metrics.placement_load(Service("llm"), 0.5)
     metrics.blocked_causes(2)
     metrics.stream_resumed("stream", True)
     metrics.known_streams(1)
