--- a/src/persimmonhitch/decide/even_choice.py
+++ b/src/persimmonhitch/decide/even_choice.py
@@ -20,9 +20,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-UNSEEN_SHARE: Final = 0.5
+UNSEEN_SHARE: Final = 0.25
 """Share of the requests sent since the news that is poured. The others were sent by
-earlier news, which mostly showed the same differences, so they have reduced them."""
+earlier news, which showed the same differences, so they have reduced them."""
 
 
 @dataclass(frozen=True)
--- a/src/persimmonhitch/decide/load_estimate.py
+++ b/src/persimmonhitch/decide/load_estimate.py
@@ -48,6 +48,8 @@
 """Answers in a row without figures after which an upstream counts as silent."""
 MIN_UNUSABLE_S: Final = 2.0
 """Shortest time for which figures stay unused; also bounds the log lines about them."""
+DOUBT_DEVIATIONS: Final = 2.0
+"""Standard deviations below its expected number that a count is beyond doubt."""
 IMPLAUSIBLE_RATIO: Final = 2.0
 IMPLAUSIBLE_MARGIN: Final = 2.0
 """Figures are implausible while the entries count more requests than this ratio of the
@@ -157,17 +159,16 @@
     """
     if stated is not None and now - stated.at > MAX_FIGURES_AGE_S:
         stated = None
-    others, left = _others(work, stated, service_s, now)
-    own = work.own_requests
     age_s = now - stated.at if stated is not None else None
+    slowdown = effective_slowdown(stated.slowdown, now - stated.at) if stated else 1.0
+    others, left = _others(work, stated, service_s * slowdown, now)
+    own = work.own_requests
     return LoadEstimate(
         running=own + others,
         known_running=own + others * left,
         certain_running=own + _certain_others(others, left, mean_peer_requests),
         known_unread=_known_unread(work),
-        slowdown=(
-            effective_slowdown(stated.slowdown, now - stated.at) if stated else 1.0
-        ),
+        slowdown=slowdown,
         service_s=service_s,
         age_s=age_s,
     )
@@ -191,13 +192,13 @@
 
 
 def _certain_others(others: float, left: float, mean: float) -> float:
-    """Return the expected requests of other entries minus their deviation.
+    """Return the requests of other entries that run there beyond doubt.
 
     Those that have ended since the news are replaced by as many as a mean upstream
     gets.
     """
     expected = others * left + mean * (1.0 - left)
-    return max(0.0, expected - math.sqrt(mean * (1.0 - left**2)))
+    return max(0.0, expected - DOUBT_DEVIATIONS * math.sqrt(mean * (1.0 - left**2)))
 
 
 def _known_unread(work: CountedWork) -> float:
