Metrics of the figures by which requests are spread

Cause: operators could not see how old or wrong the load of an upstream was. Change: age of the figures at each choice, error of the expected requests, spread over the upstreams of a service. Estimates are made for capable upstreams only.

--- a/src/persimmonhitch/decide/even_choice.py
+++ b/src/persimmonhitch/decide/even_choice.py
@@ -25,7 +25,7 @@
 earlier news, which showed the same differences, so they have reduced them."""
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Option:
     """One of several equivalent upstreams."""
 
--- a/src/persimmonhitch/decide/load_estimate.py
+++ b/src/persimmonhitch/decide/load_estimate.py
@@ -86,7 +86,7 @@
     """Monotonic time at which the answer arrived."""
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class CountedWork:
     """Work at an upstream as the entries count it."""
 
@@ -99,7 +99,7 @@
     """Age of the peers' counts."""
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class LoadEstimate:
     """Expected load of an upstream at one moment."""
 
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -32,6 +32,7 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
+from ..observe.metrics import Metrics
 from ..verdict import Failure
 from .abort import Abort
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
@@ -131,7 +132,9 @@
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._zone = zone
         self._send_load_request = send_load_request
         self._poison = poison
@@ -305,9 +308,18 @@
             waiter.limited_by = self._all_limited(waiter.request, views)
             waiter.last_choice = choose_upstream(views, waiter.request, self._zone)
             self._apply_choice(waiter, waiter.last_choice)
+            self._record_figures_age(waiter.last_choice, views)
             if waiter.limited_by and not waiter.decided.is_set():
                 self._refuse_limited(waiter)
 
+    def _record_figures_age(self, choice: Choice, views: list[UpstreamView]) -> None:
+        """Record how old the figures were by which a request was sent."""
+        if self._metrics is None or choice.step is not Step.SEND:
+            return
+        for view in views:
+            if view.upstream == choice.upstream and view.estimate is not None:
+                self._metrics.load_age(view.estimate.age_s)
+
     def _all_limited(
         self, request: DispatchRequest, views: list[UpstreamView]
     ) -> frozenset[Upstream]:
@@ -410,7 +422,17 @@
         if load is None and not self._table.states_slowdown(record.service):
             return
         with self._lock:
-            self._table.record_load(record, load)
+            error = self._table.record_load(record, load)
+        if error is not None and self._metrics is not None:
+            self._metrics.load_error(error)
+
+    def load_spreads(self) -> dict[Service, float]:
+        """Return how unevenly requests are spread over the upstreams of each service.
+
+        The spread is the deviation of the expected requests as a share of their mean.
+        """
+        with self._lock:
+            return self._table.load_spreads()
 
     def record_missing(self, record: UpstreamRecord, request: DispatchRequest) -> None:
         """Record that an engine lacks a model or adapter listed in its inventory."""
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -182,6 +182,7 @@
             self.poison,
             self.limits,
             evacuations=self.evacuations,
+            metrics=self.metrics,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
@@ -531,6 +532,8 @@
                 if time.monotonic() - published_at >= interval_s:
                     published_at = time.monotonic()
                     self._publish_entry_update()
+                    for service, spread in self.dispatcher.load_spreads().items():
+                        self.metrics.load_spread(service, spread)
                 for update in (
                     self.poison.next_update(),
                     self.poison.next_parts_update(),
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -4,8 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from statistics import fmean as mean
-from statistics import median
+from statistics import fmean, median, pstdev
 from typing import Final
 
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
@@ -25,7 +24,7 @@
 from .load_figures import LoadFigures
 from .local_work import LocalWork
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, UpstreamWork
-from .peer_work import PeerWork
+from .peer_work import PeerWork, WorkTotals
 
 MISSING_TTL_S: Final = 1.0
 """Time for which an engine's answer that a model or adapter is missing overrides
@@ -185,25 +184,51 @@
         """Apply the work of a peer at each upstream, as of a monotonic time."""
         self._peer_work.receive(vm, msg, self._clock(), as_of)
 
-    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
-        """Record the load that an upstream stated in an answer, None if it did not."""
+    def record_load(
+        self, record: UpstreamRecord, load: ServerLoad | None
+    ) -> float | None:
+        """Record the load that an upstream stated in an answer, None if it did not.
+
+        Return the difference between the requests expected and stated, if known.
+        """
         state = self._states.get(record.name)
         if state is None or state.record.started_at_ms != record.started_at_ms:
-            return
+            return None
         now = self._clock()
         if load is not None:
             state.load, state.load_at = load, now
         if load is not None and load.slowdown is not None:
             self._load_services.add(record.service)
-        if self.states_slowdown(record.service):
-            own = self._own_work[record.name].requests
-            peers = self._peer_work.totals_at(record.name).requests
-            state.figures.record(record.name, load, own, peers, now)
+        if not self.states_slowdown(record.service):
+            return None
+        own = self._own_work[record.name].requests
+        peers = self._peer_work.totals_at(record.name)
+        expected = self._estimate(state, peers, 0.0, now).running
+        state.figures.record(record.name, load, own, peers.requests, now)
+        return abs(load.running + load.waiting - expected) if load is not None else None
 
     def states_slowdown(self, service: Service) -> bool:
         """Return whether upstreams of a service state how slow they are."""
         return service in self._load_services
 
+    def load_spreads(self) -> dict[Service, float]:
+        """Return how unevenly requests are spread over the upstreams of each service.
+
+        Only services whose upstreams state their load are included.
+        """
+        now = self._clock()
+        spreads = {}
+        for service in self._load_services:
+            running = [
+                self._estimate(
+                    state, self._peer_work.totals_at(state.record.name), 0.0, now
+                ).running
+                for state in self._by_service[service]
+            ]
+            if any(running):
+                spreads[service] = pstdev(running) / fmean(running)
+        return spreads
+
     def expire_peers(self) -> None:
         """Drop the work of unresponsive peers."""
         self._peer_work.expire(self._clock())
@@ -307,8 +332,8 @@
             for state, share in zip(states, shares, strict=True)
             if state.record.name not in excluded
         ]
-        if views and self.states_slowdown(request.service):
-            self._add_estimates(views, now)
+        if self.states_slowdown(request.service):
+            self._add_estimates([v for v in views if v.upstream in capable], now)
         self._restore_last_capable(views, capable)
         return views
 
@@ -360,18 +385,16 @@
 
     def _add_estimates(self, views: list[UpstreamView], now: float) -> None:
         """Add the expected load of each upstream to its view."""
-        mean_peers = mean(
-            self._peer_work.totals_at(view.upstream).requests for view in views
-        )
-        for view in views:
-            view.estimate = self._estimate(view, mean_peers, now)
+        peers = [self._peer_work.totals_at(view.upstream) for view in views]
+        mean_peers = sum(work.requests for work in peers) / max(1, len(peers))
+        for view, work in zip(views, peers, strict=True):
+            state = self._states[view.upstream]
+            view.estimate = self._estimate(state, work, mean_peers, now)
 
     def _estimate(
-        self, view: UpstreamView, mean_peers: float, now: float
+        self, state: UpstreamState, peers: WorkTotals, mean_peers: float, now: float
     ) -> LoadEstimate:
-        state = self._states[view.upstream]
-        own = self._own_work[view.upstream]
-        peers = self._peer_work.totals_at(view.upstream)
+        own = self._own_work[state.record.name]
         work = CountedWork(
             own_requests=own.requests,
             own_unread_s=own.prefill_tokens / state.read_rate,
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -17,7 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
-from ..ids import Account, ConfigVersion
+from ..ids import Account, ConfigVersion, Service
 from ..verdict import ErrorCode, Failure
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
@@ -31,6 +31,10 @@
 """Bucket bounds in seconds; 0.75 s is the latency target of the first token."""
 GAP_BUCKETS: Final = (0.005, 0.01, 0.02, 0.03, 0.04, 0.054, 0.075, 0.1, 0.25, 1.0)
 """Bucket bounds in seconds of the gap between tokens; the target is 54 ms."""
+COUNT_BUCKETS: Final = (0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 12.0, 20.0, 40.0)
+"""Bucket bounds of a number of requests at one upstream."""
+NO_FIGURES_AGE_S: Final = 15.0
+"""Age recorded if an upstream has stated no usable figures; the largest bound."""
 
 Labels = Mapping[str, str | int]
 
@@ -165,6 +169,26 @@
     (),
     BUCKETS,
 )
+LOAD_AGE: Final = Instrument(
+    "persimmonhitch.load.age",
+    "s",
+    "Age of an upstream's own figures when a request was sent there; 15 s for none.",
+    (),
+    BUCKETS,
+)
+LOAD_ERROR: Final = Instrument(
+    "persimmonhitch.load.error",
+    "",
+    "Difference between the requests expected at an upstream and those it states.",
+    (),
+    COUNT_BUCKETS,
+)
+LOAD_SPREAD: Final = Instrument(
+    "persimmonhitch.load.spread",
+    "",
+    "Deviation of the requests expected at a service's upstreams, over their mean.",
+    ("service",),
+)
 INSTRUMENTS: Final = (
     REQUESTS,
     REFUSALS,
@@ -186,6 +210,9 @@
     KNOWN_STREAMS,
     SHARE_GENERATION,
     UPDATE_AGE,
+    LOAD_AGE,
+    LOAD_ERROR,
+    LOAD_SPREAD,
 )
 
 
@@ -251,6 +278,9 @@
         self._first_token = self._histogram(TIME_TO_FIRST_TOKEN)
         self._token_gap = self._histogram(TOKEN_GAP)
         self._update_age = self._histogram(UPDATE_AGE)
+        self._load_age = self._histogram(LOAD_AGE)
+        self._load_error = self._histogram(LOAD_ERROR)
+        self._load_spread = self._gauge(LOAD_SPREAD)
         self._active = self._meter.create_up_down_counter(
             ACTIVE_REQUESTS.name, ACTIVE_REQUESTS.unit, ACTIVE_REQUESTS.help
         )
@@ -320,6 +350,18 @@
         """Record the age of another entry's status update on arrival."""
         self._update_age.record(seconds)
 
+    def load_age(self, seconds: float | None) -> None:
+        """Record the age of an upstream's figures at a choice, None for no figures."""
+        self._load_age.record(NO_FIGURES_AGE_S if seconds is None else seconds)
+
+    def load_error(self, requests: float) -> None:
+        """Record the error of the requests expected at an upstream."""
+        self._load_error.record(requests)
+
+    def load_spread(self, service: Service, spread: float) -> None:
+        """Set the spread of requests over the upstreams of a service."""
+        self._load_spread.set(spread, {"service": service})
+
     def tokens_used(self, account: Account, tokens: float) -> None:
         """Count tokens charged to an account."""
         self._tokens.add(tokens, self._account_labels(account))
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from persimmonhitch.ids import Account, ConfigVersion
+from persimmonhitch.ids import Account, ConfigVersion, Service
 from persimmonhitch.observe import traces as traces_module
 from persimmonhitch.observe.metrics import INSTRUMENTS, OTHER_ACCOUNTS, Metrics
 from persimmonhitch.observe.traces import HopName, Traces
@@ -49,6 +49,9 @@
     metrics.stream_resumed("stream", True)
     metrics.known_streams(1)
     metrics.share_generation(account, 3)
+    metrics.load_age(None)
+    metrics.load_error(1.5)
+    metrics.load_spread(Service("api"), 0.4)
 
 
 def test_every_instrument_is_shown(metrics):
