--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -186,6 +186,7 @@
             self.limits,
             evacuations=self.evacuations,
             controls_load=cfg.controls_load,
+            metrics=self.metrics,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
@@ -551,6 +552,8 @@
                 if time.monotonic() - published_at >= interval_s:
                     published_at = time.monotonic()
                     self._publish_entry_update()
+                    for service, spread in self.dispatcher.load_spreads().items():
+                        self.metrics.load_spread(service, spread)
                 for update in (
                     self.poison.next_update(),
                     self.poison.next_parts_update(),
