Engines that are all slow count as slow

Cause: speeds that differed by less than a tenth counted as typical, also if all engines took half as long again as usual; the plan changed by a third once one of them differed. Change: speeds count unless all are within a tenth of the typical one. Measured: tests alone.

--- a/src/persimmonhitch/decide/engine_speeds.py
+++ b/src/persimmonhitch/decide/engine_speeds.py
@@ -7,8 +7,8 @@
 its capacity. If copies are planned for the speed of the moment, models move back and
 forth: a load takes seconds, and by its end the speed is another one.
 
-Speeds are therefore averaged over ``SPEED_TAU_S``. As long as the engines of a service
-differ by less than ``MIN_SPREAD``, all of them count as typical.
+Speeds are therefore averaged over ``SPEED_TAU_S``. As long as all engines of a service
+are within ``TYPICAL_RATIO`` of the typical speed, they count as typical.
 """
 
 from collections.abc import Mapping
@@ -20,9 +20,9 @@
 SPEED_TAU_S: Final = 8.0
 """Time constant of the averages in seconds: the duration of a load from the weight
 store, which is the longest."""
-MIN_SPREAD: Final = 1.1
-"""Ratio of the highest to the lowest speed from which speeds count; a difference of a
-tenth is less than what ``MIN_RELIEF_RATIO`` leaves for errors of the demand."""
+TYPICAL_RATIO: Final = 1.1
+"""Ratio to the typical speed up to which speeds don't count; a tenth is less than what
+``MIN_RELIEF_RATIO`` leaves for errors of the demand."""
 SPEED_LIMITS: Final = (0.1, 10.0)
 """Lowest and highest speed that counts. A stated slowdown may be any number."""
 
@@ -56,6 +56,6 @@
                 weight = min(1.0, elapsed / period)
                 average.speed += weight * (speed - average.speed)
         known = {name: average.speed for name, average in self._averages.items()}
-        if not known or max(known.values()) < MIN_SPREAD * min(known.values()):
+        if all(1.0 / TYPICAL_RATIO < s < TYPICAL_RATIO for s in known.values()):
             return dict.fromkeys(known, 1.0)
         return known
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -26,10 +26,11 @@
         (1.0, 1.0, (1.0, 1.0)),
         (1.05, 0.97, (1.0, 1.0)),
         (1.7, 0.7, (1.7, 0.7)),
+        (0.6, 0.6, (0.6, 0.6)),
         (math.inf, 0.0, tuple(reversed(SPEED_LIMITS))),
     ],
 )
-def test_speeds_count_once_they_differ_by_more_than_a_tenth(fast, slow, expected):
+def test_speeds_count_once_one_differs_by_more_than_a_tenth(fast, slow, expected):
     known = averages(lambda _now: {FAST: fast, SLOW: slow})
     assert (known[FAST], known[SLOW]) == pytest.approx(expected)
 
