Requests that compete for room wait and are refused by their claims

Where upstreams state how slow they are, a request stopped waiting at 0.9 of its latency target although its caller would still have taken the answer; late work went before work in time, and retry times were drawn without regard to what waits.

Requests in time go before late ones, late ones also after those in time of the next rank. A request waits as long as its caller does, but is refused at once when the room won here lately by its class doesn't suffice; the retry time is the predicted wait, at most a third of the caller's time. All other services wait as recorded before.

--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -32,6 +32,7 @@
 from typing import Final
 
 from ..ids import (
+    Account,
     Adapter,
     Cause,
     Fingerprint,
@@ -79,6 +80,7 @@
     """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
     """Software version required of the upstream; None for any."""
+    account: Account | None = None
 
 
 @dataclass
--- a/src/persimmonhitch/direct/admit.py
+++ b/src/persimmonhitch/direct/admit.py
@@ -132,6 +132,7 @@
         deadline_at=deadline_at,
         fingerprint=digest,
         parts=shared_parts(caller.prompt_parts),
+        account=account.name if account is not None else None,
     )
 
 
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -1,4 +1,8 @@
-"""Queues requests for upstream slots and assigns slots by rank."""
+"""Queues requests for upstream slots and assigns slots by rank.
+
+Where upstreams state how slow they are, requests wait and are refused by their claims
+(``decide/contention.py``), elsewhere by their latency targets.
+"""
 
 import threading
 import time
@@ -9,6 +13,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decide.contention import DEFAULT_FIRST_EVENT_S, Claim, waiting_order
 from ..decide.dispatch import (
     Choice,
     DispatchRequest,
@@ -34,6 +39,7 @@
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
+from .contention import Contention
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
 from .poison import PoisonGuard
 from .upstream_limits import UpstreamLimits
@@ -53,6 +59,8 @@
     excluded: frozenset[Upstream]
     """Upstreams at which earlier attempts of the request failed."""
     give_up_at: float
+    claim: Claim | None = None
+    """What the request is owed, None if its upstreams don't state how slow they are."""
     decided: threading.Event = field(default_factory=threading.Event)
     upstream: UpstreamRecord | None = None
     failure: Failure | None = None
@@ -60,8 +68,17 @@
     limited_by: frozenset[Upstream] = frozenset()
     """All capable upstreams if each of them is at its request limit, else empty."""
 
-    def sort_key(self) -> tuple[int, float]:
-        return queue_key(self.request)
+    def sort_key(self, now: float) -> tuple[int, bool, bool, int, float]:
+        if self.claim is not None:
+            return waiting_order(self.claim, now)
+        rank, until = queue_key(self.request)
+        return rank, False, False, 0, until
+
+    @property
+    def needs_room(self) -> bool:
+        """Whether the request waits for room at an upstream and for nothing else."""
+        is_waiting = self.last_choice.step is Step.WAIT and not self.limited_by
+        return is_waiting and not self.decided.is_set()
 
 
 class Permit:
@@ -103,7 +120,7 @@
 
 
 class Dispatcher:
-    """Assigns upstream slots to requests in the order of ``queue_key``."""
+    """Assigns upstream slots to requests in the order of their sort keys."""
 
     def __init__(
         self,
@@ -121,6 +138,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._table = UpstreamTable(clock, evacuations)
+        self._contention = Contention()
         self._waiters: list[_Waiter] = []
         self._requested: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         """When each load request was last sent."""
@@ -141,10 +159,10 @@
     ) -> Result[Permit, Failure]:
         """Wait for a slot; return a permit, or a failure if no slot is free in time."""
         now = self._clock()
-        waiter = _Waiter(request, excluded, wait_deadline(request))
         with self._lock:
             if self._closing is not None:
                 return Err(self._closing)
+            waiter = self._make_waiter(request, excluded, now)
             self._waiters.append(waiter)
             self._match_waiters()
             if not waiter.decided.is_set():
@@ -163,6 +181,20 @@
             sent_at = self._clock()
         return Success(Permit(self, waiter.upstream, request, sent_at, unread))
 
+    def _make_waiter(
+        self, request: DispatchRequest, excluded: frozenset[Upstream], now: float
+    ) -> _Waiter:
+        if not self._table.states_slowdown(request.service):
+            return _Waiter(request, excluded, wait_deadline(request))
+        claim = Claim(
+            request,
+            now,
+            first_event_s=DEFAULT_FIRST_EVENT_S,
+            resumed=request.version is not None,
+            repeated=bool(excluded),
+        )
+        return _Waiter(request, excluded, claim.send_by, claim)
+
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
         trial_failure = None
         if waiter.last_choice.step is Step.WAIT:
@@ -175,6 +207,8 @@
             return trial_failure
         if waiter.last_choice.step in (Step.LOAD, Step.WAIT_FOR_MODEL):
             return self._load_refusal(waiter, self._clock())
+        if waiter.claim is not None and waiter.last_choice.step is Step.WAIT:
+            return self._contention.refuse_overdue(waiter.claim, self._clock())
         return refusal(waiter.last_choice.step, waiter.request)
 
     def _load_refusal(self, waiter: _Waiter, now: float) -> Failure:
@@ -257,11 +291,12 @@
                 waiter.decided.set()
 
     def _match_waiters(self, freed: UpstreamRecord | None = None) -> None:
-        """Assign free slots to waiting requests in the order of ``queue_key``.
+        """Assign free slots to waiting requests in the order of their sort keys.
 
         If given, ``freed`` alone has gained a slot: skip requests that can't run on it.
         """
-        for waiter in sorted(self._waiters, key=_Waiter.sort_key):
+        now = self._clock()
+        for waiter in sorted(self._waiters, key=lambda waiter: waiter.sort_key(now)):
             if waiter.decided.is_set():
                 continue
             if freed is not None and not self._table.can_serve(freed, waiter.request):
@@ -279,6 +314,22 @@
             self._apply_choice(waiter, waiter.last_choice)
             if waiter.limited_by and not waiter.decided.is_set():
                 self._refuse_limited(waiter)
+        self._refuse_unservable(now)
+
+    def _refuse_unservable(self, now: float) -> None:
+        """Refuse the requests for which no room is expected in useful time."""
+        waiters = {
+            waiter.claim: waiter
+            for waiter in self._waiters
+            if waiter.claim is not None and waiter.needs_room
+        }
+        for unservable in self._contention.refresh(waiters, now):
+            waiter = waiters[unservable.claim]
+            request = waiter.request
+            waiter.failure = self._poison.trial_refusal(
+                request.fingerprint, request.parts
+            ) or self._contention.refuse(unservable, now)
+            waiter.decided.set()
 
     def _all_limited(
         self, request: DispatchRequest, views: list[UpstreamView]
@@ -306,6 +357,8 @@
             self._table.record_start(choice.upstream, request)
             self._poison.started(request.fingerprint, choice.upstream, request.parts)
             self._limits.sent(choice.upstream)
+            if waiter.claim is not None:
+                self._contention.sent(waiter.claim, self._clock())
             waiter.upstream = state.record
             self._waiters.remove(waiter)
             waiter.decided.set()
@@ -442,3 +495,5 @@
             self._table.expire_peers()
             if self._waiters:
                 self._match_waiters()
+            else:
+                self._contention.refresh((), now)
--- a/tests/test_direct_dispatcher.py
+++ b/tests/test_direct_dispatcher.py
@@ -1,5 +1,6 @@
 """Requests that wait for an upstream slot."""
 
+import random
 import threading
 import time
 from dataclasses import replace
@@ -16,9 +17,10 @@
 from persimmonhitch.direct.peer_messages import DrainUpdate, InventoryUpdate
 from persimmonhitch.direct.poison import PoisonGuard
 from persimmonhitch.direct.upstream_table import UpstreamTable
+from persimmonhitch.fleet.call import ServerLoad
 from persimmonhitch.fleet.upstream import NOT_COUNTED, EngineInventory, UpstreamRecord
 from persimmonhitch.ids import Adapter, Epoch, Model, Service, Upstream, Vm, Zone
-from persimmonhitch.verdict import ErrorCode, Failure
+from persimmonhitch.verdict import ErrorCode, Failure, Verdict
 
 LLM, Z1, BIG = Service("llm"), Zone("z1"), Model("big")
 STOPPING = Failure(ErrorCode.SHUTTING_DOWN, "stopping", retry_after=0.0)
@@ -234,3 +236,70 @@
     excluded = frozenset({Upstream("e2")})
     failure = dispatcher.acquire(asked, abort(), excluded).failure()
     assert failure.retry_after >= 8.0
+
+
+RECORDED_ORDER = [6, 10, 4, 0, 3, 1, 8, 9, 2, 5, 11, 7]
+RECORDED_WAITS = [4.5, 4.5, 0.72, 1.8, 2.7, 2.7, 0.9, 2.7, 0.72, 0.72, 1.8, 2.7]
+"""Choices recorded before requests had claims."""
+
+
+def test_requests_without_claims_wait_as_recorded():
+    """Guards against other decisions where upstreams don't state how slow they are."""
+    rng = random.Random(3)
+    dispatcher = make_dispatcher(record(models=()))
+    waiters = []
+    for _ in RECORDED_ORDER:
+        rank, target = rng.choice((0, 1, 2)), rng.choice((0.8, 1.0, 2.0, 3.0, 5.0))
+        asked = replace(request(rank, target), arrived=0.0, latency_target_at=target)
+        asked = replace(asked, latency_target_at=target + rng.random() / 1000)
+        waiters.append(dispatcher._make_waiter(asked, frozenset(), 0.0))
+    ordered = sorted(waiters, key=lambda waiter: waiter.sort_key(9.0))
+    assert [waiters.index(waiter) for waiter in ordered] == RECORDED_ORDER
+    waits = [waiter.give_up_at for waiter in waiters]
+    assert waits == pytest.approx(RECORDED_WAITS, abs=0.002)
+
+
+def make_contended():
+    """Return a dispatcher whose upstream states how slow it is, and its only permit."""
+    dispatcher = make_dispatcher(record(slots=1))
+    dispatcher.record_load(record(), ServerLoad(1, 0, 1, 1.0))
+    return dispatcher, dispatcher.acquire(request(), abort()).unwrap()
+
+
+def test_late_request_waits_while_its_caller_does():
+    """Guards against refusals at the latency target of answers that have value late."""
+    dispatcher, permit = make_contended()
+    asked = request(latency_target=0.1)
+    waiting = WaitingRequest(dispatcher, asked)
+    wait_for(lambda: time.monotonic() > asked.latency_target_at, "the latency target")
+    permit.release()
+    assert isinstance(waiting.outcome(), Success)
+
+
+def test_request_without_prospect_is_refused_before_its_deadline():
+    """Guards against callers held until their deadline and refused without a retry."""
+    dispatcher, _permit = make_contended()
+    asked = request(latency_target=0.1, deadline=1.0)
+    waiting = WaitingRequest(dispatcher, asked)
+
+    def is_refused():
+        dispatcher.tick()
+        return waiting.result is not None
+
+    wait_for(is_refused, "the refusal")
+    failure = waiting.outcome().failure()
+    assert time.monotonic() < asked.deadline_at - 0.2
+    assert (failure.code, failure.verdict) == (ErrorCode.OVERLOADED, Verdict.NOT_RUN)
+    assert failure.retry_after <= (asked.deadline_at - time.monotonic()) / 2
+
+
+def test_late_request_yields_to_one_in_time():
+    """Guards against late work that makes work in time late too."""
+    dispatcher, permit = make_contended()
+    late = WaitingRequest(dispatcher, request(rank=0, latency_target=0.0))
+    in_time = WaitingRequest(dispatcher, request(rank=1))
+    permit.release()
+    permit = in_time.outcome().unwrap()
+    assert late.result is None
+    permit.release()
+    assert isinstance(late.outcome(), Success)
