--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -32,6 +32,7 @@
 from typing import Final
 
 from ..ids import (
+    Account,
     Adapter,
     Cause,
     Fingerprint,
@@ -87,6 +88,7 @@
     """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
     """Software version required of the upstream; None for any."""
+    account: Account | None = None
     read_tokens: int | None = None
     """Work of reading the prompt in tokens of the reference model; None if the prompts
     of all models count alike."""
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -8,6 +8,7 @@
 from statistics import fmean, median, pstdev
 from typing import Final
 
+from ..decide.contention import DEFAULT_FIRST_EVENT_S
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.health import UpstreamHealth, is_unresponsive, traffic_shares
@@ -20,7 +21,7 @@
     estimate_load,
 )
 from ..decide.prompt_backlog import BacklogLimit
-from ..decide.read_costs import REFERENCE_RATE, ReadCosts
+from ..decide.read_costs import FIRST_TOKEN_S, REFERENCE_RATE, ReadCosts
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import EngineInventory, UpstreamRecord
@@ -257,6 +258,12 @@
         work = costs.work(request.model, request.prompt_tokens)
         return replace(request, read_tokens=work)
 
+    def first_event_s(self, request: DispatchRequest) -> float:
+        """Return the seconds from sending a request to its first event if none wait."""
+        if request.read_tokens is None:
+            return DEFAULT_FIRST_EVENT_S
+        return FIRST_TOKEN_S + request.read_tokens / REFERENCE_RATE
+
     def model_read_rates(self, service: Service) -> dict[Model, float] | None:
         """Return the tokens per second that a usual engine reads of each known model.
 
