--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -257,7 +257,7 @@
             return Err(failure)
         if reply.status < SERVER_ERROR_STATUS:
             self._dispatcher.record_success(record)
-            request.permit.record_answer(self._clock())
+            request.permit.record_answer()
             return Success(reply)
         self._dispatcher.record_failure(record, False)
         self._poison.completed(request.fingerprint)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -97,9 +97,9 @@
                 self.record, self.request, self._sent_at, self._unread
             )
 
-    def record_answer(self, now: float) -> None:
+    def record_answer(self) -> None:
         """Record that the upstream runs or has run the request."""
-        self._answered_at = now
+        self._answered_at = self._dispatcher.now()
 
     def release(self) -> None:
         """Release the slot."""
--- a/tests/test_decide_even_load.py
+++ b/tests/test_decide_even_load.py
@@ -26,14 +26,10 @@
     effective_slowdown,
     estimate_load,
 )
-from persimmonhitch.direct.peer_messages import EntryUpdate, UpstreamWork
-from persimmonhitch.direct.upstream_table import UpstreamTable
-from persimmonhitch.fleet.call import ServerLoad
-from persimmonhitch.fleet.upstream import UpstreamRecord
-from persimmonhitch.ids import Adapter, Model, Service, Upstream, Vm, Zone
+from persimmonhitch.ids import Adapter, Model, Service, Upstream, Zone
 
 Z1, Z2 = Zone("z1"), Zone("z2")
-API, E1, E2 = Service("api"), Upstream("e1"), Upstream("e2")
+API = Service("api")
 BUSY = 0.7
 """Share of the capacity that callers ask for in a busy hour."""
 
@@ -280,58 +276,3 @@
     rng = random.Random(1)
     chosen = {choose_upstream(views, request, Z1, rng.random) for _ in range(99)}
     assert chosen == {Choice(Step.SEND, Upstream("e0"))}
-
-
-# -- the table ---------------------------------------------------------------------
-
-PLAIN = DispatchRequest(API, None, None, 0, 0, 1, 0.0, 1.0, 5.0, 5.0)
-
-
-def record(name, started_at_ms=1):
-    return UpstreamRecord(name, API, "h", 1, Z1, 6, False, started_at_ms, None)
-
-
-def table_of(*names):
-    table = UpstreamTable(clock=lambda: 10.0)
-    table.update([record(name) for name in names])
-    return table
-
-
-def running(table):
-    views = table.views(PLAIN, frozenset())
-    return {v.upstream: v.estimate and v.estimate.running for v in views}
-
-
-def test_views_have_no_estimate_until_a_slowdown_is_stated():
-    table = table_of(E1, E2)
-    table.record_load(record(E1), ServerLoad(3, 0, 6))
-    assert running(table) == {E1: None, E2: None}
-    table.record_load(record(E1), ServerLoad(3, 1, 6, 1.0))
-    assert running(table) == {E1: 4, E2: 0}
-
-
-def test_figures_of_a_former_incarnation_are_not_used():
-    """Guards against an upstream that restarts empty and seems full."""
-    table = table_of(E1)
-    table.record_load(record(E1), ServerLoad(6, 3, 6, 1.0))
-    table.update([record(E1, started_at_ms=2)])
-    assert running(table) == {E1: 0}
-    # An answer of the former incarnation may arrive after the new record.
-    table.record_load(record(E1), ServerLoad(6, 3, 6, 1.0))
-    assert running(table) == {E1: 0}
-
-
-def test_figures_that_contradict_the_peers_are_not_used(monkeypatch):
-    """Guards against an upstream that says it is idle and is full."""
-    lines = []
-    monkeypatch.setattr(
-        "persimmonhitch.direct.load_figures.log",
-        lambda event, **_kv: lines.append(event),
-    )
-    table = table_of(E1)
-    work = (UpstreamWork(E1, 8, 0, 0, ()),)
-    table.receive_entry_update(Vm("b"), EntryUpdate({}, {}, work), as_of=9.8)
-    for _ in range(8):
-        table.record_load(record(E1), ServerLoad(0, 0, 6, 1.0))
-    assert running(table) == {E1: 8}
-    assert lines == ["upstream_load_unusable"]
