An answer that is cut for memory never ends the connection of another request

The function that cuts an answer is replaced under the lock before its connection is free again, and a caller's connection is broken off only while it serves that request.

--- a/src/persimmonhitch/direct/answer_memory.py
+++ b/src/persimmonhitch/direct/answer_memory.py
@@ -14,6 +14,10 @@
 that each request has anyway."""
 
 
+def nothing_to_cut() -> None:
+    """Cut an answer whose connection is free again."""
+
+
 class HeldAnswer:
     """The part of an answer that is held in memory; its thread reports the size."""
 
@@ -37,6 +41,16 @@
         if self.is_cut:
             raise AnswerBoundExceeded(AnswerPart.MEMORY, "the memory for all answers")
 
+    def replace_cut(self, cut: Callable[[], None]) -> None:
+        """Replace the function that cuts this answer, unless it is cut already.
+
+        A connection that was read to its end may serve another request next, which
+        ``cut`` would break off.
+        """
+        if self.size:
+            self._memory.replace_cut(self, cut)
+        self.check()
+
     def release(self) -> None:
         """Report that nothing is held any longer."""
         if self.size:
@@ -78,13 +92,18 @@
             if self._total <= self._max_bytes:
                 return
             cut = answers_to_cut(self._held, self._max_bytes)
-            sizes = [self._held[each] for each in cut]
+            cuts = [(self._held[each], each.cut) for each in cut]
             for each in cut:
                 each.is_cut = True
                 self._set(each, 0)
-        for each, held in zip(cut, sizes, strict=True):
+        for held, end_connection in cuts:
             log("answer_memory_full", bytes=held, limit=self._max_bytes)
-            each.cut()
+            end_connection()
+
+    def replace_cut(self, answer: HeldAnswer, cut: Callable[[], None]) -> None:
+        """Replace the function that cuts an answer."""
+        with self._lock:
+            answer.cut = cut
 
     def _set(self, answer: HeldAnswer, size: int) -> None:
         self._total += size - answer.size
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -25,7 +25,7 @@
 from ..ids import RequestId
 from ..verdict import ErrorCode, Failure, Verdict
 from .abort import Abort, AbortReason
-from .answer_memory import AnswerMemory, HeldAnswer
+from .answer_memory import AnswerMemory, HeldAnswer, nothing_to_cut
 from .connection_pool import Address, ConnectionPool
 
 READ_SIZE_BYTES: Final = 65536
@@ -129,7 +129,7 @@
             if max_bytes is not None and received > max_bytes:
                 raise AnswerBoundExceeded(AnswerPart.BODY, f"{max_bytes} bytes")
             yield chunk
-        self.held.check()
+        self.held.replace_cut(nothing_to_cut)
         if self.framing is Framing.CLOSE and self._abort.reason is not None:
             # The abort of a request closes its connection, as the upstream does.
             raise TruncatedAnswer("the request was aborted")
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -163,6 +163,7 @@
                 blocks = reply.read_blocks()
                 if reply.media_type == EVENT_STREAM:
                     reply.check_events(*scan_events(blocks))
+                reply.held.replace_cut(request.admitted.http_request.drop)
                 break
             except EXCHANGE_ERRORS as exc:
                 reply.close()
@@ -175,8 +176,6 @@
         self._record_completed(request, reply)
         self._tracker.settle(request, None, reply.status)
         body = HeldBody(blocks, reply.held)
-        # The thread waits for its caller from here on, no longer for the upstream.
-        reply.held.cut = request.admitted.http_request.drop
         if reply.framing is Framing.CLOSE:
             return Answer(reply.status, headers, UnframedBody(body))
         headers["content-length"] = str(sum(map(len, blocks)))
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -103,7 +104,7 @@
 
     def get_environment(self) -> Environ:
         environ: Environ = super().get_environment()
-        environ[DROP] = self.channel.drop
+        environ[DROP] = partial(self.channel.drop_request, self.request)
         return environ
 
     def set_close_on_finish(self) -> None:
@@ -184,6 +185,11 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
+    def drop_request(self, req: Any) -> None:
+        """Break off the connection unless it serves another request by now."""
+        if req in self.requests[:1]:
+            self.drop()
+
     def drop(self) -> None:
         """Break off the connection; its unsent bytes are lost."""
         self.reset_on_close()
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from persimmonhitch.http_client import AnswerPart
 from persimmonhitch.ids import Account, ConfigVersion
 from persimmonhitch.observe import traces as traces_module
 from persimmonhitch.observe.metrics import INSTRUMENTS, OTHER_ACCOUNTS, Metrics
@@ -40,6 +41,7 @@
     metrics.tokens_used(account, 12.0)
     metrics.retried(REFUSED)
     metrics.retry_decided(REFUSED.code, True)
+    metrics.answer_cut(AnswerPart.BODY)
     metrics.borrowed(account, 5.0)
     metrics.config_version(ConfigVersion(7))
     metrics.store_era(2)
