--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -41,6 +41,7 @@
     metrics.tokens_used(account, 12.0)
     metrics.retried(REFUSED)
     metrics.retry_decided(REFUSED.code, True)
+    metrics.answer_cut(AnswerPart.BODY)
     metrics.borrowed(account, 5.0)
     metrics.config_version(ConfigVersion(7))
     metrics.store_era(2)
@@ -52,7 +53,6 @@
     metrics.known_streams(1)
     metrics.share_generation(account, 3)
     metrics.load_age(None)
-    metrics.answer_cut(AnswerPart.HEAD)
     metrics.load_error(1.5)
     metrics.load_spread(Service("api"), 0.4)
 
