--- a/src/persimmonhitch/decide/held_answers.py
+++ b/src/persimmonhitch/decide/held_answers.py
@@ -14,9 +14,10 @@
 
 K = TypeVar("K")
 
-MEMORY_FRACTION: Final = 0.25
-"""Part of the VM's memory for answers. The process itself takes up to a third, and
-unsent bytes of all callers an eighth; the rest is for bursts of requests."""
+MEMORY_FRACTION: Final = 0.125
+"""Part of the VM's memory for answers. The process itself takes up to a third of it, and
+unread bytes of callers another eighth. An allocator with an arena per thread may take
+three times what the answers hold."""
 
 
 def max_held_bytes(memory_mb: int) -> int | None:
--- a/src/persimmonhitch/direct/answer_memory.py
+++ b/src/persimmonhitch/direct/answer_memory.py
@@ -117,14 +117,14 @@
 class HeldBody:
     """Body of a complete answer, held until its caller has read it."""
 
-    def __init__(self, blocks: list[bytearray], held: HeldAnswer) -> None:
+    def __init__(self, blocks: list[bytes], held: HeldAnswer) -> None:
         self._blocks = deque(blocks)
         self._held = held
 
     def __iter__(self) -> Iterator[bytes]:
         while self._blocks:
             self._held.check()
-            yield bytes(self._blocks.popleft())
+            yield self._blocks.popleft()
             self._held.resize(sum(map(len, self._blocks)))
 
     def close(self) -> None:
--- a/src/persimmonhitch/direct/events.py
+++ b/src/persimmonhitch/direct/events.py
@@ -27,11 +27,11 @@
     id: str | None
 
 
-def scan_events(blocks: Iterable[bytes | bytearray]) -> tuple[bool, bytes]:
+def scan_events(blocks: Iterable[bytes]) -> tuple[bool, bytes]:
     """Return whether an event stream has events, and the bytes after the last one."""
     splitter, has_events = EventSplitter(needs_data=True), False
     for block in blocks:
-        for _event in splitter.feed(bytes(block)):
+        for _event in splitter.feed(block):
             has_events = True
     return has_events, splitter.tail
 
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -29,6 +29,7 @@
 from .connection_pool import Address, ConnectionPool
 
 READ_SIZE_BYTES: Final = 65536
+MIN_BLOCK_BYTES: Final = READ_SIZE_BYTES // 2
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of an answer; answers of plain services are smaller."""
 MAX_REFUSAL_BYTES: Final = READ_SIZE_BYTES
@@ -92,20 +93,27 @@
     """What the process holds of this answer in memory."""
     _complete: bool = field(default=False)
 
-    def read_blocks(self) -> list[bytearray]:
-        """Return the whole body in blocks that are not much larger than a read.
+    def read_blocks(self) -> list[bytes]:
+        """Return the whole body in blocks of about the size of a read.
 
         Raises one of ``EXCHANGE_ERRORS`` if the body is truncated or exceeds a bound.
         """
-        blocks: list[bytearray] = []
+        blocks: list[bytes] = []
+        # Thousands of tiny chunks would take many times their size as objects.
+        small = bytearray()
         size = 0
         for chunk in self.chunks(MAX_ANSWER_BYTES):
             size += len(chunk)
             self.held.resize(size)
-            if blocks and len(blocks[-1]) < READ_SIZE_BYTES:
-                blocks[-1] += chunk
-            else:
-                blocks.append(bytearray(chunk))
+            if not small and len(chunk) >= MIN_BLOCK_BYTES:
+                blocks.append(chunk)
+                continue
+            small += chunk
+            if len(small) >= MIN_BLOCK_BYTES:
+                blocks.append(bytes(small))
+                small.clear()
+        if small:
+            blocks.append(bytes(small))
         return blocks
 
     def discard(self) -> None:
--- a/tests/test_decide_held_answers.py
+++ b/tests/test_decide_held_answers.py
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize(
-    ("memory_mb", "bound"), [(0, None), (160, 40 * MB), (552, 138 * MB)]
+    ("memory_mb", "bound"), [(0, None), (160, 20 * MB), (552, 69 * MB)]
 )
 def test_bound_follows_the_memory_if_known(memory_mb, bound):
     assert max_held_bytes(memory_mb) == bound
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -264,7 +264,7 @@
     memory = AnswerMemory(1_000_000)
     held = memory.hold(lambda: None)
     held.resize(400_000)
-    body = HeldBody([bytearray(200_000), bytearray(200_000)], held)
+    body = HeldBody([bytes(200_000), bytes(200_000)], held)
     totals = [memory.total for _block in body]
     body.close()
     assert (totals, memory.total) == ([400_000, 200_000], 0)
