--- a/tests/test_stated_loads.py
+++ b/tests/test_stated_loads.py
@@ -1,7 +1,15 @@
 """Stated loads at an entry: which are kept, used, logged and measured."""
 
 import pytest
-from direct_help import no_limits
+from direct_help import (
+    LEDGER,
+    SIGNATURE,
+    FakeUpstream,
+    GatewayServer,
+    answer,
+    no_limits,
+    sends,
+)
 
 from persimmonhitch.decide.dispatch import DispatchRequest
 from persimmonhitch.decide.load_estimate import MAX_SILENT_ANSWERS
@@ -120,3 +128,14 @@
     assert any('le="0.1"} 1.0' in line for line in ages) == is_used
     assert bool(dispatcher.load_spreads()) == is_used
     metrics.close()
+
+
+@pytest.mark.parametrize(
+    ("figures", "services"), [("3,0,8,100", {LEDGER}), ("3,0,8", set()), ("", set())]
+)
+def test_answers_of_upstreams_state_their_load(figures, services):
+    head = f"{SIGNATURE}X-Persimmonhitch-Server-Load: {figures}\r\n"
+    upstream = FakeUpstream("u1", sends(answer(head=head)))
+    with GatewayServer(upstream) as server:
+        assert server.call("/read/x").status == 200
+        assert set(server.dispatcher.load_spreads()) == services
