Unhurried requests and accounts with excess use leave room to the others

Each entry orders its own waiting requests only: an unhurried one at an idle entry went before an urgent one at a busy entry, and an account that floods filled the engines through all of them. Now the less a request is owed (class; account whose recent use over all entries exceeds twice the median in relation to its rate), the less may be unread at an engine to which it is sent. No message is added: use comes from the totals that the quota exchanges already. Only for models whose upstreams state how slow they are.

--- a/src/persimmonhitch/direct/contention.py
+++ b/src/persimmonhitch/direct/contention.py
@@ -1,11 +1,23 @@
 """State of the requests that compete for room at this entry."""
 
+import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
-from ..decide.contention import Claim, Pool, Unservable, find_unservable, retry_delay
+from ..decide.account_use import AccountUse
+from ..decide.contention import (
+    DEFAULT_FIRST_EVENT_S,
+    Claim,
+    Pool,
+    Unservable,
+    find_unservable,
+    retry_delay,
+)
+from ..decide.dispatch import DispatchRequest, UpstreamView
 from ..decide.room_rate import RoomRate
+from ..decide.room_reserve import Urgency, reserve_room
+from ..ids import Account, Service, Upstream
 from ..observe.logs import SampledLog
 from ..verdict import ErrorCode, Failure
 
@@ -14,13 +26,52 @@
 
 
 class Contention:
-    """Rates at which the pools of requests win room; not thread-safe."""
+    """Use of the accounts and room won by pools of requests; not thread-safe."""
 
     def __init__(self) -> None:
         self._rates: dict[Pool, RoomRate] = {}
         self._contested_at: dict[Pool, float] = {}
+        self._use = AccountUse()
+        self._urgencies: dict[Service, Urgency] = {}
         self._refusal_log = SampledLog("room_refused")
 
+    def update_usage(
+        self,
+        totals: Mapping[Account, float],
+        rates: Mapping[Account, float],
+        now: float,
+    ) -> None:
+        """Apply the tokens that accounts have spent and the rates granted to them."""
+        self._use.update(totals, rates, now)
+
+    def make_claim(
+        self, request: DispatchRequest, excluded: frozenset[Upstream], now: float
+    ) -> Claim:
+        """Return the claim of a request of which earlier attempts may have failed."""
+        claim = Claim(
+            request,
+            now,
+            first_event_s=DEFAULT_FIRST_EVENT_S,
+            resumed=request.version is not None,
+            repeated=bool(excluded),
+            excess=self._use.excess(request.account),
+        )
+        known = self._urgencies.get(request.service, Urgency(request.rank, math.inf))
+        self._urgencies[request.service] = known.include(claim)
+        return claim
+
+    def reserve_room(
+        self, views: Iterable[UpstreamView], claim: Claim, now: float
+    ) -> None:
+        """Close engines on which the remaining room is left to better claims."""
+        urgency = self._urgencies.get(claim.request.service)
+        if urgency is not None:
+            reserve_room(views, claim, urgency, now)
+
+    def configure(self) -> None:
+        """Forget the urgencies of services, which a new configuration may change."""
+        self._urgencies.clear()
+
     def sent(self, claim: Claim, now: float) -> None:
         """Record that a request got room, which counts if requests wait for it."""
         rate = self._rates.get(claim.pool)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -6,14 +6,14 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..decide.contention import DEFAULT_FIRST_EVENT_S, Claim, waiting_order
+from ..decide.contention import Claim, waiting_order
 from ..decide.dispatch import (
     Choice,
     DispatchRequest,
@@ -35,7 +35,7 @@
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
+from ..ids import Account, Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..verdict import Failure
 from .abort import Abort
@@ -186,13 +186,7 @@
     ) -> _Waiter:
         if not self._table.states_slowdown(request.service):
             return _Waiter(request, excluded, wait_deadline(request))
-        claim = Claim(
-            request,
-            now,
-            first_event_s=DEFAULT_FIRST_EVENT_S,
-            resumed=request.version is not None,
-            repeated=bool(excluded),
-        )
+        claim = self._contention.make_claim(request, excluded, now)
         return _Waiter(request, excluded, claim.send_by, claim)
 
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
@@ -309,6 +303,8 @@
                 continue
             views = self._table.views(waiter.request, waiter.excluded)
             self._poison.exclude_upstreams(waiter.request, views)
+            if waiter.claim is not None:
+                self._contention.reserve_room(views, waiter.claim, now)
             waiter.limited_by = self._all_limited(waiter.request, views)
             waiter.last_choice = choose_upstream(views, waiter.request, self._zone)
             self._apply_choice(waiter, waiter.last_choice)
@@ -391,6 +387,7 @@
         with self._lock:
             self._cfg = cfg
             self._table.configure(cfg)
+            self._contention.configure()
 
     def update(self, records: list[UpstreamRecord]) -> None:
         """Apply a new list of upstreams."""
@@ -428,6 +425,13 @@
         with self._lock:
             self._table.receive_entry_update(vm, msg)
 
+    def update_usage(
+        self, totals: Mapping[Account, float], rates: Mapping[Account, float]
+    ) -> None:
+        """Apply the tokens that accounts have spent at all entries, and their rates."""
+        with self._lock:
+            self._contention.update_usage(totals, rates, self._clock())
+
     def record_load(self, record: UpstreamRecord, load: ServerLoad) -> None:
         """Record the load that an upstream stated in an answer."""
         with self._lock:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -522,6 +522,7 @@
             try:
                 self.upstreams.expire()
                 self.leaving.apply()
+                self.dispatcher.update_usage(*self.quota.fleet_usage())
                 self.dispatcher.tick()
                 self.origins.flush()
                 self._welcome_peers()
--- a/src/persimmonhitch/direct/quota.py
+++ b/src/persimmonhitch/direct/quota.py
@@ -95,6 +95,13 @@
         with self._lock:
             return {name: bucket.used for name, bucket in self._buckets.items()}
 
+    def fleet_usage(self) -> tuple[dict[Account, float], dict[Account, float]]:
+        """Return the tokens spent at all entries and the rate, of limited accounts."""
+        with self._lock:
+            limited = {n: b for n, b in self._buckets.items() if b.rate > 0}
+            used = {name: bucket.total_used for name, bucket in limited.items()}
+            return used, {name: bucket.rate for name, bucket in limited.items()}
+
     def receive(
         self, vm: Vm, tokens_used: Mapping[Account, float], as_of: float | None = None
     ) -> None:
--- a/src/persimmonhitch/limits/pooled.py
+++ b/src/persimmonhitch/limits/pooled.py
@@ -96,6 +96,11 @@
             return None
         return (min(cost, self._max_level) - level) / self.rate
 
+    @property
+    def total_used(self) -> float:
+        """Return the tokens spent at all entries, as far as they are reported."""
+        return self.used + sum(self._peer_used.values())
+
     def refund(self, cost: Tokens) -> None:
         """Refund the tokens of a request that did not run."""
         if self.rate > 0:
