--- a/src/persimmonhitch/decide/contention.py
+++ b/src/persimmonhitch/decide/contention.py
@@ -173,5 +173,5 @@
     spread so that callers refused together do not return together.
     """
     latest = max(0.0, request.deadline_at - now) * RETRY_SHARE / (1 + RETRY_JITTER)
-    delay = max(MIN_RETRY_S, min(wait_s, latest))
+    delay = min(max(MIN_RETRY_S, wait_s), latest)
     return delay * (1 + RETRY_JITTER * draw())
--- a/src/persimmonhitch/direct/contention.py
+++ b/src/persimmonhitch/direct/contention.py
@@ -1,11 +1,22 @@
 """State of the requests that compete for room at this entry."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
-from ..decide.contention import Claim, Pool, Unservable, find_unservable, retry_delay
+from ..decide.account_use import AccountUse
+from ..decide.contention import (
+    DEFAULT_FIRST_EVENT_S,
+    Claim,
+    Pool,
+    Unservable,
+    find_unservable,
+    retry_delay,
+)
+from ..decide.dispatch import DispatchRequest, UpstreamView
 from ..decide.room_rate import RoomRate
+from ..decide.room_reserve import reserve_room
+from ..ids import Account, Service, Upstream
 from ..observe.logs import SampledLog
 from ..verdict import ErrorCode, Failure
 
@@ -14,13 +25,59 @@
 
 
 class Contention:
-    """Rates at which the pools of requests win room; not thread-safe."""
+    """Use of the accounts and room won by pools of requests; not thread-safe."""
 
     def __init__(self) -> None:
         self._rates: dict[Pool, RoomRate] = {}
         self._contested_at: dict[Pool, float] = {}
+        self._use = AccountUse()
+        self._top_ranks: dict[Service, int] = {}
+        """Most urgent rank of the requests of each service."""
         self._refusal_log = SampledLog("room_refused")
 
+    def update_usage(
+        self,
+        totals: Mapping[Account, float],
+        rates: Mapping[Account, float],
+        now: float,
+    ) -> None:
+        """Apply the tokens that accounts have spent and the rates granted to them."""
+        self._use.update(totals, rates, now)
+
+    def make_claim(
+        self,
+        request: DispatchRequest,
+        excluded: frozenset[Upstream],
+        now: float,
+        first_event_s: float = DEFAULT_FIRST_EVENT_S,
+    ) -> Claim:
+        """Return the claim of a request of which earlier attempts may have failed.
+
+        ``first_event_s`` is the expected time from sending it to its first event.
+        """
+        claim = Claim(
+            request,
+            now,
+            first_event_s=first_event_s,
+            resumed=request.version is not None,
+            repeated=bool(excluded),
+            excess=self._use.excess(request.account),
+        )
+        top_rank = self._top_ranks.get(request.service, request.rank)
+        self._top_ranks[request.service] = min(top_rank, request.rank)
+        return claim
+
+    def reserve_room(
+        self, views: Iterable[UpstreamView], claim: Claim, now: float
+    ) -> None:
+        """Leave a part of the room at each engine to better claims."""
+        top_rank = self._top_ranks.get(claim.request.service, claim.request.rank)
+        reserve_room(views, claim, top_rank, now)
+
+    def configure(self) -> None:
+        """Forget the ranks of services, which a new configuration may change."""
+        self._top_ranks.clear()
+
     def sent(self, claim: Claim, now: float) -> None:
         """Record that a request got room, which counts if requests wait for it."""
         rate = self._rates.get(claim.pool)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -6,7 +6,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -35,7 +35,7 @@
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import UpstreamRecord
-from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
+from ..ids import Account, Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
 from ..observe.metrics import Metrics
 from ..verdict import Failure
@@ -215,12 +215,8 @@
     ) -> _Waiter:
         if not self._table.controls_load(request.service):
             return _Waiter(request, excluded, wait_deadline(request))
-        claim = Claim(
-            request,
-            now,
-            first_event_s=self._table.first_event_s(request),
-            resumed=request.version is not None,
-            repeated=bool(excluded),
+        claim = self._contention.make_claim(
+            request, excluded, now, self._table.first_event_s(request)
         )
         return _Waiter(request, excluded, claim.send_by, claim)
 
@@ -360,6 +356,8 @@
                 continue
             views = self._table.views(waiter.request, waiter.excluded)
             self._poison.exclude_upstreams(waiter.request, views)
+            if waiter.claim is not None:
+                self._contention.reserve_room(views, waiter.claim, now)
             waiter.limited_by = self._all_limited(waiter.request, views)
             waiter.last_choice = choose_upstream(views, waiter.request, self._zone)
             self._apply_choice(waiter, waiter.last_choice)
@@ -452,6 +450,7 @@
             self._cfg = cfg
             self._table.configure(cfg)
             self._demand_weights.configure(cfg)
+            self._contention.configure()
 
     def update(self, records: list[UpstreamRecord]) -> None:
         """Apply a new list of upstreams."""
@@ -491,6 +490,18 @@
         with self._lock:
             self._table.receive_entry_update(vm, msg, as_of)
 
+    def controls_any_load(self) -> bool:
+        """Return whether the load of any service is controlled."""
+        with self._lock:
+            return self._table.controls_any_load()
+
+    def update_usage(
+        self, totals: Mapping[Account, float], rates: Mapping[Account, float]
+    ) -> None:
+        """Apply the tokens that accounts have spent at all entries, and their rates."""
+        with self._lock:
+            self._contention.update_usage(totals, rates, self._clock())
+
     def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
         """Record the load that an upstream stated in an answer, None if it did not."""
         if load is None and not self._table.controls_load(record.service):
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -543,6 +543,8 @@
                 self.server.drop_slow_readers()
                 self.upstreams.expire()
                 self.leaving.apply()
+                if self.dispatcher.controls_any_load():
+                    self.dispatcher.update_usage(*self.quota.fleet_usage())
                 self.dispatcher.tick()
                 self.origins.flush()
                 self._welcome_peers()
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -250,6 +250,10 @@
         """
         return self._controls_all or service in self._load_services
 
+    def controls_any_load(self) -> bool:
+        """Return whether the load of any service is controlled."""
+        return self._controls_all or bool(self._load_services)
+
     def with_read_work(self, request: DispatchRequest) -> DispatchRequest:
         """Return a request with the work of its prompt, where models are told apart."""
         if request.model is None or not self.controls_load(request.service):
