--- a/src/persimmonhitch/decide/room_reserve.py
+++ b/src/persimmonhitch/decide/room_reserve.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from .contention import Claim
-from .dispatch import UpstreamView
+from .dispatch import DispatchRequest, UpstreamView
 
 TARGET_SHARE: Final = 0.6
 """Share of the shortest latency target that prompts unread at an engine may take."""
@@ -49,6 +49,17 @@
     return max(MIN_ROOM_SHARE, share)
 
 
+def has_unused_room(views: Iterable[UpstreamView], request: DispatchRequest) -> bool:
+    """Return whether an upstream that can run a request has few requests itself."""
+    known = list(views)
+    usual = sum(view.running for view in known) / max(1, len(known))
+    return any(
+        view.running < usual / 2
+        for view in known
+        if (request.model is None or view.has_model) and not view.unresponsive
+    )
+
+
 def reserve_room(
     views: Iterable[UpstreamView], claim: Claim, urgency: Urgency, now: float
 ) -> None:
--- a/src/persimmonhitch/direct/contention.py
+++ b/src/persimmonhitch/direct/contention.py
@@ -1,7 +1,7 @@
 """State of the requests that compete for room at this entry."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -19,6 +19,7 @@
 from ..decide.room_reserve import Urgency, reserve_room
 from ..ids import Account, Service, Upstream
 from ..observe.logs import SampledLog
+from ..observe.metrics import Metrics
 from ..verdict import ErrorCode, Failure
 
 FORGET_AFTER_S: Final = 15.0
@@ -28,7 +29,10 @@
 class Contention:
     """Use of the accounts and room won by pools of requests; not thread-safe."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics | None = None) -> None:
+        self._metrics = metrics
+        self._waiting: Counter[int] = Counter()
+        """Waiting requests by rank, as last stated in the metrics."""
         self._rates: dict[Pool, RoomRate] = {}
         self._contested_at: dict[Pool, float] = {}
         self._use = AccountUse()
@@ -84,6 +88,7 @@
         pools: defaultdict[Pool, list[Claim]] = defaultdict(list)
         for claim in waiting:
             pools[claim.pool].append(claim)
+        self._count_waiting(pools.values())
         for pool in pools:
             self._contested_at[pool] = now
             self._rates.setdefault(pool, RoomRate(now))
@@ -97,8 +102,23 @@
             for unservable in find_unservable(claims, self._rates[pool], now)
         ]
 
-    def refuse(self, unservable: Unservable, now: float) -> Failure:
-        """Return the refusal of a request that can't be served, and log it."""
+    def _count_waiting(self, pools: Iterable[list[Claim]]) -> None:
+        """State the waiting requests of each rank, also of ranks without any now."""
+        if self._metrics is None:
+            return
+        waiting = Counter(claim.request.rank for claims in pools for claim in claims)
+        for rank in waiting.keys() | self._waiting.keys():
+            if waiting[rank] != self._waiting[rank]:
+                self._metrics.waiting_for_room(rank, waiting[rank])
+        self._waiting = waiting
+
+    def refuse(
+        self, unservable: Unservable, now: float, unused: bool = False
+    ) -> Failure:
+        """Return the refusal of a request that can't be served, and log it.
+
+        ``unused`` tells whether an upstream that can run it has few requests.
+        """
         claim, request = unservable.claim, unservable.claim.request
         delay = retry_delay(request, unservable.wait_s, now)
         late = now > claim.late_at
@@ -114,15 +134,18 @@
             waited=now - claim.waiting_since,
             left=claim.send_by - now,
             excess=claim.excess,
+            unused=unused,
             retry_after=delay,
         )
+        if self._metrics is not None:
+            self._metrics.refused_for_room(request.rank, late, unused)
         reason = f"all upstreams of {request.service} that can run this are full"
         return Failure(ErrorCode.OVERLOADED, reason, retry_after=delay)
 
-    def refuse_overdue(self, claim: Claim, now: float) -> Failure:
+    def refuse_overdue(self, claim: Claim, now: float, unused: bool) -> Failure:
         """Return the refusal of a request whose time to be sent has passed."""
         rate = self._rates.get(claim.pool)
         wait_s = 0.0
         if rate is not None:
             wait_s = rate.wait_s(claim.precedence(now), 0.0, claim.work)
-        return self.refuse(Unservable(claim, 0, wait_s), now)
+        return self.refuse(Unservable(claim, 0, wait_s), now, unused)
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -22,6 +22,7 @@
     choose_upstream,
 )
 from ..decide.evacuation import ZoneEvacuations
+from ..decide.room_reserve import has_unused_room
 from ..decide.wait_limits import (
     LIMIT_REPLY_TIMEOUT_S,
     LOAD_REPORT_TIMEOUT_S,
@@ -37,6 +38,7 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Account, Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
+from ..observe.metrics import Metrics
 from ..verdict import Failure
 from .abort import Abort
 from .contention import Contention
@@ -130,6 +132,7 @@
         limits: UpstreamLimits,
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._zone = zone
         self._send_load_request = send_load_request
@@ -138,7 +141,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._table = UpstreamTable(clock, evacuations)
-        self._contention = Contention()
+        self._contention = Contention(metrics)
         self._waiters: list[_Waiter] = []
         self._requested: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         """When each load request was last sent."""
@@ -202,7 +205,8 @@
         if waiter.last_choice.step in (Step.LOAD, Step.WAIT_FOR_MODEL):
             return self._load_refusal(waiter, self._clock())
         if waiter.claim is not None and waiter.last_choice.step is Step.WAIT:
-            return self._contention.refuse_overdue(waiter.claim, self._clock())
+            unused = self._has_unused_room(waiter)
+            return self._contention.refuse_overdue(waiter.claim, self._clock(), unused)
         return refusal(waiter.last_choice.step, waiter.request)
 
     def _load_refusal(self, waiter: _Waiter, now: float) -> Failure:
@@ -324,9 +328,13 @@
             request = waiter.request
             waiter.failure = self._poison.trial_refusal(
                 request.fingerprint, request.parts
-            ) or self._contention.refuse(unservable, now)
+            ) or self._contention.refuse(unservable, now, self._has_unused_room(waiter))
             waiter.decided.set()
 
+    def _has_unused_room(self, waiter: _Waiter) -> bool:
+        views = self._table.views(waiter.request, waiter.excluded)
+        return has_unused_room(views, waiter.request)
+
     def _all_limited(
         self, request: DispatchRequest, views: list[UpstreamView]
     ) -> frozenset[Upstream]:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -182,6 +182,7 @@
             self.poison,
             self.limits,
             evacuations=self.evacuations,
+            metrics=self.metrics,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -165,6 +165,25 @@
     (),
     BUCKETS,
 )
+WAITING: Final = Instrument(
+    "persimmonhitch.room.waiting",
+    "",
+    "Requests that wait for room at an upstream, by rank.",
+    ("rank",),
+)
+ROOM_REFUSALS: Final = Instrument(
+    "persimmonhitch.room.refusals",
+    "",
+    "Requests refused since no room was expected in time, by rank and by lateness.",
+    ("rank", "late"),
+)
+UNUSED_ROOM: Final = Instrument(
+    "persimmonhitch.room.unused",
+    "",
+    "Refusals for lack of room while an upstream that can run the request had less than"
+    " half of the mean running.",
+    ("rank",),
+)
 INSTRUMENTS: Final = (
     REQUESTS,
     REFUSALS,
@@ -186,6 +205,9 @@
     KNOWN_STREAMS,
     SHARE_GENERATION,
     UPDATE_AGE,
+    WAITING,
+    ROOM_REFUSALS,
+    UNUSED_ROOM,
 )
 
 
@@ -262,6 +284,9 @@
         self._resumptions = self._counter(RESUMPTIONS)
         self._known_streams = self._gauge(KNOWN_STREAMS)
         self._generation = self._gauge(SHARE_GENERATION)
+        self._waiting = self._gauge(WAITING)
+        self._room_refusals = self._counter(ROOM_REFUSALS)
+        self._unused_room = self._counter(UNUSED_ROOM)
 
     def _counter(self, spec: Instrument) -> Counter:
         return self._meter.create_counter(spec.name, spec.unit, spec.help)
@@ -370,6 +395,16 @@
         """Set the generation of an account's share record."""
         self._generation.set(generation, self._account_labels(account))
 
+    def waiting_for_room(self, rank: int, count: int) -> None:
+        """Set the number of requests of a rank that wait for room."""
+        self._waiting.set(count, {"rank": rank})
+
+    def refused_for_room(self, rank: int, late: bool, unused: bool) -> None:
+        """Count a request for which no room was expected in time."""
+        self._room_refusals.add(1, {"rank": rank, "late": str(late).lower()})
+        if unused:
+            self._unused_room.add(1, {"rank": rank})
+
     def _account_labels(self, account: Account) -> Labels:
         return {"account": self._accounts.label(account)}
 
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -49,6 +49,8 @@
     metrics.stream_resumed("stream", True)
     metrics.known_streams(1)
     metrics.share_generation(account, 3)
+    metrics.waiting_for_room(1, 2)
+    metrics.refused_for_room(1, late=True, unused=True)
 
 
 def test_every_instrument_is_shown(metrics):
