--- a/src/persimmonhitch/decide/room_reserve.py
+++ b/src/persimmonhitch/decide/room_reserve.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from .contention import Claim
-from .dispatch import UpstreamView
+from .dispatch import DispatchRequest, UpstreamView
 
 CLASS_RESERVE: Final = 0.1
 """Share of the room that each class leaves to the next better one."""
@@ -33,6 +33,17 @@
     return max(MIN_ROOM_SHARE, share)
 
 
+def has_unused_room(views: Iterable[UpstreamView], request: DispatchRequest) -> bool:
+    """Return whether an upstream that can run a request has few requests itself."""
+    known = list(views)
+    usual = sum(view.running for view in known) / max(1, len(known))
+    return any(
+        view.running < usual / 2
+        for view in known
+        if (request.model is None or view.has_model) and not view.unresponsive
+    )
+
+
 def reserve_room(
     views: Iterable[UpstreamView], claim: Claim, top_rank: int, now: float
 ) -> None:
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -55,6 +55,8 @@
     metrics.load_age(None)
     metrics.load_error(1.5)
     metrics.load_spread(Service("api"), 0.4)
+    metrics.waiting_for_room(1, 2)
+    metrics.refused_for_room(1, late=True, unused=True)
 
 
 def test_every_instrument_is_shown(metrics):
