--- a/src/persimmonhitch/decide/held_answers.py
+++ b/src/persimmonhitch/decide/held_answers.py
@@ -15,7 +15,7 @@
 K = TypeVar("K")
 
 MEMORY_FRACTION: Final = 0.125
-"""Part of the VM's memory for answers. The process itself takes up to a third of it, and
+"""Part of the VM's memory for answers. The process takes up to a third of it, and
 unread bytes of callers another eighth. An allocator with an arena per thread may take
 three times what the answers hold."""
 
