--- a/src/persimmonhitch/decide/dispatch.py
+++ b/src/persimmonhitch/decide/dispatch.py
@@ -32,6 +32,7 @@
 from typing import Final
 
 from ..ids import (
+    Account,
     Adapter,
     Cause,
     Fingerprint,
@@ -87,6 +88,7 @@
     """Parts of the prompt that other requests may share, in order."""
     version: SoftwareVersion | None = None
     """Software version required of the upstream; None for any."""
+    account: Account | None = None
     read_tokens: int | None = None
     """Work of reading the prompt in tokens of the reference model; None if the prompts
     of all models count alike."""
@@ -121,8 +123,8 @@
     requests that no other upstream can take."""
     unresponsive: bool = False
     """Whether the requests that run there have received no output for a time."""
-    backlog_limit_s: float | None = None
-    """Seconds of unread prompts that the engine may have; None for no limit."""
+    backlog_limit_s: float = math.inf
+    """Seconds of unread prompts that the engine may have."""
     estimate: LoadEstimate | None = None
     """Expected load if upstreams of the service state theirs, else None."""
 
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -1,4 +1,8 @@
-"""Queues requests for upstream slots and assigns slots by rank."""
+"""Queues requests for upstream slots and assigns slots by rank.
+
+Where the load of upstreams is controlled, requests wait and are refused by their claims
+(``decide/contention.py``), elsewhere by their latency targets.
+"""
 
 import threading
 import time
@@ -9,6 +13,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..decide.contention import Claim, waiting_order
 from ..decide.dispatch import (
     Choice,
     DispatchRequest,
@@ -32,8 +37,10 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Adapter, Model, Service, Upstream, Vm, Zone
 from ..observe.logs import log
+from ..observe.metrics import Metrics
 from ..verdict import Failure
 from .abort import Abort
+from .contention import Contention
 from .demand_weights import DemandWeights
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, LoadRequest
 from .poison import PoisonGuard
@@ -54,6 +61,8 @@
     excluded: frozenset[Upstream]
     """Upstreams at which earlier attempts of the request failed."""
     give_up_at: float
+    claim: Claim | None = None
+    """What the request is owed; None if the load of its service is not controlled."""
     decided: threading.Event = field(default_factory=threading.Event)
     upstream: UpstreamRecord | None = None
     failure: Failure | None = None
@@ -61,8 +70,17 @@
     limited_by: frozenset[Upstream] = frozenset()
     """All capable upstreams if each of them is at its request limit, else empty."""
 
-    def sort_key(self) -> tuple[int, float]:
-        return queue_key(self.request)
+    def sort_key(self, now: float) -> tuple[int, bool, bool, int, float]:
+        if self.claim is not None:
+            return waiting_order(self.claim, now)
+        rank, until = queue_key(self.request)
+        return rank, False, False, 0, until
+
+    @property
+    def needs_room(self) -> bool:
+        """Whether the request waits for room at an upstream and for nothing else."""
+        is_waiting = self.last_choice.step is Step.WAIT and not self.limited_by
+        return is_waiting and not self.decided.is_set()
 
 
 class Permit:
@@ -97,9 +115,13 @@
                 self.record, self.request, self._sent_at, self._unread
             )
 
-    def record_answer(self, now: float) -> None:
+    def record_answer(self) -> None:
         """Record that the upstream runs or has run the request."""
-        self._answered_at = now
+        self._answered_at = self._dispatcher.now()
+
+    def record_stream(self, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        self._dispatcher.record_stream(self.request, longest_pause_s)
 
     def release(self) -> None:
         """Release the slot."""
@@ -122,7 +144,7 @@
 
 
 class Dispatcher:
-    """Assigns upstream slots to requests in the order of ``queue_key``."""
+    """Assigns upstream slots to requests in the order of their sort keys."""
 
     def __init__(
         self,
@@ -133,7 +155,9 @@
         clock: Callable[[], float] = time.monotonic,
         evacuations: ZoneEvacuations | None = None,
         controls_load: bool = False,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._zone = zone
         self._send_load_request = send_load_request
         self._poison = poison
@@ -141,6 +165,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._table = UpstreamTable(clock, evacuations, controls_load)
+        self._contention = Contention()
         self._waiters: list[_Waiter] = []
         self._requested: dict[tuple[Model, Adapter | None, Upstream | None], float] = {}
         """When each load request was last sent."""
@@ -164,9 +189,9 @@
         now = self._clock()
         with self._lock:
             request = self._table.with_read_work(request)
-            waiter = _Waiter(request, excluded, wait_deadline(request))
             if self._closing is not None:
                 return Err(self._closing)
+            waiter = self._make_waiter(request, excluded, now)
             self._waiters.append(waiter)
             self._match_waiters()
             if not waiter.decided.is_set():
@@ -185,6 +210,20 @@
             sent_at = self._clock()
         return Success(Permit(self, waiter.upstream, request, sent_at, unread))
 
+    def _make_waiter(
+        self, request: DispatchRequest, excluded: frozenset[Upstream], now: float
+    ) -> _Waiter:
+        if not self._table.controls_load(request.service):
+            return _Waiter(request, excluded, wait_deadline(request))
+        claim = Claim(
+            request,
+            now,
+            first_event_s=self._table.first_event_s(request),
+            resumed=request.version is not None,
+            repeated=bool(excluded),
+        )
+        return _Waiter(request, excluded, claim.send_by, claim)
+
     def _no_slot_failure(self, waiter: _Waiter) -> Failure:
         trial_failure = None
         if waiter.last_choice.step is Step.WAIT:
@@ -197,6 +236,8 @@
             return trial_failure
         if waiter.last_choice.step in (Step.LOAD, Step.WAIT_FOR_MODEL):
             return self._load_refusal(waiter, self._clock())
+        if waiter.claim is not None and waiter.last_choice.step is Step.WAIT:
+            return self._contention.refuse_overdue(waiter.claim, self._clock())
         return refusal(waiter.last_choice.step, waiter.request)
 
     def _load_refusal(self, waiter: _Waiter, now: float) -> Failure:
@@ -256,6 +297,11 @@
             tokens = self._demand_weights.weigh(request)
             self._demand[model] = self._demand.get(model, 0.0) + tokens
 
+    def record_stream(self, request: DispatchRequest, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        with self._lock:
+            self._table.record_stream(request, longest_pause_s)
+
     def record_first_token(
         self,
         record: UpstreamRecord,
@@ -296,11 +342,12 @@
                 waiter.decided.set()
 
     def _match_waiters(self, freed: UpstreamRecord | None = None) -> None:
-        """Assign free slots to waiting requests in the order of ``queue_key``.
+        """Assign free slots to waiting requests in the order of their sort keys.
 
         If given, ``freed`` alone has gained a slot: skip requests that can't run on it.
         """
-        for waiter in sorted(self._waiters, key=_Waiter.sort_key):
+        now = self._clock()
+        for waiter in sorted(self._waiters, key=lambda waiter: waiter.sort_key(now)):
             if waiter.decided.is_set():
                 continue
             if freed is not None and not self._table.can_serve(freed, waiter.request):
@@ -316,8 +363,33 @@
             waiter.limited_by = self._all_limited(waiter.request, views)
             waiter.last_choice = choose_upstream(views, waiter.request, self._zone)
             self._apply_choice(waiter, waiter.last_choice)
+            self._record_figures_age(waiter.last_choice, views)
             if waiter.limited_by and not waiter.decided.is_set():
                 self._refuse_limited(waiter)
+        self._refuse_unservable(now)
+
+    def _refuse_unservable(self, now: float) -> None:
+        """Refuse the requests for which no room is expected in useful time."""
+        waiters = {
+            waiter.claim: waiter
+            for waiter in self._waiters
+            if waiter.claim is not None and waiter.needs_room
+        }
+        for unservable in self._contention.refresh(waiters, now):
+            waiter = waiters[unservable.claim]
+            request = waiter.request
+            waiter.failure = self._poison.trial_refusal(
+                request.fingerprint, request.parts
+            ) or self._contention.refuse(unservable, now)
+            waiter.decided.set()
+
+    def _record_figures_age(self, choice: Choice, views: list[UpstreamView]) -> None:
+        """Record how old the figures were by which a request was sent."""
+        if self._metrics is None or choice.step is not Step.SEND:
+            return
+        for view in views:
+            if view.upstream == choice.upstream and view.estimate is not None:
+                self._metrics.load_age(view.estimate.age_s)
 
     def _all_limited(
         self, request: DispatchRequest, views: list[UpstreamView]
@@ -345,6 +417,8 @@
             self._table.record_start(choice.upstream, request)
             self._poison.started(request.fingerprint, choice.upstream, request.parts)
             self._limits.sent(choice.upstream)
+            if waiter.claim is not None:
+                self._contention.sent(waiter.claim, self._clock())
             waiter.upstream = state.record
             self._waiters.remove(waiter)
             waiter.decided.set()
@@ -422,7 +496,17 @@
         if load is None and not self._table.controls_load(record.service):
             return
         with self._lock:
-            self._table.record_load(record, load)
+            error = self._table.record_load(record, load)
+        if error is not None and self._metrics is not None:
+            self._metrics.load_error(error)
+
+    def load_spreads(self) -> dict[Service, float]:
+        """Return how unevenly requests are spread over the upstreams of each service.
+
+        The spread is the deviation of the expected requests as a share of their mean.
+        """
+        with self._lock:
+            return self._table.load_spreads()
 
     def record_missing(self, record: UpstreamRecord, request: DispatchRequest) -> None:
         """Record that an engine lacks a model or adapter listed in its inventory."""
@@ -500,3 +584,5 @@
             self._demand_weights.update(self._table.backlog_s, now)
             if self._waiters:
                 self._match_waiters()
+            else:
+                self._contention.refresh((), now)
--- a/src/persimmonhitch/direct/upstream_table.py
+++ b/src/persimmonhitch/direct/upstream_table.py
@@ -1,13 +1,14 @@
 """State of each upstream at this entry: its record, its work and its failures."""
 
+import math
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
-from statistics import fmean as mean
-from statistics import median
+from statistics import fmean, median, pstdev
 from typing import Final
 
+from ..decide.contention import DEFAULT_FIRST_EVENT_S
 from ..decide.dispatch import DEFAULT_READ_RATE, DispatchRequest, UpstreamView
 from ..decide.evacuation import ZoneEvacuations, ZoneState
 from ..decide.health import UpstreamHealth, is_unresponsive, traffic_shares
@@ -19,8 +20,8 @@
     effective_slowdown,
     estimate_load,
 )
-from ..decide.prompt_backlog import backlog_limit_s
-from ..decide.read_costs import REFERENCE_RATE, ReadCosts
+from ..decide.prompt_backlog import BacklogLimit
+from ..decide.read_costs import FIRST_TOKEN_S, REFERENCE_RATE, ReadCosts
 from ..fleet.call import ServerLoad
 from ..fleet.config import FleetConfig
 from ..fleet.upstream import EngineInventory, UpstreamRecord
@@ -28,7 +29,7 @@
 from .load_figures import LoadFigures
 from .local_work import LocalWork
 from .peer_messages import DrainUpdate, EntryUpdate, InventoryUpdate, UpstreamWork
-from .peer_work import PeerWork
+from .peer_work import PeerWork, WorkTotals
 
 MISSING_TTL_S: Final = 1.0
 """Time for which an engine's answer that a model or adapter is missing overrides
@@ -140,7 +141,9 @@
         self._load_services: set[Service] = set()
         """Services whose upstreams state how slow they are at the moment."""
         self._read_costs: defaultdict[Service, ReadCosts] = defaultdict(ReadCosts)
-        self._backlog_limits: dict[Service, float | None] = {}
+        self._backlog_limits: defaultdict[Service, BacklogLimit] = defaultdict(
+            BacklogLimit
+        )
         self._occupancy: defaultdict[Service, RunningMean] = defaultdict(
             lambda: RunningMean(DEFAULT_OCCUPANCY_S)
         )
@@ -150,7 +153,9 @@
         """Apply a new configuration."""
         self._cfg = cfg
         for name, spec in cfg.services.items():
-            self._backlog_limits[name] = backlog_limit_s(cfg.routes, name)
+            limit = BacklogLimit.from_routes(cfg.routes, name)
+            known = self._backlog_limits[name]
+            self._backlog_limits[name] = limit.with_pauses_of(known)
             models = spec.engine.models if spec.engine is not None else {}
             self._read_costs[name].sizes = {m: s.memory_mb for m, s in models.items()}
 
@@ -215,20 +220,28 @@
         """Apply the work of a peer at each upstream, as of a monotonic time."""
         self._peer_work.receive(vm, msg, self._clock(), as_of)
 
-    def record_load(self, record: UpstreamRecord, load: ServerLoad | None) -> None:
-        """Record the load that an upstream stated in an answer, None if it did not."""
+    def record_load(
+        self, record: UpstreamRecord, load: ServerLoad | None
+    ) -> float | None:
+        """Record the load that an upstream stated in an answer, None if it did not.
+
+        Return the difference between the requests expected and stated, if known.
+        """
         state = self._states.get(record.name)
         if state is None or state.record.started_at_ms != record.started_at_ms:
-            return
+            return None
         now = self._clock()
         if load is not None:
             state.add_load(load, now)
         if load is not None and load.slowdown is not None:
             self._load_services.add(record.service)
-        if self.controls_load(record.service):
-            own = self._own_work[record.name].requests
-            peers = self._peer_work.totals_at(record.name).requests
-            state.figures.record(record.name, load, own, peers, now)
+        if not self.controls_load(record.service):
+            return None
+        own = self._own_work[record.name].requests
+        peers = self._peer_work.totals_at(record.name)
+        expected = self._estimate(state, peers, 0.0, now).running
+        state.figures.record(record.name, load, own, peers.requests, now)
+        return abs(load.running + load.waiting - expected) if load is not None else None
 
     def controls_load(self, service: Service) -> bool:
         """Return whether the load of the upstreams of a service is controlled.
@@ -245,6 +258,12 @@
         work = costs.work(request.model, request.prompt_tokens)
         return replace(request, read_tokens=work)
 
+    def first_event_s(self, request: DispatchRequest) -> float:
+        """Return the seconds from sending a request to its first event if none wait."""
+        if request.read_tokens is None:
+            return DEFAULT_FIRST_EVENT_S
+        return FIRST_TOKEN_S + request.read_tokens / REFERENCE_RATE
+
     def model_read_rates(self, service: Service) -> dict[Model, float] | None:
         """Return the tokens per second that a usual engine reads of each known model.
 
@@ -263,6 +282,24 @@
             for state in self._by_service[service]
         }
 
+    def load_spreads(self) -> dict[Service, float]:
+        """Return how unevenly requests are spread over the upstreams of each service.
+
+        Only services whose upstreams state their load are included.
+        """
+        now = self._clock()
+        spreads = {}
+        for service in self._load_services:
+            running = [
+                self._estimate(
+                    state, self._peer_work.totals_at(state.record.name), 0.0, now
+                ).running
+                for state in self._by_service[service]
+            ]
+            if any(running):
+                spreads[service] = pstdev(running) / fmean(running)
+        return spreads
+
     def expire_peers(self) -> None:
         """Drop the work of unresponsive peers."""
         self._peer_work.expire(self._clock())
@@ -329,6 +366,11 @@
             request.model, request.prompt_tokens, seconds, stated or 1.0
         )
 
+    def record_stream(self, request: DispatchRequest, longest_pause_s: float) -> None:
+        """Record the longest pause of a stream that has ended."""
+        if request.read_tokens is not None:
+            self._backlog_limits[request.service].record_stream(longest_pause_s)
+
     def solo_read_rate(self, service: Service) -> float:
         """Return the median prompt tokens per second of the engines of a service."""
         rates = [
@@ -369,7 +411,7 @@
         if not states or not self.controls_load(service):
             return None
         now = self._clock()
-        return mean(
+        return fmean(
             self.unread_tokens(state.record.name) * state.slowdown(now) / REFERENCE_RATE
             for state in states
         )
@@ -397,8 +439,8 @@
             for state, share in zip(states, shares, strict=True)
             if state.record.name not in excluded
         ]
-        if views and self.controls_load(request.service):
-            self._add_estimates(views, now)
+        if self.controls_load(request.service):
+            self._add_estimates([v for v in views if v.upstream in capable], now)
         self._restore_last_capable(views, capable)
         return views
 
@@ -431,10 +473,10 @@
         unresponsive = is_unresponsive(
             own.requests, state.last_activity_at, own.busy_since, now
         )
-        read_rate, limit_s = state.read_rate, None
+        read_rate, limit_s = state.read_rate, math.inf
         if request.read_tokens is not None:
             read_rate = REFERENCE_RATE / state.slowdown(now)
-            limit_s = self._backlog_limits.get(request.service)
+            limit_s = self._backlog_limits[request.service].seconds
         return UpstreamView(
             upstream=name,
             zone=state.record.zone,
@@ -455,23 +497,22 @@
 
     def _add_estimates(self, views: list[UpstreamView], now: float) -> None:
         """Add the expected load of each upstream to its view."""
-        mean_peers = mean(
-            self._peer_work.totals_at(view.upstream).requests for view in views
-        )
-        for view in views:
-            view.estimate = self._estimate(view, mean_peers, now)
+        peers = [self._peer_work.totals_at(view.upstream) for view in views]
+        mean_peers = sum(work.requests for work in peers) / max(1, len(peers))
+        for view, work in zip(views, peers, strict=True):
+            state = self._states[view.upstream]
+            view.estimate = self._estimate(state, work, mean_peers, now)
 
     def _estimate(
-        self, view: UpstreamView, mean_peers: float, now: float
+        self, state: UpstreamState, peers: WorkTotals, mean_peers: float, now: float
     ) -> LoadEstimate:
-        state = self._states[view.upstream]
-        own = self._own_work[view.upstream]
-        peers = self._peer_work.totals_at(view.upstream)
+        own = self._own_work[state.record.name]
+        read_rate = REFERENCE_RATE / state.slowdown(now)
         work = CountedWork(
             own_requests=own.requests,
-            own_unread_s=own.prefill_tokens / view.read_rate,
+            own_unread_s=own.prefill_tokens / read_rate,
             peer_requests=peers.requests,
-            peer_unread_s=peers.prefill_tokens / view.read_rate,
+            peer_unread_s=peers.prefill_tokens / read_rate,
             news_age_s=self._peer_work.news_age_s,
         )
         service_s = state.figures.occupancy_s
