--- a/src/persimmonhitch/direct/contention.py
+++ b/src/persimmonhitch/direct/contention.py
@@ -39,6 +39,11 @@
         self._urgencies: dict[Service, Urgency] = {}
         self._refusal_log = SampledLog("room_refused")
 
+    @property
+    def has_claims(self) -> bool:
+        """Whether there have been claims under the present configuration."""
+        return bool(self._urgencies)
+
     def update_usage(
         self,
         totals: Mapping[Account, float],
--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -433,6 +433,11 @@
         with self._lock:
             self._table.receive_entry_update(vm, msg)
 
+    @property
+    def weighs_accounts(self) -> bool:
+        """Whether requests here have had claims, which depend on accounts' use."""
+        return self._contention.has_claims
+
     def update_usage(
         self, totals: Mapping[Account, float], rates: Mapping[Account, float]
     ) -> None:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -523,7 +523,8 @@
             try:
                 self.upstreams.expire()
                 self.leaving.apply()
-                self.dispatcher.update_usage(*self.quota.fleet_usage())
+                if self.dispatcher.weighs_accounts:
+                    self.dispatcher.update_usage(*self.quota.fleet_usage())
                 self.dispatcher.tick()
                 self.origins.flush()
                 self._welcome_peers()
--- a/src/persimmonhitch/limits/pooled.py
+++ b/src/persimmonhitch/limits/pooled.py
@@ -47,6 +47,8 @@
     _peer_rate_at: float = 0.0
     _peer_used: dict[Vm, float] = field(default_factory=dict)
     """Tokens spent at each peer, as of its newest update."""
+    _peers_used: float = 0.0
+    """Tokens that peers have spent since their first updates."""
 
     _max_level: float = 0.0
     """Upper bound of the bucket level: the burst capacity less the share of
@@ -98,8 +100,8 @@
 
     @property
     def total_used(self) -> float:
-        """Return the tokens spent at all entries, as far as they are reported."""
-        return self.used + sum(self._peer_used.values())
+        """Return the tokens spent at all entries while they were known here."""
+        return self.used + self._peers_used
 
     def refund(self, cost: Tokens) -> None:
         """Refund the tokens of a request that did not run."""
@@ -118,5 +120,6 @@
         if spent < -self.burst:
             # The peer restarted and counts from zero; refunds alone are smaller.
             spent = used
+        self._peers_used += spent
         self.level = min(self.burst, self.level - spent)
         self._peer_rate = self._decayed_rate(now) + max(0.0, spent) / RATE_WINDOW_S
--- a/tests/test_pooled_rate.py
+++ b/tests/test_pooled_rate.py
@@ -1,5 +1,7 @@
 """Bucket of an account at every entry, updated with the usage of all entries."""
 
+import pytest
+
 from persimmonhitch.direct.quota import Quota
 from persimmonhitch.fleet.config import AccountSpec, FleetConfig
 from persimmonhitch.ids import Account, ConfigVersion, Tokens, Vm
@@ -110,3 +112,14 @@
     bucket = PooledBucket(RATE, BURST, 0.0)
     assert bucket.spend(Tokens(5000)) is None
     assert bucket.spend(Tokens(1)) is not None
+
+
+def test_usage_of_the_fleet_covers_all_entries():
+    """Guards against an account that floods through other entries unseen."""
+    clock, quotas = make_quotas(3)
+    run(clock, quotas, 1.0, lambda _name: 1)
+    before, rates = quotas[Vm("e0")].fleet_usage()
+    admitted = run(clock, quotas, 2.0, lambda _name: 1)
+    used, _ = quotas[Vm("e0")].fleet_usage()
+    assert rates == {COOP: RATE}
+    assert used[COOP] - before[COOP] == pytest.approx(admitted, abs=RATE / 2)
