Claims are off as delivered; a setting turns them on

Change: [load] claims, 0 as delivered: requests wait until 0.9 of their latency target, as before; order, shares of accounts and room left to others go with it.

--- a/src/persimmonhitch/direct/dispatcher.py
+++ b/src/persimmonhitch/direct/dispatcher.py
@@ -1,7 +1,7 @@
 """Queues requests for upstream slots and assigns slots by rank.
 
-Where the load of upstreams is controlled, requests wait and are refused by their claims
-(``decide/contention.py``), elsewhere by their latency targets.
+Where claims are in use and the load of upstreams is controlled, requests wait and are
+refused by their claims (``decide/contention.py``), elsewhere by their latency targets.
 """
 
 import threading
@@ -63,7 +63,7 @@
     """Upstreams at which earlier attempts of the request failed."""
     give_up_at: float
     claim: Claim | None = None
-    """What the request is owed; None if the load of its service is not controlled."""
+    """What the request is owed; None if claims are not in use for its service."""
     decided: threading.Event = field(default_factory=threading.Event)
     upstream: UpstreamRecord | None = None
     failure: Failure | None = None
@@ -157,8 +157,10 @@
         evacuations: ZoneEvacuations | None = None,
         controls_load: bool = False,
         metrics: Metrics | None = None,
+        uses_claims: bool = True,
     ) -> None:
         self._metrics = metrics
+        self._uses_claims = uses_claims
         self._zone = zone
         self._send_load_request = send_load_request
         self._poison = poison
@@ -214,7 +216,7 @@
     def _make_waiter(
         self, request: DispatchRequest, excluded: frozenset[Upstream], now: float
     ) -> _Waiter:
-        if not self._table.controls_load(request.service):
+        if not self._uses_claims or not self._table.controls_load(request.service):
             return _Waiter(request, excluded, wait_deadline(request))
         claim = self._contention.make_claim(
             request, excluded, now, self._table.first_event_s(request)
@@ -496,10 +498,10 @@
         with self._lock:
             self._table.receive_entry_update(vm, msg, as_of)
 
-    def controls_any_load(self) -> bool:
-        """Return whether the load of any service is controlled."""
+    def weighs_accounts(self) -> bool:
+        """Return whether claims, which depend on the use of accounts, are in use."""
         with self._lock:
-            return self._table.controls_any_load()
+            return self._uses_claims and self._table.controls_any_load()
 
     def update_usage(
         self, totals: Mapping[Account, float], rates: Mapping[Account, float]
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -186,6 +186,7 @@
             self.limits,
             evacuations=self.evacuations,
             controls_load=cfg.controls_load,
+            uses_claims=bool(cfg.claims),
             metrics=self.metrics,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
@@ -543,7 +544,7 @@
                 self.server.drop_slow_readers()
                 self.upstreams.expire()
                 self.leaving.apply()
-                if self.dispatcher.controls_any_load():
+                if self.dispatcher.weighs_accounts():
                     self.dispatcher.update_usage(*self.quota.fleet_usage())
                 self.dispatcher.tick()
                 self.origins.flush()
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -75,6 +75,15 @@
         "state how slow they are",
         "",
     )
+    claims: int = setting(
+        "load",
+        "claims",
+        "1 if requests wait for room, and are refused, by their claims; 0 if they wait "
+        "until 0.9 of their latency target",
+        0,
+        0,
+        1,
+    )
     known_streams: int = setting(
         "streams",
         "known",
