--- a/tests/test_decide_residency.py
+++ b/tests/test_decide_residency.py
@@ -270,9 +270,7 @@
 
 
 def test_model_in_overload_gets_copies_beside_rare_models():
-    """Guards against a model that keeps one copy while most of its callers are refused,
-    since one more copy serves a small share of them.
-    """
+    """Guards against a model that keeps one copy while most callers are refused."""
     a, rare = Model("a"), [Model(name) for name in "bcdef"]
     engines = [engine("e1", "a", "b"), engine("e2", "c", "d"), engine("e3", "e", "f")]
     demand = {a: 6.0} | dict.fromkeys(rare, 0.1)
--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -102,9 +102,7 @@
 
 @pytest.mark.parametrize("factor", [0.5, 1.0, 1.5])
 def test_overloaded_model_gets_copies_despite_errors_of_its_rate(factor):
-    """Guards against a model that takes half of the traffic and keeps few copies when
-    engines are lost, since its rate is estimated wrong.
-    """
+    """Guards against a busy model that keeps few copies since its rate is wrong."""
     replay = fleet(
         by_model(lambda _now: {m: r * factor for m, r in READ_RATES.items()})
     )
