--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -81,9 +81,7 @@
     [(single_rate(FAST_RATE), 0.25, 1.0), (KNOWN, 0.0, 0.05)],
 )
 def test_busy_slow_models_get_the_copies_that_they_need(make_demand, least, most):
-    """Guards against callers refused at the one copy of a slow model, beside engines
-    that hold needless copies of a fast one. Busy models change every few seconds.
-    """
+    """Guards against refusals at the only copy of a slow model beside idle engines."""
     replay = fleet(make_demand)
     rare = [Caller(model, 0.25, 5.0) for model in MODELS[10:]]
     for seconds, shift in ((10, 0), (8, 3), (8, 6), (8, 0)):
