Report an entry's threads, delays, connections and bytes

The logs could not tell threads, processor and link of a flooded entry apart. A line caller_load each second while an entry is loaded, and metrics: threads in use, delay of requests before their thread, connections accepted or closed by cause, bytes of callers. No decision is changed.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -57,6 +57,7 @@
 from .app import CallerApp, StatusApp
 from .blocked_requests import BlockedRequests
 from .broadcast import Broadcast
+from .caller_load import CallerLoad
 from .cold_upstreams import ColdBound
 from .connection_pool import ConnectionPool
 from .crash_checks import CrashChecks
@@ -316,6 +317,7 @@
             keep_streams=True,
             max_unread=max_unread_bytes(cfg.memory_mb),
         )
+        self.caller_load = CallerLoad(self.server.meter, self.metrics)
         self.status_servers = [
             WebServer(status, *address, STATUS_THREADS)
             for address in (cfg.ready[0], cfg.metrics[0])
@@ -551,6 +553,7 @@
                 self._welcome_peers()
                 self.metrics.known_streams(len(self.origins))
                 self._update_counts()
+                self.caller_load.report()
                 interval_s = update_interval(len(self.peers) + 1)
                 if time.monotonic() - published_at >= interval_s:
                     published_at = time.monotonic()
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -221,6 +221,28 @@
     " half of the mean running.",
     ("rank",),
 )
+THREADS_BUSY: Final = Instrument(
+    "persimmonhitch.threads.busy",
+    "",
+    "Requests that hold or wait for a thread of the entry.",
+)
+THREAD_DELAY: Final = Instrument(
+    "persimmonhitch.threads.delay",
+    "s",
+    "Median delay of requests before they got a thread, in the last quarter second.",
+)
+CONNECTIONS: Final = Instrument(
+    "persimmonhitch.connections",
+    "",
+    "New connections: accepted, or closed before anything was read, by cause.",
+    ("outcome",),
+)
+CALLER_BYTES: Final = Instrument(
+    "persimmonhitch.caller.bytes",
+    "By",
+    "Bytes read from callers and sent to them.",
+    ("direction",),
+)
 INSTRUMENTS: Final = (
     REQUESTS,
     REFUSALS,
@@ -250,6 +272,10 @@
     WAITING,
     ROOM_REFUSALS,
     UNUSED_ROOM,
+    THREADS_BUSY,
+    THREAD_DELAY,
+    CONNECTIONS,
+    CALLER_BYTES,
 )
 
 
@@ -334,6 +360,10 @@
         self._waiting = self._gauge(WAITING)
         self._room_refusals = self._counter(ROOM_REFUSALS)
         self._unused_room = self._counter(UNUSED_ROOM)
+        self._threads_busy = self._gauge(THREADS_BUSY)
+        self._thread_delay = self._gauge(THREAD_DELAY)
+        self._connections = self._counter(CONNECTIONS)
+        self._caller_bytes = self._counter(CALLER_BYTES)
 
     def _counter(self, spec: Instrument) -> Counter:
         return self._meter.create_counter(spec.name, spec.unit, spec.help)
@@ -472,6 +502,27 @@
         if unused:
             self._unused_room.add(1, {"rank": rank})
 
+    def server_load(
+        self,
+        running: int,
+        delay_s: float,
+        connections: Mapping[str, int],
+        transferred: Mapping[str, int],
+    ) -> None:
+        """Set the load of the server, and add what it counted since the last call.
+
+        Parameters
+        ----------
+        connections, transferred : mapping of str to int
+            New connections by outcome, and bytes by direction.
+        """
+        self._threads_busy.set(running)
+        self._thread_delay.set(delay_s)
+        for outcome, count in connections.items():
+            self._connections.add(count, {"outcome": outcome})
+        for direction, count in transferred.items():
+            self._caller_bytes.add(count, {"direction": direction})
+
     def _account_labels(self, account: Account) -> Labels:
         return {"account": self._accounts.label(account)}
 
--- /dev/null
+++ b/src/persimmonhitch/web/load.py
@@ -0,0 +1,127 @@
+"""Load of a server: its threads, delays, connections and bytes."""
+
+import statistics
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from ..decide.conn_admission import CloseCause
+
+DELAY_WINDOW_S: Final = 0.25
+"""Seconds for which the delay of a request counts."""
+
+
+@dataclass(frozen=True)
+class LoadFigures:
+    """Load of a server, and what it counted since the figures before."""
+
+    seconds: float
+    """Time since the figures before."""
+    running: int
+    """Requests that run or wait for a thread."""
+    threads: int
+    """Most requests at a time."""
+    delay_s: float
+    """Median delay of recent requests before their thread; 0 without requests."""
+    requests: int
+    accepted: int
+    """Connections that were accepted and kept."""
+    closed: Mapping[CloseCause, int]
+    """Connections that were closed before anything was read, by cause."""
+    read_bytes: int
+    sent_bytes: int
+
+
+class LoadMeter:
+    """Counts the work of a server; thread-safe."""
+
+    def __init__(
+        self, threads: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.threads = threads
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._running = 0
+        self._delays: deque[tuple[float, float]] = deque()
+        """When each recent request got its thread, and after which delay."""
+        self._started_at = clock()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._requests = self._accepted = 0
+        self._read_bytes = self._sent_bytes = 0
+        self._closed: Counter[CloseCause] = Counter()
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that run or wait for a thread."""
+        return self._running
+
+    def accepted(self) -> None:
+        """Count an accepted connection."""
+        self._accepted += 1
+
+    def closed_unread(self, cause: CloseCause) -> None:
+        """Count a connection that is closed before anything is read."""
+        self._closed[cause] += 1
+
+    def bytes_read(self, count: int) -> None:
+        """Count bytes of callers."""
+        self._read_bytes += count
+
+    def bytes_sent(self, count: int) -> None:
+        """Count bytes that the kernel has accepted for callers."""
+        with self._lock:
+            self._sent_bytes += count
+
+    def request_queued(self) -> float:
+        """Count a request that waits for its thread; return the time."""
+        with self._lock:
+            self._running += 1
+            self._requests += 1
+        return self._clock()
+
+    def request_started(self, queued_at: float) -> None:
+        """Record that a request has got its thread."""
+        now = self._clock()
+        with self._lock:
+            self._delays.append((now, now - queued_at))
+            self._expire(now)
+
+    def request_ended(self) -> None:
+        """Count the end of a request."""
+        with self._lock:
+            self._running -= 1
+
+    def _expire(self, now: float) -> None:
+        while self._delays and now - self._delays[0][0] > DELAY_WINDOW_S:
+            self._delays.popleft()
+
+    def delays(self) -> list[float]:
+        """Return the delays of recent requests before their threads, in seconds."""
+        with self._lock:
+            self._expire(self._clock())
+            return [delay for _, delay in self._delays]
+
+    def take_figures(self) -> LoadFigures:
+        """Return the figures; the next ones count from here."""
+        delays = self.delays()
+        now = self._clock()
+        with self._lock:
+            figures = LoadFigures(
+                now - self._started_at,
+                self._running,
+                self.threads,
+                statistics.median(delays) if delays else 0.0,
+                self._requests,
+                self._accepted,
+                dict(self._closed),
+                self._read_bytes,
+                self._sent_bytes,
+            )
+            self._started_at = now
+            self._reset()
+        return figures
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -13,9 +13,9 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-import waitress
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from .http import (
@@ -28,6 +28,7 @@
     UnframedBody,
     json_answer,
 )
+from .load import LoadMeter
 from .slow_readers import SlowReaders
 
 # The application logs failed responses by request; waitress would log them again.
@@ -158,13 +159,22 @@
     error_task_class = _ErrorTask
     sent_bytes = 0
     """Bytes that the kernel has accepted for the caller."""
+    queued_at = 0.0
+    """When the newest request began to wait for a thread."""
 
     def send(self, data: bytes, do_close: bool = True) -> int:
         """Send some bytes; return their number."""
         count: int = super().send(data, do_close=do_close)
         self.sent_bytes += count
+        self.server.meter.bytes_sent(count)
         return count
 
+    def recv(self, buffer_size: int) -> bytes:
+        """Receive some bytes."""
+        data: bytes = super().recv(buffer_size)
+        self.server.meter.bytes_read(len(data))
+        return data
+
     def service(self) -> None:
         """Run one request; then close the connection if idle ones are being closed.
 
@@ -172,10 +182,14 @@
         before ``close_idle`` was called. The connection would then stay open and idle
         until the process exits.
         """
+        self.server.meter.request_started(self.queued_at)
         if _is_closed_by_peer(self.socket):
             # The server loop may not have read the end of the connection yet.
             self.connected = False
-        super().service()
+        try:
+            super().service()
+        finally:
+            self.server.meter.request_ended()
         if self.server.closing_idle and not self.has_input():
             self.close_when_flushed = True
             self.server.pull_trigger()
@@ -208,6 +222,30 @@
         return _is_readable(self.socket)
 
 
+class _Server(TcpWSGIServer):  # type: ignore[misc]
+    """Listener that counts connections and requests."""
+
+    channel_class = _Channel
+    keep_alive_disabled = False
+    closing_idle = False
+
+    def __init__(self, app: App, meter: LoadMeter, **options: Any) -> None:
+        self.meter = meter
+        super().__init__(app, **options)
+
+    def handle_accept(self) -> None:
+        """Accept a connection."""
+        before = len(self.active_channels)
+        super().handle_accept()
+        if len(self.active_channels) > before:
+            self.meter.accepted()
+
+    def add_task(self, task: _Channel) -> None:
+        """Queue the next request of a connection for a thread."""
+        task.queued_at = self.meter.request_queued()
+        super().add_task(task)
+
+
 class _OnDemandDispatcher(ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts a thread when a request arrives and no thread is idle, up to a limit.
 
@@ -273,11 +311,13 @@
         # Idle connections occupy no thread. If callers keep many of them open, these
         # must not use up the limit for new connections.
         conns = MAX_IDLE_CONNS + threads if keep_streams else threads
-        self._server: Any = waitress.create_server(
+        self.meter = LoadMeter(threads)
+        self._server: Any = _Server(
             _marking_unframed(app),
+            self.meter,
             host=host,
             port=port,
-            _dispatcher=_OnDemandDispatcher(threads),
+            dispatcher=_OnDemandDispatcher(threads),
             threads=threads,
             connection_limit=conns + INTERNAL_SOCKETS,
             channel_request_lookahead=REQUEST_LOOKAHEAD,
@@ -291,9 +331,6 @@
             asyncore_use_poll=True,
             ident=None,
         )
-        self._server.channel_class = _Channel
-        self._server.keep_alive_disabled = False
-        self._server.closing_idle = False
         self._server.keep_streams = keep_streams
         self._server.build_refusal = build_refusal
         self._thread = threading.Thread(
