--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -31,7 +31,7 @@
 class Entry:
     """One entry VM: a process that the soak restarts whenever it has exited."""
 
-    def __init__(self, name, zone, store_port, folder, records):
+    def __init__(self, name, zone, store_port, folder, records, **size):
         self.name = name
         self.records = records
         self.incarnation = 0
@@ -51,20 +51,22 @@
         }
         self.port = self.relays["callers"].port
         self.settings = folder / f"{name}.ini"
-        self.settings.write_text(self._settings_text(zone, ports))
+        self.settings.write_text(self._settings_text(zone, ports, **size))
         self.lock = threading.RLock()
 
-    def _settings_text(self, zone, ports):
+    def _settings_text(self, zone, ports, threads=48, cores=1.0, memory_mb=0):
         return f"""
 [vm]
 name = {self.name}
 zone = {zone}
 region = r1
+cpu_share = {cores}
+memory_mb = {memory_mb}
 [http]
 callers = 127.0.0.1:{ports["callers"]}
 ready = 127.0.0.1:{ports["ready"]}
 metrics = 127.0.0.1:{ports["metrics"]}
-threads = 48
+threads = {threads}
 [link]
 address = 127.0.0.1:{ports["link"]}
 advertised = 127.0.0.1:{self.relays["link"].port}
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -212,7 +212,11 @@
 class Platform:
     """Store, upstreams and operator; entries access the store over HTTP."""
 
-    def __init__(self, records, rng, engines, ledgers, choose_version):
+    def __init__(
+        self, records, rng, engines, ledgers, choose_version, adapt=lambda spec: spec
+    ):
+        self._adapt = adapt
+        """Adapts the spec of each upstream that is added."""
         self._choose_version = choose_version
         self.state = StoreState()
         self.server = WebServer(StoreApp(self.state), "127.0.0.1", 0, STORE_THREADS)
@@ -249,7 +253,8 @@
             self._added += 1
             name = name or f"{service}-{self._added}"
             make = engine_spec if service == LLM else ledger_spec
-            upstream = Upstream(make(name, number), self.records, derive_rng(self._rng))
+            spec = self._adapt(make(name, number))
+            upstream = Upstream(spec, self.records, derive_rng(self._rng))
             if service == LLM:
                 upstream.version = self._choose_version()
             upstream.on_poison = lambda crashed: self.on_poison(crashed)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -54,6 +54,8 @@
     memory: float = 200.0
     model_memory: float = 80.0
     adapter_slots: int = 4
+    event_interval_s: float = EVENT_INTERVAL_S
+    """Seconds before each event; an answer without events takes two of them."""
 
 
 @dataclass
@@ -287,7 +289,7 @@
             return self._send(sock, 500, b"failed", **headers)
         if "x-persimmonhitch-model" in req.headers:
             return self._stream(req, run, sock)
-        if not self._work_for(EVENT_INTERVAL_S * 2, sock):
+        if not self._work_for(self.spec.event_interval_s * 2, sock):
             return False
         if self._rng.random() < self.faults.lose:
             run.answer_broken = True
@@ -327,7 +329,7 @@
         last = self._style_rng.randrange(EVENT_COUNT)
         run.answer_broken = self._style_rng.random() < self.style.truncated
         for number, data in enumerate(events):
-            if not self._work_for(EVENT_INTERVAL_S, sock):
+            if not self._work_for(self.spec.event_interval_s, sock):
                 # A plain close between two events would look like the end.
                 self._reset(sock)
                 return False
@@ -355,7 +357,7 @@
         head += "".join(f"{line}\r\n" for line in (*self._state_headers(), ""))
         sock.sendall(head.encode())
         for number in range(1 + _last_event(req), EVENT_COUNT + 1):
-            if not self._work_for(EVENT_INTERVAL_S, sock):
+            if not self._work_for(self.spec.event_interval_s, sock):
                 return False
             if self._rng.random() < self.faults.lose / EVENT_COUNT:
                 run.answer_broken = True
