The play of flooded entries bears its own load

The relay on the path of callers leaves a caller waiting when a connection is reset while it is set up, so callers of the play reach the entries directly.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -50,6 +50,8 @@
             "callers": Relay(ports["callers"], listen_port=PORTS.take()),
         }
         self.port = self.relays["callers"].port
+        self.callers_port = ports["callers"]
+        """Port of the process itself, for callers that need no faults on the path."""
         self.settings = folder / f"{name}.ini"
         self.settings.write_text(self._settings_text(zone, ports, **size))
         self.lock = threading.RLock()
