A flooded entry takes no more connections than it has threads for

Cause: each request holds one of 192 threads for as long as it waits or streams, the check for a free one came after the request was read, and the listener accepted up to 2,192 connections whatever the threads did. Ruled out for the large entry: processor (delay before threads below 0.07 s) and link.

Now the listener stops listening for moments without a free thread, so callers reach another entry with their request unread; an eighth of the threads is left to open connections, and one new connection a second is taken in any case. The threads follow the memory of the VM: 390 at 200 MB, 1,024 at 552 MB, as before where it is unknown.

--- a/src/persimmonhitch/direct/caller_load.py
+++ b/src/persimmonhitch/direct/caller_load.py
@@ -43,8 +43,10 @@
             figures.delay_s,
             {"accepted": figures.accepted, **closed},
             {"read": figures.read_bytes, "sent": figures.sent_bytes},
+            {cause.value: s for cause, s in figures.paused_s.items()},
         )
-        if closed or _is_loaded(figures):
+        paused = {f"paused_{cause.value}": s for cause, s in figures.paused_s.items()}
+        if paused or _is_loaded(figures):
             log(
                 "caller_load",
                 running=figures.running,
@@ -56,6 +58,7 @@
                 sent_mbit=_megabits_per_s(figures.sent_bytes, figures.seconds),
                 seconds=figures.seconds,
                 **closed,
+                **paused,
             )
 
 
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -21,6 +21,7 @@
 
 from ..decide.admission import connections_refusal
 from ..decide.cold_start import may_fall_back
+from ..decide.conn_admission import ConnAdmission, max_requests
 from ..decide.evacuation import ZoneEvacuations
 from ..decide.held_answers import max_held_bytes
 from ..decide.overlay import Member, Overlay
@@ -121,6 +122,7 @@
         self.cfg = cfg
         self.vm = Vm(cfg.vm)
         self.incarnation = new_incarnation()
+        self.max_requests = max_requests(cfg.threads, cfg.memory_mb)
         self.metrics = Metrics("direct", cfg.vm)
         self.active_config = ActiveConfig(EMPTY_CONFIG, RouteTable(()))
         self.draining = threading.Event()
@@ -313,9 +315,10 @@
             callers,
             host,
             port,
-            cfg.threads,
+            self.max_requests,
             keep_streams=True,
             max_unread=max_unread_bytes(cfg.memory_mb),
+            admission=ConnAdmission(self.max_requests),
         )
         self.caller_load = CallerLoad(self.server.meter, self.metrics)
         self.status_servers = [
@@ -334,7 +337,7 @@
     def _refusal(self) -> Failure | None:
         if self.refusing.is_set():
             return STOPPING
-        return connections_refusal(len(self.watchdog), self.cfg.threads)
+        return connections_refusal(len(self.watchdog), self.max_requests)
 
     def _is_ready(self) -> bool:
         required = (Kind.FLEET, Kind.UPSTREAM, Kind.EVACUATION)
@@ -543,6 +546,7 @@
             self._tick_due.wait(TICK_INTERVAL_S)
             self._tick_due.clear()
             try:
+                self.server.resume_listening()
                 self.server.drop_slow_readers()
                 self.upstreams.expire()
                 self.leaving.apply()
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -34,7 +34,13 @@
         "vm", "memory_mb", "megabytes of memory of this VM; 0 if unknown", 0, 0
     )
     threads: int = setting(
-        "http", "threads", "most requests at a time, a thread for each", 192, 8, 1024
+        "http",
+        "threads",
+        "most requests at a time, a thread for each; a VM with little memory has fewer,"
+        " one of unknown memory 192 at most",
+        1024,
+        8,
+        1024,
     )
     store_timeout: float = setting(
         "store", "timeout", "seconds for one call", 1.0, 0.05, 30
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -237,6 +237,12 @@
     "New connections: accepted, or closed before anything was read, by cause.",
     ("outcome",),
 )
+PAUSES: Final = Instrument(
+    "persimmonhitch.pauses.duration",
+    "s",
+    "Time in which the entry took no new connections, by cause.",
+    ("cause",),
+)
 CALLER_BYTES: Final = Instrument(
     "persimmonhitch.caller.bytes",
     "By",
@@ -275,6 +281,7 @@
     THREADS_BUSY,
     THREAD_DELAY,
     CONNECTIONS,
+    PAUSES,
     CALLER_BYTES,
 )
 
@@ -363,6 +370,7 @@
         self._threads_busy = self._gauge(THREADS_BUSY)
         self._thread_delay = self._gauge(THREAD_DELAY)
         self._connections = self._counter(CONNECTIONS)
+        self._pauses = self._counter(PAUSES)
         self._caller_bytes = self._counter(CALLER_BYTES)
 
     def _counter(self, spec: Instrument) -> Counter:
@@ -508,6 +516,7 @@
         delay_s: float,
         connections: Mapping[str, int],
         transferred: Mapping[str, int],
+        pauses: Mapping[str, float],
     ) -> None:
         """Set the load of the server, and add what it counted since the last call.
 
@@ -515,6 +524,8 @@
         ----------
         connections, transferred : mapping of str to int
             New connections by outcome, and bytes by direction.
+        pauses : mapping of str to float
+            Seconds without a listener by cause.
         """
         self._threads_busy.set(running)
         self._thread_delay.set(delay_s)
@@ -522,6 +533,8 @@
             self._connections.add(count, {"outcome": outcome})
         for direction, count in transferred.items():
             self._caller_bytes.add(count, {"direction": direction})
+        for cause, seconds in pauses.items():
+            self._pauses.add(seconds, {"cause": cause})
 
     def _account_labels(self, account: Account) -> Labels:
         return {"account": self._accounts.label(account)}
--- /dev/null
+++ b/src/persimmonhitch/web/listener.py
@@ -0,0 +1,154 @@
+"""The listener of a server: takes connections, or stops listening for a moment."""
+
+import contextlib
+import socket
+import struct
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Final
+
+from waitress import wasyncore
+from waitress.server import TcpWSGIServer
+
+from ..decide.conn_admission import ConnAdmission, PauseCause
+from ..observe.logs import SampledLog
+from .load import LoadMeter
+
+MAX_ACCEPTS: Final = 8
+"""Connections taken at a time; between two times the requests are read and counted."""
+MIN_PAUSE_S: Final = 0.02
+"""Shortest pause: to listen again takes processor time, too."""
+PENDING_S: Final = 1.0
+"""Seconds for which a connection without a request counts as one; callers that open
+connections in advance must not keep others out."""
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Reset a connection when it closes, whether or not its bytes were read."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+class Listener(TcpWSGIServer):  # type: ignore[misc]
+    """Listener that counts connections and requests; runs on the server thread.
+
+    Parameters
+    ----------
+    admission : ConnAdmission or None
+        Decides when new connections are taken; None to take all.
+    """
+
+    keep_alive_disabled = False
+    closing_idle = False
+
+    def __init__(
+        self,
+        app: Any,
+        meter: LoadMeter,
+        admission: ConnAdmission | None,
+        clock: Callable[[], float] = time.monotonic,
+        **options: Any,
+    ) -> None:
+        self.meter = meter
+        self._admission = admission
+        self._clock = clock
+        self._pending: OrderedDict[int, float] = OrderedDict()
+        """When each connection without a request yet was accepted, by descriptor."""
+        self._errors = SampledLog("accept_failed")
+        self.is_paused = False
+        self._paused_at = 0.0
+        self._is_stopped = False
+        super().__init__(app, **options)
+
+    def handle_accept(self) -> None:
+        """Take some of the connections that wait, or pause."""
+        now = self._clock()
+        for _ in range(MAX_ACCEPTS):
+            cause = self._pause_cause(now)
+            if cause is not None:
+                self._pause(cause, now)
+                return
+            accepted = self._accept()
+            if accepted is None:
+                return
+            sock, addr = accepted
+            self.meter.accepted()
+            if self._admission is not None:
+                self._admission.taken(now)
+            self._pending[sock.fileno()] = now
+            self._pending.move_to_end(sock.fileno())
+            self.channel_class(self, sock, self.fix_addr(addr), self.adj, map=self._map)
+
+    def _accept(self) -> tuple[socket.socket, Any] | None:
+        """Return a connection that waits, or None."""
+        try:
+            accepted: tuple[socket.socket, Any] | None = self.accept()
+            if accepted is not None:
+                self.set_socket_options(accepted[0])
+        except OSError as exc:
+            # The caller has left, or the process is out of descriptors.
+            self._errors.log(error=repr(exc))
+            return None
+        return accepted
+
+    def _pause_cause(self, now: float) -> PauseCause | None:
+        if self._admission is None:
+            return None
+        self._expire_pending(now)
+        requests = self.meter.running + len(self._pending)
+        return self._admission.pause_cause(now, requests)
+
+    def _expire_pending(self, now: float) -> None:
+        while self._pending:
+            fileno, accepted_at = next(iter(self._pending.items()))
+            if fileno in self.active_channels and now - accepted_at < PENDING_S:
+                return
+            del self._pending[fileno]
+
+    def _pause(self, cause: PauseCause, now: float) -> None:
+        """Stop listening; reset the connections that wait."""
+        self.is_paused, self._paused_at = True, now
+        while (accepted := self._accept()) is not None:
+            self.meter.closed_unread(cause)
+            reset_on_close(accepted[0])
+            accepted[0].close()
+        wasyncore.dispatcher.close(self)
+        self.meter.paused(cause, now)
+
+    def resume(self) -> None:
+        """Listen again if there is room for new connections."""
+        now = self._clock()
+        if not self.is_paused or self._is_stopped:
+            return
+        if now - self._paused_at < MIN_PAUSE_S or self._pause_cause(now) is not None:
+            return
+        try:
+            self.create_socket(self.family, self.socktype)
+            self.set_reuse_addr()
+            self.bind((self.effective_host, int(self.effective_port)))
+            self.accept_connections()
+        except OSError as exc:
+            self._errors.log(error=repr(exc))
+            wasyncore.dispatcher.close(self)
+            return
+        self.is_paused = False
+        self.meter.resumed(now)
+
+    def stop(self) -> None:
+        """Close the listener for good; take the connections that wait."""
+        self._is_stopped = True
+        if self.is_paused:
+            return
+        while (accepted := self._accept()) is not None:
+            sock, addr = accepted
+            self.channel_class(self, sock, self.fix_addr(addr), self.adj, map=self._map)
+        wasyncore.dispatcher.close(self)
+
+    def add_task(self, task: Any) -> None:
+        """Queue the next request of a connection for a thread."""
+        task.queued_at = self.meter.request_queued()
+        self._pending.pop(task._fileno, None)
+        super().add_task(task)
--- a/src/persimmonhitch/web/load.py
+++ b/src/persimmonhitch/web/load.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..decide.conn_admission import CloseCause
+from ..decide.conn_admission import PauseCause
 
 DELAY_WINDOW_S: Final = 0.25
 """Seconds for which the delay of a request counts."""
@@ -29,8 +29,10 @@
     requests: int
     accepted: int
     """Connections that were accepted and kept."""
-    closed: Mapping[CloseCause, int]
+    closed: Mapping[PauseCause, int]
     """Connections that were closed before anything was read, by cause."""
+    paused_s: Mapping[PauseCause, float]
+    """Time without a listener, by cause."""
     read_bytes: int
     sent_bytes: int
 
@@ -39,7 +41,9 @@
     """Counts the work of a server; thread-safe."""
 
     def __init__(
-        self, threads: int, clock: Callable[[], float] = time.monotonic
+        self,
+        threads: int,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.threads = threads
         self._clock = clock
@@ -47,13 +51,16 @@
         self._running = 0
         self._delays: deque[tuple[float, float]] = deque()
         """When each recent request got its thread, and after which delay."""
+        self._pause: tuple[PauseCause, float] | None = None
+        """Cause of the current pause, and when it was last counted."""
         self._started_at = clock()
         self._reset()
 
     def _reset(self) -> None:
         self._requests = self._accepted = 0
         self._read_bytes = self._sent_bytes = 0
-        self._closed: Counter[CloseCause] = Counter()
+        self._closed: Counter[PauseCause] = Counter()
+        self._paused_s: dict[PauseCause, float] = {}
 
     @property
     def running(self) -> int:
@@ -64,13 +71,32 @@
         """Count an accepted connection."""
         self._accepted += 1
 
-    def closed_unread(self, cause: CloseCause) -> None:
+    def closed_unread(self, cause: PauseCause) -> None:
         """Count a connection that is closed before anything is read."""
-        self._closed[cause] += 1
+        with self._lock:
+            self._closed[cause] += 1
+
+    def paused(self, cause: PauseCause, now: float) -> None:
+        """Record that the server stops listening."""
+        with self._lock:
+            self._pause = cause, now
+
+    def resumed(self, now: float) -> None:
+        """Record that the server listens again."""
+        with self._lock:
+            self._count_pause(now)
+            self._pause = None
+
+    def _count_pause(self, now: float) -> None:
+        if self._pause is not None:
+            cause, since = self._pause
+            self._paused_s[cause] = self._paused_s.get(cause, 0.0) + now - since
+            self._pause = cause, now
 
     def bytes_read(self, count: int) -> None:
         """Count bytes of callers."""
-        self._read_bytes += count
+        with self._lock:
+            self._read_bytes += count
 
     def bytes_sent(self, count: int) -> None:
         """Count bytes that the kernel has accepted for callers."""
@@ -79,10 +105,11 @@
 
     def request_queued(self) -> float:
         """Count a request that waits for its thread; return the time."""
+        now = self._clock()
         with self._lock:
             self._running += 1
             self._requests += 1
-        return self._clock()
+        return now
 
     def request_started(self, queued_at: float) -> None:
         """Record that a request has got its thread."""
@@ -100,25 +127,29 @@
         while self._delays and now - self._delays[0][0] > DELAY_WINDOW_S:
             self._delays.popleft()
 
-    def delays(self) -> list[float]:
-        """Return the delays of recent requests before their threads, in seconds."""
+    def median_delay(self) -> float:
+        """Return the median delay of recent requests; 0 without requests."""
+        now = self._clock()
         with self._lock:
-            self._expire(self._clock())
-            return [delay for _, delay in self._delays]
+            self._expire(now)
+            delays = [delay for _, delay in self._delays]
+        return statistics.median(delays) if delays else 0.0
 
     def take_figures(self) -> LoadFigures:
         """Return the figures; the next ones count from here."""
-        delays = self.delays()
+        delay_s = self.median_delay()
         now = self._clock()
         with self._lock:
+            self._count_pause(now)
             figures = LoadFigures(
                 now - self._started_at,
                 self._running,
                 self.threads,
-                statistics.median(delays) if delays else 0.0,
+                delay_s,
                 self._requests,
                 self._accepted,
                 dict(self._closed),
+                dict(self._paused_s),
                 self._read_bytes,
                 self._sent_bytes,
             )
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -1,11 +1,9 @@
 """The HTTP server: waitress with a connection limit and a graceful stop."""
 
-import contextlib
 import itertools
 import logging
 import select
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
@@ -13,11 +11,10 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from waitress import wasyncore
 from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
+from ..decide.conn_admission import ConnAdmission
 from .http import (
     DROP,
     MAX_BODY_BYTES,
@@ -28,6 +25,7 @@
     UnframedBody,
     json_answer,
 )
+from .listener import Listener, reset_on_close
 from .load import LoadMeter
 from .slow_readers import SlowReaders
 
@@ -48,8 +46,6 @@
 """Requests read ahead per connection; with 0 a client's disconnect is not detected."""
 MAX_IDLE_CONNS: Final = 2000
 """Connections without a request; half of the file descriptors of a small VM."""
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close resets the connection."""
 NO_FRAMING: Final = "persimmonhitch.no_framing"
 """Key in the environment of a request whose answer ends with its connection."""
 CHUNKED_LINE: Final = b"Transfer-Encoding: chunked\r\n"
@@ -190,14 +186,15 @@
             super().service()
         finally:
             self.server.meter.request_ended()
+            if self.server.is_paused:
+                self.server.trigger.pull_trigger(self.server.resume)
         if self.server.closing_idle and not self.has_input():
             self.close_when_flushed = True
             self.server.pull_trigger()
 
     def reset_on_close(self) -> None:
         """Reset the connection when it closes, so that its answer looks truncated."""
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self.socket)
 
     def drop_request(self, req: Any) -> None:
         """Break off the connection unless it serves another request by now."""
@@ -222,30 +219,6 @@
         return _is_readable(self.socket)
 
 
-class _Server(TcpWSGIServer):  # type: ignore[misc]
-    """Listener that counts connections and requests."""
-
-    channel_class = _Channel
-    keep_alive_disabled = False
-    closing_idle = False
-
-    def __init__(self, app: App, meter: LoadMeter, **options: Any) -> None:
-        self.meter = meter
-        super().__init__(app, **options)
-
-    def handle_accept(self) -> None:
-        """Accept a connection."""
-        before = len(self.active_channels)
-        super().handle_accept()
-        if len(self.active_channels) > before:
-            self.meter.accepted()
-
-    def add_task(self, task: _Channel) -> None:
-        """Queue the next request of a connection for a thread."""
-        task.queued_at = self.meter.request_queued()
-        super().add_task(task)
-
-
 class _OnDemandDispatcher(ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts a thread when a request arrives and no thread is idle, up to a limit.
 
@@ -285,6 +258,8 @@
 
     With ``max_unread``, the unread bytes of all callers are bounded by this number.
 
+    With ``admission`` the server stops listening for moments without room.
+
     With ``keep_streams`` a connection stays open after a chunked answer, and up to
     ``MAX_IDLE_CONNS`` idle connections are permitted in addition to ``threads``.
     """
@@ -298,6 +273,7 @@
         build_refusal: RefusalBuilder = _plain_refusal,
         keep_streams: bool = False,
         max_unread: int | None = None,
+        admission: ConnAdmission | None = None,
     ) -> None:
         max_buffered = MAX_UNSENT_BYTES
         if max_unread is not None:
@@ -312,9 +288,10 @@
         # must not use up the limit for new connections.
         conns = MAX_IDLE_CONNS + threads if keep_streams else threads
         self.meter = LoadMeter(threads)
-        self._server: Any = _Server(
+        self._server: Any = Listener(
             _marking_unframed(app),
             self.meter,
+            admission,
             host=host,
             port=port,
             dispatcher=_OnDemandDispatcher(threads),
@@ -331,6 +308,7 @@
             asyncore_use_poll=True,
             ident=None,
         )
+        self._server.channel_class = _Channel
         self._server.keep_streams = keep_streams
         self._server.build_refusal = build_refusal
         self._thread = threading.Thread(
@@ -360,14 +338,20 @@
 
         def close_listener() -> None:
             # Connections that are not accepted yet would be reset with the listener.
-            while _is_readable(self._server.socket):
-                self._server.handle_accept()
-            wasyncore.dispatcher.close(self._server)
+            self._server.stop()
             closed.set()
 
         self._server.trigger.pull_trigger(close_listener)
         closed.wait(1.0)
 
+    def resume_listening(self) -> None:
+        """Listen again after a pause if there is room for new connections.
+
+        To be called several times per second.
+        """
+        if self._server.is_paused:
+            self._server.trigger.pull_trigger(self._server.resume)
+
     def close_idle(self) -> None:
         """Close connections without a request.
 
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -57,7 +57,7 @@
     metrics.load_spread(Service("api"), 0.4)
     metrics.waiting_for_room(1, 2)
     metrics.refused_for_room(1, late=True, unused=True)
-    metrics.server_load(3, 0.1, {"accepted": 2}, {"read": 100})
+    metrics.server_load(3, 0.1, {"accepted": 2}, {"read": 100}, {"threads": 0.1})
 
 
 def test_every_instrument_is_shown(metrics):
