A flooded entry takes no more connections than its processor serves in time

Cause: an entry reads whatever arrives. Once its processor is busy all the time, each request takes longer, more run at the same time, and the entry works for callers who have left. Ruled out: threads (fewer than 188 at a time), link (a faster one changed nothing).

Now the listener pauses while requests that were read wait for a thread for more than 50 ms, and looks again at the end of each request. Replays of the decision: floods of 170 and 400 a second at processors of 60, 90 and 300 requests a second.

--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -98,8 +98,8 @@
         if self._admission is None:
             return None
         self._expire_pending(now)
-        requests = self.meter.running + len(self._pending)
-        return self._admission.pause_cause(now, requests)
+        load = self.meter.request_load(len(self._pending))
+        return self._admission.pause_cause(now, load)
 
     def _expire_pending(self, now: float) -> None:
         while self._pending:
--- a/src/persimmonhitch/web/load.py
+++ b/src/persimmonhitch/web/load.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..decide.conn_admission import PauseCause
+from ..decide.conn_admission import PauseCause, RequestLoad
 
 DELAY_WINDOW_S: Final = 0.25
 """Seconds for which the delay of a request counts."""
@@ -51,6 +51,8 @@
         self._running = 0
         self._delays: deque[tuple[float, float]] = deque()
         """When each recent request got its thread, and after which delay."""
+        self._waiting: deque[float] = deque()
+        """When each request without a thread was read; they get them in this order."""
         self._pause: tuple[PauseCause, float] | None = None
         """Cause of the current pause, and when it was last counted."""
         self._started_at = clock()
@@ -109,12 +111,15 @@
         with self._lock:
             self._running += 1
             self._requests += 1
+            self._waiting.append(now)
         return now
 
     def request_started(self, queued_at: float) -> None:
         """Record that a request has got its thread."""
         now = self._clock()
         with self._lock:
+            if self._waiting:
+                self._waiting.popleft()
             self._delays.append((now, now - queued_at))
             self._expire(now)
 
@@ -127,17 +132,25 @@
         while self._delays and now - self._delays[0][0] > DELAY_WINDOW_S:
             self._delays.popleft()
 
-    def median_delay(self) -> float:
-        """Return the median delay of recent requests; 0 without requests."""
+    def request_load(self, pending: int) -> RequestLoad:
+        """Return the load that decides on new connections.
+
+        Parameters
+        ----------
+        pending : int
+            New connections without a request yet.
+        """
         now = self._clock()
         with self._lock:
             self._expire(now)
             delays = [delay for _, delay in self._delays]
-        return statistics.median(delays) if delays else 0.0
+            oldest_wait_s = now - self._waiting[0] if self._waiting else 0.0
+        delay_s = statistics.median(delays) if delays else 0.0
+        return RequestLoad(self._running + pending, oldest_wait_s, len(delays), delay_s)
 
     def take_figures(self) -> LoadFigures:
         """Return the figures; the next ones count from here."""
-        delay_s = self.median_delay()
+        load = self.request_load(0)
         now = self._clock()
         with self._lock:
             self._count_pause(now)
@@ -145,7 +158,7 @@
                 now - self._started_at,
                 self._running,
                 self.threads,
-                delay_s,
+                load.delay_s,
                 self._requests,
                 self._accepted,
                 dict(self._closed),
--- a/tests/test_decide_conn_admission.py
+++ b/tests/test_decide_conn_admission.py
@@ -1,13 +1,21 @@
 """When a flooded entry takes new connections, without a network."""
 
+import random
+
 import pytest
 
 from persimmonhitch.decide.conn_admission import (
     ConnAdmission,
     PauseCause,
+    RequestLoad,
     max_requests,
 )
 
+STEP_S = 0.002
+LATENCY_TARGET_S = 0.6
+RESUME_S = 0.02
+"""Least interval in which an entry looks whether to listen again."""
+
 
 @pytest.mark.parametrize(
     ("threads", "memory_mb", "most"),
@@ -19,26 +27,117 @@
 
 
 @pytest.mark.parametrize(
-    ("requests", "cause"),
+    ("load", "cause"),
     [
-        (0, None),
-        (167, None),
-        (168, PauseCause.THREADS),
-        (400, PauseCause.THREADS),
+        (RequestLoad(0), None),
+        (RequestLoad(167), None),
+        (RequestLoad(168), PauseCause.THREADS),
+        (RequestLoad(400, 1.0), PauseCause.THREADS),
+        (RequestLoad(9, oldest_wait_s=0.06), PauseCause.PROCESSOR),
+        (RequestLoad(9, 0.01, delays=5, delay_s=0.06), PauseCause.PROCESSOR),
+        (RequestLoad(9, 0.01, delays=4, delay_s=0.06), None),
+        (RequestLoad(9, 0.0, delays=50, delay_s=0.06), None),
     ],
 )
-def test_too_many_requests_pause_new_connections(requests, cause):
+def test_each_bound_pauses_new_connections(load, cause):
     admission = ConnAdmission(192)
     admission.taken(0.0)
-    assert admission.pause_cause(0.1, requests) is cause
+    assert admission.pause_cause(0.1, load) is cause
 
 
-def test_a_full_entry_takes_a_connection_each_second():
+@pytest.mark.parametrize("load", [RequestLoad(500), RequestLoad(9, 3.0)])
+def test_a_full_entry_takes_a_connection_each_second(load):
     """Guards against an entry that is ready and looks dead to the platform."""
     admission, taken = ConnAdmission(192), []
     for number in range(500):
         now = number / 50
-        if admission.pause_cause(now, 500) is None:
+        if admission.pause_cause(now, load) is None:
             admission.taken(now)
             taken.append(now)
     assert len(taken) == 10
+
+
+class Flood:
+    """A listener, and a processor that serves requests in their order.
+
+    Parameters
+    ----------
+    rate : callable
+        Connections per second at a time.
+    capacity : float
+        Requests per second.
+    """
+
+    def __init__(self, rate, capacity):
+        self._rate, self._capacity = rate, capacity
+        self._admission = ConnAdmission(1024)
+        self._waiting, self._started, self._work = [], [], 0.0
+        self._looked_at = 0.0
+        self.is_listening = True
+        self.refused = 0
+
+    def run(self, seconds):
+        """Return when each request was read and with which delay it began."""
+        rng, now = random.Random(5), 0.0
+        while now < seconds:
+            now += STEP_S
+            self._serve(now)
+            if not self.is_listening and now - self._looked_at >= RESUME_S:
+                self._look(now)
+            if rng.random() < self._rate(now) * STEP_S:
+                self._connect(now)
+        return self._started
+
+    def _serve(self, now):
+        self._work += self._capacity * STEP_S
+        while self._work >= 1 and self._waiting:
+            self._work -= 1
+            read_at = self._waiting.pop(0)
+            self._started.append((read_at, now - read_at))
+        if not self._waiting:
+            self._work = min(self._work, 1.0)
+
+    def _look(self, now):
+        recent = sorted(
+            wait for at, wait in self._started[-60:] if at + wait > now - 0.25
+        )
+        load = RequestLoad(
+            len(self._waiting),
+            now - self._waiting[0] if self._waiting else 0.0,
+            len(recent),
+            recent[len(recent) // 2] if recent else 0.0,
+        )
+        self._looked_at = now
+        self.is_listening = self._admission.pause_cause(now, load) is None
+
+    def _connect(self, now):
+        if self.is_listening:
+            self._look(now)
+        if not self.is_listening:
+            self.refused += 1
+            return
+        self._admission.taken(now)
+        self._waiting.append(now)
+
+
+@pytest.mark.parametrize("capacity", [60, 90, 300])
+@pytest.mark.parametrize("flood", [170, 400])
+def test_a_flooded_processor_serves_its_capacity_in_time(capacity, flood):
+    """Guards against a small entry that reads more than its processor can serve."""
+    play = Flood(lambda now: 15 if now < 2 else flood, capacity)
+    started = [(at, delay) for at, delay in play.run(10) if at > 2]
+    assert max(delay for _, delay in started) <= LATENCY_TARGET_S
+    assert len(started) >= 0.75 * min(capacity, flood) * 8
+    assert play.refused >= 0.8 * max(0, flood - capacity) * 8
+
+
+@pytest.mark.parametrize(
+    "rate",
+    [lambda now: 45, lambda now: 200 if 3 < now < 3.1 else 30],
+    ids=["steady", "clump"],
+)
+def test_connections_of_calm_traffic_are_all_taken(rate):
+    """Guards against refusals by an entry that has room."""
+    play = Flood(rate, 200)
+    play.run(10)
+    assert play.refused == 0
