Few file descriptors bound the requests of an entry, too

With threads by memory alone an entry of 160 MB and 1,638 descriptors would hold 312 requests with two connections each, beside up to 32 idle ones to each upstream. A quarter of the descriptors is for requests: 204 there, 390 (by memory) at 200 MB and 4,100. New setting [vm] file_descriptors, filled in by the platform.

--- a/src/persimmonhitch/decide/conn_admission.py
+++ b/src/persimmonhitch/decide/conn_admission.py
@@ -44,6 +44,11 @@
 """Memory of a request with its thread, prompt, buffers and connections."""
 REQUESTS_SHARE: Final = 0.25
 """Part of the VM's memory for requests in progress, beside that of answers."""
+DESCRIPTORS_SHARE: Final = 0.25
+"""Part of the VM's file descriptors for requests in progress, beside idle connections
+of callers and to upstreams."""
+REQUEST_DESCRIPTORS: Final = 2
+"""Connection of the caller, and connection to the upstream."""
 DEFAULT_THREADS: Final = 192
 """Most requests at a time on a VM whose memory is unknown."""
 
@@ -89,15 +94,22 @@
         return were_late or self.oldest_wait_s > MAX_DELAY_S
 
 
-def max_requests(threads: int, memory_mb: int) -> int:
-    """Return the most requests at a time, given the setting and the VM's memory.
+def max_requests(threads: int, memory_mb: int, descriptors: int = 0) -> int:
+    """Return the most requests at a time.
 
-    ``memory_mb`` is 0 if the memory is unknown.
+    Parameters
+    ----------
+    threads : int
+        Upper bound by the settings.
+    memory_mb, descriptors : int
+        Memory and file descriptors of the VM; 0 if unknown.
     """
     if not memory_mb:
         return min(threads, DEFAULT_THREADS)
-    by_memory = int(memory_mb * REQUESTS_SHARE / REQUEST_MEMORY_MB)
-    return max(min(threads, by_memory), 2 * RESERVED_THREADS)
+    bounds = [threads, int(memory_mb * REQUESTS_SHARE / REQUEST_MEMORY_MB)]
+    if descriptors:
+        bounds.append(int(descriptors * DESCRIPTORS_SHARE / REQUEST_DESCRIPTORS))
+    return max(min(bounds), 2 * RESERVED_THREADS)
 
 
 class LinkBacklog:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -122,7 +122,9 @@
         self.cfg = cfg
         self.vm = Vm(cfg.vm)
         self.incarnation = new_incarnation()
-        self.max_requests = max_requests(cfg.threads, cfg.memory_mb)
+        self.max_requests = max_requests(
+            cfg.threads, cfg.memory_mb, cfg.file_descriptors
+        )
         self.metrics = Metrics("direct", cfg.vm)
         self.active_config = ActiveConfig(EMPTY_CONFIG, RouteTable(()))
         self.draining = threading.Event()
--- a/src/persimmonhitch/direct/settings.py
+++ b/src/persimmonhitch/direct/settings.py
@@ -33,14 +33,17 @@
     memory_mb: int = setting(
         "vm", "memory_mb", "megabytes of memory of this VM; 0 if unknown", 0, 0
     )
+    file_descriptors: int = setting(
+        "vm", "file_descriptors", "most open files of a process; 0 if unknown", 0, 0
+    )
     link_mbps: float = setting(
         "vm", "link_mbps", "megabits per second of its link; 0 if unknown", 0.0, 0
     )
     threads: int = setting(
         "http",
         "threads",
-        "most requests at a time, a thread for each; a VM with little memory has fewer,"
-        " one of unknown memory 192 at most",
+        "most requests at a time, a thread for each; a VM with little memory or few "
+        "descriptors has fewer, one of unknown memory 192 at most",
         1024,
         8,
         1024,
--- a/tests/test_decide_conn_admission.py
+++ b/tests/test_decide_conn_admission.py
@@ -20,12 +20,21 @@
 
 
 @pytest.mark.parametrize(
-    ("threads", "memory_mb", "most"),
-    [(1024, 0, 192), (48, 0, 48), (1024, 200, 390), (1024, 552, 1024), (192, 552, 192)],
-    ids=["unknown", "set", "small", "large", "set-and-large"],
+    ("threads", "memory_mb", "descriptors", "most"),
+    [
+        (1024, 0, 0, 192),
+        (48, 0, 8192, 48),
+        (1024, 200, 4100, 390),
+        (1024, 552, 8192, 1024),
+        (192, 552, 0, 192),
+        (1024, 160, 1638, 204),
+    ],
+    ids=["unknown", "set", "small", "large", "set-and-large", "few-descriptors"],
 )
-def test_requests_at_a_time_follow_memory_and_setting(threads, memory_mb, most):
-    assert max_requests(threads, memory_mb) == most
+def test_requests_at_a_time_follow_vm_and_setting(
+    threads, memory_mb, descriptors, most
+):
+    assert max_requests(threads, memory_mb, descriptors) == most
 
 
 @pytest.mark.parametrize(
