--- a/tests/soak/flood.py
+++ b/tests/soak/flood.py
@@ -3,7 +3,7 @@
 Usage:
   flood [--entries=N] [--threads=N] [--cores=LIST] [--memory=MB] [--engines=N]
         [--slots=N] [--interval=S] [--rates=LIST] [--seconds=LIST] [--plain=SHARE]
-        [--kill] [--seed=N] [--keep=DIR]
+        [--kill] [--lose=N] [--seed=N] [--keep=DIR]
   flood --help
 
 Options:
@@ -18,6 +18,7 @@
   --seconds=LIST   Seconds of calm, and of the flood of each entry [default: 4,4].
   --plain=SHARE    Share of requests without events [default: 0].
   --kill           Kill the second flooded entry in the middle of its flood.
+  --lose=N         Engines that crash in the middle of the first flood [default: 0].
   --seed=N         Seed [default: 1].
   --keep=DIR       Directory for logs [default: target/flood].
 """
@@ -74,6 +75,7 @@
     flood_s: float = 4.0
     plain: float = 0.0
     kill: bool = False
+    lose: int = 0
 
 
 @dataclass
@@ -177,7 +179,17 @@
 
     def run(self):
         """Return the phases."""
-        size = self.size
+        try:
+            self._await_start()
+            return self._play()
+        finally:
+            self._ended.set()
+            for entry in self.entries:
+                entry.signal(signal.SIGCONT)
+                entry.close()
+            self._platform.stop()
+
+    def _await_start(self):
         for entry in self.entries:
             entry.start()
         end = time.monotonic() + START_TIMEOUT_S
@@ -187,32 +199,33 @@
         for number, entry in enumerate(self.entries):
             if self._cores(number):
                 CpuQuota(entry, self._cores(number), self._ended).start()
-        time.sleep(1.0)
-        try:
-            with ThreadPoolExecutor(600) as pool:
-                warm_up = Phase("warm-up")
-                self._run_phase(pool, warm_up, size.calm_rate, 1.0)
-                phases = [Phase("calm")]
-                self._run_phase(pool, phases[0], size.calm_rate, size.calm_s)
-                for flooded in self.entries[:2]:
-                    settling = Phase("settling", flooded)
-                    phases.append(Phase(f"flood of {flooded.name}", flooded))
-                    self._run_phase(pool, settling, size.flood_rate, SETTLE_S)
-                    if size.kill and flooded is self.entries[1]:
-                        threading.Timer(
-                            size.flood_s / 2, self._restart, [flooded]
-                        ).start()
-                    self._run_phase(pool, phases[-1], size.flood_rate, size.flood_s)
-                phases.append(Phase("after"))
-                self._run_phase(pool, phases[-1], size.calm_rate, size.calm_s / 2)
-        finally:
-            self._ended.set()
-            for entry in self.entries:
-                entry.signal(signal.SIGCONT)
-                entry.close()
-            self._platform.stop()
+        time.sleep(SETTLE_S)
+
+    def _play(self):
+        size = self.size
+        with ThreadPoolExecutor(600) as pool:
+            warm_up = Phase("warm-up")
+            self._run_phase(pool, warm_up, size.calm_rate, 1.0)
+            phases = [Phase("calm")]
+            self._run_phase(pool, phases[0], size.calm_rate, size.calm_s)
+            for flooded in self.entries[:2]:
+                settling = Phase("settling", flooded)
+                phases.append(Phase(f"flood of {flooded.name}", flooded))
+                self._run_phase(pool, settling, size.flood_rate, SETTLE_S)
+                if size.kill and flooded is self.entries[1]:
+                    threading.Timer(size.flood_s / 2, self._restart, [flooded]).start()
+                if flooded is self.entries[0]:
+                    threading.Timer(size.flood_s / 2, self._lose_engines).start()
+                self._run_phase(pool, phases[-1], size.flood_rate, size.flood_s)
+            phases.append(Phase("after"))
+            self._run_phase(pool, phases[-1], size.calm_rate, size.calm_s / 2)
         return phases
 
+    def _lose_engines(self):
+        engines = [u for u in self._platform.upstreams.values() if u.spec.models]
+        for engine in engines[: self.size.lose]:
+            self._platform.crash(engine)
+
     def _restart(self, entry):
         entry.kill()
         entry.start()
@@ -278,7 +291,8 @@
 
 def _reason(status, body):
     try:
-        text = json.loads(body)["error"]["message"]
+        error = json.loads(body)["error"]
+        text = f"{error['verdict']}: {error['message']}"
     except (ValueError, KeyError, TypeError):
         text = "-"
     return f"{status} {re.sub('[0-9.]+', 'N', text)}"
@@ -317,6 +331,7 @@
         *numbers["--seconds"],
         float(args["--plain"]),
         args["--kill"],
+        int(args["--lose"]),
     )
     folder = Path(args["--keep"])
     shutil.rmtree(folder, ignore_errors=True)
