A starting entry takes no connections before it can serve

Cause: the listener is open before the configuration is known, and the balancer notices an entry that is not ready after seconds only.

The listener now opens when configuration and lists are known, at the latest 2 s after the start: if the store is away no other entry is better off, and a refusal says when to come back.

--- a/src/persimmonhitch/decide/conn_admission.py
+++ b/src/persimmonhitch/decide/conn_admission.py
@@ -15,6 +15,7 @@
 link of a small VM.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -26,6 +27,10 @@
 MAX_PAUSE_S: Final = 1.0
 """Longest time without new connections: to the platform, an entry that is ready and
 takes none for seconds looks dead."""
+MAX_START_S: Final = 2.0
+"""Seconds after its start for which an entry without a configuration takes no
+connections. After that it refuses requests with the time to come back: the store may be
+away, and no other entry any better off."""
 MAX_DELAY_S: Final = 0.05
 """Delay before a thread, or at the link, from which on a caller loses less by another
 connection."""
@@ -56,6 +61,7 @@
 class PauseCause(Enum):
     """Why an entry takes no new connections for a moment."""
 
+    STARTING = "starting"
     THREADS = "threads"
     PROCESSOR = "processor"
     LINK = "link"
@@ -142,9 +148,26 @@
 
 
 class ConnAdmission:
-    """Decides when an entry takes new connections; used by one thread."""
+    """Decides when an entry takes new connections; used by one thread.
 
-    def __init__(self, threads: int) -> None:
+    Parameters
+    ----------
+    threads : int
+        Most requests at a time.
+    can_serve : callable
+        Whether the entry knows its configuration and upstreams.
+    listen_by : float
+        Monotonic time from which on the entry takes connections also without them.
+    """
+
+    def __init__(
+        self,
+        threads: int,
+        can_serve: Callable[[], bool] = lambda: True,
+        listen_by: float = 0.0,
+    ) -> None:
+        self._can_serve = can_serve
+        self._listen_by = listen_by
         reserved = max(RESERVED_THREADS, int(threads * OPEN_CONNS_SHARE))
         self.max_running = threads - reserved
         """Most requests beside which a new connection is taken."""
@@ -152,6 +175,8 @@
 
     def pause_cause(self, now: float, load: RequestLoad) -> PauseCause | None:
         """Return why to take no new connections, or None to take some."""
+        if now < self._listen_by and not self._can_serve():
+            return PauseCause.STARTING
         if now - self._taken_at >= MAX_PAUSE_S:
             return None
         if load.requests >= self.max_running:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -21,7 +21,7 @@
 
 from ..decide.admission import connections_refusal
 from ..decide.cold_start import may_fall_back
-from ..decide.conn_admission import ConnAdmission, max_requests
+from ..decide.conn_admission import MAX_START_S, ConnAdmission, max_requests
 from ..decide.evacuation import ZoneEvacuations
 from ..decide.held_answers import max_held_bytes
 from ..decide.overlay import Member, Overlay
@@ -320,7 +320,9 @@
             self.max_requests,
             keep_streams=True,
             max_unread=max_unread_bytes(cfg.memory_mb),
-            admission=ConnAdmission(self.max_requests),
+            admission=ConnAdmission(
+                self.max_requests, self._is_synced, time.monotonic() + MAX_START_S
+            ),
             link_mbps=cfg.link_mbps,
         )
         self.caller_load = CallerLoad(self.server.meter, self.metrics)
@@ -342,13 +344,15 @@
             return STOPPING
         return connections_refusal(len(self.watchdog), self.max_requests)
 
-    def _is_ready(self) -> bool:
+    def _is_synced(self) -> bool:
+        """Return whether the configuration and all lists are known."""
         required = (Kind.FLEET, Kind.UPSTREAM, Kind.EVACUATION)
         watchers = [self.watchers[kind] for kind in required if kind in self.watchers]
         synced = all(watcher.ready.is_set() for watcher in watchers)
-        return (
-            synced and self.active_config.cfg.version > 0 and not self.draining.is_set()
-        )
+        return synced and self.active_config.cfg.version > 0
+
+    def _is_ready(self) -> bool:
+        return self._is_synced() and not self.draining.is_set()
 
     # -- updates ---------------------------------------------------------------------
 
--- a/tests/test_decide_conn_admission.py
+++ b/tests/test_decide_conn_admission.py
@@ -58,6 +58,20 @@
     assert admission.pause_cause(0.1, load) is cause
 
 
+@pytest.mark.parametrize(
+    ("now", "can_serve", "cause"),
+    [
+        (1.0, False, PauseCause.STARTING),
+        (1.0, True, None),
+        (2.1, False, None),
+    ],
+)
+def test_an_entry_that_starts_takes_what_it_can_serve(now, can_serve, cause):
+    """Guards against a restarted entry that refuses all that the balancer sends."""
+    admission = ConnAdmission(192, lambda: can_serve, listen_by=2.0)
+    assert admission.pause_cause(now, RequestLoad(0)) is cause
+
+
 @pytest.mark.parametrize(
     "load", [RequestLoad(500), RequestLoad(9, 3.0), RequestLoad(9, link_s=0.2)]
 )
