A late entry takes a few of the connections that wait when it pauses

A pause reset all connections that waited to be accepted, also of an entry that was late for a moment and had room.

Their requests have passed the link already.

--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -26,6 +26,8 @@
 PENDING_S: Final = 1.0
 """Seconds for which a connection without a request counts as one; callers that open
 connections in advance must not keep others out."""
+LATE_CAUSES: Final = frozenset({PauseCause.PROCESSOR, PauseCause.LINK})
+"""Causes of a pause with which requests are served late, and are not refused."""
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
@@ -82,14 +84,16 @@
             accepted = self._accept()
             if accepted is None:
                 return
-            sock, addr = accepted
-            self.meter.accepted()
-            if self._admission is not None:
-                self._admission.taken(now)
-            self._pending[sock.fileno()] = now
-            self._pending.move_to_end(sock.fileno())
-            self.channel_class(self, sock, self.fix_addr(addr), self.adj, map=self._map)
-            self._taken += 1
+            self._take(*accepted, now)
+
+    def _take(self, sock: socket.socket, addr: Any, now: float) -> None:
+        self.meter.accepted()
+        if self._admission is not None:
+            self._admission.taken(now)
+        self._pending[sock.fileno()] = now
+        self._pending.move_to_end(sock.fileno())
+        self.channel_class(self, sock, self.fix_addr(addr), self.adj, map=self._map)
+        self._taken += 1
 
     def _accept(self) -> tuple[socket.socket, Any] | None:
         """Return a connection that waits, or None."""
@@ -126,8 +130,17 @@
             del self._pending[fileno]
 
     def _pause(self, cause: PauseCause, now: float) -> None:
-        """Stop listening; reset the connections that wait."""
+        """Stop listening; take a few connections that wait, and reset the others.
+
+        Their requests have been sent already. Where an entry is merely late, a few more
+        cost less than what their callers would lose.
+        """
         self.is_paused, self._paused_at, self._last_cause = True, now, cause
+        for _ in range(MAX_ACCEPTS if cause in LATE_CAUSES else 0):
+            accepted = self._accept()
+            if accepted is None:
+                break
+            self._take(*accepted, now)
         while (accepted := self._accept()) is not None:
             self.meter.closed_unread(cause)
             reset_on_close(accepted[0])
