--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -475,6 +475,8 @@
     ``play`` receives a temporary folder, the record and a list for what to close, and
     returns the lines that tell how the rule was broken.
     """
+    # A script that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))
     record = Record(folder)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
     closing = []
