--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,4 +1,4 @@
-"""Another writer leaves an unreadable entry among the servers; engines are replaced."""
+"""Another writer leaves an unreadable entry among the servers; engines leave."""
 
 import itertools
 import socket
@@ -25,7 +25,9 @@
     wait_or_left,
 )
 
-ENGINES = 4
+ENGINES, LEAVING = 10, 3
+"""Engines, and how many leave in turn: 1 of 10, of 9 and of 8, a share below 0.13."""
+ZONES = 4
 WORK_S = 0.1
 DRAIN_S = 2.0
 """``drain_ms`` of the site."""
@@ -68,8 +70,9 @@
     def drain(self):
         """Report that it drains."""
         self.state = "draining"
-        if not self.register():
-            raise CannotRun("the store took no report")
+        while not self.register():
+            # Its heartbeat has written the entry at the same moment.
+            time.sleep(0.005)
         self.drained_at = self.record.add(f"{self.name}: draining, acknowledged")
 
     def leave(self):
@@ -145,17 +148,20 @@
 
 
 def play(folder, record, closing):
-    """Replace the engines of a service one after the other."""
+    """Take engines away, one after the other."""
     store = Store()
     closing.append(store)
     routes = [route("confirm", "non_idempotent", "booking-ledger", 800)]
     services = [{"name": "booking-ledger", "health_check_path": "/health"}]
     store.configure(config(1, routes, services))
-    old = [Ledger(f"i-{n}", f"z{n}", store, record) for n in range(1, ENGINES + 1)]
+    engines = [
+        Ledger(f"i-{n}", f"z{1 + (n - 1) % ZONES}", store, record)
+        for n in range(1, ENGINES + 1)
+    ]
     entries = [
         Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2, 3)
     ]
-    closing += [*old, *entries]
+    closing += [*engines, *entries]
     for entry in entries:
         entry.start()
     await_ready(entries)
@@ -167,32 +173,28 @@
         store.put(Kind.UPSTREAM, "i-other", foreign_entry(UNREADABLE))
         record.add("another writer has entered i-other")
     callers.send(60, 0.05)
-    new = []
-    for number, engine in enumerate(old, 1):
-        new.append(Ledger(f"i-{number + ENGINES}", f"z{number}", store, record))
-        closing.append(new[-1])
+    for engine in engines[:LEAVING]:
         time.sleep(1.0)
-        replace(engine, callers)
-    time.sleep(3.0)
-    last = callers.send(60, 0.05)
-    record.add(f"{callers.served(last)} of {len(last)} served by the new engines")
-    return list(find_broken(old, callers, last))
+        take_away(engine, callers)
+    last = callers.send(40, 0.05)
+    record.add(f"{callers.served(last)} of {len(last)} served afterwards")
+    return list(find_broken(engines[:LEAVING], callers))
 
 
-def replace(engine, callers):
+def take_away(engine, callers):
     """Drain an engine, and send requests just before it exits."""
     engine.drain()
     exit_at = engine.drained_at + DRAIN_S + EXTRA_S
     timer = threading.Timer(exit_at - time.monotonic(), engine.leave)
     timer.start()
     time.sleep(max(0.0, engine.drained_at + QUIET_S - time.monotonic()))
-    callers.send(24, 0.003)
+    callers.send(48, 0.0015)
     timer.join()
 
 
-def find_broken(old, callers, last):
+def find_broken(leaving, callers):
     """Yield how the rule DRAIN was broken, and what that cost."""
-    for engine in old:
+    for engine in leaving:
         late = engine.late_arrivals()
         if not late:
             continue
@@ -201,13 +203,7 @@
             f"DRAIN: {len(late)} requests reached {engine.name} up to "
             f"{max(late)[0]:.2f} s after the store had acknowledged that it drains; "
             f"{len(lost)} of them were cut when it exited, answered with "
-            f"{sorted({callers.statuses[i] for i in lost}, key=str)}"
-        )
-    if not callers.served(last):
-        statuses = sorted({str(callers.statuses[i]) for i in last})
-        yield (
-            f"hang: none of {len(last)} requests was served, 3 s and more after the "
-            f"last of {ENGINES} new engines was entered; answers: {statuses}"
+            f"{sorted({str(callers.statuses[i]) for i in lost})}"
         )
 
 
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,4 +1,4 @@
-"""An entry is killed while it forwards streams that end with their connection."""
+"""Entries are killed while they forward streams that end with their connection."""
 
 import socket
 import sys
@@ -23,7 +23,9 @@
 )
 
 EVENTS, EVENT_INTERVAL_S = 12, 0.15
-CLIENTS = {"entry-1": 90, "entry-2": 30}
+CLIENTS = {"entry-1": 45, "entry-2": 45, "entry-3": 15, "entry-4": 15}
+KILLED = 2
+"""Entries of the four that are killed at the same moment: the share 0.5."""
 UNFRAMED_EACH = 20
 """One answer of so many has neither a length nor chunks: the share 0.05."""
 KILL_AFTER_S = 0.9
@@ -101,7 +103,7 @@
 
 
 def play(folder, record, closing):
-    """Run two entries and three engines; kill an entry amid its streams."""
+    """Run four entries and three engines; kill two entries amid their streams."""
     store = Store()
     closing.append(store)
     routes = [route("notes", "streaming", "desk-assistant", DEADLINE_MS)]
@@ -111,7 +113,9 @@
         StreamEngine(f"i-{n}", "desk-assistant", f"z{n}", store, record)
         for n in (1, 2, 3)
     ]
-    entries = [Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2)]
+    entries = [
+        Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2, 3, 4)
+    ]
     closing += [*engines, *entries]
     for entry in entries:
         entry.start()
@@ -126,9 +130,11 @@
         client.start()
     time.sleep(KILL_AFTER_S)
     if TROUBLE:
-        entries[0].kill()
+        for entry in entries[:KILLED]:
+            entry.kill()
         time.sleep(0.5)
-        entries[0].start()
+        for entry in entries[:KILLED]:
+            entry.start()
     for client in clients:
         client.join(DEADLINE_MS / 1000 + 2)
     sent = {}
@@ -143,7 +149,10 @@
         answer = client.answer
         if answer is None or answer.status is None or answer.status >= 300:
             continue
-        if answer.looks_complete and answer.body != whole_body(client.id):
+        # A stream that ends inside an event is known to be broken off.
+        has_whole_events = answer.body.endswith(b"\n\n")
+        is_whole = answer.body == whole_body(client.id)
+        if answer.looks_complete and has_whole_events and not is_whole:
             yield (
                 f"MIXED: {client.id} got {answer.status} with the signature "
                 f"{answer.headers.get('x-persimmonhitch-response-signature')} and "
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -29,7 +29,7 @@
 CALM_S = 6.0
 """Seconds of traffic before the first kill; the lease is then held for over 3 s."""
 RESTART_S = 0.1
-DOWN_S = 3.5
+DOWN_S = 3.0
 ROUNDS = 3
 """Times that the two kills are played; the case ends with the first broken order."""
 SETTLE_S = 6.0
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -28,6 +28,9 @@
 HOST = "review.example"
 KEY = "key-1"
 TENANT = "coop"
+CONTRACTS = (
+    "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform"
+)
 HEARTBEAT_S = 0.8
 READY_S = 20.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -145,7 +148,7 @@
 [orders]
 guard_ms = 3000
 [load]
-contracts = base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota
+contracts = {CONTRACTS}
 [stop]
 limit = 8.0
 [retries]
