--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,5 +1,6 @@
-"""Another writer leaves an unreadable entry among the servers; engines leave."""
+"""An engine answers twice: the copy of a 421 comes where the next answer is due."""
 
+import collections
 import itertools
 import socket
 import sys
@@ -9,12 +10,16 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
+from models import (  # noqa: E402
+    EVENT_INTERVAL_S,
+    EVENTS,
+    ModelEngine,
+    engine_service,
+)
 from rig import (  # noqa: E402
     TROUBLE,
     CannotRun,
-    Engine,
     Entry,
-    Kind,
     Store,
     await_ready,
     config,
@@ -25,186 +30,210 @@
     wait_or_left,
 )
 
-ENGINES, LEAVING = 10, 3
-"""Engines, and how many leave in turn: 1 of 10, of 9 and of 8, a share below 0.13."""
-ZONES = 4
-WORK_S = 0.1
-DRAIN_S = 2.0
-"""``drain_ms`` of the site."""
-EXTRA_S = 0.18
-"""Seconds for which an engine serves beyond that before it exits."""
-QUIET_S = 2.1
-"""Seconds without requests once an engine has reported that it drains."""
-DEADLINE_MS = 1500
-UNREADABLE = "booking-ledger\udcff"
-"""A service whose name holds a byte that is no text; JSON states it as an escape."""
-
-
-class Ledger(Engine):
-    """Works for ``WORK_S`` on each request; says in its answers that it leaves."""
-
-    def __init__(self, name, zone, store, record):
-        self.arrivals = []
-        self.cut = []
-        """Requests that it was working on when it exited."""
-        self.running = set()
-        self.drained_at = None
-        """When the store acknowledged that it drains."""
-        super().__init__(name, "booking-ledger", zone, store, record, slots=6)
-
-    def serve(self, req, sock):
-        """Run a request."""
-        self.arrivals.append((time.monotonic(), req.id))
-        self.running.add(req.id)
-        if not wait_or_left(sock, WORK_S):
-            return False
-        self.running.discard(req.id)
-        headers = {
-            "X_Persimmonhitch_Request_Id": req.id,
-            "X_Persimmonhitch_Response_Signature": f"s.{req.id}",
-        }
-        if self.state == "draining":
-            headers["Server_Leaving"] = "1"
-        return self.reply(sock, 200, f"done {req.id}".encode(), **headers)
-
-    def drain(self):
-        """Report that it drains."""
-        self.state = "draining"
-        while not self.register():
-            # Its heartbeat has written the entry at the same moment.
-            time.sleep(0.005)
-        self.drained_at = self.record.add(f"{self.name}: draining, acknowledged")
-
-    def leave(self):
-        """Exit; the entry in the store goes too."""
-        self.cut = sorted(self.running)
-        self.close()
-        self.store.delete(Kind.UPSTREAM, self.name)
-        self.record.add(f"{self.name}: exits, cuts {len(self.cut)} requests")
-
-    def late_arrivals(self):
-        """Return the requests that came later than ``drain_ms`` after its report."""
-        if self.drained_at is None:
-            return []
-        bound = self.drained_at + DRAIN_S
-        return [(at - self.drained_at, id_) for at, id_ in self.arrivals if at > bound]
-
-
-class Callers:
-    """Sends requests to the entries in turn and notes each answer."""
-
-    def __init__(self, entries, record):
-        self._entries = itertools.cycle(entries)
-        self._record = record
-        self._numbers = itertools.count()
-        self.statuses = {}
-        """Status of the answer to each request, None for none."""
-
-    def send(self, count, gap_s):
-        """Send some requests, one each ``gap_s``; return their ids when answered."""
-        threads = {}
-        for _ in range(count):
-            request_id = f"r{next(self._numbers)}"
-            args = (request_id, next(self._entries))
-            threads[request_id] = threading.Thread(target=self._call, args=args)
-            threads[request_id].start()
-            time.sleep(gap_s)
-        for thread in threads.values():
-            thread.join()
-        return list(threads)
-
-    def _call(self, request_id, entry):
-        status = None
+HELD = {"i-1": ("m0", "m1"), "i-2": ("m2", "m3")}
+"""Models of each engine; each model is on one engine, and no engine has more room."""
+LOAD_S = dict.fromkeys(("m0", "m1", "m2", "m3"), 8.6)
+ADAPTERS, ADAPTER_SLOTS = 9, 8
+"""Adapters in use of a model, and places for adapters of an engine."""
+PLAIN_EACH = 8
+"""One request of so many names a model without an adapter."""
+CALM_S, GARBLE_S, AFTER_S = 12.0, 5.0, 2.0
+"""Time before the engine answers twice, for how long it does so, and after it."""
+ROUNDS = 9
+"""Times that this is played; the case ends with the first request that ran twice."""
+EXTRA_SHARE = 0.03
+"""Share of its answers of which the engine sends a copy."""
+DEADLINE_MS = 5000
+CLIENTS_PER_ENTRY = 3
+PAUSE_S = 0.1
+
+
+class TwiceAnsweringEngine(ModelEngine):
+    """Notes each run; sends a copy of some answers when the next one is due."""
+
+    def __init__(self, *args, **options):
+        self.runs = collections.Counter()
+        self.answers = self.extras = self.refusals = 0
+        self.garbles_until = 0.0
+        self._late = {}
+        """Copy to send before the next answer, by connection."""
+        self._count_lock = threading.Lock()
+        super().__init__(*args, **options)
+
+    def garble(self, seconds):
+        """Answer twice for some time."""
+        with self._count_lock:
+            self.garbles_until = time.monotonic() + seconds
+
+    def _may_answer_twice(self):
+        with self._count_lock:
+            is_due = self.extras + 1 <= EXTRA_SHARE * self.answers
+            if time.monotonic() >= self.garbles_until or not is_due:
+                return False
+            self.extras += 1
+            return True
+
+    def _stream(self, req, sock):
+        copy = self._late.pop(sock, None)
+        if copy is not None:
+            self.record.add(f"{self.name}: a copy of the 421 to {copy[0]} is sent")
+            sock.sendall(copy[1])
+        with self._count_lock:
+            # Only answers of the time in which it answers twice count for the share.
+            self.answers += time.monotonic() < self.garbles_until
+        name = req.headers.get("x-persimmonhitch-model", "")
+        if self._has(name):
+            return self._run_stream(req, name, sock)
+        self.refusals += 1
+        self.record.add(f"{self.name}: answers {req.id} ({name}) with 421")
+        answer = (
+            "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
+            f"X-Persimmonhitch-Instance-Id: {self.name}\r\n"
+            f"X-Persimmonhitch-Request-Id: {req.id}\r\n"
+            "X-Persimmonhitch-Not-Executed: 1\r\n\r\n"
+        ).encode()
+        sock.sendall(answer)
+        if self._may_answer_twice():
+            self._late[sock] = req.id, answer
+        return True
+
+    def _run_stream(self, req, name, sock):
+        """Send a stream; a run begins with its first event."""
+        self._running[req.id] = name
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"X-Persimmonhitch-Request-Id: {req.id}\r\n"
+            f"X-Persimmonhitch-Response-Signature: {self.name}.{req.id}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
         try:
-            with socket.create_connection(("127.0.0.1", entry.callers), 2) as sock:
-                sock.sendall(
-                    request_bytes("/confirm/x", request_id, DEADLINE_MS, b"{}")
-                )
-                answer = read_answer(sock, DEADLINE_MS / 1000 + 1)
-                status = answer.status if answer.end == "complete" else None
-        except OSError as exc:
-            self._record.add(f"client: {request_id}: {exc!r}")
-        self.statuses[request_id] = status
-        self._record.add(f"client: {request_id} at {entry.name}: {status}")
-
-    def served(self, ids):
-        """Return how many requests were answered with a success."""
-        return sum(self.statuses[request_id] == 200 for request_id in ids)
-
-
-def foreign_entry(service):
-    """Return an entry of another writer, which names no engine to use."""
-    return {
-        "service": service,
-        "address": "127.0.0.1:9",
-        "zone": "z1",
-        "version": "1",
-        "slots": 6,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": int(time.time() * 1000),
-    }
+            for number in range(1, EVENTS + 1):
+                if not wait_or_left(sock, EVENT_INTERVAL_S):
+                    self.record.add(f"{self.name}: {req.id}: peer left")
+                    return False
+                if number == 1:
+                    self.runs[req.id] += 1
+                    self.record.add(f"{self.name}: runs {req.id} ({name})")
+                data = f"id: {number}\ndata: {req.id}-{number}\n\n".encode()
+                chunk = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+                sock.sendall(head + chunk if number == 1 else chunk)
+            sock.sendall(b"0\r\n\r\n")
+            self.record.add(f"{self.name}: has run {req.id} to its end")
+        finally:
+            self._running.pop(req.id, None)
+        return True
+
+
+def model_of(number):
+    """Return the model and adapter of a request; callers go through them in turn."""
+    models = list(HELD.values())[number % 2]
+    turn = number // 2
+    if turn % PLAIN_EACH == 0:
+        return models[1]
+    return f"{models[0]}/a{1 + turn % ADAPTERS}"
+
+
+class Client(threading.Thread):
+    """Sends streams to one entry, each with another adapter."""
+
+    numbers = itertools.count()
+
+    def __init__(self, entry, record, stopped, statuses):
+        super().__init__(daemon=True)
+        self.entry, self.record, self.stopped = entry, record, stopped
+        self.statuses = statuses
+
+    def run(self):
+        """Send requests until the case ends; none is sent again."""
+        while not self.stopped.wait(PAUSE_S):
+            self._send(next(self.numbers))
+
+    def _send(self, number):
+        request_id = f"r{number}"
+        request = request_bytes(
+            "/quote/x",
+            request_id,
+            DEADLINE_MS,
+            f"body {number}".encode(),
+            X_Persimmonhitch_Model=model_of(number),
+            X_Persimmonhitch_Token_Counts="400,100",
+            X_Persimmonhitch_Prompt_Prefix=f"f1:100,a{number:x}:300",
+        )
+        with socket.create_connection(("127.0.0.1", self.entry.callers), 1) as sock:
+            sock.sendall(request)
+            answer = read_answer(sock, DEADLINE_MS / 1000)
+        self.statuses[request_id] = answer.status
+        self.record.add(
+            f"client: {request_id} at {self.entry.name}: {answer.status}, {answer.end}"
+        )
 
 
 def play(folder, record, closing):
-    """Take engines away, one after the other."""
+    """Run four entries and two engines, of which one answers twice for a while."""
     store = Store()
     closing.append(store)
-    routes = [route("confirm", "non_idempotent", "booking-ledger", 800)]
-    services = [{"name": "booking-ledger", "health_check_path": "/health"}]
+    routes = [route("quote", "streaming", "desk-assistant", DEADLINE_MS)]
+    services = [engine_service(tuple(LOAD_S), LOAD_S, ADAPTERS, ADAPTER_SLOTS)]
     store.configure(config(1, routes, services))
     engines = [
-        Ledger(f"i-{n}", f"z{1 + (n - 1) % ZONES}", store, record)
-        for n in range(1, ENGINES + 1)
+        TwiceAnsweringEngine(
+            name, f"z{name[-1]}", store, record, models, LOAD_S, slots=ADAPTER_SLOTS
+        )
+        for name, models in HELD.items()
     ]
     entries = [
-        Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2, 3)
+        Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2, 3, 4)
     ]
     closing += [*engines, *entries]
     for entry in entries:
         entry.start()
     await_ready(entries)
-    time.sleep(1.0)
-    callers = Callers(entries, record)
-    if callers.served(callers.send(40, 0.05)) < 40:
-        raise CannotRun("requests were not served in calm")
-    if TROUBLE:
-        store.put(Kind.UPSTREAM, "i-other", foreign_entry(UNREADABLE))
-        record.add("another writer has entered i-other")
-    callers.send(60, 0.05)
-    for engine in engines[:LEAVING]:
-        time.sleep(1.0)
-        take_away(engine, callers)
-    last = callers.send(40, 0.05)
-    record.add(f"{callers.served(last)} of {len(last)} served afterwards")
-    return list(find_broken(engines[:LEAVING], callers))
-
-
-def take_away(engine, callers):
-    """Drain an engine, and send requests just before it exits."""
-    engine.drain()
-    exit_at = engine.drained_at + DRAIN_S + EXTRA_S
-    timer = threading.Timer(exit_at - time.monotonic(), engine.leave)
-    timer.start()
-    time.sleep(max(0.0, engine.drained_at + QUIET_S - time.monotonic()))
-    callers.send(48, 0.0015)
-    timer.join()
-
-
-def find_broken(leaving, callers):
-    """Yield how the rule DRAIN was broken, and what that cost."""
-    for engine in leaving:
-        late = engine.late_arrivals()
-        if not late:
-            continue
-        lost = [i for _, i in late if i in engine.cut and callers.statuses[i] != 200]
-        yield (
-            f"DRAIN: {len(late)} requests reached {engine.name} up to "
-            f"{max(late)[0]:.2f} s after the store had acknowledged that it drains; "
-            f"{len(lost)} of them were cut when it exited, answered with "
-            f"{sorted({str(callers.statuses[i]) for i in lost})}"
+    stopped, statuses = threading.Event(), {}
+    clients = [
+        Client(e, record, stopped, statuses)
+        for e in entries
+        for _ in range(CLIENTS_PER_ENTRY)
+    ]
+    for client in clients:
+        client.start()
+    broken = []
+    time.sleep(CALM_S)
+    for _ in range(ROUNDS):
+        if TROUBLE:
+            engines[0].garble(GARBLE_S)
+        time.sleep(GARBLE_S + AFTER_S)
+        record.add(
+            f"{engines[0].extras} copies of {engines[0].answers} answers of i-1; "
+            f"{[engine.refusals for engine in engines]} answers 421 so far"
         )
+        broken = list(find_broken(engines, statuses))
+        if any(line.startswith("TWICE") for line in broken):
+            break
+    stopped.set()
+    for client in clients:
+        client.join(DEADLINE_MS / 1000 + 2)
+    if not any(status == 200 for status in statuses.values()):
+        raise CannotRun("nothing was served")
+    record.add(f"statuses: {dict(collections.Counter(statuses.values()))}")
+    if not any(line.startswith("TWICE") for line in broken):
+        record.add(f"not counted, since no request ran twice: {broken}")
+        return []
+    return broken
+
+
+def find_broken(engines, statuses):
+    """Yield how the rule TWICE was broken, and REFUSED beside it."""
+    runs = sum((engine.runs for engine in engines), collections.Counter())
+    for request_id, count in runs.items():
+        if count > 1:
+            yield (
+                f"TWICE: {request_id}, a stream that may not be repeated, ran {count} "
+                f"times; its client got {statuses.get(request_id)}"
+            )
+        if statuses.get(request_id) in (429, 503):
+            yield (
+                f"REFUSED: {request_id} ran and its client got {statuses[request_id]}"
+            )
 
 
 if __name__ == "__main__":
