--- a/review/1/run.py
+++ b/review/1/run.py
@@ -75,7 +75,7 @@
 
     def _stream(self, req, sock):
         copy = self._late.pop(sock, None)
-        if copy is not None:
+        if copy is not None and time.monotonic() < self.garbles_until:
             self.record.add(f"{self.name}: a copy of the 421 to {copy[0]} is sent")
             sock.sendall(copy[1])
         with self._count_lock:
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -23,11 +23,12 @@
 )
 
 EVENTS, EVENT_INTERVAL_S = 12, 0.15
-CLIENTS = {"entry-1": 45, "entry-2": 45, "entry-3": 15, "entry-4": 15}
+CLIENTS = {"entry-1": 100, "entry-2": 100, "entry-3": 30, "entry-4": 30}
 KILLED = 2
 """Entries of the four that are killed at the same moment: the share 0.5."""
 UNFRAMED_EACH = 20
-"""One answer of so many has neither a length nor chunks: the share 0.05."""
+"""One of so many answers of half of the engines has neither a length nor chunks: the
+shares 0.05 and 0.5."""
 KILL_AFTER_S = 0.9
 DEADLINE_MS = 15_000
 
@@ -43,13 +44,13 @@
 
 
 class StreamEngine(Engine):
-    """Streams in chunks; one answer of 20 ends with its connection instead."""
+    """Streams in chunks; some answers end with their connection instead."""
 
-    count = 0
-    """Requests so far, over all engines."""
-    lock = threading.Lock()
-
-    def __init__(self, *args):
+    def __init__(self, *args, unframes):
+        self.unframes = unframes
+        """Whether one of its answers of 20 ends with the connection."""
+        self.count = 0
+        self.lock = threading.Lock()
         self.sent = {}
         """Events sent of each request."""
         super().__init__(*args)
@@ -57,8 +58,8 @@
     def serve(self, req, sock):
         """Send a stream; stop if the peer closes the connection."""
         with self.lock:
-            StreamEngine.count += 1
-            is_framed = StreamEngine.count % UNFRAMED_EACH != 0
+            self.count += 1
+            is_framed = not self.unframes or self.count % UNFRAMED_EACH != 0
         framing = "Transfer-Encoding: chunked\r\n" if is_framed else ""
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -103,15 +104,17 @@
 
 
 def play(folder, record, closing):
-    """Run four entries and three engines; kill two entries amid their streams."""
+    """Run four entries and four engines; kill two entries amid their streams."""
     store = Store()
     closing.append(store)
     routes = [route("notes", "streaming", "desk-assistant", DEADLINE_MS)]
     services = [{"name": "desk-assistant", "health_check_path": "/health"}]
     store.configure(config(1, routes, services))
     engines = [
-        StreamEngine(f"i-{n}", "desk-assistant", f"z{n}", store, record)
-        for n in (1, 2, 3)
+        StreamEngine(
+            f"i-{n}", "desk-assistant", f"z{n}", store, record, unframes=n % 2 == 0
+        )
+        for n in (1, 2, 3, 4)
     ]
     entries = [
         Entry(f"entry-{n}", f"z{n}", store.port, folder, record) for n in (1, 2, 3, 4)
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -40,8 +40,8 @@
 long; seconds from the first request."""
 ALLOWED = 2
 """Streams that may hold events of two versions: "more than two" break the rule."""
-TRIES, TRY_INTERVAL_S = 4, 1.0
-"""How often a client takes its stream up again, and the time before each try."""
+TRIES, TRY_INTERVAL_S = 1, 3.0
+"""How often a client takes its stream up again (SYSTEM.md: 1), and after which time."""
 
 
 class StreamEngine(Engine):
@@ -92,7 +92,7 @@
 
 
 class Client(threading.Thread):
-    """Reads one stream; takes it up again a few times if its connection breaks."""
+    """Reads one stream; takes it up again once if its connection breaks."""
 
     def __init__(self, name, entries, record):
         super().__init__(daemon=True)
@@ -111,7 +111,6 @@
             left_ms = int((deadline - time.monotonic()) * 1000)
             if left_ms <= 0 or self._try(f"{self.name}-{number}", entry, left_ms):
                 return
-            # The refusals' Retry-After is shorter than this.
             time.sleep(TRY_INTERVAL_S)
 
     def _try(self, request_id, entry, deadline_ms):
