--- a/review/1/run.py
+++ b/review/1/run.py
@@ -33,7 +33,7 @@
 DRAIN_S = 2.0
 """``drain_ms`` of the site."""
 CONTACT_S = 3.0
-"""``contact_ms`` of the site: so long nothing was disturbed before the server leaves."""
+"""``contact_ms`` of the site: so long nothing is disturbed before a server leaves."""
 BUSY_S, QUIET_S, LINGER_S, AGAIN_S = 3.0, 3.3, 3.5, 3.0
 """Times: with requests; without any, after a server has reported that it leaves; from
 that report until the server ends; with requests after the quiet."""
