Log on which connection an upstream's answer came, and whose it is

Two of the hypotheses on TWICE and REFUSED can't be told apart by the log: a copy of a refusal on the connection of an earlier attempt, and a refusal without an id. attempt_refused and attempt_failed now say the status, whether the answer states that nothing ran, the id in it, its connection, how many requests that carried before, and whether one was the same request. An answer to another request has a line of its own, answer_unmatched. No decision changes.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -185,7 +185,11 @@
         request.sent_at, request.head_at = self._clock(), None
         request.framing, request.leaving = None, False
         sent = self._exchange.send(
-            (record.host, record.port), outgoing, request.abort, time_left
+            (record.host, record.port),
+            outgoing,
+            request.abort,
+            time_left,
+            request.used_conns,
         )
         if not isinstance(sent, Success):
             return Err(self._record_unanswered(request, sent.failure()))
@@ -254,7 +258,7 @@
             self._dispatcher.record_failure(record, False)
             reason = "the answer is not the upstream's"
             failure = Failure(ErrorCode.PROTOCOL, reason, Verdict.MAY_HAVE_RUN)
-            self._log(request, "attempt_failed", failure)
+            self._log(request, "attempt_failed", failure, reply)
             return Err(failure)
         if reply.status < SERVER_ERROR_STATUS:
             self._dispatcher.record_success(record)
@@ -290,7 +294,7 @@
                 self._dispatcher.record_rejection(record)
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
-        self._log(request, "attempt_refused", failure, reply.parsed_headers.backoff_s)
+        self._log(request, "attempt_refused", failure, reply)
         return failure
 
     def _log(
@@ -298,9 +302,10 @@
         request: InFlightRequest,
         event: str,
         failure: Failure,
-        backoff_s: float | None = None,
+        reply: Reply | None = None,
     ) -> None:
         permit = request.permit
+        source = _source_fields(reply) if reply is not None else {}
         log(
             event,
             request=request.request_id,
@@ -313,7 +318,7 @@
             attempt=request.attempts + request.refusals,
             framing=request.framing.value if request.framing else "-",
             leaving=request.leaving,
-            backoff=backoff_s,
+            **source,
         )
 
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
@@ -359,6 +364,20 @@
         return Failure(ErrorCode.DEADLINE, reason.value, Verdict.MAY_HAVE_RUN)
 
 
+def _source_fields(reply: Reply) -> dict[str, object]:
+    """Return the log fields that tell whose answer a reply is."""
+    source = reply.source
+    return {
+        "status": reply.status,
+        "not_run": reply.parsed_headers.not_run,
+        "answer": source.answer_id or "-",
+        "conn": source.port,
+        "earlier": source.earlier_requests,
+        "resent": source.is_resent,
+        "backoff": reply.parsed_headers.backoff_s,
+    }
+
+
 def _is_from(record: UpstreamRecord, reply: Reply) -> bool:
     """Return whether an answer comes from the upstream to which a request was sent.
 
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from http.client import HTTPException
 from typing import Final
@@ -23,6 +23,7 @@
     BoundedResponse,
 )
 from ..ids import RequestId
+from ..observe.logs import log
 from ..verdict import ErrorCode, Failure, Verdict
 from .abort import Abort, AbortReason
 from .answer_memory import AnswerMemory, HeldAnswer, nothing_to_cut
@@ -64,6 +65,20 @@
     repeatable: bool
 
 
+@dataclass(frozen=True)
+class AnswerSource:
+    """Connection on which an answer came, and how the answer names its request."""
+
+    port: int
+    """Local port of the connection."""
+    earlier_requests: int
+    """Requests that the connection carried before this attempt."""
+    is_resent: bool
+    """Whether the connection carried an earlier attempt of the same request."""
+    answer_id: RequestId | None = None
+    """Request id in the answer, if it has one."""
+
+
 class Framing(Enum):
     """How an answer marks its end."""
 
@@ -89,6 +104,7 @@
     _release_conn: Callable[[], None]
     _content_length: int | None
     framing: Framing
+    source: AnswerSource
     held: HeldAnswer
     """What the process holds of this answer in memory."""
     _complete: bool = field(default=False)
@@ -188,12 +204,33 @@
     """Raised if the content of an answer shows that it is incomplete."""
 
 
+class UnmatchedAnswer(ValueError):
+    """Raised if an answer does not belong to the request sent last."""
+
+
 def _framing(headers: dict[str, str], length: int | None) -> Framing:
     if "chunked" in headers.get("transfer-encoding", "").lower():
         return Framing.CHUNKED
     return Framing.CLOSE if length is None else Framing.LENGTH
 
 
+def log_unmatched(
+    request_id: RequestId, status: int, parsed: ReplyHeaders, source: AnswerSource
+) -> None:
+    """Log an answer that is not taken for that of the request sent last."""
+    log(
+        "answer_unmatched",
+        request=request_id,
+        answer=source.answer_id or "-",
+        status=status,
+        not_run=parsed.not_run,
+        instance=parsed.instance or "-",
+        conn=source.port,
+        earlier=source.earlier_requests,
+        resent=source.is_resent,
+    )
+
+
 def time_over() -> Failure:
     """Return the failure of a request whose time was over before it was sent."""
     reason = "its time was over before it was sent"
@@ -222,11 +259,18 @@
         self._on_cut = on_cut
 
     def send(
-        self, address: Address, req: OutgoingRequest, abort: Abort, timeout_s: float
+        self,
+        address: Address,
+        req: OutgoingRequest,
+        abort: Abort,
+        timeout_s: float,
+        used: set[BoundedConnection],
     ) -> Result[Reply, Failure]:
         """Send a request and read the response headers.
 
         A failure with the verdict ``NOT_RUN`` means that the request was not sent.
+        ``used`` holds the connections of earlier attempts of the request; that of this
+        attempt is added.
         """
         max_idle_s = float("inf") if req.repeatable else MAX_IDLE_UNREPEATABLE_S
         conn = self._pool.acquire(address, max_idle_s)
@@ -244,8 +288,11 @@
         if abort.reason is not None:
             conn.close()
             return Err(time_over())
+        source = AnswerSource(sock.getsockname()[1], conn.request_count, conn in used)
+        conn.request_count += 1
+        used.add(conn)
         try:
-            return self._exchange(address, conn, req, abort, timeout_s)
+            return self._exchange(address, conn, req, abort, timeout_s, source)
         except EXCHANGE_ERRORS as exc:
             conn.close()
             if isinstance(exc, AnswerBoundExceeded):
@@ -260,6 +307,7 @@
         req: OutgoingRequest,
         abort: Abort,
         timeout_s: float,
+        source: AnswerSource,
     ) -> Result[Reply, Failure]:
         # http.client sets the socket timeout from the connection. The margin lets the
         # watchdog abort the request at its deadline first.
@@ -277,9 +325,11 @@
         response = conn.getresponse()
         headers = {k.lower(): v for k, v in response.headers.items()}
         parsed = self._parse_headers(response.status, headers)
+        source = replace(source, answer_id=parsed.request_id)
         if parsed.request_id is not None and parsed.request_id != req.request_id:
             # A late answer to another request; this request may still be running.
-            raise ValueError("the answer belongs to another request")
+            log_unmatched(req.request_id, response.status, parsed, source)
+            raise UnmatchedAnswer("the answer belongs to another request")
         # It is 0 if the method or the status allows no body.
         length = response.length_remaining
         return Success(
@@ -295,6 +345,7 @@
                 lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
                 length,
                 _framing(headers, length),
+                source,
                 self._memory.hold(lambda: _shut_down(sock)),
             )
         )
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -2,10 +2,11 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from ..decide.dispatch import DispatchRequest
+from ..http_client import BoundedConnection
 from ..ids import (
     Account,
     ConfigVersion,
@@ -42,6 +43,8 @@
     """Attempts that were not executed."""
     excluded: frozenset[Upstream] = frozenset()
     """Upstreams at which an attempt failed."""
+    used_conns: set[BoundedConnection] = field(default_factory=set)
+    """Connections on which attempts were sent."""
     settled: bool = False
     sent_at: float = 0.0
     """Time at which the newest attempt was sent; ``head_at`` is the arrival time of
--- a/src/persimmonhitch/http_client/connection.py
+++ b/src/persimmonhitch/http_client/connection.py
@@ -14,6 +14,8 @@
     """Connection that bounds the heads and the framing of its answers."""
 
     _answer: BoundedResponse | None = None
+    request_count = 0
+    """Requests sent on the connection; counted by its user."""
 
     def response_class(  # type: ignore[override]
         self, sock: socket.socket, **options: Any
