Send each attempt of a request on a connection of its own

Callers of streams that must not be repeated had them run twice, or got 503 for a stream that ran (TWICE, REFUSED). Cause: all attempts of a request have the same id, and a refused attempt gave its connection back to the pool, which hands out the newest first. A late second answer to the first attempt, which the protocol allows, bears the right id and passed for the answer to the second: the entry sent a third, or refused the request that was running.

The pool now leaves out the connections on which the request was sent before, so an id that comes on a connection names one attempt. Other requests still use them.

Stand-ins of the tests echo the id of a request in all answers, as the protocol says that upstreams do.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -373,7 +373,6 @@
         "answer": source.answer_id or "-",
         "conn": source.port,
         "earlier": source.earlier_requests,
-        "resent": source.is_resent,
         "backoff": reply.parsed_headers.backoff_s,
     }
 
--- a/src/persimmonhitch/direct/connection_pool.py
+++ b/src/persimmonhitch/direct/connection_pool.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 from typing import Final
 
@@ -27,6 +27,8 @@
 MAX_UNACKED_MS: Final = 2000
 """Time without a TCP acknowledgement after which a connection is dead."""
 
+NO_CONNS: Final[frozenset[BoundedConnection]] = frozenset()
+
 Address = tuple[str, int]
 
 
@@ -45,11 +47,18 @@
         self._idle: defaultdict[Address, list[_IdleConn]] = defaultdict(list)
         self._lock = threading.Lock()
 
-    def acquire(self, address: Address, max_idle_s: float) -> BoundedConnection | None:
-        """Return a pooled connection idle for at most ``max_idle_s``, or None."""
+    def acquire(
+        self,
+        address: Address,
+        max_idle_s: float,
+        excluded: Set[BoundedConnection] = NO_CONNS,
+    ) -> BoundedConnection | None:
+        """Return a pooled connection idle for at most ``max_idle_s``, or None.
+
+        The connections in ``excluded`` stay in the pool.
+        """
         while True:
-            with self._lock:
-                idle = self._idle[address].pop() if self._idle[address] else None
+            idle = self._take_newest(address, excluded)
             if idle is None:
                 return None
             now = self._clock()
@@ -60,6 +69,16 @@
                     return idle.conn
             idle.conn.close()
 
+    def _take_newest(
+        self, address: Address, excluded: Set[BoundedConnection]
+    ) -> _IdleConn | None:
+        with self._lock:
+            items = self._idle.get(address, [])
+            for index in range(len(items) - 1, -1, -1):
+                if items[index].conn not in excluded:
+                    return items.pop(index)
+        return None
+
     def open(self, address: Address, timeout_s: float) -> BoundedConnection | None:
         """Return a new connection, or None if it can't be opened in time."""
         conn = BoundedConnection(*address, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -73,8 +73,6 @@
     """Local port of the connection."""
     earlier_requests: int
     """Requests that the connection carried before this attempt."""
-    is_resent: bool
-    """Whether the connection carried an earlier attempt of the same request."""
     answer_id: RequestId | None = None
     """Request id in the answer, if it has one."""
 
@@ -227,7 +225,6 @@
         instance=parsed.instance or "-",
         conn=source.port,
         earlier=source.earlier_requests,
-        resent=source.is_resent,
     )
 
 
@@ -269,11 +266,13 @@
         """Send a request and read the response headers.
 
         A failure with the verdict ``NOT_RUN`` means that the request was not sent.
-        ``used`` holds the connections of earlier attempts of the request; that of this
-        attempt is added.
+        ``used`` holds the connections of earlier attempts of the request, which carry
+        no further one; that of this attempt is added.
         """
         max_idle_s = float("inf") if req.repeatable else MAX_IDLE_UNREPEATABLE_S
-        conn = self._pool.acquire(address, max_idle_s)
+        # All attempts of a request have the same id, so that a late second answer to an
+        # earlier attempt would pass for the answer to this one.
+        conn = self._pool.acquire(address, max_idle_s, used)
         if conn is None:
             conn = self._pool.open(address, timeout_s)
         if conn is None:
@@ -288,7 +287,7 @@
         if abort.reason is not None:
             conn.close()
             return Err(time_over())
-        source = AnswerSource(sock.getsockname()[1], conn.request_count, conn in used)
+        source = AnswerSource(sock.getsockname()[1], conn.request_count)
         conn.request_count += 1
         used.add(conn)
         try:
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -85,6 +85,26 @@
     body: bytes
 
 
+class EchoingSocket:
+    """Socket that adds the id of a request to the heads of answers without one.
+
+    ``sendall`` of ``plain``, the socket itself, adds none.
+    """
+
+    def __init__(self, plain, request_id):
+        self.plain = plain
+        self._id_line = f"\r\nX-Persimmonhitch-Request-Id: {request_id}\r\n".encode()
+
+    def __getattr__(self, name):
+        return getattr(self.plain, name)
+
+    def sendall(self, data):
+        has_id = b"x-persimmonhitch-request-id" in data.lower()
+        if data.startswith(b"HTTP/1.") and not has_id:
+            data = data.replace(b"\r\n", self._id_line, 1)
+        self.plain.sendall(data)
+
+
 class FakeUpstream:
     """Answers each request by calling ``script`` with the request and the socket."""
 
@@ -122,7 +142,8 @@
         try:
             while (req := self._read(reader)) is not None:
                 self.received.append(req)
-                if not self._script(req, sock):
+                request_id = req.headers.get("x-persimmonhitch-request-id", "")
+                if not self._script(req, EchoingSocket(sock, request_id)):
                     return
         except OSError:
             pass
