Take an answer without a request id only as the first one on a connection

Cause: an answer that names no request passed for the answer to whatever was sent last on its connection.

An answer without an id now counts only if the connection has carried nothing else; otherwise it is unmatched, as one with another id, and the request may have run. On a connection that was just opened it can't belong to anything else.

--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -76,6 +76,16 @@
     answer_id: RequestId | None = None
     """Request id in the answer, if it has one."""
 
+    def matches(self, request_id: RequestId) -> bool:
+        """Return whether the answer belongs to the request sent last.
+
+        Without an id it may be a late answer to any request that the connection
+        carried.
+        """
+        if self.answer_id is None:
+            return self.earlier_requests == 0
+        return self.answer_id == request_id
+
 
 class Framing(Enum):
     """How an answer marks its end."""
@@ -325,7 +335,7 @@
         headers = {k.lower(): v for k, v in response.headers.items()}
         parsed = self._parse_headers(response.status, headers)
         source = replace(source, answer_id=parsed.request_id)
-        if parsed.request_id is not None and parsed.request_id != req.request_id:
+        if not source.matches(req.request_id):
             # A late answer to another request; this request may still be running.
             log_unmatched(req.request_id, response.status, parsed, source)
             raise UnmatchedAnswer("the answer belongs to another request")
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -202,7 +202,12 @@
     def _handle(self, req, sock):
         expected = req.headers.get("x-persimmonhitch-expected-instance")
         if expected not in (None, self.spec.name):
-            headers = {"X_Persimmonhitch_Instance_Id": self.spec.name}
+            headers = {
+                "X_Persimmonhitch_Instance_Id": self.spec.name,
+                "X_Persimmonhitch_Request_Id": req.headers.get(
+                    "x-persimmonhitch-request-id", ""
+                ),
+            }
             return self._send(sock, 421, **headers)
         path = req.line[1]
         if path == "/api/report":
@@ -216,12 +221,13 @@
     def _handle_request(self, req, sock):
         request_id = req.headers.get("x-persimmonhitch-request-id", "")
         self._records.arrivals.append(self._arrival(request_id))
+        id_header = {"X_Persimmonhitch_Request_Id": request_id}
         if self._style_rng.random() < self.style.rejected:
-            return self._reject(request_id, sock)
+            return self._reject(request_id, sock, id_header)
         refusal = self._refusal_status(req)
         if refusal is not None:
             headers = {"X_Persimmonhitch_Not_Executed": "1"}
-            return self._send(sock, refusal, **headers)
+            return self._send(sock, refusal, **id_header, **headers)
         run = self._start_run(req, request_id)
         if req.body.startswith(POISON_PREFIX):
             run.answer_broken = True
@@ -237,14 +243,14 @@
         name, now = self.spec.name, time.monotonic()
         return Arrival(request_id, name, self.started_at_ms, now, backoff_s)
 
-    def _reject(self, request_id, sock):
+    def _reject(self, request_id, sock, id_header):
         backoff_s = self.style.backoff_s
         self._records.rejections.append(self._arrival(request_id, backoff_s))
         headers = {
             "X_Persimmonhitch_Not_Executed": "1",
             "Retry_After": f"{backoff_s:g}",
         }
-        return self._send(sock, 503, **headers)
+        return self._send(sock, 503, **id_header, **headers)
 
     def _refusal_status(self, req):
         model = req.headers.get("x-persimmonhitch-model")
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -124,3 +124,49 @@
     finally:
         upstream.close()
         accepted.set()
+
+
+def late_refusal_of_unknown_request(status, sock):
+    """Send a refusal without an id, as a late answer to some earlier request."""
+    sock.plain.sendall(refusal(status, None))
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+def test_late_refusal_without_an_id_does_not_answer_the_next_request(status):
+    """Guards against a booking that runs twice, or runs although it was refused."""
+    runs = []
+
+    def script(req, sock):
+        if req.line.startswith("POST") and sock.plain in seen:
+            late_refusal_of_unknown_request(status, sock)
+        seen.add(sock.plain)
+        runs.append(req.headers["x-persimmonhitch-request-id"])
+        sock.sendall(answer())
+        return True
+
+    seen = set()
+    upstreams = [FakeUpstream(name, script) for name in ("u1", "u2")]
+    with GatewayServer(*upstreams) as gateway:
+        for number in range(4):
+            fields = {"X_Persimmonhitch_Request_Id": f"r{number}"}
+            gateway.call("/read/x", method="GET", body=b"", **fields)
+        replies = [
+            gateway.call("/book/x", X_Persimmonhitch_Request_Id=f"b{number}")
+            for number in range(4)
+        ]
+        time.sleep(0.2)
+    assert {reply.status for reply in replies} <= {200, 502}
+    assert 502 in {reply.status for reply in replies}
+    assert len(runs) == len(set(runs))
+
+
+def test_first_answer_on_a_connection_needs_no_id():
+    """Guards against lost answers of an upstream that names no request."""
+
+    def script(_req, sock):
+        sock.plain.sendall(answer())
+        return False
+
+    with GatewayServer(FakeUpstream("u1", script)) as gateway:
+        replies = [gateway.call("/book/x") for _ in range(3)]
+    assert [reply.status for reply in replies] == [200, 200, 200]
