Refuse callers only what an upstream states that it did not run

Cause: an upstream's own 408, 429 or 503 reached the caller as it was, also if it did not state that the request had not run; to callers these statuses promise that nothing ran and nothing will, so that they send the work again (REFUSED). The header that states it was believed with any status, also 500 and 200.

Such an answer now counts as one that may have run: an idempotent request goes to another upstream, any other gets 502. The statement counts with the statuses that the protocol gives for it (400, 421, 429, 503).

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -254,12 +254,13 @@
             return Err(self._record_refusal(request, reply))
         request.attempts += 1
         if reply.status < 300 and not parsed.has_signature:
-            reply.close()
-            self._dispatcher.record_failure(record, False)
             reason = "the answer is not the upstream's"
-            failure = Failure(ErrorCode.PROTOCOL, reason, Verdict.MAY_HAVE_RUN)
-            self._log(request, "attempt_failed", failure, reply)
-            return Err(failure)
+            return Err(self._record_unusable(request, reply, reason))
+        if reply.status in wire.PROMISES:
+            # Callers would take the status for a promise that nothing has run.
+            request.excluded |= {record.name}
+            reason = f"{record.name} answered {reply.status} and may have run it"
+            return Err(self._record_unusable(request, reply, reason))
         if reply.status < SERVER_ERROR_STATUS:
             self._dispatcher.record_success(record)
             request.permit.record_answer()
@@ -273,6 +274,17 @@
             return self._attempt(request, None)
         return Success(reply)
 
+    def _record_unusable(
+        self, request: InFlightRequest, reply: Reply, reason: str
+    ) -> Failure:
+        """Record an answer that must not reach its caller."""
+        assert request.permit is not None
+        reply.close()
+        self._dispatcher.record_failure(request.permit.record, False)
+        failure = Failure(ErrorCode.PROTOCOL, reason, Verdict.MAY_HAVE_RUN)
+        self._log(request, "attempt_failed", failure, reply)
+        return failure
+
     def _record_refusal(self, request: InFlightRequest, reply: Reply) -> Failure:
         assert request.permit is not None
         record, dispatch_request = request.permit.record, request.admitted.request
--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -19,6 +19,10 @@
 """Least urgent rank that the priority header can express."""
 MISDIRECTED: Final = 421
 """HTTP status with which an upstream rejects a request without running it."""
+STATED_REFUSALS: Final = frozenset({400, MISDIRECTED, 429, 503})
+"""HTTP statuses with which an upstream may state that it did not run a request."""
+PROMISES: Final = frozenset({408, MISDIRECTED, 429, 503})
+"""HTTP statuses that tell callers that their request has not run and never will."""
 REJECTIONS: Final = frozenset({429, 503})
 """HTTP statuses with which an upstream rejects requests for a time."""
 RESUMPTION_ID: Final = re.compile(r"[\x21-\x7e]{0,128}")
@@ -165,7 +169,8 @@
     instance = headers.get(names.INSTANCE)
     return ReplyHeaders(
         has_signature=names.SIGNATURE in headers,
-        not_run=names.NOT_EXECUTED in headers or status == MISDIRECTED,
+        not_run=status == MISDIRECTED
+        or (names.NOT_EXECUTED in headers and status in STATED_REFUSALS),
         request_id=RequestId(request_id) if request_id else None,
         instance=Upstream(instance) if instance else None,
         load=_parse_load(headers.get(names.SERVER_LOAD, "")),
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -231,8 +231,13 @@
         (200, {}, False),
         (503, {"x-persimmonhitch-not-executed": "1"}, True),
         (503, {}, False),
+        (429, {"x-persimmonhitch-not-executed": "1"}, True),
+        (400, {"x-persimmonhitch-not-executed": "1"}, True),
         (421, {}, True),
         (500, {}, False),
+        (500, {"x-persimmonhitch-not-executed": "1"}, False),
+        (504, {"x-persimmonhitch-not-executed": "1"}, False),
+        (200, {"x-persimmonhitch-not-executed": "1"}, False),
     ],
 )
 def test_only_header_or_misdirected_status_means_not_run(status, fields, not_run):
