Treat an answer that ends within its head as lost

Cause: http.client takes the end of the connection for the end of the head, so what came of it counted as whole: without the line of the length or of the chunks the answer ends with its connection, and that had ended in order.

The end of a connection within a head, also after an interim one, is now a lost answer, for upstreams, engine reports and the store alike. The same cause within the framing: the first digits of a chunk size were taken for a size, and 0 for the last chunk; a size now needs the end of its line.

--- a/src/persimmonhitch/http_client/response.py
+++ b/src/persimmonhitch/http_client/response.py
@@ -30,6 +30,10 @@
 LINE_ENDS: Final = (b"\r\n", b"\n")
 
 
+class IncompleteHead(HTTPException):
+    """Raised if a connection ends within a head."""
+
+
 class _Block:
     """Block that is being read; it has slots since each chunk changes it."""
 
@@ -76,12 +80,18 @@
         if part is None:
             return super().readinto(buffer)
         count = self._read_block(part, buffer)
-        if part is AnswerPart.HEAD and count:
-            self._head_left -= count
-            if self._head_left < 0:
-                raise AnswerBoundExceeded(part, f"{MAX_HEAD_BYTES} bytes")
+        if part is AnswerPart.HEAD:
+            self._check_head(count)
         return count
 
+    def _check_head(self, count: int | None) -> None:
+        if count == 0 and self._head_left < MAX_HEAD_BYTES:
+            # http.client takes the end of the connection for the end of the head.
+            raise IncompleteHead("the connection ended within the head")
+        self._head_left -= count or 0
+        if self._head_left < 0:
+            raise AnswerBoundExceeded(AnswerPart.HEAD, f"{MAX_HEAD_BYTES} bytes")
+
     def _read_block(self, part: AnswerPart, buffer: Any) -> int | None:
         if not self.block.has_begun:
             self.block.has_begun, self._deadline_at = True, None
@@ -175,6 +185,9 @@
         block.part = None
         if len(line) > FREE_CHUNK_LINE_BYTES:
             self._charge(len(line) - FREE_CHUNK_LINE_BYTES)
+        if not line.endswith(b"\n"):
+            # The first digits of a size are a size as well.
+            raise IncompleteRead(b"")
         return line
 
     def _read_and_discard_trailer(self) -> None:
