--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -1,5 +1,6 @@
 """Answers of upstreams that come late, on a connection that is in use again."""
 
+import contextlib
 import threading
 import time
 
@@ -170,3 +171,25 @@
     with GatewayServer(FakeUpstream("u1", script)) as gateway:
         replies = [gateway.call("/book/x") for _ in range(3)]
     assert [reply.status for reply in replies] == [200, 200, 200]
+
+
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_upstream_of_an_unmatched_answer_is_disconnected_at_once(extra):
+    """Guards against two upstreams that work on the same stream."""
+    left_after = []
+
+    def script(_req, sock):
+        head = f"X-Persimmonhitch-Request-Id: other\r\n{extra}"
+        sock.plain.sendall(answer(200, b"", head))
+        started_at = time.monotonic()
+        sock.plain.settimeout(2)
+        with contextlib.suppress(OSError):
+            sock.plain.recv(1)
+        left_after.append(time.monotonic() - started_at)
+        return False
+
+    with GatewayServer(FakeUpstream("u1", script, LLM)) as gateway:
+        reply = gateway.call("/resume/x")
+        time.sleep(0.1)
+    assert reply.status in (502, 503)
+    assert left_after and max(left_after) < 0.3
