Read what other writers store entry by entry, and reject odd values there

One odd entry among the engines ended the thread that follows them, on all entries of the system at once, or hid all other entries: nesting of some 1,000 levels (RecursionError), a number of 5,000 digits (ValueError for the whole list), 1e999 and 400 digits (OverflowError), half of a character (UnicodeEncodeError), a port of 30 digits (callers got 500). Requests then reached draining engines and were cut (DRAIN, LOST).

Class of fault: a value that another program wrote is parsed or converted where a failure takes all others with it. json_input.py is now the one place that parses such documents: what is nested too deeply or has too many digits is replaced while it is parsed, and an object with such a part, or a text that can't be written again, counts as unreadable alone. So for all kinds of lists, watches, pushes of peers, reports of engines and the lists of sidecars and of the command line. Records of upstreams are checked for type and range (port, slots, born, version, names of models). The watch goes on after any error of a listener, and the log after a line that can't be encoded.

--- a/src/persimmonhitch/ctl/fleet_status.py
+++ b/src/persimmonhitch/ctl/fleet_status.py
@@ -1,6 +1,5 @@
 """Status that each entry reports, for the ``status`` command."""
 
-import json
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -8,6 +7,7 @@
 
 import urllib3
 
+from ..json_input import parse_readable
 from ..store.objects import StoredObject
 
 TIMEOUT_S: Final = 1.0
@@ -20,7 +20,7 @@
     """Return the JSON object at a URL, None if unavailable."""
     try:
         answer = urllib3.request("GET", url, timeout=TIMEOUT_S, retries=False)
-        body = json.loads(answer.data)
+        body = parse_readable(answer.data)
     except (urllib3.exceptions.HTTPError, ValueError, OSError):
         return None
     return body if isinstance(body, dict) else None
--- a/src/persimmonhitch/direct/connection_pool.py
+++ b/src/persimmonhitch/direct/connection_pool.py
@@ -84,7 +84,8 @@
         conn = BoundedConnection(*address, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
         try:
             conn.connect()
-        except (HTTPError, OSError):
+        except (HTTPError, OSError, ValueError, OverflowError):
+            # Addresses come from records that other programs write.
             conn.close()
             return None
         sock = conn.sock
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Final
+from typing import Final
 
 import urllib3
 from returns.result import Failure as Err
@@ -16,6 +16,7 @@
 from ..fleet.upstream import EngineInventory, UpstreamRecord
 from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model, Vm
+from ..json_input import parse_readable
 from ..observe.logs import log
 from ..platform import headers, names
 from ..platform.upstream_format import decode_report, encode_order
@@ -133,14 +134,13 @@
             )
             data = read_body(answer, MAX_REPORT_BYTES, MAX_BODY_S)
             self._check_leaving(record, answer)
-            body: Any = json.loads(data)
             if answer.status != 200:
                 return Err(f"status {answer.status}")
-            return Success(decode_report(body))
+            return Success(decode_report(parse_readable(data)))
         except AnswerBoundExceeded as exc:
             _log_bound_exceeded(record, exc)
             return Err(repr(exc))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError) as exc:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
             return Err(repr(exc))
 
     def _check_leaving(
--- a/src/persimmonhitch/entry/peer_sidecars.py
+++ b/src/persimmonhitch/entry/peer_sidecars.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
-from typing import Any, Final
+from typing import Final
 
 from ..catalog.exchange import Mesh
 from ..ids import Vm
+from ..json_input import parse_json
 from ..observe.logs import log
-from ..store.objects import Kind, StoredObject, Version
+from ..store.objects import Kind, StoredObject, Version, readable_spec
 from ..store.watcher import View
 from ..wire.codec import message
 
@@ -94,5 +95,5 @@
 
 
 def _stored_object(name: str, text: str) -> StoredObject:
-    spec: dict[str, Any] = json.loads(text)
+    spec = readable_spec(parse_json(text))
     return StoredObject(Kind.SIDECAR, name, Version(0), spec)
--- a/src/persimmonhitch/observe/logs.py
+++ b/src/persimmonhitch/observe/logs.py
@@ -80,12 +80,18 @@
                     lines.append(f"event=lines_left_out count={self._dropped}")
                     self._dropped = 0
             try:
-                self._stream.write("\n".join(lines) + "\n")
-                self._stream.flush()
+                self._write("\n".join(lines) + "\n")
             except (OSError, ValueError):
                 # The stream is closed, so this error cannot be logged either.
                 return
 
+    def _write(self, text: str) -> None:
+        try:
+            self._stream.write(text)
+        except UnicodeEncodeError:
+            self._stream.write(text.encode("ascii", "backslashreplace").decode("ascii"))
+        self._stream.flush()
+
     def flush(self, timeout_s: float) -> None:
         """Wait until all lines are written, for at most ``timeout_s`` seconds."""
         deadline = time.monotonic() + timeout_s
--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+from ..json_input import is_readable
 from ..store.era import Era, revision_of, version_of
 from ..store.objects import (
     Changes,
@@ -13,6 +14,7 @@
     Spec,
     StoredObject,
     Version,
+    readable_spec,
 )
 from .names import OBJECTS_PATH
 
@@ -55,8 +57,7 @@
     """Return the object in a reply that the store sent in the given era."""
     meta = body["metadata"]
     # A malformed object must not make the other objects of its kind unreadable.
-    spec = body.get("specification")
-    spec = spec if isinstance(spec, dict) else {}
+    spec = readable_spec(body.get("specification"))
     version = version_of(era, int(meta.get("revision", 0)))
     return StoredObject(kind, str(meta["name"]), version, spec)
 
@@ -71,7 +72,7 @@
     kind: Kind, body: Body, era: Era = NO_ERA
 ) -> tuple[list[StoredObject], Version, bool]:
     """Return the objects of a page, its version and whether more pages follow."""
-    items = [decode_object(kind, item, era) for item in body["items"]]
+    items = [obj for item in body["items"] if (obj := _object(kind, item, era))]
     version = version_of(era, int(body["at_revision"]))
     return items, version, bool(body.get("has_more"))
 
@@ -92,12 +93,27 @@
 
 def decode_changes(kind: Kind, body: Body, era: Era = NO_ERA) -> Changes:
     """Return the changes in a watch reply."""
-    events = tuple(_decode_event(kind, item, era) for item in body.get("events") or ())
+    events = tuple(
+        event
+        for item in body.get("events") or ()
+        if (event := _decode_event(kind, item, era))
+    )
     return Changes(version_of(era, int(body["at_revision"])), events)
 
 
-def _decode_event(kind: Kind, item: Mapping[str, Any], era: Era) -> Event:
-    obj = decode_object(kind, item["object"], era)
+def _object(kind: Kind, item: Any, era: Era) -> StoredObject | None:
+    """Return the object of a list or a watch, None if it has no readable name."""
+    try:
+        obj = decode_object(kind, item, era)
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError):
+        return None
+    return obj if is_readable(obj.name) else None
+
+
+def _decode_event(kind: Kind, item: Mapping[str, Any], era: Era) -> Event | None:
+    obj = _object(kind, item["object"], era)
+    if obj is None:
+        return None
     meta = item["object"]["metadata"]
     if item.get("deleted"):
         return Event(EventType.DELETED, obj)
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
+from ..json_input import parse_json
 from ..store.era import Era, EraState, era_of, revision_of
 from ..store.objects import (
     Changes,
@@ -45,6 +46,14 @@
     OSError,
 )
 """Errors raised for a lost or a malformed reply."""
+DECODE_ERRORS: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+)
+"""Errors raised for a reply with fields missing or of a wrong type."""
 WATCH_TIMEOUT_MARGIN_S: Final = 0.6
 """Time that a watch call may exceed its duration before its connection counts as dead.
 A reply takes milliseconds; only this timeout reveals an unresponsive connection."""
@@ -106,7 +115,7 @@
                 preload_content=False,
             )
             body_text = read_body(reply, MAX_REPLY_BYTES, MAX_REPLY_S)
-            parsed = json.loads(body_text or b"{}")
+            parsed = parse_json(body_text or b"{}")
         except STORE_ERRORS as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
         era = parse_era({k.lower(): v for k, v in reply.headers.items()})
@@ -136,7 +145,7 @@
                 return _failure(StoreError.EXPIRED, "store restored between pages")
             try:
                 page, version, has_more = decode_page(kind, reply.body, reply.era)
-            except (KeyError, TypeError, ValueError) as exc:
+            except DECODE_ERRORS as exc:
                 return _failure(StoreError.UNAVAILABLE, repr(exc))
             items += page
             if not has_more or not page:
@@ -196,7 +205,7 @@
             return _failure(StoreError.EXPIRED, RESTORED_DETAIL)
         try:
             return Success(decode_changes(kind, reply.body, reply.era))
-        except (KeyError, TypeError, ValueError) as exc:
+        except DECODE_ERRORS as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
 
     def _decode_reply(
@@ -207,5 +216,5 @@
         try:
             reply: _Reply = result.unwrap()
             return Success(decode_object(kind, reply.body, reply.era))
-        except (KeyError, TypeError, ValueError) as exc:
+        except DECODE_ERRORS as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
--- a/src/persimmonhitch/platform/upstream_format.py
+++ b/src/persimmonhitch/platform/upstream_format.py
@@ -1,14 +1,23 @@
 """Decoders for records and reports of upstreams, and the encoder of orders."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Any, Final
 
 from ..fleet.upstream import NOT_COUNTED, EngineInventory, UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, SoftwareVersion, Upstream, Vm, Zone
 
 Body = Mapping[str, Any]
 
+HOST: Final = re.compile(r"[A-Za-z0-9.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]")
+"""Form of a host name or an address."""
+PORT: Final = re.compile(r"[0-9]{1,5}")
+MAX_PORT: Final = 65535
+MAX_SLOTS: Final = 1_000_000
+MAX_WHOLE: Final = 2**53
+"""Largest count or time in milliseconds; JSON keeps larger numbers inexactly."""
+
 
 class InvalidUpstreamRecord(ValueError):
     """Error for a malformed registration record of an upstream."""
@@ -26,33 +35,51 @@
     if state not in ("ready", "draining"):
         raise InvalidUpstreamRecord(f"unknown state {state!r}")
     try:
-        host, _, port = body["address"].rpartition(":")
-        slots = body["slots"]
-        service, zone = body["service"], body["zone"]
-        if not host or type(slots) is not int or not isinstance(zone, str):
-            raise InvalidUpstreamRecord("address, slots or zone is malformed")
-        if not isinstance(service, str):
-            raise InvalidUpstreamRecord("service is not a string")
+        host, port = _address(body["address"])
         return UpstreamRecord(
             name=Upstream(name),
-            service=Service(service),
+            service=Service(_text(body["service"])),
             host=host,
-            port=int(port),
-            zone=Zone(zone),
-            slots=slots,
+            port=port,
+            zone=Zone(_text(body["zone"])),
+            slots=_whole(body["slots"], MAX_SLOTS),
             draining=state == "draining",
-            started_at_ms=int(body.get("born") or 0),
+            started_at_ms=_whole(body.get("born") or 0, MAX_WHOLE),
             # The sequence of a registration record counts heartbeats, not orders.
             inventory=decode_inventory(body, NOT_COUNTED) if "models" in body else None,
             version=_version(body.get("version")),
             cold_s=_cold_s(body.get("cold_remaining_ms", 0)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as exc:
         raise InvalidUpstreamRecord(repr(exc)) from exc
 
 
+def _address(value: Any) -> tuple[str, int]:
+    host, _, port = _text(value).rpartition(":")
+    if not HOST.fullmatch(host):
+        raise InvalidUpstreamRecord("the host is malformed")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise InvalidUpstreamRecord("port out of range")
+    return host, int(port)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise InvalidUpstreamRecord(f"{type(value).__name__} instead of a text")
+    return value
+
+
+def _whole(value: Any, maximum: int) -> int:
+    is_whole = type(value) is int or (type(value) is float and value.is_integer())
+    if not is_whole or not 0 <= value <= maximum:
+        raise InvalidUpstreamRecord("number out of range, or not a whole one")
+    return int(value)
+
+
 def _version(value: Any) -> SoftwareVersion:
     """Return the software version; records give it as a number or a text."""
+    if isinstance(value, bool) or not isinstance(value, str | int | float | None):
+        raise InvalidUpstreamRecord("the version is neither a number nor a text")
     return SoftwareVersion("" if value is None else str(value))
 
 
@@ -66,8 +93,17 @@
 
 
 def decode_report(body: Body) -> EngineInventory:
-    """Return the inventory in an engine's report, whose sequence counts orders."""
-    return decode_inventory(body, int(body["sequence"]))
+    """Return the inventory in an engine's report, whose sequence counts orders.
+
+    Raises
+    ------
+    InvalidUpstreamRecord
+        If a field is missing or of a wrong type.
+    """
+    try:
+        return decode_inventory(body, _whole(body["sequence"], MAX_WHOLE))
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as exc:
+        raise InvalidUpstreamRecord(repr(exc)) from exc
 
 
 def decode_inventory(body: Body, order_count: int) -> EngineInventory:
@@ -76,7 +112,7 @@
     return EngineInventory(
         order_count=order_count,
         models={
-            Model(item["name"]): frozenset(
+            Model(_text(item["name"])): frozenset(
                 _adapter_name(adapter) for adapter in item.get("adapters") or ()
             )
             for item in body.get("models") or ()
--- a/src/persimmonhitch/sidecar/engine_api.py
+++ b/src/persimmonhitch/sidecar/engine_api.py
@@ -10,6 +10,7 @@
 
 from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model
+from ..json_input import parse_readable
 from ..wire.placement import Copy
 from .ledger import Answer, Listed
 
@@ -85,7 +86,7 @@
                 preload_content=False,
             )
             data = read_body(answer, MAX_LISTING_BYTES, MAX_BODY_S)
-            items = json.loads(data)["data"] if answer.status == 200 else None
+            items = parse_readable(data)["data"] if answer.status == 200 else None
             if items is None:
                 return Err(ListingError.BROKEN)
             return Success(tuple(_listed(item) for item in items))
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -1,6 +1,5 @@
 """One call to the upstream and the verdict of its result."""
 
-import json
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -13,6 +12,7 @@
 
 from ..http_client import AnswerBoundExceeded, BoundedConnection
 from ..ids import Tokens
+from ..json_input import parse_readable
 from ..verdict import ErrorCode, Failure, Verdict
 from ..wire.messages import CLOSE, CONNECTION, Submit, UpstreamKind
 from .job import Job
@@ -238,6 +238,6 @@
     if USAGE not in text:
         return None
     try:
-        return float(json.loads(text)["usage"]["total_tokens"])
+        return float(parse_readable(text)["usage"]["total_tokens"])
     except (ValueError, KeyError, TypeError):
         return None
--- a/src/persimmonhitch/store/objects.py
+++ b/src/persimmonhitch/store/objects.py
@@ -6,6 +6,8 @@
 
 from returns.result import Result
 
+from ..json_input import is_readable
+
 Spec = dict[str, Any]
 Version = NewType("Version", int)
 """Version of an object or a list; later writes have higher versions."""
@@ -71,6 +73,14 @@
     items: tuple[StoredObject, ...]
 
 
+def readable_spec(value: Any) -> Spec:
+    """Return the content of an object, empty if it can't be read.
+
+    The content may come from any writer of the store.
+    """
+    return value if isinstance(value, dict) and is_readable(value) else {}
+
+
 class EventType(Enum):
     """Type of change to a watched object."""
 
--- a/src/persimmonhitch/store/pushes.py
+++ b/src/persimmonhitch/store/pushes.py
@@ -12,9 +12,18 @@
 from typing import Final
 
 from ..ids import Vm
+from ..json_input import parse_json
 from ..wire.codec import encode, message
 from .era import Era, era_of
-from .objects import Changes, Event, EventType, Kind, StoredObject, Version
+from .objects import (
+    Changes,
+    Event,
+    EventType,
+    Kind,
+    StoredObject,
+    Version,
+    readable_spec,
+)
 from .watcher import (
     CONTACT_MARGIN_S,
     MAX_FAILING_AGE_S,
@@ -184,6 +193,6 @@
 
 
 def _to_event(kind: Kind, obj: PushedObject) -> Event:
-    spec = json.loads(obj.spec) if obj.spec else {}
+    spec = readable_spec(parse_json(obj.spec)) if obj.spec else {}
     stored = StoredObject(kind, obj.name, Version(obj.version), spec)
     return Event(EventType.DELETED if obj.deleted else EventType.MODIFIED, stored)
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -138,12 +138,19 @@
                 self._stopping.wait(POLL_INTERVAL_S)
                 continue
             started = time.monotonic()
-            self._list_and_watch()
+            self._follow_store()
             if self.view.contact_at >= started:
                 pause = MIN_RETRY_S
             self._stopping.wait(pause)
             pause = min(pause * 2, self._max_retry_s)
 
+    def _follow_store(self) -> None:
+        try:
+            self._list_and_watch()
+        except Exception as exc:
+            # Without this thread the process would keep its last view for good.
+            log("watch_failed", kind=self._kind.value, error=repr(exc))
+
     def _list_and_watch(self) -> None:
         result = self._store.list_all(self._kind)
         if not isinstance(result, Success):
