Resume an unknown stream only if the history of versions reaches its begin

Cause: an entry whose own history was shorter than the stream may be old still took the only version in its list for the only one there was, unless an engine had started lately. An engine that is taken away, or lost, leaves without a replacement, and a replacement may be older than ten seconds.

A history that is shorter than the route's timeout now proves nothing; peers that went on still tell theirs. The entry of test_origin_of_an_unknown_stream that asserted the guess ('started-just-now') was wrong: it is refused now, and a case for the shortest history that suffices stands beside it.

Price: after a kill of all entries at once, resumptions of streams that no entry knows are refused until they have run for the timeout of their route.

--- a/src/persimmonhitch/decide/stream_versions.py
+++ b/src/persimmonhitch/decide/stream_versions.py
@@ -7,23 +7,19 @@
 id of the attempt that brought its first event.
 
 An entry that knows the version that began a stream sends it to that version alone. One
-that does not know may send it on if only one version can have begun it: the versions
-listed since the oldest stream began, as far as the history reaches. Before that, no
-version can have left unless an upstream has started since, as one that starts replaces
-one that leaves. Everything else is refused: a joined stream looks valid to its caller.
+that does not know may send it on if only one version can have begun it: the only one
+listed since the oldest stream began, by a history that reaches that far. A shorter one
+proves nothing, since the last engine of a version may leave while all entries are down.
+Everything else is refused: a joined stream looks valid to its caller.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
 
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Service, SoftwareVersion
 
-REPLACEMENT_S: Final = 10.0
-"""Longest time from the start of an upstream to the end of the one that it replaces."""
-
 
 class Knowledge(Enum):
     """Source of the version at which a stream goes on, or what is missing."""
@@ -62,7 +58,6 @@
         self._listed: dict[Service, set[SoftwareVersion]] = {}
         self._seen: dict[Service, dict[SoftwareVersion, float]] = {}
         """Time until which versions were listed that are not listed any more."""
-        self._newest_start: dict[Service, int] = {}
 
     def update(self, records: Iterable[UpstreamRecord], now: float) -> bool:
         """Apply a list of upstreams; return whether a version is new."""
@@ -70,11 +65,9 @@
         for service, versions in self._listed.items():
             known.setdefault(service, set()).update(versions)
             self._seen.setdefault(service, {}).update(dict.fromkeys(versions, now))
-        self._listed, self._newest_start = {}, {}
+        self._listed = {}
         for record in records:
             self._listed.setdefault(record.service, set()).add(record.version)
-            newest = self._newest_start.get(record.service, 0)
-            self._newest_start[record.service] = max(newest, record.started_at_ms)
         return any(v - known.get(s, set()) for s, v in self._listed.items())
 
     def merge(
@@ -100,16 +93,13 @@
         recent = {version for version, at in seen.items() if at >= since}
         return frozenset(recent | self._listed.get(service, set()))
 
-    def origin(
-        self, service: Service, oldest: float, oldest_ms: float, is_fresh: bool
-    ) -> Origin:
+    def origin(self, service: Service, oldest: float, is_fresh: bool) -> Origin:
         """Return what the history tells about a stream that is otherwise unknown.
 
         Parameters
         ----------
-        oldest, oldest_ms : float
-            Earliest time at which the stream may have begun, in monotonic seconds and
-            in Unix milliseconds.
+        oldest : float
+            Earliest time at which the stream may have begun.
         is_fresh : bool
             Whether the list of upstreams is up to date.
         """
@@ -118,8 +108,6 @@
             return Origin(Knowledge.MIXED)
         if not is_fresh:
             return Origin(Knowledge.STALE_VIEW)
-        newest_start = self._newest_start.get(service, 0)
-        was_replaced = newest_start >= oldest_ms - REPLACEMENT_S * 1000
-        if self.since > oldest and was_replaced:
+        if self.since > oldest:
             return Origin(Knowledge.SHORT_HISTORY)
         return Origin(Knowledge.SINGLE, next(iter(versions), None))
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -212,8 +212,7 @@
             if begun.version is None:
                 return Origin(Knowledge.MIXED)
             return Origin(Knowledge.STREAM, begun.version)
-        now, oldest_ms = self._clock(), self._wall_ms() - max_age_s * 1000
-        return self._history.origin(service, now - max_age_s, oldest_ms, is_fresh)
+        return self._history.origin(service, self._clock() - max_age_s, is_fresh)
 
     # -- peers -----------------------------------------------------------------------
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Streams of services whose upstreams run several software versions."""
 
 import threading
+import time
 from dataclasses import replace
 
 import pytest
@@ -18,6 +19,7 @@
 from fake_engine import Clock
 
 from persimmonhitch.decide.stream_versions import Knowledge, VersionHistory
+from persimmonhitch.direct.peer_messages import VersionsSeen
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.fleet.upstream import UpstreamRecord
 from persimmonhitch.ids import RequestId, SoftwareVersion, Upstream, Vm, Zone
@@ -102,21 +104,24 @@
 
 
 @pytest.mark.parametrize(
-    ("versions", "headers", "status"),
+    ("versions", "history_s", "headers", "status"),
     [
-        ((V1, V2), {"Resumes": "unknown", "Last_Event_Id": "2"}, 503),
-        ((V1, V2), {"Last_Event_Id": "2"}, 503),
-        ((V1, V1), {"Resumes": "unknown", "Last_Event_Id": "2"}, 200),
-        ((V1, V2), {"Resumes": "un known", "Last_Event_Id": "2"}, 400),
-        ((V1, V2), {"Resumes": "u" * 200, "Last_Event_Id": "2"}, 400),
-        ((V1, V2), {"Resumes": "unknown", "Last_Event_Id": "a b"}, 400),
+        ((V1, V2), 20, {"Resumes": "unknown", "Last_Event_Id": "2"}, 503),
+        ((V1, V2), 20, {"Last_Event_Id": "2"}, 503),
+        ((V1, V1), 20, {"Resumes": "unknown", "Last_Event_Id": "2"}, 200),
+        ((V1, V1), 0, {"Resumes": "unknown", "Last_Event_Id": "2"}, 503),
+        ((V1, V2), 20, {"Resumes": "un known", "Last_Event_Id": "2"}, 400),
+        ((V1, V2), 20, {"Resumes": "u" * 200, "Last_Event_Id": "2"}, 400),
+        ((V1, V2), 20, {"Resumes": "unknown", "Last_Event_Id": "a b"}, 400),
     ],
-    ids=["unknown", "no-id", "one-version", "space", "too-long", "event-id"],
+    ids=["unknown", "no-id", "one-version", "started", "space", "too-long", "event-id"],
 )
-def test_resumption_of_an_unknown_stream(versions, headers, status):
+def test_resumption_of_an_unknown_stream(versions, history_s, headers, status):
     """Guards against a guess at the version that began a stream."""
     engines = [engine(f"u{n}", v, CONTINUES) for n, v in enumerate(versions)]
     with GatewayServer(*engines) as gateway:
+        told = VersionsSeen(history_s * 1000, ())
+        gateway.origins.receive_versions(Vm("e2"), told, time.monotonic())
         reply = gateway.call("/resume/x", **headers)
     assert reply.status == status
     if status == 503:
@@ -133,27 +138,37 @@
         ([(0, [V1]), (80, [V2])], 0, True, Knowledge.SINGLE, V2),
         ([(0, [V1]), (50, [V1, V2])], 0, True, Knowledge.MIXED, None),
         ([(0, [V1])], 0, False, Knowledge.STALE_VIEW, None),
-        ([(95, [V1])], 95, True, Knowledge.SINGLE, V1),
+        ([(95, [V1])], 95, True, Knowledge.SHORT_HISTORY, None),
+        ([(85, [V1])], 85, True, Knowledge.SINGLE, V1),
+    ],
+    ids=[
+        "one",
+        "just-replaced",
+        "replaced",
+        "both",
+        "stale",
+        "started-just-now",
+        "started-before",
     ],
-    ids=["one", "just-replaced", "replaced", "both", "stale", "started-just-now"],
 )
 def test_origin_of_an_unknown_stream(lists, since, is_fresh, knowledge, version):
     """Guards against a guess while versions are replaced; the time is 100 s."""
     history = VersionHistory(since)
     for at, versions in lists:
         history.update([record(f"u{v}", v) for v in versions], at)
-    origin = history.origin(LLM, 100 - MAX_AGE_S, WALL_MS - MAX_AGE_S * 1e3, is_fresh)
+    origin = history.origin(LLM, 100 - MAX_AGE_S, is_fresh)
     assert (origin.knowledge, origin.version) == (knowledge, version)
 
 
-def test_upstream_started_since_makes_a_short_history_insufficient():
-    """Guards against a guess by an entry that started after a replacement."""
+@pytest.mark.parametrize("age_s", [8, 600, 86_400])
+def test_short_history_is_insufficient_however_old_the_upstreams_are(age_s):
+    """Guards against a guess by an entry that started after a version had left."""
     history = VersionHistory(95)
-    history.update([record("u1", V2, started_at_ms=int(WALL_MS) - 8000)], 95)
-    origin = history.origin(LLM, 85, WALL_MS - 15_000, True)
-    assert origin.knowledge is Knowledge.SHORT_HISTORY
+    started_at_ms = int(WALL_MS) - age_s * 1000
+    history.update([record("u1", V2, started_at_ms=started_at_ms)], 95)
+    assert history.origin(LLM, 85, True).knowledge is Knowledge.SHORT_HISTORY
     history.merge(40, [(LLM, V2, 95)])
-    assert history.origin(LLM, 85, WALL_MS - 15_000, True).version == V2
+    assert history.origin(LLM, 85, True).version == V2
 
 
 class Entry:
