Reset an answer that ends with its connection unless all of it was sent

Cause: an answer without a length or chunks is whole when its connection ends in order, and the kernel ends the connections of a killed process in order. Resetting them was left to code that a kill doesn't run.

The connection is now set to be reset (SO_LINGER, 0 s) before the head of such an answer is sent, and set back when all of its bytes have been passed to the kernel.

--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -31,6 +31,8 @@
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
+CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
+
 
 def reset_on_close(sock: socket.socket) -> None:
     """Reset a connection when it closes, whether or not its bytes were read."""
@@ -38,6 +40,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def close_in_order(sock: socket.socket) -> None:
+    """Send the unsent bytes of a connection when it closes, and end it in order."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_IN_ORDER)
+
+
 class Listener(TcpWSGIServer):  # type: ignore[misc]
     """Listener that counts connections and requests; runs on the server thread.
 
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -25,7 +25,7 @@
     UnframedBody,
     json_answer,
 )
-from .listener import Listener, reset_on_close
+from .listener import Listener, close_in_order, reset_on_close
 from .load import LoadMeter
 from .slow_readers import SlowReaders
 
@@ -121,20 +121,21 @@
         if no_framing and self.chunked_response:
             self.chunked_response = False
             head = head.replace(CHUNKED_LINE, b"", 1)
+        if self._ends_with_connection():
+            # Whatever ends the connection sooner, a kill of the process as well, must
+            # not look like the end of the answer.
+            self.channel.reset_on_close()
         return head
 
-    def execute(self) -> None:
-        try:
-            super().execute()
-        except Exception:
-            if self._ends_with_connection():
-                self.channel.reset_on_close()
-            raise
+    def finish(self) -> None:
+        super().finish()
+        if self._ends_with_connection():
+            self.channel.has_whole_answer = True
 
     def _ends_with_connection(self) -> bool:
         """Return whether only the end of the connection marks the end of the answer."""
         is_framed = self.chunked_response or self.content_length is not None
-        return self.wrote_header and self.has_body and not is_framed
+        return self.has_body and not is_framed
 
 
 class _ErrorTask(ErrorTask):  # type: ignore[misc]
@@ -157,6 +158,8 @@
     """Bytes that the kernel has accepted for the caller."""
     queued_at = 0.0
     """When the newest request began to wait for a thread."""
+    has_whole_answer = False
+    """Whether an answer that ends with the connection was written to its end."""
 
     def send(self, data: bytes, do_close: bool = True) -> int:
         """Send some bytes; return their number."""
@@ -196,6 +199,13 @@
         """Reset the connection when it closes, so that its answer looks truncated."""
         reset_on_close(self.socket)
 
+    def handle_close(self) -> None:
+        """Close the connection, in order after a whole answer."""
+        is_sent = self.has_whole_answer and not self.total_outbufs_len
+        if is_sent and self.socket is not None:
+            close_in_order(self.socket)
+        super().handle_close()
+
     def drop_request(self, req: Any) -> None:
         """Break off the connection unless it serves another request by now."""
         if req in self.requests[:1]:
