--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -219,11 +219,12 @@
     def _record_unanswered(self, request: InFlightRequest, failure: Failure) -> Failure:
         assert request.permit is not None
         record = request.permit.record
-        if request.abort.reason is not None:
-            return failure
         unreachable = failure.verdict is Verdict.NOT_RUN
         if not unreachable:
             request.attempts += 1
+        if request.abort.reason is not None:
+            return failure
+        if not unreachable:
             self._report_loss(request, record)
         request.excluded |= {record.name}
         self._dispatcher.record_failure(record, unreachable)
