Close idle connections to upstreams that are not listed any more

The pool is now told the addresses of the listed upstreams that do not drain; it closes the idle connections to all others, and those that come back later.

--- a/src/persimmonhitch/direct/connection_pool.py
+++ b/src/persimmonhitch/direct/connection_pool.py
@@ -4,7 +4,6 @@
 import socket
 import threading
 import time
-from collections import defaultdict
 from collections.abc import Callable, Set
 from dataclasses import dataclass
 from typing import Final
@@ -44,7 +43,9 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._idle: defaultdict[Address, list[_IdleConn]] = defaultdict(list)
+        self._idle: dict[Address, list[_IdleConn]] = {}
+        self._kept: Set[Address] | None = None
+        """Addresses whose idle connections are kept, None for all."""
         self._lock = threading.Lock()
 
     def acquire(
@@ -106,17 +107,26 @@
         max_idle = MAX_IDLE_S if idle_limit is None else idle_limit - IDLE_MARGIN_S
         now = self._clock()
         with self._lock:
-            idle = self._idle[address]
-            keep = conn.sock is not None and max_idle > 0 and len(idle) < MAX_IDLE_CONNS
+            idle = self._idle.get(address, [])
+            is_kept = self._kept is None or address in self._kept
+            is_usable = conn.sock is not None and max_idle > 0
+            keep = is_kept and is_usable and len(idle) < MAX_IDLE_CONNS
             if keep:
                 idle.append(_IdleConn(conn, now, now + max_idle))
+                self._idle[address] = idle
         if not keep:
             conn.close()
 
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to a removed or failed upstream."""
+    def keep_only(self, addresses: Set[Address]) -> None:
+        """Close idle connections to all other addresses, now and when released.
+
+        Upstreams are replaced all day, and the process has a limited number of
+        descriptors.
+        """
         with self._lock:
-            idle = self._idle.pop(address, [])
+            self._kept = addresses
+            others = [address for address in self._idle if address not in addresses]
+            idle = [item for address in others for item in self._idle.pop(address)]
         for item in idle:
             item.conn.close()
 
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -388,6 +388,9 @@
         log("config_in_force", version=cfg.version, routes=len(cfg.routes))
 
     def _on_upstreams(self, records: list[UpstreamRecord]) -> None:
+        self.connection_pool.keep_only(
+            {(item.host, item.port) for item in records if not item.draining}
+        )
         self.poison.update_upstreams(records)
         self.limits.update_upstreams(records)
         self.dispatcher.update(records)
