Soak: upstreams send late copies of answers, and stop within heads

Upstreams send, for some seconds at a time, a second copy of an answer before the next one on its connection, and some stop within the head of an answer.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,4 +1,4 @@
-"""Upstreams with unusual answers: without framing, with backoffs, or leaving."""
+"""Upstreams with unusual answers: unframed, late, cut, with backoffs, or leaving."""
 
 import random
 import threading
@@ -33,6 +33,48 @@
 FRAMED = AnswerStyle()
 
 
+@dataclass(frozen=True)
+class Flaws:
+    """Shares of the answers that come again late, or end within their head."""
+
+    copied: float = 0.0
+    """Share of the answers that are sent again before the next on their connection."""
+    headless: float = 0.0
+
+
+FLAWLESS = Flaws()
+
+
+class LateAnswers(threading.Thread):
+    """Makes upstreams send answers twice, or cut heads, for some seconds.
+
+    Uses its own random generator, so that the other faults of a seed do not change.
+    """
+
+    def __init__(self, platform, seed):
+        super().__init__(daemon=True)
+        self._platform = platform
+        self._rng = random.Random(f"late answers {seed}")
+        self._stopped = threading.Event()
+
+    def stop(self):
+        self._stopped.set()
+
+    def run(self):
+        while not self._stopped.wait(self._rng.expovariate(1 / MEAN_GAP_S)):
+            upstream = self._rng.choice(sorted(self._platform.upstreams.items()))[1]
+            seconds = self._rng.uniform(*DURATION_S)
+            upstream.flaws = Flaws(
+                self._rng.uniform(0.0, 0.5), self._rng.choice((0.0, 0.0, 0.2))
+            )
+            args = upstream, seconds
+            threading.Thread(target=self._restore, args=args, daemon=True).start()
+
+    def _restore(self, upstream, seconds):
+        upstream.closed.wait(seconds)
+        upstream.flaws = FLAWLESS
+
+
 class AnswerFaults(threading.Thread):
     """Changes the answers of upstreams for some seconds.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from soak.answers import AnswerFaults
+from soak.answers import AnswerFaults, LateAnswers
 from soak.callers import Balancer, Caller
 from soak.checks import Evidence, check_all
 from soak.entries import Entry
@@ -150,7 +150,9 @@
         limits = LimitFaults(self.platform, self.records, self.seed)
         limits.start()
         answers = AnswerFaults(self.platform, self.records, self.seed, self.log)
+        late_answers = LateAnswers(self.platform, self.seed)
         answers.start()
+        late_answers.start()
         restores = StoreRestorer(self.platform, self.records, self.seed, self.log)
         restores.start()
         evacuator = Evacuator(
@@ -163,6 +165,7 @@
         plan.end_all()
         limits.stop()
         answers.stop()
+        late_answers.stop()
         evacuator.stop()
         evacuator.join()
         restores.stop()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,7 +11,7 @@
 
 from relay import Relay
 
-from soak.answers import FRAMED
+from soak.answers import FLAWLESS, FRAMED
 from soak.inventory import Inventory
 from soak.ports import PORTS
 from soak.records import Arrival, Run
@@ -88,6 +88,10 @@
         self.version = "1"
         """Version of its software."""
         self.style = FRAMED
+        self.flaws = FLAWLESS
+        self._flaw_rng = random.Random(f"flaws {spec.name}")
+        self._copies = {}
+        """Copy to send before the next answer, by connection."""
         self.leaving = False
         """Whether its answers report that it leaves."""
         self._style_rng = random.Random(f"answers {spec.name}")
@@ -166,6 +170,7 @@
             return
         finally:
             self._socks.discard(sock)
+            self._copies.pop(sock, None)
             sock.close()
 
     def _read(self, reader):
@@ -196,7 +201,11 @@
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
         lines += self._state_headers()
-        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        sock.sendall(data)
+        is_named = headers.get("X_Persimmonhitch_Request_Id")
+        if is_named and self._flaw_rng.random() < self.flaws.copied:
+            self._copies[sock] = data
         return True
 
     def _handle(self, req, sock):
@@ -222,6 +231,9 @@
         request_id = req.headers.get("x-persimmonhitch-request-id", "")
         self._records.arrivals.append(self._arrival(request_id))
         id_header = {"X_Persimmonhitch_Request_Id": request_id}
+        copy = self._copies.pop(sock, None)
+        if copy is not None:
+            sock.sendall(copy)
         if self._style_rng.random() < self.style.rejected:
             return self._reject(request_id, sock, id_header)
         refusal = self._refusal_status(req)
@@ -229,6 +241,7 @@
             headers = {"X_Persimmonhitch_Not_Executed": "1"}
             return self._send(sock, refusal, **id_header, **headers)
         run = self._start_run(req, request_id)
+        run.answer_broken = copy is not None
         if req.body.startswith(POISON_PREFIX):
             run.answer_broken = True
             self.on_poison(self)
@@ -303,8 +316,17 @@
             return False
         if self._style_rng.random() < self.style.unframed:
             return self._send_unframed(run, sock)
+        if self._flaw_rng.random() < self.flaws.headless:
+            return self._stop_within_head(run, sock)
         return self._send(sock, 200, answer_body(run.request_id), **headers)
 
+    def _stop_within_head(self, run, sock):
+        """Send a part of a head; return False to close the connection."""
+        run.answer_broken = True
+        head = self._unframed_head(run).replace(b"text/event-stream", b"text/plain")
+        sock.sendall(head[: self._flaw_rng.randrange(20, len(head) - 1)])
+        return False
+
     def _unframed_head(self, run):
         lines = (
             "HTTP/1.1 200 X",
@@ -333,13 +355,14 @@
         events = [self._event(run, n) for n in range(first, EVENT_COUNT + 1)]
         sock.sendall(self._unframed_head(run))
         last = self._style_rng.randrange(EVENT_COUNT)
-        run.answer_broken = self._style_rng.random() < self.style.truncated
+        is_cut = self._style_rng.random() < self.style.truncated
+        run.answer_broken |= is_cut
         for number, data in enumerate(events):
             if not self._work_for(self.spec.event_interval_s, sock):
                 # A plain close between two events would look like the end.
                 self._reset(sock)
                 return False
-            if run.answer_broken and number == last:
+            if is_cut and number == last:
                 sock.sendall(data[: self._style_rng.randrange(1, len(data) - 2)])
                 return False
             sock.sendall(data)
