Take a leader's process for ended only if it was heard and then replaced

The next leader left out the wait, since the newest process that it had heard of on that VM was another than the lease named; it took the newer one for ended.

--- a/src/persimmonhitch/direct/broadcast.py
+++ b/src/persimmonhitch/direct/broadcast.py
@@ -108,6 +108,14 @@
         state = self._origins.get(vm)
         return state.incarnation if state else None
 
+    def has_ended(self, vm: Vm, incarnation: Incarnation) -> bool:
+        """Return whether a process is known to have been replaced by a later one.
+
+        One that was never heard of may be newer than the last one that was.
+        """
+        state = self._origins.get(vm)
+        return state is not None and incarnation in state.ended
+
     def receive(self, vm: Vm, batch: BroadcastBatch) -> None:
         """Relay the new items of a neighbour's batch and deliver them to handlers."""
         now = self._clock()
--- a/src/persimmonhitch/direct/leader_election.py
+++ b/src/persimmonhitch/direct/leader_election.py
@@ -46,7 +46,7 @@
         """Return the VMs of all other entries, reachable or not."""
 
     def restarted(self, vm: Vm, old: Incarnation) -> bool:
-        """Return whether a process other than ``old`` has connected from a VM."""
+        """Return whether a process of a VM is known to have been replaced."""
 
 
 class LeaderElection:
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -501,8 +501,8 @@
         return self.peers
 
     def restarted(self, vm: Vm, old: Incarnation) -> bool:
-        """Return whether a process other than ``old`` has connected from a VM."""
-        return self.broadcast.incarnation(vm) not in (None, old)
+        """Return whether a process of a VM is known to have been replaced."""
+        return self.broadcast.has_ended(vm, old)
 
     def _request_load(self, msg: LoadRequest) -> None:
         self.leader.receive_load_request(self.vm, msg)
--- a/tests/test_broadcast.py
+++ b/tests/test_broadcast.py
@@ -188,3 +188,17 @@
     assert fleet.max_age() <= MAX_AGE_S
     other = next(n for name, n in fleet.nodes.items() if name != vm)
     assert other.broadcast.incarnation(vm) == f"{vm}.2"
+
+
+def test_process_that_was_never_heard_of_has_not_ended():
+    """Guards against orders right after those of a leader that started just now."""
+    fleet = Fleet(1, 2)
+    vm, other = sorted(fleet.nodes)
+    fleet.run(1.0)
+    heard = fleet.nodes[other].broadcast
+    assert not heard.has_ended(vm, Incarnation(f"{vm}.1"))
+    assert not heard.has_ended(vm, Incarnation(f"{vm}.2"))
+    fleet.start(vm, "2")
+    fleet.run(1.0)
+    assert heard.has_ended(vm, Incarnation(f"{vm}.1"))
+    assert not heard.has_ended(vm, Incarnation(f"{vm}.2"))
