Close the longest idle connections before the limit of connections is reached

At 64 below the limit the longest idle ones are now closed; a line idle_conns_closed tells how many.

--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -1,6 +1,7 @@
 """The listener of a server: takes connections, or stops listening for a moment."""
 
 import contextlib
+import itertools
 import socket
 import struct
 import time
@@ -12,7 +13,7 @@
 from waitress.server import TcpWSGIServer
 
 from ..decide.conn_admission import ConnAdmission, PauseCause
-from ..observe.logs import SampledLog
+from ..observe.logs import SampledLog, log
 from .load import LoadMeter
 
 MAX_ACCEPTS: Final = 8
@@ -31,6 +32,8 @@
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
+SPARE_CONNS: Final = 64
+"""Connections below the limit at which the longest idle ones are closed."""
 CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
 
 
@@ -84,6 +87,8 @@
     def handle_accept(self) -> None:
         """Take some of the connections that wait, or pause."""
         now = self._clock()
+        if len(self._map) >= self.adj.connection_limit - SPARE_CONNS:
+            self._close_longest_idle(2 * SPARE_CONNS)
         for _ in range(MAX_ACCEPTS):
             cause = self._pause_cause(now)
             if cause is not None:
@@ -94,6 +99,16 @@
                 return
             self._take(*accepted, now)
 
+    def _close_longest_idle(self, count: int) -> None:
+        """Close some idle connections; at the limit no caller could connect."""
+        channels = self.active_channels.values()
+        by_age = sorted(channels, key=lambda item: float(item.last_activity))
+        idle = (channel for channel in by_age if not channel.has_input())
+        closed = list(itertools.islice(idle, count))
+        for channel in closed:
+            channel.close_when_flushed = True
+        log("idle_conns_closed", closed=len(closed), open=len(self._map))
+
     def _take(self, sock: socket.socket, addr: Any, now: float) -> None:
         self.meter.accepted()
         if self._admission is not None:
--- /dev/null
+++ b/tests/test_idle_conns.py
@@ -0,0 +1,46 @@
+"""Callers that keep their connections open after an answer."""
+
+import contextlib
+import http.client
+import threading
+
+from persimmonhitch.web import Answer, WebServer, server
+
+CONNS, OPENED = 200, 450
+
+
+def connect(port):
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=3)
+    conn.request("GET", "/")
+    return conn
+
+
+def test_idle_connections_give_way_to_new_callers(monkeypatch):
+    """Guards against a ready entry that takes no connection and refuses none."""
+    monkeypatch.setattr(server, "MAX_IDLE_CONNS", CONNS)
+    running, release = threading.Event(), threading.Event()
+
+    def app(environ, start_response):
+        if environ["PATH_INFO"] == "/slow":
+            running.set()
+            release.wait(10)
+        return Answer(200, {"content-length": "2"}, [b"ok"]).send(start_response)
+
+    web = WebServer(app, "127.0.0.1", 0, 4, keep_streams=True)
+    web.start()
+    with contextlib.ExitStack() as stack:
+        stack.callback(web.close)
+        stack.callback(release.set)
+        slow = http.client.HTTPConnection("127.0.0.1", web.port, timeout=10)
+        slow.request("GET", "/slow")
+        assert running.wait(2)
+        conns = []
+        for _ in range(OPENED):
+            conn = connect(web.port)
+            stack.callback(conn.close)
+            assert conn.getresponse().read() == b"ok"
+            conns.append(conn)
+        assert len(web._server.active_channels) <= CONNS + 4
+        release.set()
+        assert slow.getresponse().read() == b"ok"
+        slow.close()
