--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -43,7 +43,7 @@
     succeeded = False
     try:
         start_fleet(fleet)
-        fleet.planner("planner").ports()
+        fleet.planner("planner").wait_started()
         succeeded = send_requests(fleet)
         print_locations(fleet)
         if "--stay" in args:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -85,15 +85,22 @@
 
     def ports(self) -> dict[str, int]:
         """Return the ports that the process printed."""
-
-        def listening_line() -> str:
-            if self.popen.poll() is not None:
-                raise RuntimeError(f"{self.name} exited:\n{self.log.read_text()}")
-            lines = self.log.read_text()[self.log_offset :].split("\n")[:-1]
-            return next((ln for ln in lines if ln.startswith("listening ")), "")
-
-        ports = wait_for(listening_line, f"the port of {self.name}").split()[1:]
-        return {key: int(port) for key, port in (word.split("=") for word in ports)}
+        line = wait_for(
+            lambda: self._announced("listening "), f"the port of {self.name}"
+        )
+        words = line.split()[1:]
+        return {key: int(port) for key, port in (word.split("=") for word in words)}
+
+    def wait_started(self) -> None:
+        """Wait until a process that listens on no port has started."""
+        wait_for(lambda: self._announced("started"), f"the start of {self.name}")
+
+    def _announced(self, prefix: str) -> str:
+        """Return the first line that begins so, empty if there is none yet."""
+        if self.popen.poll() is not None:
+            raise RuntimeError(f"{self.name} exited:\n{self.log.read_text()}")
+        lines = self.log.read_text()[self.log_offset :].split("\n")[:-1]
+        return next((line for line in lines if line.startswith(prefix)), "")
 
     def signal(self, signum: int) -> None:
         """Send a signal."""
