Close idle connections early only at servers for many callers

Reading the diff: 64 connections below the limit is below zero for the servers of metrics, readiness and stand-ins, which have a handful, so that each new connection closed all idle ones. test_server_for_few_callers_... failed before (a request on an open connection got none), and passes now. Also names: may_have_run, private functions.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -219,15 +219,14 @@
     def _record_unanswered(self, request: InFlightRequest, failure: Failure) -> Failure:
         assert request.permit is not None
         record = request.permit.record
-        unreachable = failure.verdict is Verdict.NOT_RUN
-        if not unreachable:
-            request.attempts += 1
+        may_have_run = failure.verdict is not Verdict.NOT_RUN
+        request.attempts += may_have_run
         if request.abort.reason is not None:
             return failure
-        if not unreachable:
+        if may_have_run:
             self._report_loss(request, record)
         request.excluded |= {record.name}
-        self._dispatcher.record_failure(record, unreachable)
+        self._dispatcher.record_failure(record, unreachable=not may_have_run)
         self._log(request, "attempt_failed", failure)
         return failure
 
@@ -318,7 +317,7 @@
         reply: Reply | None = None,
     ) -> None:
         permit = request.permit
-        source = _source_fields(reply) if reply is not None else {}
+        answer_fields = _answer_fields(reply) if reply is not None else {}
         log(
             event,
             request=request.request_id,
@@ -331,7 +330,7 @@
             attempt=request.attempts + request.refusals,
             framing=request.framing.value if request.framing else "-",
             leaving=request.leaving,
-            **source,
+            **answer_fields,
         )
 
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
@@ -377,7 +376,7 @@
         return Failure(ErrorCode.DEADLINE, reason.value, Verdict.MAY_HAVE_RUN)
 
 
-def _source_fields(reply: Reply) -> dict[str, object]:
+def _answer_fields(reply: Reply) -> dict[str, object]:
     """Return the log fields that tell whose answer a reply is."""
     source = reply.source
     return {
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -222,7 +222,7 @@
     return Framing.CLOSE if length is None else Framing.LENGTH
 
 
-def log_unmatched(
+def _log_unmatched(
     request_id: RequestId, status: int, parsed: ReplyHeaders, source: AnswerSource
 ) -> None:
     """Log an answer that is not taken for that of the request sent last."""
@@ -337,7 +337,7 @@
         source = replace(source, answer_id=parsed.request_id)
         if not source.matches(req.request_id):
             # A late answer to another request; this request may still be running.
-            log_unmatched(req.request_id, response.status, parsed, source)
+            _log_unmatched(req.request_id, response.status, parsed, source)
             raise UnmatchedAnswer("the answer belongs to another request")
         # It is 0 if the method or the status allows no body.
         length = response.length_remaining
--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -34,6 +34,8 @@
 
 SPARE_CONNS: Final = 64
 """Connections below the limit at which the longest idle ones are closed."""
+MIN_KEPT_PER_SPARE: Final = 16
+"""Least limit for each of the ``SPARE_CONNS``; a server for few callers has none."""
 CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
 
 
@@ -87,8 +89,10 @@
     def handle_accept(self) -> None:
         """Take some of the connections that wait, or pause."""
         now = self._clock()
-        if len(self._map) >= self.adj.connection_limit - SPARE_CONNS:
-            self._close_longest_idle(2 * SPARE_CONNS)
+        limit = self.adj.connection_limit
+        spare = min(SPARE_CONNS, limit // MIN_KEPT_PER_SPARE)
+        if len(self._map) >= limit - spare:
+            self._close_longest_idle(2 * spare)
         for _ in range(MAX_ACCEPTS):
             cause = self._pause_cause(now)
             if cause is not None:
@@ -103,11 +107,13 @@
         """Close some idle connections; at the limit no caller could connect."""
         channels = self.active_channels.values()
         by_age = sorted(channels, key=lambda item: float(item.last_activity))
-        idle = (channel for channel in by_age if not channel.has_input())
-        closed = list(itertools.islice(idle, count))
+        idle = (item for item in by_age if not item.close_when_flushed)
+        unused = (item for item in idle if not item.has_input())
+        closed = list(itertools.islice(unused, count))
         for channel in closed:
             channel.close_when_flushed = True
-        log("idle_conns_closed", closed=len(closed), open=len(self._map))
+        if closed:
+            log("idle_conns_closed", closed=len(closed), open=len(self._map))
 
     def _take(self, sock: socket.socket, addr: Any, now: float) -> None:
         self.meter.accepted()
--- a/tests/test_idle_conns.py
+++ b/tests/test_idle_conns.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import threading
+import time
 
 from persimmonhitch.web import Answer, WebServer, server
 
@@ -44,3 +45,26 @@
         release.set()
         assert slow.getresponse().read() == b"ok"
         slow.close()
+
+
+def test_server_for_few_callers_keeps_their_connections():
+    """Guards against a new connection for each request to a small server."""
+
+    def app(_environ, start_response):
+        return Answer(200, {"content-length": "2"}, [b"ok"]).send(start_response)
+
+    web = WebServer(app, "127.0.0.1", 0, 6)
+    web.start()
+    with contextlib.ExitStack() as stack:
+        stack.callback(web.close)
+        conns = [connect(web.port) for _ in range(5)]
+        for conn in conns:
+            stack.callback(conn.close)
+            assert conn.getresponse().read() == b"ok"
+        stack.callback(connect(web.port).close)
+        time.sleep(0.2)
+        for conn in conns:
+            # The library would connect again.
+            conn.auto_open = 0
+            conn.request("GET", "/")
+            assert conn.getresponse().read() == b"ok"
