--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from ..json_input import is_readable
+from ..observe.logs import log
 from ..store.era import Era, revision_of, version_of
 from ..store.objects import (
     Changes,
@@ -105,9 +106,13 @@
     """Return the object of a list or a watch, None if it has no readable name."""
     try:
         obj = decode_object(kind, item, era)
-    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError):
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as exc:
+        log("object_unreadable", kind=kind.value, error=repr(exc))
         return None
-    return obj if is_readable(obj.name) else None
+    if not is_readable(obj.name):
+        log("object_unreadable", kind=kind.value, error=repr(obj.name))
+        return None
+    return obj
 
 
 def _decode_event(kind: Kind, item: Mapping[str, Any], era: Era) -> Event | None:
--- a/src/persimmonhitch/platform/upstream_format.py
+++ b/src/persimmonhitch/platform/upstream_format.py
@@ -44,7 +44,7 @@
             zone=Zone(_text(body["zone"])),
             slots=_whole(body["slots"], MAX_SLOTS),
             draining=state == "draining",
-            started_at_ms=_whole(body.get("born") or 0, MAX_WHOLE),
+            started_at_ms=_whole(body.get("born", 0), MAX_WHOLE),
             # The sequence of a registration record counts heartbeats, not orders.
             inventory=decode_inventory(body, NOT_COUNTED) if "models" in body else None,
             version=_version(body.get("version")),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -79,6 +79,7 @@
 ODD_ENTRIES = {
     **{name: entry_text(**dict([pair])) for name, pair in ODD_VALUES.items()},
     "not-an-object": "[1]",
+    "born-list": entry_text(born="[]"),
     "bytes-that-are-no-text": entry_text(version='"BYTES"'),
 }
 
