Tests wait on conditions instead of sleeping

Seven sleeps of this change's tests: FakeUpstream.wait_closed joins the threads of its connections, so that every request that was sent is known; a gateway closes its idle connections at its end; wait_for polls for the rest. A server process prints a line once it has passed its body on.

--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -73,6 +73,8 @@
     f"HTTP/1.1 200 OK\r\n{SIGNATURE}Content-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\n"
 ).encode()
+JOIN_S = 5.0
+"""Longest wait for the end of a connection whose peer has closed it."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -112,6 +114,7 @@
         self.received = []
         self.disconnected = threading.Event()
         self._script = script
+        self._threads = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         port = self._listener.getsockname()[1]
         models = {MODEL: frozenset()} if service == LLM else None
@@ -135,7 +138,15 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            thread = threading.Thread(target=self._serve, args=(sock,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def wait_closed(self):
+        """Wait until all connections are closed, and so all requests are known."""
+        for thread in self._threads:
+            thread.join(JOIN_S)
+            assert not thread.is_alive()
 
     def _serve(self, sock):
         reader = sock.makefile("rb")
@@ -275,7 +286,7 @@
         self.quota.update(cfg)
         self.poison = PoisonGuard(self.vm)
         self.limits = sole_entry_limits()
-        conns = ConnectionPool()
+        self.conns = conns = ConnectionPool()
         self.checks = CrashChecks(self.poison, conns)
         self.checks.start()
         self.dispatcher = Dispatcher(
@@ -346,6 +357,7 @@
         self.checks.stop()
         self.watchdog.stop()
         self.server.close()
+        self.conns.keep_only(frozenset())
         for upstream in self.upstreams:
             upstream.close()
 
--- a/tests/test_given_up_requests.py
+++ b/tests/test_given_up_requests.py
@@ -1,9 +1,8 @@
 """Requests whose callers leave, or whose time ends, before their answer begins."""
 
-import time
-
 import pytest
 from direct_help import LLM, FakeUpstream, GatewayServer, config
+from fleet import wait_for
 
 
 @pytest.mark.parametrize("ends_by", ["caller", "deadline"])
@@ -19,13 +18,12 @@
     with GatewayServer(upstream, cfg=config(rate=0.001, burst=121.0)) as gateway:
         if ends_by == "caller":
             conn = gateway.open("/chat/x")
-            while not upstream.received:
-                time.sleep(0.01)
+            wait_for(lambda: upstream.received, "the request")
             conn.close()
         else:
             assert gateway.call("/chat/x", X_Persimmonhitch_Request_Deadline="200")
         assert upstream.disconnected.wait(2)
-        time.sleep(0.2)
+        wait_for(lambda: not len(gateway.watchdog), "the end of the request")
         reply = gateway.call("/chat/x", X_Persimmonhitch_Request_Deadline="300")
     assert reply.status == 429
     assert len(upstream.received) == 1
--- a/tests/test_idle_conns.py
+++ b/tests/test_idle_conns.py
@@ -3,7 +3,6 @@
 import contextlib
 import http.client
 import threading
-import time
 
 from persimmonhitch.web import Answer, WebServer, server
 
@@ -61,8 +60,10 @@
         for conn in conns:
             stack.callback(conn.close)
             assert conn.getresponse().read() == b"ok"
-        stack.callback(connect(web.port).close)
-        time.sleep(0.2)
+        newest = connect(web.port)
+        stack.callback(newest.close)
+        # The server accepts before it reads, and closes what it has chosen meanwhile.
+        assert newest.getresponse().read() == b"ok"
         for conn in conns:
             # The library would connect again.
             conn.auto_open = 0
--- a/tests/test_killed_entry.py
+++ b/tests/test_killed_entry.py
@@ -4,7 +4,6 @@
 import socket
 import subprocess
 import sys
-import time
 
 import pytest
 
@@ -17,6 +16,7 @@
 def parts():
     for _ in range(count):
         yield b"x" * size
+        print("written", flush=True)
         threading.Event().wait(pause)
 
 def app(environ, start_response):
@@ -73,7 +73,7 @@
 def test_unsent_part_of_a_written_answer_does_not_look_whole(serve):
     """Guards against an answer that is lost between the entry and a slow reader."""
     process, sock = serve(1, 16_000_000, 0.0)
-    time.sleep(0.5)
+    assert process.stdout.readline() == "written\n"
     process.kill()
     with pytest.raises(ConnectionResetError):
         read_to_end(sock)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -82,8 +82,7 @@
     with GatewayServer(upstream) as gateway:
         upstream.on_refusal = lambda: announce_model(gateway, upstream)
         reply = gateway.call("/chat/x")
-        # The engine reads a third attempt in this time, if there is one.
-        time.sleep(0.3)
+    upstream.wait_closed()
     assert reply.status == 200
     assert upstream.runs == ["q1"]
 
@@ -149,7 +148,8 @@
             gateway.call("/book/x", X_Persimmonhitch_Request_Id=f"b{number}")
             for number in range(4)
         ]
-        time.sleep(0.2)
+    for upstream in upstreams:
+        upstream.wait_closed()
     assert {reply.status for reply in replies} <= {200, 502}
     assert 502 in {reply.status for reply in replies}
     assert len(runs) == len(set(runs))
@@ -182,8 +182,9 @@
         left_after.append(time.monotonic() - started_at)
         return False
 
-    with GatewayServer(FakeUpstream("u1", script, LLM)) as gateway:
+    upstream = FakeUpstream("u1", script, LLM)
+    with GatewayServer(upstream) as gateway:
         reply = gateway.call("/resume/x")
-        time.sleep(0.1)
+        upstream.wait_closed()
     assert reply.status in (502, 503)
     assert left_after and max(left_after) < 0.3
