Keep backoffs and limits of upstreams whose records lapse

Request limits were forgotten in the same way until the next answer or update of a peer.

Class of fault: what an instance said is kept with its record, and a record that is missing is taken for an instance that has ended.

Evidence: test_upstream_whose_record_lapses_... and test_limit_of_an_unlisted_upstream [lapsed] failed before (two requests, a slot), and pass now.

--- a/src/persimmonhitch/direct/upstream_backoffs.py
+++ b/src/persimmonhitch/direct/upstream_backoffs.py
@@ -52,10 +52,15 @@
         return pair[1].wait_s(now) if pair is not None else 0.0
 
     def update(self, instances: Iterable[UpstreamInstance], now: float) -> None:
-        """Drop periods that have ended, and those of instances no longer listed."""
-        listed = set(instances)
+        """Drop periods that have ended, and those of instances that were replaced.
+
+        An instance that is not listed may be listed again: records of running upstreams
+        lapse.
+        """
+        listed = {instance.name: instance for instance in instances}
         self._periods = {
             name: (instance, period)
             for name, (instance, period) in self._periods.items()
-            if instance in listed and period.traffic_share(now) < 1.0
+            if listed.get(name, instance) == instance
+            and period.traffic_share(now) < 1.0
         }
--- a/src/persimmonhitch/direct/upstream_limits.py
+++ b/src/persimmonhitch/direct/upstream_limits.py
@@ -176,14 +176,26 @@
         """Apply a list of upstreams; drop instances that were removed or restarted."""
         listed = list(records)
         instances = {instance_of(record) for record in listed}
+        now = self._clock()
         with self._lock:
-            changed = self._cold.update(listed, self._clock())
-            removed = (self._states.keys() | self._grants.keys()) - instances
+            changed = self._cold.update(listed, now)
+            unlisted = (self._states.keys() | self._grants.keys()) - instances
+            names = {instance.name for instance in instances}
+            removed = {
+                instance
+                for instance in unlisted
+                if instance.name in names or not self._is_recent(instance, now)
+            }
             for instance in removed:
                 self._states.pop(instance, None)
-            self._backoffs.update(instances, self._clock())
+            self._backoffs.update(instances, now)
             self._update_allowances(changed | removed)
 
+    def _is_recent(self, instance: UpstreamInstance, now: float) -> bool:
+        """Return whether an instance may still be running, by its last report."""
+        state = self._states.get(instance)
+        return state is not None and now - state.reported_at < RESEND_TTL_S
+
     def _update_allowances(self, instances: Iterable[UpstreamInstance]) -> None:
         for instance in instances:
             self._update_allowance(instance)
--- a/tests/test_limit_gateway.py
+++ b/tests/test_limit_gateway.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 from direct_help import (
@@ -16,6 +17,10 @@
     event,
     resets,
 )
+from fake_engine import Clock
+
+from persimmonhitch.direct.upstream_limits import UpstreamLimits
+from persimmonhitch.fleet.call import RateLimit
 
 LIMIT_PER_S = 2.0
 WINDOW_S, OVERAGE, SLACK = 4.0, 1.5, 5
@@ -51,6 +56,32 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("unlisted_s", "started_at_ms", "is_kept"),
+    [(0.3, 1, True), (60.0, 1, False), (0.3, 2, False)],
+    ids=["lapsed", "gone", "restarted"],
+)
+def test_limit_of_an_unlisted_upstream(unlisted_s, started_at_ms, is_kept):
+    """Guards against a burst at an upstream whose record lapses, and against a limit
+    that outlives its upstream.
+    """
+    clock = Clock()
+    limits = UpstreamLimits(lambda _msg: None, lambda: 1, clock)
+    upstream = LimitedUpstream("u1")
+    record = upstream.record
+    upstream.close()
+    limits.update_upstreams([record])
+    limits.answered(record, RateLimit(0.0), clock())
+    while limits.acquire_report_slot(record):
+        pass
+    limits.update_upstreams([])
+    clock.sleep(unlisted_s)
+    limits.update_upstreams([])
+    back = replace(record, started_at_ms=started_at_ms)
+    limits.update_upstreams([back])
+    assert limits.acquire_report_slot(back) is not is_kept
+
+
 def stalls(first=b""):
     """Return a script that sends some bytes and then none for a second."""
 
--- a/tests/test_upstream_backoff.py
+++ b/tests/test_upstream_backoff.py
@@ -143,6 +143,17 @@
     assert len(rejecting.received_at) == 2
 
 
+def test_upstream_whose_record_lapses_keeps_its_backoff():
+    """Guards against requests that an upstream with a lapsed record does not want."""
+    rejecting = RejectingUpstream()
+    with GatewayServer(rejecting) as gateway:
+        gateway.call("/book/x")
+        for records in ([], [rejecting.record]):
+            gateway.limits.update_upstreams(records)
+        gateway.call("/book/x")
+    assert len(rejecting.received_at) == 1
+
+
 @pytest.mark.parametrize(
     ("asked", "wait"),
     [
