Block a part together with those that were lost with it in all unexplained crashes

The crash of the blocked call counted as one in which part-53 was lost without part-bad0, so that the block covered part-53 alone. A crash that a blocked cause explains shows nothing about a part that the cause carries too.

The parts that a block covers are now those that all its requests have in the crashes that nothing explains, if there are two or more of these; with one, the crashes of the blocked request count as before, since the part may be what made it crash upstreams.

--- a/src/persimmonhitch/decide/part_crashes.py
+++ b/src/persimmonhitch/decide/part_crashes.py
@@ -82,8 +82,9 @@
     """All crashes that no other cause explains, confirmed or not."""
     pending: int = 0
     """Crashes that may be confirmed at any moment."""
-    unexplained: int = 0
-    """Confirmed crashes that no blocked cause explains, not even one with this part."""
+    unexplained: list[dict[PartId, set[Fingerprint]]] = field(default_factory=list)
+    """Suspects by part, for each confirmed crash that no blocked cause explains, not
+    even one with this part."""
     latest_at: float = -math.inf
     first_at: float = math.inf
     last_at: float = -math.inf
@@ -99,7 +100,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether requests with the part have to run in isolation."""
-        return self.unexplained > 0 and self.confirmed >= SUSPECT_CRASHES
+        return bool(self.unexplained) and self.confirmed >= SUSPECT_CRASHES
 
     @property
     def weight(self) -> float:
@@ -119,7 +120,7 @@
     def is_blamed(self) -> bool:
         """Return whether the crashes suffice for a block."""
         return (
-            self.unexplained > 0
+            bool(self.unexplained)
             and self.confirmed >= BLOCK_CRASHES
             and not self.has_single_request
         )
@@ -147,7 +148,8 @@
                 count.carriers.append(carriers)
                 count.first_at = min(count.first_at, crash.at)
                 count.last_at = max(count.last_at, crash.at)
-                count.unexplained += not explaining
+                if not explaining:
+                    count.unexplained.append(parts)
     return counts
 
 
@@ -185,9 +187,15 @@
 def _combination(
     part: PartId, crashes: Iterable[Crash], counts: Mapping[PartId, PartCounts]
 ) -> frozenset[PartId]:
-    """Return a part and those that all its requests have as well, in every crash."""
+    """Return a part and those that all its requests have as well, in every crash.
+
+    Several crashes that no blocked cause explains outweigh those that one explains:
+    these show nothing about a part that another cause was lost with.
+    """
     lost = [crash.suspect_parts() for crash in crashes]
     present = [parts for parts in lost if part in parts]
+    if len(counts[part].unexplained) >= SUSPECT_CRASHES:
+        present = counts[part].unexplained
     others = (
         other
         for other in present[-1]
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -80,6 +80,18 @@
     assert blocks(history_of(*crashes)) == blocked
 
 
+def test_part_that_a_blocked_request_has_too_is_not_blocked_alone():
+    """Guards against refusals of sound requests that have a part in common with two
+    causes of crashes.
+    """
+    call = ["call", FIRST, MATE]
+    history = history_of([(BAD, MATE)], [call], [["call", OTHER]], [["call", OTHER]])
+    assert blocks(history) == [{"call"}]
+    add_crash(history, 5, (BAD, MATE), at=5.0)
+    assert blocks(history) == [{BAD, MATE}]
+    assert history.blocking(Fingerprint("sound"), (FIRST, MATE), 100.0) is None
+
+
 def test_upstreams_that_fail_together_block_no_part():
     """Guards against a block of parts that were lost with a rack of upstreams."""
     assert blocks(history_of(*[[(BAD,)]] * 4, at=1.0)) == []
