Read large request bodies only as far as their memory reaches

Nothing bounded them: limits on new connections and on requests count requests, and each holds its body twice until it ends.

A body of more than 64 KiB is now read once twice its size is reserved, out of a quarter of the VM's memory, in the order in which bodies begin; the rest stays in the callers' sockets. One that has waited for a second is given up unread, so that the caller goes to another entry (line body_not_read). The decision is in decide/body_memory.py.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -20,6 +20,7 @@
 from returns.result import Success
 
 from ..decide.admission import connections_refusal
+from ..decide.body_memory import max_body_memory
 from ..decide.cold_start import may_fall_back
 from ..decide.conn_admission import MAX_START_S, ConnAdmission, max_requests
 from ..decide.evacuation import ZoneEvacuations
@@ -324,6 +325,7 @@
                 self.max_requests, self._is_synced, time.monotonic() + MAX_START_S
             ),
             link_mbps=cfg.link_mbps,
+            max_bodies=max_body_memory(cfg.memory_mb),
         )
         self.caller_load = CallerLoad(self.server.meter, self.metrics)
         self.status_servers = [
@@ -558,6 +560,7 @@
             try:
                 self.server.resume_listening()
                 self.server.drop_slow_readers()
+                self.server.drop_waiting_bodies()
                 self.upstreams.expire()
                 self.leaving.apply()
                 if self.dispatcher.weighs_accounts():
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -12,9 +12,12 @@
 from typing import Any, Final
 
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
+from ..decide.body_memory import FREE_BODY_BYTES, BodyMemory
 from ..decide.conn_admission import ConnAdmission
+from ..observe.logs import SampledLog
 from .http import (
     DROP,
     MAX_BODY_BYTES,
@@ -48,6 +51,8 @@
 """Connections without a request; half of the file descriptors of a small VM."""
 NO_FRAMING: Final = "persimmonhitch.no_framing"
 """Key in the environment of a request whose answer ends with its connection."""
+MAX_BODY_LINES_PER_S: Final = 20
+"""Log lines per second for bodies that are not read."""
 CHUNKED_LINE: Final = b"Transfer-Encoding: chunked\r\n"
 """Header line that waitress adds to each HTTP/1.1 answer without a length."""
 POLL_INTERVAL_S: Final = 0.02
@@ -151,7 +156,26 @@
         self.write(body)
 
 
+class _RequestParser(HTTPRequestParser):  # type: ignore[misc]
+    on_close: Callable[[], None] | None = None
+    """Called when the request has ended and its body is dropped."""
+
+    def close(self) -> None:
+        super().close()
+        if self.on_close is not None:
+            self.on_close()
+
+    @property
+    def max_body_size(self) -> int:
+        """Return the size of the body, the largest one of a chunked body."""
+        if not self.chunked:
+            return int(self.content_length)
+        is_large = self.body_bytes_received > FREE_BODY_BYTES
+        return MAX_BODY_BYTES if is_large else 0
+
+
 class _Channel(HTTPChannel):  # type: ignore[misc]
+    parser_class = _RequestParser
     task_class = _Task
     error_task_class = _ErrorTask
     sent_bytes = 0
@@ -168,6 +192,24 @@
         self.server.meter.bytes_sent(count)
         return count
 
+    def readable(self) -> bool:
+        """Return whether more is to be read; a large body needs its memory first."""
+        return bool(super().readable()) and self._may_read_body()
+
+    def _may_read_body(self) -> bool:
+        req = self.request
+        if req is None or req.max_body_size <= FREE_BODY_BYTES:
+            return True
+        req.on_close = partial(self._release_body, req)
+        memory: BodyMemory = self.server.body_memory
+        return memory.try_reserve(req, req.max_body_size, time.monotonic())
+
+    def _release_body(self, req: _RequestParser) -> None:
+        if self.server.body_memory.release(req):
+            # The server loop would else look at the waiting connections only when
+            # another one has data.
+            self.server.pull_trigger()
+
     def recv(self, buffer_size: int) -> bytes:
         """Receive some bytes."""
         data: bytes = super().recv(buffer_size)
@@ -204,6 +246,10 @@
         is_sent = self.has_whole_answer and not self.total_outbufs_len
         if is_sent and self.socket is not None:
             close_in_order(self.socket)
+        # The first request, if any, is closed by the thread that serves it.
+        for req in [*self.requests[1:], self.request]:
+            if req is not None:
+                self._release_body(req)
         super().handle_close()
 
     def drop_request(self, req: Any) -> None:
@@ -268,6 +314,8 @@
 
     With ``max_unread``, the unread bytes of all callers are bounded by this number.
 
+    With ``max_bodies``, the memory of large request bodies is bounded by this number.
+
     With ``admission`` the server stops listening for moments without room.
 
     With ``keep_streams`` a connection stays open after a chunked answer, and up to
@@ -285,6 +333,7 @@
         max_unread: int | None = None,
         admission: ConnAdmission | None = None,
         link_mbps: float = 0.0,
+        max_bodies: int | None = None,
     ) -> None:
         max_buffered = MAX_UNSENT_BYTES
         if max_unread is not None:
@@ -321,6 +370,8 @@
         )
         self._server.channel_class = _Channel
         self._server.keep_streams = keep_streams
+        self._server.body_memory = self._body_memory = BodyMemory(max_bodies)
+        self._body_log = SampledLog("body_not_read", MAX_BODY_LINES_PER_S)
         self._server.build_refusal = build_refusal
         self._thread = threading.Thread(
             target=self._server.run, name="web-server", daemon=True
@@ -386,6 +437,22 @@
         if self._slow_readers is not None:
             self._slow_readers.check(list(self._server.active_channels.values()))
 
+    def drop_waiting_bodies(self) -> None:
+        """Break off connections whose request body has waited too long for memory.
+
+        To be called several times per second. Callers send an unread request again.
+        """
+        overdue = set(self._body_memory.overdue(time.monotonic()))
+        if not overdue:
+            return
+        for channel in list(self._server.active_channels.values()):
+            if channel.request in overdue:
+                self._body_log.log(
+                    size=channel.request.max_body_size,
+                    held=self._body_memory.held_bytes,
+                )
+                channel.drop()
+
     def busy_conns(self) -> int:
         """Return the number of connections with a request or unsent bytes."""
         channels = list(self._server.active_channels.values())
