--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -378,13 +378,12 @@
 
 def _answer_fields(reply: Reply) -> dict[str, object]:
     """Return the log fields that tell whose answer a reply is."""
-    source = reply.source
     return {
         "status": reply.status,
         "not_run": reply.parsed_headers.not_run,
-        "answer": source.answer_id or "-",
-        "conn": source.port,
-        "earlier": source.earlier_requests,
+        "answer": reply.parsed_headers.request_id or "-",
+        "conn": reply.port,
+        "earlier": reply.earlier_requests,
         "backoff": reply.parsed_headers.backoff_s,
     }
 
--- a/src/persimmonhitch/direct/connection_pool.py
+++ b/src/persimmonhitch/direct/connection_pool.py
@@ -90,6 +90,7 @@
             conn.close()
             return None
         sock = conn.sock
+        conn.local_port = sock.getsockname()[1]
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with contextlib.suppress(OSError):
             # Without this timeout, a VM that lost power would block the thread up to
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 from http.client import HTTPException
 from typing import Final
@@ -65,28 +65,6 @@
     repeatable: bool
 
 
-@dataclass(frozen=True)
-class AnswerSource:
-    """Connection on which an answer came, and how the answer names its request."""
-
-    port: int
-    """Local port of the connection."""
-    earlier_requests: int
-    """Requests that the connection carried before this attempt."""
-    answer_id: RequestId | None = None
-    """Request id in the answer, if it has one."""
-
-    def matches(self, request_id: RequestId) -> bool:
-        """Return whether the answer belongs to the request sent last.
-
-        Without an id it may be a late answer to any request that the connection
-        carried.
-        """
-        if self.answer_id is None:
-            return self.earlier_requests == 0
-        return self.answer_id == request_id
-
-
 class Framing(Enum):
     """How an answer marks its end."""
 
@@ -112,7 +90,8 @@
     _release_conn: Callable[[], None]
     _content_length: int | None
     framing: Framing
-    source: AnswerSource
+    earlier_requests: int
+    """Requests that the connection carried before this one."""
     held: HeldAnswer
     """What the process holds of this answer in memory."""
     _complete: bool = field(default=False)
@@ -174,6 +153,11 @@
         else:
             self._release_conn()
 
+    @property
+    def port(self) -> int:
+        """Return the local port of the connection, for the logs."""
+        return self._conn.local_port
+
     @property
     def media_type(self) -> str | None:
         """Return the media type in lower case, without its parameters."""
@@ -213,7 +197,7 @@
 
 
 class UnmatchedAnswer(ValueError):
-    """Raised if an answer does not belong to the request sent last."""
+    """Raised if an answer does not belong to the request sent last, which may run."""
 
 
 def _framing(headers: dict[str, str], length: int | None) -> Framing:
@@ -222,20 +206,29 @@
     return Framing.CLOSE if length is None else Framing.LENGTH
 
 
-def _log_unmatched(
-    request_id: RequestId, status: int, parsed: ReplyHeaders, source: AnswerSource
+def _check_match(
+    request_id: RequestId, status: int, parsed: ReplyHeaders, conn: BoundedConnection
 ) -> None:
-    """Log an answer that is not taken for that of the request sent last."""
+    """Raise ``UnmatchedAnswer`` if an answer may belong to an earlier request.
+
+    An answer without an id may belong to any request that the connection carried.
+    """
+    is_only_request = conn.request_count == 1
+    if parsed.request_id == request_id or (
+        parsed.request_id is None and is_only_request
+    ):
+        return
     log(
         "answer_unmatched",
         request=request_id,
-        answer=source.answer_id or "-",
+        answer=parsed.request_id or "-",
         status=status,
         not_run=parsed.not_run,
         instance=parsed.instance or "-",
-        conn=source.port,
-        earlier=source.earlier_requests,
+        conn=conn.local_port,
+        earlier=conn.request_count - 1,
     )
+    raise UnmatchedAnswer("the answer belongs to another request")
 
 
 def time_over() -> Failure:
@@ -297,11 +290,10 @@
         if abort.reason is not None:
             conn.close()
             return Err(time_over())
-        source = AnswerSource(sock.getsockname()[1], conn.request_count)
         conn.request_count += 1
         used.add(conn)
         try:
-            return self._exchange(address, conn, req, abort, timeout_s, source)
+            return self._exchange(address, conn, req, abort, timeout_s)
         except EXCHANGE_ERRORS as exc:
             conn.close()
             if isinstance(exc, AnswerBoundExceeded):
@@ -316,7 +308,6 @@
         req: OutgoingRequest,
         abort: Abort,
         timeout_s: float,
-        source: AnswerSource,
     ) -> Result[Reply, Failure]:
         # http.client sets the socket timeout from the connection. The margin lets the
         # watchdog abort the request at its deadline first.
@@ -334,11 +325,7 @@
         response = conn.getresponse()
         headers = {k.lower(): v for k, v in response.headers.items()}
         parsed = self._parse_headers(response.status, headers)
-        source = replace(source, answer_id=parsed.request_id)
-        if not source.matches(req.request_id):
-            # A late answer to another request; this request may still be running.
-            _log_unmatched(req.request_id, response.status, parsed, source)
-            raise UnmatchedAnswer("the answer belongs to another request")
+        _check_match(req.request_id, response.status, parsed, conn)
         # It is 0 if the method or the status allows no body.
         length = response.length_remaining
         return Success(
@@ -354,7 +341,7 @@
                 lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
                 length,
                 _framing(headers, length),
-                source,
+                conn.request_count - 1,
                 self._memory.hold(lambda: _shut_down(sock)),
             )
         )
--- a/src/persimmonhitch/http_client/connection.py
+++ b/src/persimmonhitch/http_client/connection.py
@@ -14,6 +14,8 @@
     """Connection that bounds the heads and the framing of its answers."""
 
     _answer: BoundedResponse | None = None
+    local_port = 0
+    """Local port, which names the connection in logs; set by its user."""
     request_count = 0
     """Requests sent on the connection; counted by its user."""
 
--- a/src/persimmonhitch/json_input.py
+++ b/src/persimmonhitch/json_input.py
@@ -15,8 +15,9 @@
 """Levels of lists and objects in a readable value."""
 MAX_PARSED_DEPTH: Final = 2 * MAX_DEPTH
 """Levels that are parsed: a document around its readable values."""
+MAX_INT: Final = 2**63 - 1
 MAX_DIGITS: Final = 18
-"""Digits of a number that is read as an integer; all of them fit into 64 bits."""
+"""Digits of a number that is surely within ``MAX_INT``."""
 TOO_DEEP: Final = "NaN"
 """Replaces a value below ``MAX_PARSED_DEPTH``; no readable value contains it."""
 DELIMITER: Final = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]|[\]}]', re.DOTALL)
@@ -32,8 +33,9 @@
     """
     text = data if isinstance(data, str) else data.decode("utf-8", "surrogateescape")
     try:
-        return json.loads(text, parse_int=_parse_int)
-    except RecursionError:
+        return json.loads(text)
+    except (RecursionError, ValueError):
+        # The calls for each number take several times as long.
         return json.loads(_prune(text), parse_int=_parse_int)
 
 
@@ -54,32 +56,36 @@
 def is_readable(value: Any) -> bool:
     """Return whether all parts of a value can be used and written again.
 
-    Numbers are finite, texts can be encoded, and nesting is at most ``MAX_DEPTH``.
+    Numbers are finite and integers at most ``MAX_INT``, texts can be encoded, and
+    nesting is at most ``MAX_DEPTH``.
     """
     level: list[Any] = [value]
     for depth in range(MAX_DEPTH + 1):
         deeper: list[Any] = []
         for item in level:
-            if depth == MAX_DEPTH and isinstance(item, dict | list):
-                return False
-            if isinstance(item, dict):
-                if not all(map(_is_plain, item)):
+            kind = type(item)
+            if kind is str:
+                if not item.isascii() and not _is_encodable(item):
                     return False
+            elif kind is dict:
                 deeper += item.values()
-            elif isinstance(item, list):
+                if not _is_encodable("".join(item)):
+                    return False
+            elif kind is list:
                 deeper += item
-            elif not _is_plain(item):
+            elif kind is int:
+                if not -MAX_INT <= item <= MAX_INT:
+                    return False
+            elif kind is float and not math.isfinite(item):
                 return False
+        if not deeper:
+            return depth < MAX_DEPTH or not any(map(_is_nested, level))
         level = deeper
-        if not level:
-            break
-    return True
+    return False
 
 
-def _is_plain(item: Any) -> bool:
-    if isinstance(item, str):
-        return item.isascii() or _is_encodable(item)
-    return not isinstance(item, float) or math.isfinite(item)
+def _is_nested(item: Any) -> bool:
+    return isinstance(item, dict | list)
 
 
 def _is_encodable(text: str) -> bool:
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,9 +1,9 @@
 """Upstreams with unusual answers: unframed, late, cut, with backoffs, or leaving."""
 
-import random
-import threading
 from dataclasses import dataclass
 
+from soak.upstream_faults import UpstreamFaults
+
 MEAN_GAP_S = 1.5
 """Mean seconds between two changes of the answers of an upstream."""
 DURATION_S = 1.0, 4.0
@@ -45,67 +45,41 @@
 FLAWLESS = Flaws()
 
 
-class LateAnswers(threading.Thread):
-    """Makes upstreams send answers twice, or cut heads, for some seconds.
-
-    Uses its own random generator, so that the other faults of a seed do not change.
-    """
+class LateAnswers(UpstreamFaults):
+    """Makes upstreams send answers twice, or cut heads, for some seconds."""
 
     def __init__(self, platform, seed):
-        super().__init__(daemon=True)
-        self._platform = platform
-        self._rng = random.Random(f"late answers {seed}")
-        self._stopped = threading.Event()
-
-    def stop(self):
-        self._stopped.set()
-
-    def run(self):
-        while not self._stopped.wait(self._rng.expovariate(1 / MEAN_GAP_S)):
-            upstream = self._rng.choice(sorted(self._platform.upstreams.items()))[1]
-            seconds = self._rng.uniform(*DURATION_S)
-            upstream.flaws = Flaws(
-                self._rng.uniform(0.0, 0.5), self._rng.choice((0.0, 0.0, 0.2))
-            )
-            args = upstream, seconds
-            threading.Thread(target=self._restore, args=args, daemon=True).start()
+        super().__init__("late answers", platform, seed, MEAN_GAP_S)
+
+    def _change(self, upstream):
+        seconds = self._rng.uniform(*DURATION_S)
+        upstream.flaws = Flaws(
+            self._rng.uniform(0.0, 0.5), self._rng.choice((0.0, 0.0, 0.2))
+        )
+        self._start(self._restore, upstream, seconds)
 
     def _restore(self, upstream, seconds):
         upstream.closed.wait(seconds)
         upstream.flaws = FLAWLESS
 
 
-class AnswerFaults(threading.Thread):
-    """Changes the answers of upstreams for some seconds.
-
-    Uses its own random generator, so that the other faults of a seed do not change.
-    """
+class AnswerFaults(UpstreamFaults):
+    """Changes the answers of upstreams for some seconds."""
 
     def __init__(self, platform, records, seed, log):
-        super().__init__(daemon=True)
-        self._platform = platform
+        super().__init__("answers", platform, seed, MEAN_GAP_S)
         self._records = records
         self._log = log
-        self._rng = random.Random(f"answers {seed}")
-        self._stopped = threading.Event()
-
-    def stop(self):
-        self._stopped.set()
-
-    def run(self):
-        while not self._stopped.wait(self._rng.expovariate(1 / MEAN_GAP_S)):
-            upstream = self._rng.choice(sorted(self._platform.upstreams.items()))[1]
-            seconds = self._rng.uniform(*DURATION_S)
-            draw = self._rng.random()
-            if draw < LEAVING_SHARE:
-                step, args = self._leave, (upstream,)
-            else:
-                is_backoff = draw < LEAVING_SHARE + BACKOFF_SHARE
-                upstream.style = (
-                    self._backoff_style() if is_backoff else self._unframed()
-                )
-                step, args = self._restore, (upstream, seconds)
-            threading.Thread(target=step, args=args, daemon=True).start()
+
+    def _change(self, upstream):
+        seconds = self._rng.uniform(*DURATION_S)
+        draw = self._rng.random()
+        if draw < LEAVING_SHARE:
+            self._start(self._leave, upstream)
+            return
+        is_backoff = draw < LEAVING_SHARE + BACKOFF_SHARE
+        upstream.style = self._backoff_style() if is_backoff else self._unframed()
+        self._start(self._restore, upstream, seconds)
 
     def _unframed(self):
         return AnswerStyle(self._rng.uniform(0.1, 0.6), 0.3)
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -1,10 +1,10 @@
 """Upstreams that announce a request rate limit for some seconds."""
 
-import random
-import threading
 import time
 from dataclasses import dataclass
 
+from soak.upstream_faults import UpstreamFaults
+
 MEAN_GAP_S = 3.0
 """Mean seconds between two announcements."""
 DURATION_S = 5.0, 9.0
@@ -22,27 +22,16 @@
     end: float
 
 
-class LimitFaults(threading.Thread):
-    """Makes upstreams announce limits.
-
-    Uses its own random generator, so that the other faults of a seed do not change.
-    """
+class LimitFaults(UpstreamFaults):
+    """Makes upstreams announce limits."""
 
     def __init__(self, platform, records, seed):
-        super().__init__(daemon=True)
-        self._platform = platform
+        super().__init__("limits", platform, seed, MEAN_GAP_S)
         self._records = records
-        self._rng = random.Random(f"limits {seed}")
-        self._stopped = threading.Event()
-
-    def stop(self):
-        self._stopped.set()
 
-    def run(self):
-        while not self._stopped.wait(self._rng.expovariate(1 / MEAN_GAP_S)):
-            upstream = self._rng.choice(sorted(self._platform.upstreams.items()))[1]
-            if upstream.limit is None:
-                self._announce(upstream)
+    def _change(self, upstream):
+        if upstream.limit is None:
+            self._announce(upstream)
 
     def _announce(self, upstream):
         rate, seconds = self._rng.choice(RATES_PER_S), self._rng.uniform(*DURATION_S)
@@ -50,7 +39,7 @@
         span = LimitSpan(upstream.spec.name, rate, now, now + seconds)
         upstream.limit = str(rate)
         self._records.limits.append(span)
-        threading.Thread(target=self._lift, args=(upstream, span), daemon=True).start()
+        self._start(self._lift, upstream, span)
 
     def _lift(self, upstream, span):
         # The limit of an upstream ends early if the upstream crashes.
