Wait for reports if a request is as likely the cause of crashes as a part

Without all reports no part is blocked, and the entry blocked the call at once, a millisecond before another blocked the part.

A request that is lost with a part that only other requests have, and that has as many crashes, now waits like one that is tied with another request: for a crash that tells them apart, for the reports, or for the sixth crash.

Evidence: test_request_that_was_lost_with_a_part_... replays the logged crashes: the call was blocked before, the part is now.

--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -270,15 +270,29 @@
         return None
 
     def _tied(self, fingerprint: Fingerprint, counts: CrashCounts) -> bool:
-        """Return whether another suspect of the latest crash has as many crashes."""
-        suspects = (
-            crash.suspects()
+        """Return whether another suspect of the latest crash has as many crashes.
+
+        It may be a request, or a part that only other requests have.
+        """
+        latest = next(
+            crash
             for crash in self._newest_first()
-            if crash.confirmed and not self._is_explained(crash)
+            if crash.confirmed
+            and not self._is_explained(crash)
+            and fingerprint in crash.suspects()
+        )
+        others = latest.suspects() - {fingerprint}
+        totals, part_totals = self._counts(), self._part_counts()
+        parts = (
+            part_totals[part]
+            for part, carriers in latest.suspect_parts().items()
+            if part in part_totals and fingerprint not in carriers
+        )
+        return any(
+            totals[other].unexplained >= counts.unexplained for other in others
+        ) or any(
+            part.is_blamed and part.confirmed >= counts.unexplained for part in parts
         )
-        others = next(tied for tied in suspects if fingerprint in tied) - {fingerprint}
-        totals = self._counts()
-        return any(totals[other].unexplained >= counts.unexplained for other in others)
 
     def _newest_first(self) -> list[Crash]:
         return sorted(self._crashes.values(), key=lambda crash: -crash.at)
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -92,6 +92,16 @@
     assert history.blocking(Fingerprint("sound"), (FIRST, MATE), 100.0) is None
 
 
+def test_request_that_was_lost_with_a_part_is_not_blocked_before_it():
+    """Guards against a block of a sound request by an entry that lacks reports."""
+    call = ["call", FIRST, OTHER]
+    history = history_of(
+        [(FIRST, BAD)], [call], [call, (FIRST, BAD)], [call, (FIRST, BAD, MATE)]
+    )
+    assert history.block_attributed(100.0, is_informed=False) == []
+    assert blocks(history) == [{FIRST, BAD}]
+
+
 def test_upstreams_that_fail_together_block_no_part():
     """Guards against a block of parts that were lost with a rack of upstreams."""
     assert blocks(history_of(*[[(BAD,)]] * 4, at=1.0)) == []
