--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -17,8 +17,8 @@
 from ..observe.metrics import Metrics
 from ..platform import headers as wire
 from ..verdict import ErrorCode, Failure, Verdict
-from .abort import AbortReason
 from .admit import Admitted
+from .attempt_failures import abort_failure, is_from, log_attempt, overall_failure
 from .dispatcher import Dispatcher
 from .exchange import (
     MIN_ATTEMPT_S,
@@ -143,11 +143,9 @@
                 return result
             failure = result.failure()
             if request.abort.reason is not None:
-                return Err(
-                    _overall_failure(request, self._abort_failure(request, failure))
-                )
+                return Err(overall_failure(request, abort_failure(request, failure)))
             if not self._may_try_another(request, failure):
-                return Err(_overall_failure(request, failure))
+                return Err(overall_failure(request, failure))
 
     def _may_try_another(self, request: InFlightRequest, failure: Failure) -> bool:
         if request.permit is None:
@@ -227,7 +225,7 @@
             self._report_loss(request, record)
         request.excluded |= {record.name}
         self._dispatcher.record_failure(record, unreachable=not may_have_run)
-        self._log(request, "attempt_failed", failure)
+        log_attempt(request, "attempt_failed", failure)
         return failure
 
     def _check_reply(
@@ -239,16 +237,16 @@
         parsed = reply.parsed_headers
         request.head_at, request.framing = self._clock(), reply.framing
         request.leaving = parsed.leaving
-        if _is_from(record, reply) and reply.status != wire.MISDIRECTED:
+        if is_from(record, reply) and reply.status != wire.MISDIRECTED:
             self._poison.answered(record, request.sent_at)
             self._limits.answered(record, parsed.limit, request.sent_at)
             if parsed.cold_s > 0:
                 self._limits.reported_cold(record, parsed.cold_s)
-        if _is_from(record, reply):
+        if is_from(record, reply):
             self._dispatcher.record_load(record, parsed.load)
-        if parsed.leaving and _is_from(record, reply):
+        if parsed.leaving and is_from(record, reply):
             self._on_leaving(record)
-        if parsed.backoff_s and _is_from(record, reply):
+        if parsed.backoff_s and is_from(record, reply):
             self._limits.asked_to_back_off(record, parsed.backoff_s)
         if parsed.not_run:
             return Err(self._record_refusal(request, reply))
@@ -282,7 +280,7 @@
         reply.close()
         self._dispatcher.record_failure(request.permit.record, False)
         failure = Failure(ErrorCode.PROTOCOL, reason, Verdict.MAY_HAVE_RUN)
-        self._log(request, "attempt_failed", failure, reply)
+        log_attempt(request, "attempt_failed", failure, reply)
         return failure
 
     def _record_refusal(self, request: InFlightRequest, reply: Reply) -> Failure:
@@ -306,39 +304,13 @@
                 self._dispatcher.record_rejection(record)
         reason = f"{record.name} refused it with {reply.status}"
         failure = Failure(code, reason, retry_after=RETRY_AFTER)
-        self._log(request, "attempt_refused", failure, reply)
+        log_attempt(request, "attempt_refused", failure, reply)
         return failure
 
-    def _log(
-        self,
-        request: InFlightRequest,
-        event: str,
-        failure: Failure,
-        reply: Reply | None = None,
-    ) -> None:
-        permit = request.permit
-        answer_fields = _answer_fields(reply) if reply is not None else {}
-        log(
-            event,
-            request=request.request_id,
-            call=request.fingerprint,
-            parts=request.parts_text,
-            upstream=permit.record.name if permit else "-",
-            code=failure.code.value,
-            verdict=failure.verdict.value,
-            reason=failure.message,
-            attempt=request.attempts + request.refusals,
-            framing=request.framing.value if request.framing else "-",
-            leaving=request.leaving,
-            **answer_fields,
-        )
-
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
         """Record a truncated answer; return the failure for its caller."""
         if request.abort.reason is not None:
-            return self._abort_failure(
-                request, Failure(ErrorCode.DEADLINE, "", Verdict.RAN)
-            )
+            return abort_failure(request, Failure(ErrorCode.DEADLINE, "", Verdict.RAN))
         reason = f"the answer was cut short ({loss_reason(exc)})"
         failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
         if isinstance(exc, AnswerBoundExceeded):
@@ -348,7 +320,7 @@
             self._report_loss(request, record)
             self._dispatcher.record_failure(record, False)
             request.excluded |= {record.name}
-        self._log(request, "answer_cut", failure)
+        log_attempt(request, "answer_cut", failure)
         return failure
 
     def _report_loss(self, request: InFlightRequest, record: UpstreamRecord) -> None:
@@ -362,50 +334,3 @@
         recent = not is_stream or elapsed <= RECENT_START_S
         parts = request.admitted.request.parts
         self._poison.connection_lost(request.fingerprint, record, recent, parts)
-
-    def _abort_failure(self, request: InFlightRequest, failure: Failure) -> Failure:
-        """Return the failure for the caller of an aborted request."""
-        reason = request.abort.reason
-        assert reason is not None
-        verdict = failure.verdict
-        if verdict is Verdict.NOT_RUN and reason is AbortReason.TIMEOUT:
-            text = "no upstream could take it in its time"
-            return Failure(ErrorCode.OVERLOADED, text, verdict, RETRY_AFTER)
-        if verdict is Verdict.NOT_RUN:
-            return Failure(ErrorCode.SHUTTING_DOWN, reason.value, verdict, RETRY_AFTER)
-        return Failure(ErrorCode.DEADLINE, reason.value, Verdict.MAY_HAVE_RUN)
-
-
-def _answer_fields(reply: Reply) -> dict[str, object]:
-    """Return the log fields that tell whose answer a reply is."""
-    return {
-        "status": reply.status,
-        "not_run": reply.parsed_headers.not_run,
-        "answer": reply.parsed_headers.request_id or "-",
-        "conn": reply.port,
-        "earlier": reply.earlier_requests,
-        "backoff": reply.parsed_headers.backoff_s,
-    }
-
-
-def _is_from(record: UpstreamRecord, reply: Reply) -> bool:
-    """Return whether an answer comes from the upstream to which a request was sent.
-
-    An instance that rejects a request for another one need not give its name.
-    """
-    instance = reply.parsed_headers.instance
-    if reply.status == wire.MISDIRECTED:
-        return instance == record.name
-    return instance in (None, record.name)
-
-
-def _overall_failure(request: InFlightRequest, failure: Failure) -> Failure:
-    """Return a failure whose verdict covers all attempts of a request.
-
-    If the last upstream did not execute the request, an earlier upstream whose answer
-    was lost may still have.
-    """
-    if failure.verdict is not Verdict.NOT_RUN or request.attempts == 0:
-        return failure
-    reason = f"an answer was lost, then: {failure.message}"
-    return Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
