--- a/src/persimmonhitch/web/http.py
+++ b/src/persimmonhitch/web/http.py
@@ -105,6 +105,15 @@
     return headers
 
 
+def _read_body(received: Any) -> bytes:
+    body: bytes = received.read(MAX_BODY_BYTES + 1)
+    # WSGI promises no such method. The server's own buffer frees its copy of the body.
+    close = getattr(received, "close", None)
+    if close is not None:
+        close()
+    return body
+
+
 def read_request(environ: Environ) -> Result[Request, Failure]:
     """Return the request of a WSGI environment, including its complete body."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -112,8 +121,7 @@
         return Err(
             Failure(ErrorCode.TOO_LARGE, f"a body holds at most {MAX_BODY_BYTES} bytes")
         )
-    with environ["wsgi.input"] as received:
-        body = received.read(MAX_BODY_BYTES + 1)
+    body = _read_body(environ["wsgi.input"])
     if len(body) > MAX_BODY_BYTES:
         return Err(
             Failure(ErrorCode.TOO_LARGE, f"a body holds at most {MAX_BODY_BYTES} bytes")
