Close only connections that have been idle for a second

Near the limit of connections, a caller who had just connected had its connection reset: where all others were busy, its new connection was the longest idle one.

Idle is now a second without bytes, on a clock that does not step. The server looks for idle connections ten times a second while it is near the limit, also at the limit itself, where it takes no connection.

--- a/src/persimmonhitch/web/listener.py
+++ b/src/persimmonhitch/web/listener.py
@@ -36,6 +36,10 @@
 """Connections below the limit at which the longest idle ones are closed."""
 MIN_KEPT_PER_SPARE: Final = 16
 """Least limit for each of the ``SPARE_CONNS``; a server for few callers has none."""
+MIN_IDLE_S: Final = 1.0
+"""Least time without bytes after which a connection is closed as idle. The request of
+a new connection, or the next one of a kept connection, may be on its way."""
+IDLE_CHECK_INTERVAL_S: Final = 0.1
 CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
 
 
@@ -84,15 +88,22 @@
         self._taken = 0
         """Connections taken since the last pause."""
         self._is_stopped = False
+        self._next_idle_check = 0.0
         super().__init__(app, **options)
 
+    def readable(self) -> bool:
+        """Return whether to take connections; close idle ones near the limit."""
+        limit = self.adj.connection_limit
+        spare = min(SPARE_CONNS, limit // MIN_KEPT_PER_SPARE)
+        now = self._clock()
+        if len(self._map) >= limit - spare and now >= self._next_idle_check:
+            self._next_idle_check = now + IDLE_CHECK_INTERVAL_S
+            self._close_longest_idle(2 * spare, now)
+        return bool(super().readable())
+
     def handle_accept(self) -> None:
         """Take some of the connections that wait, or pause."""
         now = self._clock()
-        limit = self.adj.connection_limit
-        spare = min(SPARE_CONNS, limit // MIN_KEPT_PER_SPARE)
-        if len(self._map) >= limit - spare:
-            self._close_longest_idle(2 * spare)
         for _ in range(MAX_ACCEPTS):
             cause = self._pause_cause(now)
             if cause is not None:
@@ -103,10 +114,14 @@
                 return
             self._take(*accepted, now)
 
-    def _close_longest_idle(self, count: int) -> None:
+    def _close_longest_idle(self, count: int, now: float) -> None:
         """Close some idle connections; at the limit no caller could connect."""
-        channels = self.active_channels.values()
-        by_age = sorted(channels, key=lambda item: float(item.last_activity))
+        channels = [
+            channel
+            for channel in self.active_channels.values()
+            if now - channel.active_at >= MIN_IDLE_S
+        ]
+        by_age = sorted(channels, key=lambda channel: float(channel.active_at))
         idle = (item for item in by_age if not item.close_when_flushed)
         unused = (item for item in idle if not item.has_input())
         closed = list(itertools.islice(unused, count))
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -185,10 +185,16 @@
     has_whole_answer = False
     """Whether an answer that ends with the connection was written to its end."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.active_at = time.monotonic()
+        """When bytes last passed the connection, or when it was accepted."""
+
     def send(self, data: bytes, do_close: bool = True) -> int:
         """Send some bytes; return their number."""
         count: int = super().send(data, do_close=do_close)
         self.sent_bytes += count
+        self.active_at = time.monotonic()
         self.server.meter.bytes_sent(count)
         return count
 
@@ -213,6 +219,7 @@
     def recv(self, buffer_size: int) -> bytes:
         """Receive some bytes."""
         data: bytes = super().recv(buffer_size)
+        self.active_at = time.monotonic()
         self.server.meter.bytes_read(len(data))
         return data
 
--- a/tests/test_idle_conns.py
+++ b/tests/test_idle_conns.py
@@ -2,11 +2,15 @@
 
 import contextlib
 import http.client
+import socket
 import threading
 
+from fleet import wait_for
+
 from persimmonhitch.web import Answer, WebServer, server
 
 CONNS, OPENED = 200, 450
+CALLERS = 40
 
 
 def connect(port):
@@ -69,3 +73,25 @@
             conn.auto_open = 0
             conn.request("GET", "/")
             assert conn.getresponse().read() == b"ok"
+
+
+def test_new_connections_are_not_taken_for_idle():
+    """Guards against a reset of callers who have just connected to a busy server."""
+
+    def app(_environ, start_response):
+        return Answer(200, {"content-length": "2"}, [b"ok"]).send(start_response)
+
+    web = WebServer(app, "127.0.0.1", 0, CALLERS)
+    web.start()
+    with contextlib.ExitStack() as stack:
+        stack.callback(web.close)
+        address = ("127.0.0.1", web.port)
+        conns = []
+        for count in range(1, CALLERS + 1):
+            conns.append(socket.create_connection(address, 3))
+            stack.callback(conns[-1].close)
+            wait_for(lambda n=count: len(web._server.active_channels) == n, "a place")
+        for conn in conns:
+            conn.sendall(b"GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+        for conn in conns:
+            assert conn.recv(9) == b"HTTP/1.1 "
