--- a/src/persimmonhitch/platform/headers.py
+++ b/src/persimmonhitch/platform/headers.py
@@ -30,6 +30,8 @@
 LOAD_FIGURE: Final = re.compile(r"[0-9]{1,6}")
 """Form of a figure of an upstream's load; larger numbers are no plausible load."""
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout=(\d+)")
+WHOLE_NUMBER: Final = re.compile(r"[0-9]{1,15}")
+"""Form of counts and versions; larger numbers can't be added up exactly."""
 
 
 def _parse_number(text: str | None) -> float | None:
@@ -41,17 +43,23 @@
     return value if value is not None and 0 <= value < 1e9 else None
 
 
+def _parse_whole(text: str) -> int | None:
+    """Return a whole number, None if malformed or implausibly large."""
+    return int(text) if WHOLE_NUMBER.fullmatch(text) else None
+
+
 def _parse_token_counts(text: str) -> tuple[int, int] | None:
-    first, _, second = text.partition(",")
-    if not (first.strip().isdigit() and second.strip().isdigit()):
-        return None
-    return int(first), int(second)
+    prompt, _, output = map(str.strip, text.partition(","))
+    counts = _parse_whole(prompt), _parse_whole(output)
+    return None if counts[0] is None or counts[1] is None else (counts[0], counts[1])
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     pairs = (item.strip().partition(":") for item in text.split(",") if item)
     return tuple(
-        PromptPart(name, int(tokens)) for name, _, tokens in pairs if tokens.isdigit()
+        PromptPart(name, count)
+        for name, _, tokens in pairs
+        if (count := _parse_whole(tokens)) is not None
     )
 
 
@@ -127,8 +135,8 @@
 
 def parse_era(headers: Headers) -> Era | None:
     """Return the era in a reply of the store, or None if missing or malformed."""
-    text = headers.get(names.STORE_ERA, "").strip()
-    return Era(int(text)) if text.isdecimal() else None
+    number = _parse_whole(headers.get(names.STORE_ERA, "").strip())
+    return None if number is None else Era(number)
 
 
 def parse_limit(headers: Headers) -> RateLimit | None:
--- a/src/persimmonhitch/wire/auth.py
+++ b/src/persimmonhitch/wire/auth.py
@@ -2,12 +2,14 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 from typing import Final
 
 HEADER: Final = "Link-Proof"
 MAX_CLOCK_SKEW_S: Final = 300.0
 """Maximum accepted clock difference between two VMs."""
+TIMESTAMP: Final = re.compile(r"[0-9]{1,15}")
 
 
 def _digest(secret: bytes, timestamp: str, nonce: str) -> str:
@@ -24,7 +26,7 @@
 def verify(secret: bytes, proof: str, wall_time: float) -> bool:
     """Return whether the header value ``proof`` was signed recently with ``secret``."""
     parts = proof.split(".")
-    if len(parts) != 3 or not parts[0].isdigit():
+    if not proof.isascii() or len(parts) != 3 or not TIMESTAMP.fullmatch(parts[0]):
         return False
     timestamp, nonce, digest = parts
     if abs(wall_time - int(timestamp)) > MAX_CLOCK_SKEW_S:
--- a/src/persimmonhitch/wire/codec.py
+++ b/src/persimmonhitch/wire/codec.py
@@ -151,5 +151,5 @@
         return Err(f"unknown message number {parts[0]}")
     try:
         return Success(_converter_for(cls)(parts[1:]))
-    except (FrameError, TypeError, ValueError) as exc:
+    except (FrameError, TypeError, ValueError, OverflowError) as exc:
         return Err(f"{cls.__name__}: {exc}")
