Reject upstreams whose names fit no header

An entry of another writer with a sound address and a name such as '€' or one with a line break got requests; each was lost before it was sent, since the name goes into a header, and callers were told that it may have run.

Found by reading for what else of an odd entry is used after it is decoded. The five cases of test_upstream_whose_name_fits_no_header_gets_no_requests failed before.

--- a/src/persimmonhitch/platform/upstream_format.py
+++ b/src/persimmonhitch/platform/upstream_format.py
@@ -10,6 +10,8 @@
 
 Body = Mapping[str, Any]
 
+NAME: Final = re.compile(r"[\x21-\x7e]{1,253}")
+"""Form of a name that requests can carry in a header."""
 HOST: Final = re.compile(r"[A-Za-z0-9.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]")
 """Form of a host name or an address."""
 PORT: Final = re.compile(r"[0-9]{1,5}")
@@ -29,8 +31,10 @@
     Raises
     ------
     InvalidUpstreamRecord
-        If a field is missing, of a wrong type, or has an unknown value.
+        If the name or a field is missing, of a wrong form, or has an unknown value.
     """
+    if not NAME.fullmatch(name):
+        raise InvalidUpstreamRecord("the name fits no header")
     state = body.get("state")
     if state not in ("ready", "draining"):
         raise InvalidUpstreamRecord(f"unknown state {state!r}")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,7 +14,13 @@
 from persimmonhitch.json_input import MAX_DEPTH, is_readable, parse_json, parse_readable
 from persimmonhitch.observe.logs import LogWriter
 from persimmonhitch.platform.store_client import StoreClient
-from persimmonhitch.store.objects import Kind, StoreError, StoreFailure
+from persimmonhitch.store.objects import (
+    Kind,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    Version,
+)
 from persimmonhitch.store.pushes import PushedObject, _to_event
 from persimmonhitch.store.watcher import View, Watcher
 from persimmonhitch.web import Answer, WebServer
@@ -141,6 +147,16 @@
     assert names == [["sound"], ["later", "sound"]]
 
 
+@pytest.mark.parametrize("name", ["", "two words", "line\r\nx: 1", "€", "n" * 300])
+def test_upstream_whose_name_fits_no_header_gets_no_requests(name):
+    """Guards against requests that are lost before they are sent."""
+    published = []
+    obj = StoredObject(Kind.UPSTREAM, name, Version(1), SOUND)
+    sound = StoredObject(Kind.UPSTREAM, "sound", Version(1), SOUND)
+    UpstreamList(published.append).update(View({name: obj, "sound": sound}, 0.0))
+    assert [[record.name for record in records] for records in published] == [["sound"]]
+
+
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 def test_odd_entry_is_passed_on_to_followers(name):
     """Guards against an odd entry that ends the pushes, or that a push brings."""
