Begin the threads of an entry anew after an error of their own

The checks of suspected upstreams ended for good at the first exception, also if a thread could not be started for want of memory, and the thread that writes an entry's record as well: the entry went on, and its peers never heard of it. A failure of the server loop left an entry that takes no connection.

Class of fault: a loop for the life of the process without a handler around it. All such threads were read; tick, lease, leader, blocked calls, watches and the watchdog's requests have handlers. service_thread() is the place for the others (crash checks, registration, watchdog, server loop): it logs, counts and begins anew. What ends any other thread is logged, where Python writes to standard error alone.

--- a/src/persimmonhitch/direct/abort.py
+++ b/src/persimmonhitch/direct/abort.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Final
 
+from ..kernel.threads import service_thread
 from ..observe.logs import log
 
 POLL_INTERVAL_S: Final = 0.05
@@ -61,7 +62,7 @@
         self._clock = clock
         self._aborts: set[Abort] = set()
         self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="watchdog", daemon=True)
+        self._thread = service_thread("watchdog", self._run)
 
     def start(self) -> None:
         """Start the polling thread."""
--- a/src/persimmonhitch/direct/crash_checks.py
+++ b/src/persimmonhitch/direct/crash_checks.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ..fleet.upstream import UpstreamRecord
+from ..kernel.threads import service_thread
 from .connection_pool import ConnectionPool
 from .poison import PoisonGuard
 
@@ -22,7 +23,7 @@
 
     def start(self) -> None:
         """Start the checks."""
-        threading.Thread(target=self._run, name="crash-checks", daemon=True).start()
+        service_thread("crash-checks", self._run).start()
 
     def stop(self) -> None:
         """Stop the checks."""
--- a/src/persimmonhitch/kernel/service.py
+++ b/src/persimmonhitch/kernel/service.py
@@ -7,6 +7,7 @@
 from ..observe.logs import flush_logs, start_logs
 from ..settings import load_or_exit
 from .lifecycle import Lifecycle
+from .threads import log_failed_threads
 
 S = TypeVar("S", bound="HasVm")
 
@@ -56,6 +57,7 @@
     # would receive them with their default action.
     lifecycle.install_signals()
     start_logs(name, cfg.vm)
+    log_failed_threads()
     service = build(cfg, lifecycle)
     service.start()
     lifecycle.on_stop(name, lambda: service.stop(lifecycle))
--- a/src/persimmonhitch/store/registration.py
+++ b/src/persimmonhitch/store/registration.py
@@ -5,6 +5,7 @@
 
 from returns.result import Success
 
+from ..kernel.threads import service_thread
 from ..observe.logs import log
 from .objects import Kind, ObjectStore, Spec, StoredObject, StoreError
 
@@ -27,9 +28,7 @@
         self._changed = threading.Event()
         self._stopping = threading.Event()
         self.written = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name=f"register-{kind.value}", daemon=True
-        )
+        self._thread = service_thread(f"register-{kind.value}", self._run)
 
     def start(self, spec: Spec) -> None:
         """Start the thread that writes the record."""
@@ -61,11 +60,16 @@
             desired = self._desired
             if desired is None or self._stopping.is_set():
                 continue
-            if self._write(desired):
+            is_written = False
+            try:
+                is_written = self._write(desired)
+            finally:
+                if not is_written:
+                    self._changed.set()
+            if is_written:
                 self.written.set()
             else:
                 self._stopping.wait(RETRY_INTERVAL_S)
-                self._changed.set()
 
     def _write(self, spec: Spec) -> bool:
         created = self._store.create(self._kind, self._name, spec)
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -17,6 +17,7 @@
 
 from ..decide.body_memory import FREE_BODY_BYTES, BodyMemory
 from ..decide.conn_admission import ConnAdmission
+from ..kernel.threads import service_thread
 from ..observe.logs import SampledLog
 from .http import (
     DROP,
@@ -380,9 +381,7 @@
         self._server.body_memory = self._body_memory = BodyMemory(max_bodies)
         self._body_log = SampledLog("body_not_read", MAX_BODY_LINES_PER_S)
         self._server.build_refusal = build_refusal
-        self._thread = threading.Thread(
-            target=self._server.run, name="web-server", daemon=True
-        )
+        self._thread = service_thread("web-server", self._server.run)
 
     @property
     def port(self) -> int:
