Accept a body of exactly the largest size, chunked or not

Callers with a body of 4,194,304 bytes got 413, and chunked ones earlier, since waitress refuses from its limit on and counts the framing of chunks (review, by hand). The server's limit leaves room for framing now, and the body itself is checked as it is read.

--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -14,6 +14,7 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
+from waitress.utilities import RequestEntityTooLarge
 
 from ..decide.body_memory import FREE_BODY_BYTES, BodyMemory
 from ..decide.conn_admission import ConnAdmission
@@ -54,6 +55,8 @@
 """Key in the environment of a request whose answer ends with its connection."""
 MAX_BODY_LINES_PER_S: Final = 20
 """Log lines per second for bodies that are not read."""
+MAX_FRAMED_BYTES: Final = 2 * MAX_BODY_BYTES
+"""Largest body with the framing of its chunks."""
 CHUNKED_LINE: Final = b"Transfer-Encoding: chunked\r\n"
 """Header line that waitress adds to each HTTP/1.1 answer without a length."""
 POLL_INTERVAL_S: Final = 0.02
@@ -161,6 +164,16 @@
     on_close: Callable[[], None] | None = None
     """Called when the request has ended and its body is dropped."""
 
+    def received(self, data: bytes) -> int:
+        """Parse some bytes; return how many were used."""
+        count: int = super().received(data)
+        # waitress refuses the largest body, and counts the framing of chunks.
+        body = len(self.body_rcv) if self.chunked and self.body_rcv else 0
+        if max(self.content_length, body) > MAX_BODY_BYTES:
+            self.error: object = RequestEntityTooLarge("the body is too large")
+            self.completed = True
+        return count
+
     def close(self) -> None:
         super().close()
         if self.on_close is not None:
@@ -366,7 +379,7 @@
             threads=threads,
             connection_limit=conns + INTERNAL_SOCKETS,
             channel_request_lookahead=REQUEST_LOOKAHEAD,
-            max_request_body_size=MAX_BODY_BYTES,
+            max_request_body_size=MAX_FRAMED_BYTES,
             clear_untrusted_proxy_headers=True,
             # VMs have no disks, so bodies must stay in memory. The high watermark
             # blocks the thread of a slow reader before its response spills to a file.
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,5 +1,7 @@
 """Invalid input of callers and peers is rejected and does not end the process."""
 
+import http.client
+import socket
 import time
 
 import cbor2
@@ -11,7 +13,7 @@
 
 from persimmonhitch.entry.calls import forwarded_headers, forwarded_query, read_call
 from persimmonhitch.verdict import ErrorCode, Failure
-from persimmonhitch.web import Request
+from persimmonhitch.web import Answer, Request, WebServer
 from persimmonhitch.web.http import MAX_BODY_BYTES, read_request
 from persimmonhitch.wire import auth
 from persimmonhitch.wire.codec import MAX_FRAME_BYTES, decode, encode
@@ -121,3 +123,47 @@
 
 def test_a_frame_over_the_limit_is_not_read():
     assert "bytes" in decode(b"x" * (MAX_FRAME_BYTES + 1)).failure()
+
+
+@pytest.fixture
+def body_server():
+    def app(environ, start_response):
+        result = read_request(environ)
+        size = str(result.map(lambda req: len(req.body)).value_or(0)).encode()
+        return Answer(200, {"content-length": str(len(size))}, [size]).send(
+            start_response
+        )
+
+    web = WebServer(app, "127.0.0.1", 0, 4)
+    web.start()
+    yield web
+    web.close()
+
+
+def framed(size, chunk_size):
+    """Yield the parts of a request, up to the last byte of a body that is too long."""
+    yield b"POST / HTTP/1.1\r\nHost: entry\r\n"
+    is_whole = size <= MAX_BODY_BYTES
+    if not chunk_size:
+        yield f"Content-Length: {size}\r\n\r\n".encode()
+        yield b"x" * size if is_whole else b""
+        return
+    yield b"Transfer-Encoding: chunked\r\n"
+    for at in range(0, size, chunk_size):
+        count = min(chunk_size, size - at)
+        yield f"\r\n{count:x}\r\n".encode() + b"x" * count
+    yield b"\r\n0\r\n\r\n" if is_whole else b""
+
+
+@pytest.mark.parametrize("excess", [-1, 0, 1])
+@pytest.mark.parametrize("chunk_size", [0, 1000, 2 * MAX_BODY_BYTES])
+def test_the_largest_body_passes_and_no_larger_one(body_server, excess, chunk_size):
+    """Guards against a refusal of a body that is as long as permitted."""
+    size = MAX_BODY_BYTES + excess
+    with socket.create_connection(("127.0.0.1", body_server.port), 10) as sock:
+        sock.sendall(b"".join(framed(size, chunk_size)))
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        text = answer.read()
+    expected = (200, str(size).encode()) if excess <= 0 else (413, text)
+    assert (answer.status, text) == expected
