--- a/tests/test_limit_gateway.py
+++ b/tests/test_limit_gateway.py
@@ -62,9 +62,7 @@
     ids=["lapsed", "gone", "restarted"],
 )
 def test_limit_of_an_unlisted_upstream(unlisted_s, started_at_ms, is_kept):
-    """Guards against a burst at an upstream whose record lapses, and against a limit
-    that outlives its upstream.
-    """
+    """Guards against a limit that ends with a lapsed record or outlives its owner."""
     clock = Clock()
     limits = UpstreamLimits(lambda _msg: None, lambda: 1, clock)
     upstream = LimitedUpstream("u1")
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -81,9 +81,7 @@
 
 
 def test_part_that_a_blocked_request_has_too_is_not_blocked_alone():
-    """Guards against refusals of sound requests that have a part in common with two
-    causes of crashes.
-    """
+    """Guards against refusals of sound requests that share a part with two causes."""
     call = ["call", FIRST, MATE]
     history = history_of([(BAD, MATE)], [call], [["call", OTHER]], [["call", OTHER]])
     assert blocks(history) == [{"call"}]
