Accept a resumption by proof that is newer than the resumption

Callers of streams that broke during a release went on at an engine of another software version (ORDER), at an entry that was cut off from the store and its peers for 1.5 s. Cause: "the only version listed" counted as proof if the store had confirmed the list in the last 2.5 s, or if all peers had been heard lately. Engines of a new version can join, begin streams and leave within that time. Any window has this fault.

The store is now asked once the entry has the resumption, by a watch call that returns at once; one call serves all resumptions that came before it began, and a reply that was on its way does not count. Without a reply the resumption is refused as not run. Related absences that an old view proved: - a version that came and went within one reply of a watch, or between two list calls, was never seen: views now show such records, and the history between two lists is fetched, else it counts as short; - the history of a peer extended that of an entry that had started, though the peer's list may have ended before that entry's began: a neighbour now replies after its own list was confirmed; - no version listed at all counted as a single one; - a late reply of a watch listed an upstream again that a newer one had removed.

test_stream_versions: the list is confirmed by a reply instead of a flag, and a peer's history arrives as a reply to a request; the same outcomes are asserted, and one case is new (no version listed).

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -29,6 +29,7 @@
 from ..decide.overlay import Member, Overlay
 from ..decide.retry_share import LEARN_S
 from ..decide.slow_readers import max_unread_bytes
+from ..decide.stream_versions import check_interval
 from ..decide.update_rate import update_interval
 from ..entry.peers import PeerInfo, PeerMesh
 from ..fleet.config import EMPTY_CONFIG, FleetConfig
@@ -67,15 +68,19 @@
 from .dispatcher import Dispatcher
 from .exchange import Exchange
 from .gateway import Gateway
+from .history_requests import HistoryRequests
 from .leader import Leader
 from .leader_election import LeaderElection
 from .leaving import LeavingUpstreams
+from .list_checks import ListChecks
 from .peer_messages import (
     BroadcastBatch,
     CrashUpdate,
     DrainUpdate,
     EntryUpdate,
     EraUpdate,
+    HistoryReply,
+    HistoryRequest,
     InventoryUpdate,
     LeaseReleased,
     LeaseRenewed,
@@ -105,9 +110,6 @@
 LEASE_NAME: Final = "orders"
 LEASE_CALL_FRACTION: Final = 0.3
 """Timeout of a call to renew the lease, as a fraction of the lease's duration."""
-LIST_TTL_S: Final = 2.5
-"""Seconds since the last reply of the store for which the list of upstreams counts as
-up to date; somewhat longer than a watch call."""
 STOP_MARGIN_S: Final = 0.25
 """Seconds before the platform's stop limit at which remaining requests are aborted."""
 
@@ -199,11 +201,23 @@
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
         self.origins = StreamOrigins(
             self._publish_origins,
-            self._is_list_fresh,
+            lambda: self.list_checks.request(),
             cfg.known_streams,
             self._tick_due.set,
             self._list_age_s,
         )
+        self.list_checks = ListChecks(
+            lambda: self.watchers[Kind.UPSTREAM].check(),
+            lambda: check_interval(len(self.peers) + 1),
+            self._on_list_checked,
+        )
+        self.histories = HistoryRequests(
+            self.origins,
+            self._publish_origins,
+            self.mesh.send,
+            lambda vm: vm in self.broadcast.routes.links(),
+            self.list_checks.request,
+        )
         self.leader = self._make_leader()
         self.election = self.leader.election
         self.upstreams = UpstreamList(
@@ -215,6 +229,7 @@
             self._on_entries,
             self.blocked_requests.update,
             self._on_evacuations if cfg.evacuation_ms else None,
+            self.origins.observe,
         )
         self.watchers = make_watchers(
             store, listeners, self.relay.add_changes, cfg.stale_most_ms / 1000
@@ -271,6 +286,7 @@
             VersionsSeen,
             lambda vm, msg: self.origins.receive_versions(vm, msg, time.monotonic()),
         )
+        self.mesh.on(HistoryReply, self.histories.receive_reply)
         self.mesh.on(LimitGrant, lambda _vm, msg: self.limits.receive_grant(msg))
         on = self.broadcast.on
         on(EntryUpdate, self._on_entry_update)
@@ -280,6 +296,7 @@
         on(LeavingUpdate, self.leaving.receive)
         on(StreamsBegan, self.origins.receive_streams)
         on(VersionsSeen, self.origins.receive_versions)
+        on(HistoryRequest, self.histories.receive_request)
         on(EraUpdate, self._on_era_update)
         on(InventoryUpdate, lambda vm, msg, _at: self._on_inventory_update(vm, msg))
         on(DrainUpdate, lambda _vm, msg, _at: self.dispatcher.receive_drain(msg))
@@ -400,13 +417,9 @@
         self.leader.update_upstreams(records)
         self.origins.update(records)
 
-    def _is_list_fresh(self) -> bool:
-        """Return whether the list of upstreams is up to date.
-
-        While the store is unavailable, peers report streams of versions that this entry
-        does not know.
-        """
-        return self._list_age_s() < LIST_TTL_S or self.quota.hears_all_peers()
+    def _on_list_checked(self, began_at: float, confirmed: bool) -> None:
+        self.origins.list_checked(began_at, confirmed)
+        self.histories.list_checked(began_at, confirmed)
 
     def _may_use_slack(self) -> bool:
         """Return whether this entry knows all others and is counted as one of them."""
@@ -534,6 +547,7 @@
         self.mesh.start()
         self.watchdog.start()
         self.crash_checks.start()
+        self.list_checks.start()
         self.blocked_requests.start()
         self.leader.start()
         for server in (self.server, *self.status_servers):
@@ -568,6 +582,7 @@
                     self.dispatcher.update_usage(*self.quota.fleet_usage())
                 self.dispatcher.tick()
                 self.origins.flush()
+                self.histories.tick()
                 self._welcome_peers()
                 self.metrics.known_streams(len(self.origins))
                 self._update_counts()
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -339,3 +339,25 @@
 
     since_ms: int
     versions: tuple[SeenVersion, ...]
+
+
+@message(82)
+@dataclass(frozen=True)
+class HistoryRequest:
+    """Asks neighbours for the versions listed before the sender's list was complete."""
+
+    number: int
+    """Number of times that the sender's list has missed changes."""
+    since_ms: int
+    """Time for which the sender's history is complete."""
+
+
+@message(83)
+@dataclass(frozen=True)
+class HistoryReply:
+    """Versions of the last ``since_ms`` milliseconds, complete up to the request."""
+
+    number: int
+    """Number of the ``HistoryRequest``."""
+    since_ms: int
+    versions: tuple[SeenVersion, ...]
--- a/src/persimmonhitch/direct/resumptions.py
+++ b/src/persimmonhitch/direct/resumptions.py
@@ -1,5 +1,8 @@
 """Decides at which software version a resumed stream goes on."""
 
+import time
+from collections.abc import Callable
+
 from ..fleet.config import RouteKind
 from ..observe.logs import log
 from ..observe.metrics import Metrics
@@ -12,9 +15,15 @@
 class Resumptions:
     """Binds each stream to the software version that began it."""
 
-    def __init__(self, origins: StreamOrigins, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._origins = origins
         self._metrics = metrics
+        self._clock = clock
 
     def admit(self, request: InFlightRequest) -> Failure | None:
         """Set the version at which a caller's stream goes on, or return the refusal."""
@@ -22,8 +31,13 @@
         if route.kind is not RouteKind.STREAM or not caller.last_event_id:
             return None
         service = request.admitted.request.service
+        started_at = self._clock()
         origin = self._origins.wait_for_origin(
-            caller.resumes, request.account, service, route.timeout
+            caller.resumes,
+            request.account,
+            service,
+            route.timeout,
+            request.admitted.deadline_at - started_at,
         )
         knowledge = origin.knowledge
         self._metrics.stream_resumed(knowledge.value, knowledge.is_sufficient)
@@ -35,6 +49,7 @@
             knowledge=knowledge.value,
             version=origin.version or "-",
             list_age=self._origins.list_age_s(),
+            waited=self._clock() - started_at,
             accepted=knowledge.is_sufficient,
         )
         if knowledge.is_sufficient:
@@ -60,8 +75,12 @@
         """
         if request.first_event_s is None:
             return True
-        service = request.admitted.request.service
-        origin = self._origins.origin(
-            request.request_id, request.account, service, max_age_s=0.0
+        admitted = request.admitted
+        origin = self._origins.wait_for_origin(
+            request.request_id,
+            request.account,
+            admitted.request.service,
+            max_age_s=self._clock() - admitted.request.arrived,
+            max_wait_s=admitted.deadline_at - self._clock(),
         )
         return origin.knowledge.is_sufficient
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -1,5 +1,6 @@
 """Memory of the software versions that began streams, shared between entries."""
 
+import math
 import threading
 import time
 from collections import OrderedDict
@@ -12,6 +13,9 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Account, RequestId, Service, SoftwareVersion, Upstream, Vm
 from ..observe.logs import log
+from ..platform.upstream_format import InvalidUpstreamRecord, decode_upstream
+from ..store.objects import StoredObject
+from ..store.watcher import View
 from .peer_messages import BegunStream, SeenVersion, StreamsBegan, VersionsSeen
 from .poison import instance_of
 
@@ -23,6 +27,9 @@
 UPDATE_WAIT_S: Final = 0.2
 """Seconds for which a resumption waits for a peer's report of its stream: two flush
 intervals of the broadcast, and the relays."""
+CHECK_WAIT_S: Final = 1.0
+"""Seconds for which a resumption waits for the store to confirm the list of upstreams;
+a connection that has gone silent fails earlier."""
 RESTART_MARGIN_S: Final = 1.0
 """Seconds by which the clocks of an upstream and of this entry may differ."""
 
@@ -49,8 +56,8 @@
     ----------
     publish : callable
         Sends a message to all peers.
-    is_fresh : callable
-        Returns whether the list of upstreams is up to date.
+    request_check : callable
+        Asks for a check of the list of upstreams; ``list_checked`` receives its result.
     max_streams : int
         Number of streams to remember; the oldest are forgotten.
     on_change : callable
@@ -64,7 +71,7 @@
     def __init__(
         self,
         publish: Callable[[object], None],
-        is_fresh: Callable[[], bool],
+        request_check: Callable[[], None],
         max_streams: int,
         on_change: Callable[[], None] = lambda: None,
         list_age_s: Callable[[], float] = lambda: 0.0,
@@ -72,19 +79,23 @@
         wall_ms: Callable[[], float] = lambda: time.time() * 1000,
     ) -> None:
         self._publish = publish
-        self._is_fresh = is_fresh
+        self._request_check = request_check
         self._max_streams = max_streams
         self._on_change = on_change
         self.list_age_s = list_age_s
         self._clock = clock
         self._wall_ms = wall_ms
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._received = threading.Condition(self._lock)
         self._history = VersionHistory(clock())
         self._streams: OrderedDict[RequestId, _Begun] = OrderedDict()
         self._records: dict[Upstream, UpstreamRecord] = {}
         self._unsent: dict[RequestId, _Begun] = {}
         self._mixed: set[Service] = set()
+        self._checked_from = self._check_failed_from = -math.inf
+        """Times at which the newest check that succeeded, and that failed, began."""
+        self.gaps = 0
+        """Number of times that the list has missed changes, its first one included."""
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -97,10 +108,8 @@
         now = self._clock()
         with self._lock:
             had_versions = bool(self._records)
-            for name, record in listed.items():
-                old = self._records.get(name)
-                if old is not None and old.version != record.version:
-                    self._forget_ambiguous(old, record)
+            for record in listed.values():
+                self._check_restart(record)
             self._records = listed
             is_new = self._history.update(listed.values(), now)
             self._update_mixed(now)
@@ -108,8 +117,39 @@
         if message is not None:
             self._publish(message)
 
-    def _forget_ambiguous(self, old: UpstreamRecord, new: UpstreamRecord) -> None:
-        """Forget the version of streams that either instance may have begun."""
+    def observe(self, view: View) -> None:
+        """Apply which changes a new view of the upstreams' records shows.
+
+        Versions that joined and left between two views began streams, too.
+        """
+        now = self._clock()
+        records = [r for r in map(_decode, view.superseded) if r is not None]
+        with self._lock:
+            if self._history.set_own_since(view.complete_since):
+                self.gaps += 1
+            for record in records:
+                self._check_restart(record)
+            message = None
+            if self._history.record((r.service, r.version, now) for r in records):
+                self._update_mixed(now)
+                message = self._seen(now)
+        if message is not None:
+            self._publish(message)
+
+    def list_checked(self, began_at: float, confirmed: bool) -> None:
+        """Apply the result of a check of the list, and when its call began."""
+        with self._received:
+            if confirmed:
+                self._checked_from = began_at
+            else:
+                self._check_failed_from = began_at
+            self._received.notify_all()
+
+    def _check_restart(self, new: UpstreamRecord) -> None:
+        """Forget the version of streams that two instances may have begun."""
+        old = self._records.get(new.name)
+        if old is None or old.version == new.version:
+            return
         earliest_ms = new.started_at_ms - RESTART_MARGIN_S * 1000
         for request_id, begun in self._streams.items():
             if begun.instance == instance_of(old) and begun.at_ms >= earliest_ms:
@@ -159,51 +199,53 @@
 
     # -- resumptions -----------------------------------------------------------------
 
-    def origin(
+    def wait_for_origin(
         self,
         request_id: RequestId,
         account: Account | None,
         service: Service,
         max_age_s: float,
+        max_wait_s: float = math.inf,
     ) -> Origin:
         """Return what is known about the version that began a stream.
 
+        Waits for a peer's report of the stream, and for the store to confirm the list
+        if one version alone is known. A confirmation from before the call proves
+        nothing: upstreams may have joined, begun the stream and left since.
+
         Parameters
         ----------
         request_id : RequestId
             Attempt that brought the first event; empty if not stated.
         max_age_s : float
             Longest time for which the stream may have run.
+        max_wait_s : float
+            Longest time to wait, in seconds.
         """
-        is_fresh = self._is_fresh()
-        with self._lock:
-            return self._origin(request_id, account, service, max_age_s, is_fresh)
-
-    def wait_for_origin(
-        self,
-        request_id: RequestId,
-        account: Account | None,
-        service: Service,
-        max_age_s: float,
-        wait_s: float = UPDATE_WAIT_S,
-    ) -> Origin:
-        """Return ``origin``; wait for a peer's report if the version is not known."""
-        is_fresh = self._is_fresh()
-
-        def find() -> Origin:
-            return self._origin(request_id, account, service, max_age_s, is_fresh)
-
+        asked_at, started_at = self._clock(), time.monotonic()
+        report_wait_s = min(max_wait_s, UPDATE_WAIT_S) if request_id else 0.0
+        check_wait_s = min(max_wait_s, CHECK_WAIT_S)
         with self._received:
-            if request_id:
-                self._received.wait_for(lambda: find().knowledge.is_sufficient, wait_s)
-            return find()
+            while True:
+                is_fresh = self._checked_from >= asked_at
+                oldest = asked_at - max_age_s
+                origin = self._origin(request_id, account, service, oldest, is_fresh)
+                wait_s = 0.0 if origin.knowledge.is_sufficient else report_wait_s
+                has_failed = self._check_failed_from >= asked_at
+                if origin.knowledge is Knowledge.STALE_VIEW and not has_failed:
+                    wait_s = check_wait_s
+                    self._request_check()
+                left_s = started_at + wait_s - time.monotonic()
+                if left_s <= 0:
+                    return origin
+                self._received.wait(left_s)
 
     def _origin(
         self,
         request_id: RequestId,
         account: Account | None,
         service: Service,
-        max_age_s: float,
+        oldest: float,
         is_fresh: bool,
     ) -> Origin:
         begun = self._streams.get(request_id)
@@ -212,7 +254,7 @@
             if begun.version is None:
                 return Origin(Knowledge.MIXED)
             return Origin(Knowledge.STREAM, begun.version)
-        return self._history.origin(service, self._clock() - max_age_s, is_fresh)
+        return self._history.origin(service, oldest, is_fresh)
 
     # -- peers -----------------------------------------------------------------------
 
@@ -241,13 +283,38 @@
         with self._lock:
             return self._seen(self._clock())
 
+    def history_ms(self) -> int:
+        """Return for how many milliseconds the history is complete."""
+        return self.history().since_ms
+
+    def has_full_history(self) -> bool:
+        """Return whether the history reaches as far as those of peers may."""
+        return self.history_ms() >= MIX_S * 1000
+
+    def extend_history(self, since_ms: int, versions: Iterable[SeenVersion]) -> None:
+        """Add the history of a peer that is complete up to now."""
+        now = self._clock()
+        with self._received:
+            self._record_versions(versions, now)
+            self._history.extend(now - since_ms / 1000)
+            self._received.notify_all()
+
+    def _record_versions(self, versions: Iterable[SeenVersion], as_of: float) -> None:
+        self._history.record(
+            (item.service, item.version, as_of - item.age_ms / 1000)
+            for item in versions
+        )
+        self._update_mixed(self._clock())
+
     def _seen(self, now: float) -> VersionsSeen:
         versions = tuple(
             SeenVersion(service, version, max(0, int((now - at) * 1000)))
             for (service, version), at in self._history.entries(now).items()
             if now - at < MIX_S
         )
-        return VersionsSeen(max(0, int((now - self._history.since) * 1000)), versions)
+        # Versions that were listed earlier are not in the message.
+        since_s = min(MIX_S, max(0.0, now - self._history.since))
+        return VersionsSeen(int(since_s * 1000), versions)
 
     def receive_streams(self, _vm: Vm, msg: StreamsBegan, as_of: float) -> None:
         """Apply the streams that a peer has begun."""
@@ -267,13 +334,18 @@
             self._received.notify_all()
 
     def receive_versions(self, _vm: Vm, msg: VersionsSeen, as_of: float) -> None:
-        """Apply the versions that a peer knows."""
+        """Apply the versions that a peer knows.
+
+        They extend no history: the peer's list may have been out of date by then.
+        """
         with self._lock:
-            self._history.merge(
-                as_of - msg.since_ms / 1000,
-                (
-                    (item.service, item.version, as_of - item.age_ms / 1000)
-                    for item in msg.versions
-                ),
-            )
-            self._update_mixed(self._clock())
+            self._record_versions(msg.versions, as_of)
+
+
+def _decode(obj: StoredObject) -> UpstreamRecord | None:
+    """Return the upstream of a record that is not listed any more, if readable."""
+    try:
+        return decode_upstream(obj.name, obj.spec)
+    except InvalidUpstreamRecord:
+        # The list logs records that it can't read.
+        return None
--- a/src/persimmonhitch/direct/watchers.py
+++ b/src/persimmonhitch/direct/watchers.py
@@ -40,6 +40,13 @@
     blocked: Listener
     evacuations: Listener | None = None
     """None if operators evacuate no zones."""
+    upstream_history: Listener = lambda _view: None
+    """Receives each view of the upstreams before ``upstreams`` does."""
+
+    def update_upstreams(self, view: View) -> None:
+        """Pass a view of the upstreams on."""
+        self.upstream_history(view)
+        self.upstreams.update(view)
 
 
 def make_watchers(
@@ -59,12 +66,13 @@
         Kind.UPSTREAM: Watcher(
             store,
             Kind.UPSTREAM,
-            listeners.upstreams.update,
+            listeners.update_upstreams,
             WATCH_S,
             UPSTREAM_MAX_RETRY_S,
             UPSTREAM_WATCH_PAUSE_S,
             changed,
             max_contact_age(max_staleness_s, WATCH_S),
+            needs_history=True,
         ),
         Kind.ENTRY: Watcher(
             store,
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from returns.result import Success
+from returns.result import Failure as Err
+from returns.result import Result, Success
 
 from ..observe.logs import log
 from .era import era_of
@@ -25,6 +26,7 @@
     ObjectStore,
     StoredObject,
     StoreError,
+    StoreFailure,
     Version,
 )
 
@@ -46,6 +48,8 @@
 """Time without a push after which a follower starts its own watch."""
 POLL_INTERVAL_S: Final = 0.2
 """Interval at which a follower checks whether pushes still arrive."""
+CHECK_DURATION_S: Final = 0.001
+"""Duration of a watch call that returns what the store has accepted until now."""
 
 ChangeListener = Callable[[Kind, Version, Changes], None]
 """Receives the kind, the version before the changes, and the changes."""
@@ -62,6 +66,10 @@
     """Last reply of the store that confirmed the view before this one."""
     available_since: float = -math.inf
     """First reply of the store after its last known failure."""
+    complete_since: float = math.inf
+    """Time since which each written object was in a view or among ``superseded``."""
+    superseded: tuple[StoredObject, ...] = ()
+    """Objects written after the view before this one and replaced or deleted since."""
 
 
 def _ignore_changes(_kind: Kind, _since: Version, _changes: Changes) -> None:
@@ -85,7 +93,11 @@
         pause_s: float = 0.0,
         on_change: ChangeListener = _ignore_changes,
         max_contact_age_s: float | None = None,
+        needs_history: bool = False,
     ) -> None:
+        self._needs_history = needs_history
+        """Whether views must also show objects that were written and deleted between
+        two list calls."""
         self._max_contact_age_s = max_contact_age_s or duration_s + CONTACT_MARGIN_S
         """Age of the pushing process's last contact with the store above which this
         process watches for itself."""
@@ -115,6 +127,7 @@
         self._needs_listing = False
         self._was_following = False
         self._stopping = threading.Event()
+        self._complete_since = math.inf
         self._retained: dict[str, StoredObject] = {}
         """Objects that a restored store lacks; their writers may write them again."""
         self.ready = threading.Event()
@@ -159,7 +172,10 @@
             return
         listing = result.unwrap()
         after = listing.version
+        before, complete_since = self.version, self._complete_since
         self._apply_listing(listing)
+        if self._needs_history and complete_since < self._complete_since:
+            self._recover_history(before, complete_since)
         while not self._stopping.is_set() and not self.is_following():
             watched = self._store.watch(self._kind, after, self._duration_s)
             if not isinstance(watched, Success):
@@ -171,6 +187,33 @@
             if changes.events:
                 self._stopping.wait(self._pause_s)
 
+    def _recover_history(self, before: Version, complete_since: float) -> None:
+        """Publish the objects that were written between two list calls."""
+        result = self._store.watch(self._kind, before, CHECK_DURATION_S)
+        if not isinstance(result, Success):
+            log(
+                "history_incomplete",
+                kind=self._kind.value,
+                detail=result.failure().detail,
+            )
+            return
+        events = result.unwrap().events
+        with self._lock:
+            self._complete_since = complete_since
+            written = (e.object for e in events if e.type is not EventType.DELETED)
+            self._publish(self.view.objects, self._confirmed_at(), tuple(written))
+
+    def check(self) -> Result[None, StoreFailure]:
+        """Apply all changes that the store has accepted when the call begins."""
+        if not self.ready.is_set():
+            return Err(StoreFailure(StoreError.UNAVAILABLE, "not listed yet"))
+        after = self.version
+        result = self._store.watch(self._kind, after, CHECK_DURATION_S)
+        if not isinstance(result, Success):
+            return Err(result.failure())
+        self._apply_changes(after, result.unwrap(), time.monotonic())
+        return Success(None)
+
     def _log_end(self, error: StoreError, detail: str) -> None:
         if error is StoreError.UNAVAILABLE:
             self._record_failure(time.monotonic())
@@ -253,6 +296,8 @@
             self._record_contact(self.contact_at)
             if listing.version < self.version:
                 return
+            if listing.version > self.version or not self.ready.is_set():
+                self._complete_since = self.contact_at
             restored = self.version and era_of(listing.version) > era_of(self.version)
             self.version = listing.version
             listed = {obj.name: obj for obj in listing.items}
@@ -305,22 +350,40 @@
 
     def _apply_events(self, events: Iterable[Event], confirmed_at: float) -> None:
         objects = dict(self.view.objects)
+        written: list[StoredObject] = []
         for event in events:
             obj = event.object
             current = objects.get(obj.name)
             if current is not None and current.version > obj.version:
                 # A push, list or watch has already delivered a newer version.
                 continue
-            self._retained.pop(obj.name, None)
             if event.type is EventType.DELETED:
                 objects.pop(obj.name, None)
+            elif obj.version <= self.version:
+                # Already delivered; the object may have been deleted since.
+                continue
             else:
                 objects[obj.name] = obj
-        if objects != self.view.objects:
-            self._publish(objects, confirmed_at)
+                written.append(obj)
+            self._retained.pop(obj.name, None)
+        superseded = tuple(obj for obj in written if objects.get(obj.name) is not obj)
+        if superseded or objects != self.view.objects:
+            self._publish(objects, confirmed_at, superseded)
 
-    def _publish(self, objects: dict[str, StoredObject], confirmed_at: float) -> None:
+    def _publish(
+        self,
+        objects: dict[str, StoredObject],
+        confirmed_at: float,
+        superseded: tuple[StoredObject, ...] = (),
+    ) -> None:
         now = time.monotonic()
-        self.view = View(objects, now, confirmed_at, self._available_since)
+        self.view = View(
+            objects,
+            now,
+            confirmed_at,
+            self._available_since,
+            self._complete_since,
+            superseded,
+        )
         self._listener(self.view)
         self.ready.set()
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -293,7 +293,11 @@
             Zone("z1"), lambda _msg: None, self.poison, self.limits
         )
         self.dispatcher.configure(cfg)
-        self.origins = StreamOrigins(lambda _msg: None, lambda: True, 100)
+        self.origins = StreamOrigins(
+            lambda _msg: None,
+            lambda: self.origins.list_checked(time.monotonic(), True),
+            100,
+        )
         self.leaving = LeavingUpstreams(self._apply_records)
         self.update_upstreams()
         self._stopping = threading.Event()
--- /dev/null
+++ b/tests/test_stale_views.py
@@ -0,0 +1,298 @@
+"""Resumptions at entries whose view of the upstreams is out of date."""
+
+import threading
+import time
+
+import pytest
+from direct_help import COOP, LLM
+from fleet import wait_for
+from returns.result import Failure as Err
+from returns.result import Success
+from soak.release import play
+
+from persimmonhitch.decide.stream_versions import Knowledge, check_interval
+from persimmonhitch.direct.history_requests import HistoryRequests
+from persimmonhitch.direct.list_checks import ListChecks
+from persimmonhitch.direct.peer_messages import HistoryReply, HistoryRequest
+from persimmonhitch.direct.stream_origins import StreamOrigins
+from persimmonhitch.direct.watchers import Listeners
+from persimmonhitch.ids import RequestId, Vm
+from persimmonhitch.platform.upstream_format import decode_upstream
+from persimmonhitch.standin.store_state import MAX_EVENTS, StoreState
+from persimmonhitch.store.objects import Kind, StoreError, StoreFailure
+from persimmonhitch.store.watcher import Watcher
+from persimmonhitch.wire.codec import decode, encode
+
+MAX_AGE_S = 0.3
+"""Longest time for which a stream runs."""
+V1, V2 = "1", "2"
+
+
+class Store(StoreState):
+    """A store in which upstreams come and go."""
+
+    def put(self, name, version):
+        spec = {
+            "service": LLM,
+            "address": "h:1",
+            "zone": "z1",
+            "slots": 8,
+            "state": "ready",
+            "version": version,
+        }
+        found = self.get(Kind.UPSTREAM, name)
+        if isinstance(found, Success):
+            return self.update(found.unwrap(), spec)
+        return self.create(Kind.UPSTREAM, name, spec)
+
+    def remove(self, name):
+        self.delete(self.get(Kind.UPSTREAM, name).unwrap())
+
+    def list_briefly(self, version):
+        self.put("brief", version)
+        self.remove("brief")
+
+    @property
+    def version(self):
+        return self.list_all(Kind.UPSTREAM).unwrap().version
+
+
+class Path:
+    """Path of one entry to the store; replies are lost while it is silent."""
+
+    def __init__(self, store):
+        self.store, self.is_silent, self.watches = store, False, 0
+        self.open = threading.Event()
+        self.open.set()
+        """Replies wait while it is not set."""
+
+    def _pass(self, reply):
+        self.open.wait()
+        if self.is_silent:
+            return Err(StoreFailure(StoreError.UNAVAILABLE, "timed out"))
+        return reply
+
+    def list_all(self, kind):
+        return self._pass(self.store.list_all(kind))
+
+    def watch(self, kind, after, wait):
+        self.watches += 1
+        return self._pass(self.store.watch(kind, after, wait))
+
+
+class Entry:
+    """The list of an entry, and its memory of streams."""
+
+    def __init__(self, store, vm="e1", watch_s=0.1, interval_s=0.0):
+        self.vm, self.path, self.peers, self.sent = Vm(vm), Path(store), [], []
+        self.origins = StreamOrigins(
+            lambda _msg: None, lambda: self.checks.request(), 100
+        )
+        listeners = Listeners(None, self, None, None, None, self.origins.observe)
+        self.watcher = Watcher(
+            self.path,
+            Kind.UPSTREAM,
+            listeners.update_upstreams,
+            watch_s,
+            max_retry_s=0.2,
+            needs_history=True,
+        )
+        self.checks = ListChecks(
+            self.watcher.check, lambda: interval_s, self._on_checked
+        )
+        self.histories = HistoryRequests(
+            self.origins,
+            self._publish,
+            self._send,
+            lambda _vm: True,
+            self.checks.request,
+        )
+        self.watcher.start()
+        self.checks.start()
+        wait_for(self.watcher.ready.is_set, "the first list")
+
+    def update(self, view):
+        self.origins.update(
+            decode_upstream(name, obj.spec) for name, obj in view.objects.items()
+        )
+
+    def _on_checked(self, began_at, confirmed):
+        self.origins.list_checked(began_at, confirmed)
+        self.histories.list_checked(began_at, confirmed)
+
+    def _publish(self, msg):
+        copy = decode(encode(msg)).unwrap()
+        for peer in self.peers:
+            peer.histories.receive_request(self.vm, copy, time.monotonic())
+
+    def _send(self, vm, msg):
+        self.sent.append(msg)
+        for peer in self.peers:
+            if peer.vm == vm:
+                peer.histories.receive_reply(self.vm, decode(encode(msg)).unwrap())
+        return True
+
+    def await_changes(self, store):
+        wait_for(lambda: self.watcher.version >= store.version, "the newest changes")
+
+    def knowledge(self, max_age_s=MAX_AGE_S):
+        """Return what a resumption of a stream learns that nobody reports."""
+        origin = self.origins.wait_for_origin(RequestId(""), COOP, LLM, max_age_s)
+        return origin.knowledge
+
+
+@pytest.fixture
+def store():
+    store = Store()
+    store.put("u1", V1)
+    return store
+
+
+@pytest.fixture
+def entry(store):
+    entry = Entry(store)
+    time.sleep(MAX_AGE_S)
+    yield entry
+    entry.watcher.stop()
+    entry.path.open.set()
+
+
+def test_streams_are_not_joined_by_an_entry_out_of_step(tmp_path):
+    """Guards against a stream that goes on at another version than began it."""
+    broken = play(tmp_path, "all", back_s=1.5)
+    assert len(broken) >= 4
+    assert [stream for stream in broken if stream.is_joined] == []
+    assert {stream.status for stream in broken} <= {503, None}
+
+
+def test_list_confirmed_before_the_resumption_is_no_proof(store, entry):
+    """Guards against versions that came and went since the last reply of the store."""
+    assert entry.knowledge() is Knowledge.SINGLE
+    entry.path.is_silent = True
+    assert entry.knowledge() is Knowledge.STALE_VIEW
+    store.list_briefly(V2)
+    assert entry.knowledge() is Knowledge.STALE_VIEW
+    entry.path.is_silent = False
+    assert entry.knowledge() is Knowledge.MIXED
+
+
+def test_reply_to_an_earlier_check_is_no_proof(store, entry):
+    """Guards against a reply that was on its way when the version came and went."""
+    entry.watcher.stop()
+    entry.path.open.clear()
+    watches = entry.path.watches
+    entry.checks.request()
+    wait_for(lambda: entry.path.watches > watches, "a check")
+    store.list_briefly(V2)
+    threading.Timer(0.1, entry.path.open.set).start()
+    assert entry.knowledge() is Knowledge.MIXED
+
+
+@pytest.mark.parametrize(
+    ("events", "knowledge"),
+    [(0, Knowledge.MIXED), (MAX_EVENTS, Knowledge.SHORT_HISTORY)],
+    ids=["history", "history-gone"],
+)
+def test_version_listed_between_two_list_calls(store, entry, events, knowledge):
+    """Guards against a version that neither of two lists shows."""
+    entry.path.is_silent = True
+    wait_for(lambda: entry.watcher.failed_at > 0, "a failed call")
+    store.list_briefly(V2)
+    for _ in range(events):
+        store.put("u1", V1)
+    entry.path.is_silent = False
+    entry.await_changes(store)
+    wait_for(lambda: entry.knowledge() is knowledge, f"{knowledge}")
+
+
+def test_version_listed_between_two_watch_calls(store, entry):
+    """Guards against a version that joins and leaves within one reply."""
+    entry.path.open.clear()
+    store.list_briefly(V2)
+    entry.path.open.set()
+    entry.await_changes(store)
+    assert entry.knowledge() is Knowledge.MIXED
+
+
+def test_late_reply_does_not_list_a_removed_upstream_again(store):
+    """Guards against requests to an upstream that has left."""
+    entry = Entry(store, watch_s=5.0)
+    entry.path.open.clear()
+    store.put("u2", V1)
+    time.sleep(0.05)
+    store.remove("u2")
+    seen = []
+    entry.update = lambda view: seen.append(set(view.objects))
+    threading.Timer(0.1, entry.path.open.set).start()
+    entry.checks.request()
+    entry.await_changes(store)
+    time.sleep(0.1)
+    assert seen[-1] == {"u1"}
+    entry.watcher.stop()
+
+
+def test_neighbour_tells_what_was_listed_before_the_start(store, entry):
+    """Guards against versions that left just before an entry started."""
+    store.list_briefly(V2)
+    entry.await_changes(store)
+    late = Entry(store, "e2")
+    late.peers, entry.peers = [entry], [late]
+    assert late.knowledge() is Knowledge.SHORT_HISTORY
+    late.histories.tick()
+    wait_for(lambda: late.knowledge() is Knowledge.MIXED, "the history")
+    late.watcher.stop()
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_neighbour_replies_after_the_store_confirmed_its_list(store, entry, is_silent):
+    """Guards against time that neither of two histories covers."""
+    late = Entry(store, "e2")
+    late.peers, entry.peers = [entry], [late]
+    entry.watcher.stop()
+    entry.path.is_silent = is_silent
+    late.histories.tick()
+    expected = Knowledge.SHORT_HISTORY if is_silent else Knowledge.SINGLE
+    wait_for(lambda: is_silent or entry.sent, "a reply")
+    time.sleep(0.1)
+    assert late.knowledge() is expected
+    late.watcher.stop()
+
+
+def test_reply_to_a_request_before_the_last_gap_is_ignored(store, entry):
+    """Guards against a history that ends before the list was complete again."""
+    number = entry.origins.gaps
+    entry.histories.receive_reply(Vm("e2"), HistoryReply(number - 1, 60_000, ()))
+    assert entry.knowledge(5.0) is Knowledge.SHORT_HISTORY
+    entry.histories.receive_reply(Vm("e2"), HistoryReply(number, 60_000, ()))
+    assert entry.knowledge(5.0) is Knowledge.SINGLE
+
+
+def test_entry_that_knows_less_does_not_reply(store, entry):
+    """Guards against a reply of each entry when all start at the same time."""
+    entry.histories.receive_request(Vm("e2"), HistoryRequest(1, 9000), time.monotonic())
+    entry.checks.run_once()
+    assert entry.sent == []
+
+
+@pytest.mark.parametrize("entries", [4, 100, 300])
+def test_checks_of_a_burst_of_resumptions_are_bounded(store, entries):
+    """Guards against a call to the store for each of many streams that broke."""
+    entry = Entry(store, interval_s=check_interval(entries))
+    time.sleep(MAX_AGE_S)
+    entry.watcher.stop()
+    time.sleep(0.2)
+    calls, began_at = entry.path.watches, time.monotonic()
+    found = []
+    threads = [
+        threading.Thread(target=lambda: found.append(entry.knowledge()))
+        for _ in range(60)
+    ]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.005)
+    for thread in threads:
+        thread.join()
+    elapsed_s = time.monotonic() - began_at
+    assert found == [Knowledge.SINGLE] * 60
+    fleet_calls_per_s = (entry.path.watches - calls - 1) / elapsed_s * entries
+    assert fleet_calls_per_s <= 1000
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,7 +1,6 @@
 """Streams of services whose upstreams run several software versions."""
 
 import threading
-import time
 from dataclasses import replace
 
 import pytest
@@ -19,7 +18,6 @@
 from fake_engine import Clock
 
 from persimmonhitch.decide.stream_versions import Knowledge, VersionHistory
-from persimmonhitch.direct.peer_messages import VersionsSeen
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.fleet.upstream import UpstreamRecord
 from persimmonhitch.ids import RequestId, SoftwareVersion, Upstream, Vm, Zone
@@ -120,8 +118,7 @@
     """Guards against a guess at the version that began a stream."""
     engines = [engine(f"u{n}", v, CONTINUES) for n, v in enumerate(versions)]
     with GatewayServer(*engines) as gateway:
-        told = VersionsSeen(history_s * 1000, ())
-        gateway.origins.receive_versions(Vm("e2"), told, time.monotonic())
+        gateway.origins.extend_history(history_s * 1000, ())
         reply = gateway.call("/resume/x", **headers)
     assert reply.status == status
     if status == 503:
@@ -139,6 +136,7 @@
         ([(0, [V1]), (50, [V1, V2])], 0, True, Knowledge.MIXED, None),
         ([(0, [V1])], 0, False, Knowledge.STALE_VIEW, None),
         ([(95, [V1])], 95, True, Knowledge.SHORT_HISTORY, None),
+        ([(0, [])], 0, True, Knowledge.SHORT_HISTORY, None),
         ([(85, [V1])], 85, True, Knowledge.SINGLE, V1),
     ],
     ids=[
@@ -148,6 +146,7 @@
         "both",
         "stale",
         "started-just-now",
+        "none-listed",
         "started-before",
     ],
 )
@@ -167,7 +166,8 @@
     started_at_ms = int(WALL_MS) - age_s * 1000
     history.update([record("u1", V2, started_at_ms=started_at_ms)], 95)
     assert history.origin(LLM, 85, True).knowledge is Knowledge.SHORT_HISTORY
-    history.merge(40, [(LLM, V2, 95)])
+    history.record([(LLM, V2, 95)])
+    history.extend(40)
     assert history.origin(LLM, 85, True).version == V2
 
 
@@ -178,13 +178,17 @@
         self.messages, self.peers, self.is_fresh = [], [], True
         self.origins = StreamOrigins(
             self._publish,
-            lambda: self.is_fresh,
+            self._check,
             max_streams,
             clock=clock,
             wall_ms=lambda: WALL_MS + clock() * 1000,
         )
         self._clock = clock
 
+    def _check(self):
+        if self.is_fresh:
+            self.origins.list_checked(self._clock(), True)
+
     def _publish(self, msg):
         self.messages.append(msg)
         for peer in self.peers:
@@ -197,7 +201,10 @@
             receive(Vm("e1"), copy, self._clock())
 
     def knowledge(self, request_id=Q1, account=COOP):
-        return self.origins.origin(request_id, account, LLM, MAX_AGE_S).knowledge
+        return self.origin(request_id, account).knowledge
+
+    def origin(self, request_id=Q1, account=COOP):
+        return self.origins.wait_for_origin(request_id, account, LLM, MAX_AGE_S, 0.0)
 
 
 @pytest.fixture
@@ -221,7 +228,7 @@
     first.origins.began(RequestId("q2"), COOP, record("u2", V2))
     first.origins.flush()
     for request_id, version in ((Q1, V1), (RequestId("q2"), V2)):
-        origin = second.origins.origin(request_id, COOP, LLM, MAX_AGE_S)
+        origin = second.origin(request_id)
         assert (origin.knowledge, origin.version) == (Knowledge.STREAM, version)
 
 
