Bind a stream to a version that the store has confirmed since it began

A stream counts as of its record's version once a call to the store that began after its first event has confirmed the list. Until then a resumption asks for such a call, and peers are not told; the report is hastened when the stream breaks off, and after 0.5 s. A request that was sent by a record which the list has replaced meanwhile counts as of unknown version. Calls count from their beginning, so that a reply read late, by a process that stood still, proves no more.

--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
-from typing import Final
+from typing import Final, NoReturn
 
 from returns.result import Failure as Err
 from returns.result import Success
@@ -239,8 +239,7 @@
         """
         reason = "the end of the resumed stream cannot be confirmed"
         failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
-        self._tracker.settle(request, failure, SERVER_ERROR_STATUS)
-        raise StreamInterrupted(reason)
+        self._break_off(request, failure)
 
     def _resume_stream(
         self, request: InFlightRequest, failure: Failure, last_event_id: str | None
@@ -254,11 +253,18 @@
         if isinstance(result, Success):
             reply: Reply = result.unwrap()
             return reply
+        self._break_off(request, failure)
+
+    def _break_off(self, request: InFlightRequest, failure: Failure) -> NoReturn:
+        """End a stream that its caller may resume at another entry."""
+        self._resumptions.record_break(request)
         self._tracker.settle(request, failure, SERVER_ERROR_STATUS)
         raise StreamInterrupted(failure.message)
 
     def stream_closed(self, request: InFlightRequest) -> None:
         """Settle a stream that the server has closed, unless already settled."""
+        if not request.settled:
+            self._resumptions.record_break(request)
         if request.reply is not None:
             request.reply.close()
         self._tracker.settle(request, CALLER_LEFT, CALLER_LEFT_STATUS)
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -204,6 +204,7 @@
             lambda: self.list_checks.request(),
             cfg.known_streams,
             self._tick_due.set,
+            lambda: self.watchers[Kind.UPSTREAM].confirmed_from,
             self._list_age_s,
         )
         self.list_checks = ListChecks(
--- a/src/persimmonhitch/direct/resumptions.py
+++ b/src/persimmonhitch/direct/resumptions.py
@@ -68,6 +68,11 @@
             if request_id:
                 self._origins.began(request_id, request.account, record)
 
+    def record_break(self, request: InFlightRequest) -> None:
+        """Prepare for a caller that resumes its stream at another entry."""
+        if request.first_event_s is not None and request.admitted.route.resumable:
+            self._origins.broke_off(request.request_id)
+
     def may_go_on(self, request: InFlightRequest) -> bool:
         """Return whether the version that began a stream is still certain.
 
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -16,7 +16,12 @@
 from ..platform.upstream_format import InvalidUpstreamRecord, decode_upstream
 from ..store.objects import StoredObject
 from ..store.watcher import View
-from .peer_messages import BegunStream, SeenVersion, StreamsBegan, VersionsSeen
+from .peer_messages import (
+    BegunStream,
+    SeenVersion,
+    StreamsBegan,
+    VersionsSeen,
+)
 from .poison import instance_of
 
 MIX_S: Final = 60.0
@@ -27,6 +32,9 @@
 UPDATE_WAIT_S: Final = 0.2
 """Seconds for which a resumption waits for a peer's report of its stream: two flush
 intervals of the broadcast, and the relays."""
+MAX_REPORT_DELAY_S: Final = 0.5
+"""Seconds after which the report of a stream asks for a check of the list, if no call
+of the entry's watch has confirmed it by then."""
 CHECK_WAIT_S: Final = 1.0
 """Seconds for which a resumption waits for the store to confirm the list of upstreams;
 a connection that has gone silent fails earlier."""
@@ -62,6 +70,9 @@
         Number of streams to remember; the oldest are forgotten.
     on_change : callable
         Called when ``flush`` has something to send.
+    confirmed_from : callable
+        Returns the monotonic time up to which the store has confirmed the list of
+        upstreams.
     list_age_s : callable
         Returns the seconds since the store confirmed the list of upstreams.
     clock, wall_ms : callable
@@ -74,6 +85,7 @@
         request_check: Callable[[], None],
         max_streams: int,
         on_change: Callable[[], None] = lambda: None,
+        confirmed_from: Callable[[], float] = lambda: math.inf,
         list_age_s: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
         wall_ms: Callable[[], float] = lambda: time.time() * 1000,
@@ -82,6 +94,7 @@
         self._request_check = request_check
         self._max_streams = max_streams
         self._on_change = on_change
+        self._confirmed_from = confirmed_from
         self.list_age_s = list_age_s
         self._clock = clock
         self._wall_ms = wall_ms
@@ -92,8 +105,8 @@
         self._records: dict[Upstream, UpstreamRecord] = {}
         self._unsent: dict[RequestId, _Begun] = {}
         self._mixed: set[Service] = set()
-        self._checked_from = self._check_failed_from = -math.inf
-        """Times at which the newest check that succeeded, and that failed, began."""
+        self._check_failed_from = -math.inf
+        """Time at which the newest check that failed began."""
         self.gaps = 0
         """Number of times that the list has missed changes, its first one included."""
 
@@ -139,11 +152,10 @@
     def list_checked(self, began_at: float, confirmed: bool) -> None:
         """Apply the result of a check of the list, and when its call began."""
         with self._received:
-            if confirmed:
-                self._checked_from = began_at
-            else:
+            if not confirmed:
                 self._check_failed_from = began_at
             self._received.notify_all()
+        self._on_change()
 
     def _check_restart(self, new: UpstreamRecord) -> None:
         """Forget the version of streams that two instances may have begun."""
@@ -185,6 +197,10 @@
             self._wall_ms(),
         )
         with self._lock:
+            listed = self._records.get(record.name)
+            if listed is not None and listed.version != record.version:
+                # The upstream has started again since the request was sent to it.
+                begun = replace(begun, version=None)
             self._remember(request_id, begun)
             if record.service not in self._mixed:
                 return
@@ -197,6 +213,11 @@
         while len(self._streams) > self._max_streams:
             self._streams.popitem(last=False)
 
+    def broke_off(self, request_id: RequestId) -> None:
+        """Hasten the report of a stream that its caller may resume at a peer."""
+        if request_id in self._unsent:
+            self._request_check()
+
     # -- resumptions -----------------------------------------------------------------
 
     def wait_for_origin(
@@ -225,15 +246,19 @@
         asked_at, started_at = self._clock(), time.monotonic()
         report_wait_s = min(max_wait_s, UPDATE_WAIT_S) if request_id else 0.0
         check_wait_s = min(max_wait_s, CHECK_WAIT_S)
-        with self._received:
-            while True:
-                is_fresh = self._checked_from >= asked_at
-                oldest = asked_at - max_age_s
-                origin = self._origin(request_id, account, service, oldest, is_fresh)
+        while True:
+            with self._received:
+                origin = self._origin(
+                    request_id,
+                    account,
+                    service,
+                    asked_at - max_age_s,
+                    self._confirmed_from() >= asked_at,
+                )
                 wait_s = 0.0 if origin.knowledge.is_sufficient else report_wait_s
                 has_failed = self._check_failed_from >= asked_at
                 if origin.knowledge is Knowledge.STALE_VIEW and not has_failed:
-                    wait_s = check_wait_s
+                    wait_s = max(wait_s, check_wait_s)
                     self._request_check()
                 left_s = started_at + wait_s - time.monotonic()
                 if left_s <= 0:
@@ -253,18 +278,32 @@
         if begun is not None and begun.account == account:
             if begun.version is None:
                 return Origin(Knowledge.MIXED)
+            if begun.instance is not None and not self._is_confirmed(begun):
+                return Origin(Knowledge.STALE_VIEW)
             return Origin(Knowledge.STREAM, begun.version)
         return self._history.origin(service, oldest, is_fresh)
 
+    def _is_confirmed(self, begun: _Begun) -> bool:
+        """Return whether the record of the upstream was up to date at the first event.
+
+        Otherwise the upstream may have started again with another version before.
+        """
+        return self._confirmed_from() >= begun.at
+
     # -- peers -----------------------------------------------------------------------
 
     def flush(self) -> None:
-        """Send the queued streams to the peers."""
+        """Send the queued streams whose version is certain to the peers."""
         if not self._unsent:
             return
         now = self._clock()
         with self._lock:
-            items, self._unsent = list(self._unsent.items()), {}
+            items = [i for i in self._unsent.items() if self._is_confirmed(i[1])]
+            for request_id, _begun in items:
+                del self._unsent[request_id]
+            due_at = now - MAX_REPORT_DELAY_S
+            if any(begun.at < due_at for begun in self._unsent.values()):
+                self._request_check()
         for start in range(0, len(items), MAX_ITEMS):
             streams = tuple(
                 BegunStream(
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -128,6 +128,9 @@
         self._was_following = False
         self._stopping = threading.Event()
         self._complete_since = math.inf
+        self.confirmed_from = -math.inf
+        """Monotonic time at which the newest own call that succeeded began. The view
+        shows all changes up to then, however late its reply was read."""
         self._retained: dict[str, StoredObject] = {}
         """Objects that a restored store lacks; their writers may write them again."""
         self.ready = threading.Event()
@@ -165,6 +168,7 @@
             log("watch_failed", kind=self._kind.value, error=repr(exc))
 
     def _list_and_watch(self) -> None:
+        began_at = time.monotonic()
         result = self._store.list_all(self._kind)
         if not isinstance(result, Success):
             self._record_failure(time.monotonic())
@@ -174,15 +178,18 @@
         after = listing.version
         before, complete_since = self.version, self._complete_since
         self._apply_listing(listing)
+        self._record_confirmation(began_at)
         if self._needs_history and complete_since < self._complete_since:
             self._recover_history(before, complete_since)
         while not self._stopping.is_set() and not self.is_following():
+            began_at = time.monotonic()
             watched = self._store.watch(self._kind, after, self._duration_s)
             if not isinstance(watched, Success):
                 self._log_end(watched.failure().error, watched.failure().detail)
                 return
             changes = watched.unwrap()
             self._apply_changes(after, changes, time.monotonic())
+            self._record_confirmation(began_at)
             after = changes.version
             if changes.events:
                 self._stopping.wait(self._pause_s)
@@ -207,13 +214,17 @@
         """Apply all changes that the store has accepted when the call begins."""
         if not self.ready.is_set():
             return Err(StoreFailure(StoreError.UNAVAILABLE, "not listed yet"))
-        after = self.version
+        after, began_at = self.version, time.monotonic()
         result = self._store.watch(self._kind, after, CHECK_DURATION_S)
         if not isinstance(result, Success):
             return Err(result.failure())
         self._apply_changes(after, result.unwrap(), time.monotonic())
+        self._record_confirmation(began_at)
         return Success(None)
 
+    def _record_confirmation(self, began_at: float) -> None:
+        self.confirmed_from = max(self.confirmed_from, began_at)
+
     def _log_end(self, error: StoreError, detail: str) -> None:
         if error is StoreError.UNAVAILABLE:
             self._record_failure(time.monotonic())
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -13,7 +13,12 @@
 from persimmonhitch.decide.stream_versions import Knowledge, check_interval
 from persimmonhitch.direct.history_requests import HistoryRequests
 from persimmonhitch.direct.list_checks import ListChecks
-from persimmonhitch.direct.peer_messages import HistoryReply, HistoryRequest
+from persimmonhitch.direct.peer_messages import (
+    HistoryReply,
+    HistoryRequest,
+    StreamsBegan,
+    VersionsSeen,
+)
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.direct.watchers import Listeners
 from persimmonhitch.ids import RequestId, Vm
@@ -32,7 +37,9 @@
     """A store in which upstreams come and go."""
 
     def put(self, name, version):
+        born = int(time.time() * 1000) if version == V2 else 1
         spec = {
+            "born": born,
             "service": LLM,
             "address": "h:1",
             "zone": "z1",
@@ -86,7 +93,11 @@
     def __init__(self, store, vm="e1", watch_s=0.1, interval_s=0.0):
         self.vm, self.path, self.peers, self.sent = Vm(vm), Path(store), [], []
         self.origins = StreamOrigins(
-            lambda _msg: None, lambda: self.checks.request(), 100
+            self._report,
+            lambda: self.checks.request(),
+            100,
+            lambda: self.origins.flush(),
+            confirmed_from=lambda: self.watcher.confirmed_from,
         )
         listeners = Listeners(None, self, None, None, None, self.origins.observe)
         self.watcher = Watcher(
@@ -120,6 +131,15 @@
         self.origins.list_checked(began_at, confirmed)
         self.histories.list_checked(began_at, confirmed)
 
+    def _report(self, msg):
+        copy = decode(encode(msg)).unwrap()
+        for peer in self.peers:
+            receive = {
+                StreamsBegan: peer.origins.receive_streams,
+                VersionsSeen: peer.origins.receive_versions,
+            }[type(copy)]
+            receive(self.vm, copy, time.monotonic())
+
     def _publish(self, msg):
         copy = decode(encode(msg)).unwrap()
         for peer in self.peers:
@@ -135,11 +155,18 @@
     def await_changes(self, store):
         wait_for(lambda: self.watcher.version >= store.version, "the newest changes")
 
-    def knowledge(self, max_age_s=MAX_AGE_S):
-        """Return what a resumption of a stream learns that nobody reports."""
-        origin = self.origins.wait_for_origin(RequestId(""), COOP, LLM, max_age_s)
+    def knowledge(self, max_age_s=MAX_AGE_S, request_id=""):
+        """Return what a resumption learns, by default of a stream without an id."""
+        origin = self.origins.wait_for_origin(
+            RequestId(request_id), COOP, LLM, max_age_s
+        )
         return origin.knowledge
 
+    def begin(self, request_id, name):
+        """Begin a stream at an upstream as this entry lists it."""
+        obj = self.watcher.view.objects[name]
+        self.origins.began(RequestId(request_id), COOP, decode_upstream(name, obj.spec))
+
 
 @pytest.fixture
 def store():
@@ -274,6 +301,47 @@
     assert entry.sent == []
 
 
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_upstream_that_restarted_before_the_stream_began(store, entry, is_silent):
+    """Guards against the version in a record that was out of date by then."""
+    entry.path.is_silent = True
+    wait_for(lambda: entry.watcher.failed_at > 0, "a failed call")
+    store.put("u1", V2)
+    entry.begin("q1", "u1")
+    entry.path.is_silent = is_silent
+    expected = Knowledge.STALE_VIEW if is_silent else Knowledge.MIXED
+    assert entry.knowledge(request_id="q1") is expected
+
+
+def test_stream_whose_upstream_is_listed_with_another_version_by_then(store, entry):
+    """Guards against the version of the record that a request was sent by."""
+    record = decode_upstream("u1", entry.watcher.view.objects["u1"].spec)
+    store.put("u1", V2)
+    entry.await_changes(store)
+    entry.origins.began(RequestId("q1"), COOP, record)
+    assert entry.knowledge(request_id="q1") is Knowledge.MIXED
+
+
+def test_peers_are_told_of_streams_whose_version_is_certain(store, entry):
+    """Guards against a report of a version that the upstream had no longer."""
+    peer = Entry(store, "e2")
+    entry.peers = [peer]
+    store.put("u2", V2)
+    for each in (entry, peer):
+        each.await_changes(store)
+    entry.path.is_silent = True
+    wait_for(lambda: entry.watcher.failed_at > 0, "a failed call")
+    entry.begin("q1", "u1")
+    entry.origins.flush()
+    assert peer.knowledge(request_id="q1") is Knowledge.MIXED
+    entry.path.is_silent = False
+    entry.origins.broke_off(RequestId("q1"))
+    wait_for(lambda: entry.watcher.confirmed_from > entry.watcher.failed_at, "a check")
+    entry.origins.flush()
+    assert peer.knowledge(request_id="q1") is Knowledge.STREAM
+    peer.watcher.stop()
+
+
 @pytest.mark.parametrize("entries", [4, 100, 300])
 def test_checks_of_a_burst_of_resumptions_are_bounded(store, entries):
     """Guards against a call to the store for each of many streams that broke."""
