Ask peers which version began a stream while the store does not answer

An entry that the store alone does not reach refused all resumptions of streams that its peers had begun: it has no proof of its own, and peers told of streams only while versions mix. After 50 ms without a report or a confirmation it now asks them; the entry that began the stream reports it, once its version is certain. Peers of an earlier build log the question as unknown and ignore it.

Costs a message of some 40 bytes to each entry for such a resumption, none while the store answers.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -92,6 +92,7 @@
     LostPartsUpdate,
     StoreProbe,
     StoreProbeReply,
+    StreamQuery,
     StreamsBegan,
     VersionsSeen,
 )
@@ -297,6 +298,7 @@
         on(LeavingUpdate, self.leaving.receive)
         on(StreamsBegan, self.origins.receive_streams)
         on(VersionsSeen, self.origins.receive_versions)
+        on(StreamQuery, self.origins.receive_query)
         on(HistoryRequest, self.histories.receive_request)
         on(EraUpdate, self._on_era_update)
         on(InventoryUpdate, lambda vm, msg, _at: self._on_inventory_update(vm, msg))
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -341,6 +341,14 @@
     versions: tuple[SeenVersion, ...]
 
 
+@message(84)
+@dataclass(frozen=True)
+class StreamQuery:
+    """Asks which software version began a stream; its entry sends ``StreamsBegan``."""
+
+    request: RequestId
+
+
 @message(82)
 @dataclass(frozen=True)
 class HistoryRequest:
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -19,6 +19,7 @@
 from .peer_messages import (
     BegunStream,
     SeenVersion,
+    StreamQuery,
     StreamsBegan,
     VersionsSeen,
 )
@@ -29,9 +30,11 @@
 are told of new streams; longer than any stream."""
 MAX_ITEMS: Final = 500
 """Streams in one message to the peers."""
-UPDATE_WAIT_S: Final = 0.2
-"""Seconds for which a resumption waits for a peer's report of its stream: two flush
-intervals of the broadcast, and the relays."""
+UPDATE_WAIT_S: Final = 0.4
+"""Seconds for which a resumption waits for a peer's report of its stream: those until
+the query, and two flush intervals of the broadcast with the relays of each."""
+QUERY_DELAY_S: Final = 0.05
+"""Seconds without a report or a confirmation after which peers are asked."""
 MAX_REPORT_DELAY_S: Final = 0.5
 """Seconds after which the report of a stream asks for a check of the list, if no call
 of the entry's watch has confirmed it by then."""
@@ -246,6 +249,7 @@
         asked_at, started_at = self._clock(), time.monotonic()
         report_wait_s = min(max_wait_s, UPDATE_WAIT_S) if request_id else 0.0
         check_wait_s = min(max_wait_s, CHECK_WAIT_S)
+        may_query = bool(request_id)
         while True:
             with self._received:
                 origin = self._origin(
@@ -260,10 +264,17 @@
                 if origin.knowledge is Knowledge.STALE_VIEW and not has_failed:
                     wait_s = max(wait_s, check_wait_s)
                     self._request_check()
-                left_s = started_at + wait_s - time.monotonic()
+                now = time.monotonic()
+                left_s = started_at + wait_s - now
                 if left_s <= 0:
                     return origin
-                self._received.wait(left_s)
+                if may_query:
+                    left_s = min(left_s, started_at + QUERY_DELAY_S - now)
+                if left_s > 0:
+                    self._received.wait(left_s)
+                    continue
+            may_query = False
+            self._publish(StreamQuery(request_id))
 
     def _origin(
         self,
@@ -355,6 +366,17 @@
         since_s = min(MIX_S, max(0.0, now - self._history.since))
         return VersionsSeen(int(since_s * 1000), versions)
 
+    def receive_query(self, _vm: Vm, msg: StreamQuery, _as_of: float) -> None:
+        """Report a stream to all peers if this entry has begun it."""
+        with self._lock:
+            begun = self._streams.get(msg.request)
+            if begun is None or begun.instance is None:
+                return
+            self._unsent[msg.request] = begun
+            if not self._is_confirmed(begun):
+                self._request_check()
+        self._on_change()
+
     def receive_streams(self, _vm: Vm, msg: StreamsBegan, as_of: float) -> None:
         """Apply the streams that a peer has begun."""
         wall_ms, now = self._wall_ms(), self._clock()
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -16,6 +16,7 @@
 from persimmonhitch.direct.peer_messages import (
     HistoryReply,
     HistoryRequest,
+    StreamQuery,
     StreamsBegan,
     VersionsSeen,
 )
@@ -136,6 +137,7 @@
         for peer in self.peers:
             receive = {
                 StreamsBegan: peer.origins.receive_streams,
+                StreamQuery: peer.origins.receive_query,
                 VersionsSeen: peer.origins.receive_versions,
             }[type(copy)]
             receive(self.vm, copy, time.monotonic())
@@ -241,21 +243,17 @@
     assert entry.knowledge() is Knowledge.MIXED
 
 
-def test_late_reply_does_not_list_a_removed_upstream_again(store):
+def test_late_changes_do_not_list_a_removed_upstream_again(store, entry):
     """Guards against requests to an upstream that has left."""
-    entry = Entry(store, watch_s=5.0)
-    entry.path.open.clear()
+    entry.watcher.stop()
+    time.sleep(0.2)
+    before = entry.watcher.version
     store.put("u2", V1)
-    time.sleep(0.05)
+    late = store.watch(Kind.UPSTREAM, before, 0.0).unwrap()
     store.remove("u2")
-    seen = []
-    entry.update = lambda view: seen.append(set(view.objects))
-    threading.Timer(0.1, entry.path.open.set).start()
-    entry.checks.request()
-    entry.await_changes(store)
-    time.sleep(0.1)
-    assert seen[-1] == {"u1"}
-    entry.watcher.stop()
+    entry.checks.run_once()
+    entry.watcher.receive(before, late, time.monotonic(), -1.0, True)
+    assert set(entry.watcher.view.objects) == {"u1"}
 
 
 def test_neighbour_tells_what_was_listed_before_the_start(store, entry):
@@ -342,6 +340,17 @@
     peer.watcher.stop()
 
 
+def test_peer_that_began_a_stream_is_asked_while_the_store_is_silent(store, entry):
+    """Guards against a refusal by an entry that the store alone does not reach."""
+    peer = Entry(store, "e2")
+    peer.peers, entry.peers = [entry], [peer]
+    entry.path.is_silent = True
+    peer.begin("q1", "u1")
+    assert entry.knowledge(request_id="q1") is Knowledge.STREAM
+    assert entry.knowledge(request_id="q2") is Knowledge.STALE_VIEW
+    peer.watcher.stop()
+
+
 @pytest.mark.parametrize("entries", [4, 100, 300])
 def test_checks_of_a_burst_of_resumptions_are_bounded(store, entries):
     """Guards against a call to the store for each of many streams that broke."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -197,6 +197,7 @@
             receive = {
                 "StreamsBegan": peer.origins.receive_streams,
                 "VersionsSeen": peer.origins.receive_versions,
+                "StreamQuery": peer.origins.receive_query,
             }[kind]
             receive(Vm("e1"), copy, self._clock())
 
