Count threads that begin anew, and report an entry as not ready whose list fails

Errors are now counted by thread (persimmonhitch.threads.failures), those of the watches too, and an entry whose list could not be applied for 2 s is not ready. The history of versions is applied after the list of upstreams, so that an error there leaves the list current.

Evidence: test_listener_that_keeps_failing_is_counted needs the new state; by reading, the entry stayed ready before.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -38,6 +38,7 @@
 from ..ids import Incarnation, Model, Upstream, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
 from ..kernel.service import run_service
+from ..kernel.threads import failure_counts
 from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
 from ..observe.metrics import Metrics
@@ -111,6 +112,8 @@
 LEASE_NAME: Final = "orders"
 LEASE_CALL_FRACTION: Final = 0.3
 """Timeout of a call to renew the lease, as a fraction of the lease's duration."""
+MAX_FAILING_S: Final = 2.0
+"""Seconds for which a list may not be applied before the entry is not ready."""
 STOP_MARGIN_S: Final = 0.25
 """Seconds before the platform's stop limit at which remaining requests are aborted."""
 
@@ -169,6 +172,7 @@
         self._cold_count = 0
         self._blocked_count = 0
         """Values of the metrics of cold upstreams and of blocked causes."""
+        self._thread_failures: dict[str, int] = {}
         self.quota = Quota(lambda: self.peers)
         self.retries = RetryBudgets(cfg.retry_bound, self._may_use_slack)
         self.watchdog = Watchdog()
@@ -375,7 +379,16 @@
         return synced and self.active_config.cfg.version > 0
 
     def _is_ready(self) -> bool:
-        return self._is_synced() and not self.draining.is_set()
+        """Return whether new connections are wanted.
+
+        An entry that can't apply what the store lists would send requests to upstreams
+        that have left.
+        """
+        is_failing = any(
+            time.monotonic() - watcher.failing_since > MAX_FAILING_S
+            for watcher in self.watchers.values()
+        )
+        return self._is_synced() and not is_failing and not self.draining.is_set()
 
     # -- updates ---------------------------------------------------------------------
 
@@ -618,7 +631,11 @@
                 self._welcomed[vm] = incarnation
 
     def _update_counts(self) -> None:
-        """Set the metrics of cold upstreams and blocked causes when they change."""
+        """Set the metrics of counts that have changed."""
+        failures = failure_counts()
+        if failures != self._thread_failures:
+            self._thread_failures = failures
+            self.metrics.thread_failures(failures)
         cold, blocked = self.limits.cold_count(), len(self.poison.blocked())
         if cold != self._cold_count:
             self._cold_count = cold
--- a/src/persimmonhitch/direct/watchers.py
+++ b/src/persimmonhitch/direct/watchers.py
@@ -41,12 +41,12 @@
     evacuations: Listener | None = None
     """None if operators evacuate no zones."""
     upstream_history: Listener = lambda _view: None
-    """Receives each view of the upstreams before ``upstreams`` does."""
+    """Receives each view of the upstreams after ``upstreams``."""
 
     def update_upstreams(self, view: View) -> None:
         """Pass a view of the upstreams on."""
-        self.upstream_history(view)
         self.upstreams.update(view)
+        self.upstream_history(view)
 
 
 def make_watchers(
--- a/src/persimmonhitch/kernel/threads.py
+++ b/src/persimmonhitch/kernel/threads.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -9,6 +10,18 @@
 
 RESTART_DELAY_S: Final = 0.1
 """Delay of a loop that has failed, so that one that always fails takes no processor."""
+_failures: Counter[str] = Counter()
+
+
+def record_failure(thread: str) -> int:
+    """Count a failure of a thread that goes on; return how many it has had."""
+    _failures[thread] += 1
+    return _failures[thread]
+
+
+def failure_counts() -> dict[str, int]:
+    """Return the failures of the threads of this process that had any."""
+    return dict(_failures)
 
 
 def service_thread(name: str, run: Callable[[], None]) -> threading.Thread:
@@ -19,12 +32,11 @@
     """
 
     def keep_running() -> None:
-        failures = 0
         while True:
             try:
                 return run()
             except Exception as exc:
-                failures += 1
+                failures = record_failure(name)
                 log("thread_failed", thread=name, failures=failures, error=repr(exc))
             time.sleep(RESTART_DELAY_S)
 
--- a/src/persimmonhitch/observe/metrics.py
+++ b/src/persimmonhitch/observe/metrics.py
@@ -152,6 +152,12 @@
     "",
     "Requests and prompt parts that are refused since they crash upstreams.",
 )
+THREAD_FAILURES: Final = Instrument(
+    "persimmonhitch.threads.failures",
+    "",
+    "Errors after which a thread of the process has begun anew.",
+    ("thread",),
+)
 RESUMPTIONS: Final = Instrument(
     "persimmonhitch.streams.resumptions",
     "",
@@ -267,6 +273,7 @@
     EVACUATED_ZONES,
     COLD_UPSTREAMS,
     BLOCKED_CAUSES,
+    THREAD_FAILURES,
     RESUMPTIONS,
     KNOWN_STREAMS,
     SHARE_GENERATION,
@@ -361,6 +368,7 @@
         self._cold = self._gauge(COLD_UPSTREAMS)
         self._placement_load = self._gauge(PLACEMENT_LOAD)
         self._blocked = self._gauge(BLOCKED_CAUSES)
+        self._thread_failures = self._gauge(THREAD_FAILURES)
         self._resumptions = self._counter(RESUMPTIONS)
         self._known_streams = self._gauge(KNOWN_STREAMS)
         self._generation = self._gauge(SHARE_GENERATION)
@@ -487,6 +495,11 @@
         """Set the number of blocked requests and prompt parts."""
         self._blocked.set(count)
 
+    def thread_failures(self, counts: Mapping[str, int]) -> None:
+        """Set the number of errors of each thread that begins anew after one."""
+        for thread, count in counts.items():
+            self._thread_failures.set(count, {"thread": thread})
+
     def stream_resumed(self, knowledge: str, accepted: bool) -> None:
         """Count a resumption by its caller, by the source of the version."""
         outcome = "accepted" if accepted else "refused"
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -15,6 +15,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..kernel.threads import record_failure
 from ..observe.logs import log
 from .era import era_of
 from .objects import (
@@ -127,6 +128,8 @@
         self._needs_listing = False
         self._was_following = False
         self._stopping = threading.Event()
+        self.failing_since = math.inf
+        """Time since which the listener has raised an error at each view."""
         self._complete_since = math.inf
         self.confirmed_from = -math.inf
         """Monotonic time at which the newest own call that succeeded began. The view
@@ -165,7 +168,13 @@
             self._list_and_watch()
         except Exception as exc:
             # Without this thread the process would keep its last view for good.
-            log("watch_failed", kind=self._kind.value, error=repr(exc))
+            failures = record_failure(self._thread.name)
+            log(
+                "watch_failed",
+                kind=self._kind.value,
+                failures=failures,
+                error=repr(exc),
+            )
 
     def _list_and_watch(self) -> None:
         began_at = time.monotonic()
@@ -396,5 +405,10 @@
             self._complete_since,
             superseded,
         )
-        self._listener(self.view)
+        try:
+            self._listener(self.view)
+        except Exception:
+            self.failing_since = min(self.failing_since, now)
+            raise
+        self.failing_since = math.inf
         self.ready.set()
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -49,6 +49,7 @@
     metrics.cold_upstreams(3)
     metrics.placement_load(Service("llm"), 0.5)
     metrics.blocked_causes(2)
+    metrics.thread_failures({"watch-upstreams": 1})
     metrics.stream_resumed("stream", True)
     metrics.known_streams(1)
     metrics.share_generation(account, 3)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,16 +2,21 @@
 
 import io
 import json
+import math
 import threading
+import time
 
 import pytest
 from direct_help import FakeUpstream
+from fleet import wait_for
 from returns.result import Failure
 
 from persimmonhitch.direct.engine_client import EngineClient
+from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.direct.upstreams import UpstreamList
 from persimmonhitch.ids import Vm
 from persimmonhitch.json_input import MAX_DEPTH, is_readable, parse_json, parse_readable
+from persimmonhitch.kernel.threads import failure_counts
 from persimmonhitch.observe.logs import LogWriter
 from persimmonhitch.platform.store_client import StoreClient
 from persimmonhitch.store.objects import (
@@ -212,6 +217,39 @@
         watcher.stop()
 
 
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_odd_entry_that_has_left_hides_no_version(name):
+    """Guards against a history that ends at an entry which can't be read."""
+    origins = StreamOrigins(lambda _msg: None, lambda: None, 10)
+    with RawStore(ODD_ENTRIES[name]) as store:
+        events = store.client.watch(Kind.UPSTREAM, Version(5), 0.0).unwrap().events
+    superseded = tuple(event.object for event in events)
+    origins.observe(View({}, 0.0, complete_since=0.0, superseded=superseded))
+    assert SOUND["version"] in {item.version for item in origins.history().versions}
+
+
+def test_listener_that_keeps_failing_is_counted():
+    """Guards against an entry that is ready and follows its upstreams no more."""
+    broken = threading.Event()
+    broken.set()
+
+    def listener(_view):
+        if broken.is_set():
+            raise OverflowError
+
+    with RawStore(entry_text()) as store:
+        watcher = Watcher(
+            store.client, Kind.ENTRY, listener, duration_s=0.1, max_retry_s=0.05
+        )
+        watcher.start()
+        wait_for(lambda: failure_counts().get("watch-entries", 0) > 1, "failures")
+        assert watcher.failing_since < time.monotonic()
+        broken.clear()
+        wait_for(watcher.ready.is_set, "a view that is applied")
+        assert watcher.failing_since == math.inf
+        watcher.stop()
+
+
 def test_half_of_a_character_does_not_end_the_log():
     """Guards against a process that logs nothing more after an odd text."""
     raw = io.BytesIO()
