Wait after an order of a previous leader that turns out to have arrived late

A new leader now compares both counts before its first order to an engine. If the engine has accepted an order that nobody reported, the order may have arrived just now, and the wait begins anew. A release keeps the count that was reported before.

Evidence: test_orders_wait_after_a_late_order_of_the_previous_leader fails without the comparison (by its parameter, the order is sent at once).

--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -13,6 +13,7 @@
 from ..observe.logs import log
 from .engine_client import ORDER_TIMEOUT_S, EngineClient, Order, OrderOutcome
 from .engine_state import EngineState
+from .order_history import NO_GUARD, OrderGuard
 
 ADAPTER_LOAD_S: Final = 0.02
 """Seconds from an order until the adapter is ready; a load takes 5 to 14 ms while few
@@ -87,7 +88,9 @@
         clock: Clock = time.monotonic,
         sleep: Callable[[float], object] = time.sleep,
         running_requests: Callable[[EngineState], Mapping[Model, int]] = lambda _: {},
+        guard: OrderGuard = NO_GUARD,
     ) -> None:
+        self._guard = guard
         self.engine = engine
         self.lock = threading.Lock()
         self._client = client
@@ -148,8 +151,23 @@
             return False
         self._set_inventory(inventory)
         self._log_inventory(inventory)
+        if self.last_order_at is None:
+            self._wait_after_late_order(inventory.order_count)
         return True
 
+    def _wait_after_late_order(self, order_count: int) -> None:
+        allowed_at = self._guard.allowed_at(order_count, self._clock())
+        if allowed_at <= max(self._clock(), self.orders_allowed_at):
+            return
+        self.orders_allowed_at = allowed_at
+        log(
+            "late_order_found",
+            upstream=self.engine.record.name,
+            orders=order_count,
+            reported=self._guard.reported_count,
+            wait=allowed_at - self._clock(),
+        )
+
     def _set_inventory(self, inventory: EngineInventory) -> None:
         old, self.engine.inventory = self.engine.inventory, inventory
         if old is not None and old.busy:
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -41,6 +41,7 @@
 from .engine_state import EngineState, usable_models
 from .leader_election import LeaderElection
 from .observed_engines import ObservedEngines
+from .order_history import NO_GUARD, OrderGuard
 from .peer_messages import (
     DrainUpdate,
     EntryUpdate,
@@ -352,6 +353,7 @@
         with self._lock:
             records = dict(self._records)
             self._save_order_times()
+            self._save_order_times()
             for name in set(self._controllers) - set(records):
                 del self._controllers[name]
             for name, record in records.items():
@@ -422,12 +424,19 @@
             self._publish,
             self._is_in_use,
             running_requests=self._running_requests,
+            guard=self._order_guard(name),
         )
         controller.orders_allowed_at = self.election.orders_allowed_at(
             engine.record.name, self._leading_since
         )
         return controller
 
+    def _order_guard(self, name: Upstream) -> OrderGuard:
+        """Return the guard against late orders, none after own orders of this term."""
+        if self._own_orders.get(name, -math.inf) >= self._leading_since:
+            return NO_GUARD
+        return self.election.order_guard(name)
+
     def _uses_by_upstream(self) -> UsesByUpstream:
         """Return the models and adapters in use at each engine, over all entries."""
         with self._lock:
--- a/src/persimmonhitch/direct/leader_election.py
+++ b/src/persimmonhitch/direct/leader_election.py
@@ -10,7 +10,7 @@
 from ..observe.logs import log
 from ..planner.lease import LeaseKeeper, Predecessor
 from ..store.objects import Version
-from .order_history import OrderHistory
+from .order_history import OrderGuard, OrderHistory
 from .peer_messages import (
     InventoryUpdate,
     LeaseReleased,
@@ -146,6 +146,10 @@
             upstream, leading_since, predecessor, ended
         )
 
+    def order_guard(self, upstream: Upstream) -> OrderGuard:
+        """Return what tells whether an engine has got an order that nobody reported."""
+        return OrderGuard(self._history.reported_count(upstream), self._guard_s)
+
     def last_order_by_predecessor(
         self, upstream: Upstream, leading_since: float
     ) -> float:
--- a/src/persimmonhitch/direct/order_history.py
+++ b/src/persimmonhitch/direct/order_history.py
@@ -8,7 +8,9 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Final
 
+from ..fleet.upstream import NOT_COUNTED
 from ..ids import Upstream, Vm
 from ..planner.lease import Predecessor
 from .engine_client import ORDER_TIMEOUT_S
@@ -24,10 +26,33 @@
 @dataclass(frozen=True)
 class _LastOrder:
     vm: Vm
-    order_count: int
+    order_count: int | None
+    """Orders that the engine had accepted; None if not known."""
     sent_at: float
 
 
+@dataclass(frozen=True)
+class OrderGuard:
+    """Time to wait after an order of a previous leader that arrived late."""
+
+    reported_count: int | None
+    """Orders that the engine had accepted by the last report of that leader."""
+    guard_s: float
+
+    def allowed_at(self, order_count: int, now: float) -> float:
+        """Return the time from which orders are allowed.
+
+        An order without an answer may have waited on a stalled path. If the engine has
+        accepted more orders than reported, it may have arrived just now.
+        """
+        if self.reported_count is None or order_count <= self.reported_count:
+            return now
+        return now + self.guard_s
+
+
+NO_GUARD: Final = OrderGuard(None, 0.0)
+
+
 class OrderHistory:
     """Last orders that other entries have reported; times are monotonic seconds."""
 
@@ -55,7 +80,18 @@
         for upstream, age in ages.items():
             last = self._last_orders.get(upstream)
             if last is None or last.sent_at < now - age:
-                self._last_orders[upstream] = _LastOrder(vm, -1, now - age)
+                count = None if last is None or last.vm != vm else last.order_count
+                self._last_orders[upstream] = _LastOrder(vm, count, now - age)
+
+    def reported_count(self, upstream: Upstream) -> int | None:
+        """Return how many orders an engine had accepted by the last leader's reports.
+
+        None if that is not known.
+        """
+        last = self._last_orders.get(upstream)
+        if last is None or last.order_count == NOT_COUNTED:
+            return None
+        return last.order_count
 
     def orders_allowed_at(
         self,
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -14,6 +14,7 @@
     OrderOutcome,
 )
 from persimmonhitch.direct.engine_controller import ADAPTER_SETTLE_S, ADAPTER_WINDOW_S
+from persimmonhitch.direct.order_history import OrderGuard
 from persimmonhitch.ids import Adapter, Epoch, Model, Vm
 
 BIG, OTHER, SMALL = Model("big"), Model("other"), Model("small")
@@ -293,3 +294,17 @@
         while conn.recv(4096):
             pass
     conn.close(), listener.close()
+
+
+@pytest.mark.parametrize("late_orders", [0, 1])
+def test_orders_wait_after_a_late_order_of_the_previous_leader(late_orders):
+    """Guards against orders of two leaders to one engine in quick succession."""
+    clock = Clock()
+    engine = FakeEngine(clock)
+    engine.sequence = 4 + late_orders
+    controller, _published = controller_of(engine, clock)
+    controller._guard = OrderGuard(4, 3.0)
+    assert controller.refresh()
+    assert controller.load_adapter(Model("big"), Adapter("a1")) is not bool(late_orders)
+    clock.now += 3.0
+    assert controller.load_adapter(Model("big"), Adapter("a2"))
--- a/tests/test_direct_leader.py
+++ b/tests/test_direct_leader.py
@@ -13,6 +13,7 @@
 
 from persimmonhitch.direct import leader as leader_module
 from persimmonhitch.direct.leader import Leader
+from persimmonhitch.direct.order_history import NO_GUARD
 from persimmonhitch.direct.peer_messages import (
     EntryUpdate,
     InventoryUpdate,
@@ -58,6 +59,9 @@
     def orders_allowed_at(self, _upstream, _leading_since):
         return 0.0
 
+    def order_guard(self, _upstream):
+        return NO_GUARD
+
     def last_order_by_predecessor(self, _upstream, _leading_since):
         return -math.inf
 
--- a/tests/test_direct_lease.py
+++ b/tests/test_direct_lease.py
@@ -9,7 +9,7 @@
 from persimmonhitch.direct.leader import MAX_ORDER_AGE_S, Leader
 from persimmonhitch.direct.leader_election import LeaderElection
 from persimmonhitch.direct.order_history import OrderHistory
-from persimmonhitch.fleet.upstream import UpstreamRecord
+from persimmonhitch.fleet.upstream import NOT_COUNTED, UpstreamRecord
 from persimmonhitch.ids import Incarnation, Service, Upstream, Vm, Zone
 from persimmonhitch.planner.lease import (
     UNKNOWN_PREDECESSOR,
@@ -263,3 +263,30 @@
     leader._controllers = {E1: SimpleNamespace(last_order_at=clock.now)}
     election.stop()
     assert sent[0].order_ages_s == {E1: 0.0, E2: pytest.approx(MAX_ORDER_AGE_S)}
+
+
+@pytest.mark.parametrize(
+    ("counts", "release_age_s", "order_count", "wait_s"),
+    [
+        ([4], None, 4, 0.0),
+        ([4], None, 5, GUARD_S),
+        ([4], 1.0, 5, GUARD_S),
+        ([], 1.0, 5, 0.0),
+        ([NOT_COUNTED], None, 5, 0.0),
+        ([9], None, 0, 0.0),
+    ],
+    ids=["none", "late", "late-after-release", "unknown", "not-counted", "restarted"],
+)
+def test_wait_after_an_order_that_was_not_reported(
+    counts, release_age_s, order_count, wait_s
+):
+    """Guards against an order soon after one that had waited on a stalled path."""
+    clock = Clock()
+    election = LeaderElection(B, keepers()[3], StubPeers([]), dict, GUARD_S, clock)
+    for count in counts:
+        election._history.record_orders(A, E1, count)
+    clock.now += 5.0
+    if release_age_s is not None:
+        election._history.record_release(A, {E1: release_age_s})
+    guard = election.order_guard(E1)
+    assert guard.allowed_at(order_count, clock.now) - clock.now == wait_s
