Wait as well if an engine's path has just recovered

Before its first order a new leader now also waits if the engine did not answer its requests for a report. A limit on requests, or an answer that is no report, does not count as that.

--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -66,6 +66,15 @@
 }
 
 
+@dataclass(frozen=True)
+class ReportFailure:
+    """Why there is no report of an engine."""
+
+    detail: str
+    unreachable: bool = False
+    """Whether the engine was asked and did not answer."""
+
+
 @dataclass(frozen=True)
 class Order:
     """A load or unload command for a model or adapter."""
@@ -120,10 +129,12 @@
         self._check_leaving(record, answer)
         return OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.UNKNOWN)
 
-    def get_report(self, record: UpstreamRecord) -> Result[EngineInventory, str]:
-        """Return an engine's inventory as of some hundred ms ago, or an error text."""
+    def get_report(
+        self, record: UpstreamRecord
+    ) -> Result[EngineInventory, ReportFailure]:
+        """Return an engine's inventory as of some hundred ms ago."""
         if not self._limits.acquire_report_slot(record):
-            return Err("request limit reached")
+            return Err(ReportFailure("request limit reached"))
         url = f"http://{record.host}:{record.port}{names.REPORT_PATH}"
         try:
             answer = self._http.request(
@@ -135,13 +146,15 @@
             data = read_body(answer, MAX_REPORT_BYTES, MAX_BODY_S)
             self._check_leaving(record, answer)
             if answer.status != 200:
-                return Err(f"status {answer.status}")
+                return Err(ReportFailure(f"status {answer.status}"))
             return Success(decode_report(parse_readable(data)))
         except AnswerBoundExceeded as exc:
             _log_bound_exceeded(record, exc)
-            return Err(repr(exc))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
-            return Err(repr(exc))
+            return Err(ReportFailure(repr(exc)))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Err(ReportFailure(repr(exc), unreachable=True))
+        except ValueError as exc:
+            return Err(ReportFailure(repr(exc)))
 
     def _check_leaving(
         self, record: UpstreamRecord, answer: urllib3.BaseHTTPResponse
--- a/src/persimmonhitch/direct/engine_controller.py
+++ b/src/persimmonhitch/direct/engine_controller.py
@@ -91,6 +91,8 @@
         guard: OrderGuard = NO_GUARD,
     ) -> None:
         self._guard = guard
+        self._was_unreachable = False
+        """Whether the engine did not answer since its last report."""
         self.engine = engine
         self.lock = threading.Lock()
         self._client = client
@@ -139,10 +141,12 @@
         self.polled_at = self._clock()
         result = self._client.get_report(self.engine.record)
         if not isinstance(result, Success):
+            failure = result.failure()
+            self._was_unreachable |= failure.unreachable
             log(
                 "report_failed",
                 upstream=self.engine.record.name,
-                error=result.failure(),
+                error=failure.detail,
             )
             return False
         inventory: EngineInventory = result.unwrap()
@@ -153,18 +157,22 @@
         self._log_inventory(inventory)
         if self.last_order_at is None:
             self._wait_after_late_order(inventory.order_count)
+        self._was_unreachable = False
         return True
 
     def _wait_after_late_order(self, order_count: int) -> None:
-        allowed_at = self._guard.allowed_at(order_count, self._clock())
+        allowed_at = self._guard.allowed_at(
+            order_count, self._was_unreachable, self._clock()
+        )
         if allowed_at <= max(self._clock(), self.orders_allowed_at):
             return
         self.orders_allowed_at = allowed_at
         log(
-            "late_order_found",
+            "late_order_possible",
             upstream=self.engine.record.name,
             orders=order_count,
             reported=self._guard.reported_count,
+            unreachable=self._was_unreachable,
             wait=allowed_at - self._clock(),
         )
 
--- a/src/persimmonhitch/direct/leader_election.py
+++ b/src/persimmonhitch/direct/leader_election.py
@@ -10,7 +10,7 @@
 from ..observe.logs import log
 from ..planner.lease import LeaseKeeper, Predecessor
 from ..store.objects import Version
-from .order_history import OrderGuard, OrderHistory
+from .order_history import NO_GUARD, OrderGuard, OrderHistory
 from .peer_messages import (
     InventoryUpdate,
     LeaseReleased,
@@ -80,6 +80,7 @@
         clock: Callable[[], float] = time.monotonic,
         rank: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._vm = vm
         self._lease = lease
         self._rank = rank
         self._peers = peers
@@ -147,7 +148,10 @@
         )
 
     def order_guard(self, upstream: Upstream) -> OrderGuard:
-        """Return what tells whether an engine has got an order that nobody reported."""
+        """Return what tells whether an engine may just have got an order of another."""
+        predecessor = self._lease.predecessor
+        if predecessor is None or predecessor.vm == self._vm:
+            return NO_GUARD
         return OrderGuard(self._history.reported_count(upstream), self._guard_s)
 
     def last_order_by_predecessor(
--- a/src/persimmonhitch/direct/order_history.py
+++ b/src/persimmonhitch/direct/order_history.py
@@ -39,15 +39,15 @@
     """Orders that the engine had accepted by the last report of that leader."""
     guard_s: float
 
-    def allowed_at(self, order_count: int, now: float) -> float:
-        """Return the time from which orders are allowed.
+    def allowed_at(self, order_count: int, was_unreachable: bool, now: float) -> float:
+        """Return the time from which orders are allowed after an engine's report.
 
-        An order without an answer may have waited on a stalled path. If the engine has
-        accepted more orders than reported, it may have arrived just now.
+        An order without an answer may have waited on a stalled path. It may have
+        arrived just now if the engine has accepted more orders than reported, or if
+        its path has just recovered; its report may be older than that.
         """
-        if self.reported_count is None or order_count <= self.reported_count:
-            return now
-        return now + self.guard_s
+        is_reported = self.reported_count is None or order_count <= self.reported_count
+        return now if is_reported and not was_unreachable else now + self.guard_s
 
 
 NO_GUARD: Final = OrderGuard(None, 0.0)
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -3,7 +3,7 @@
 from returns.result import Failure as Err
 from returns.result import Success
 
-from persimmonhitch.direct.engine_client import OrderOutcome
+from persimmonhitch.direct.engine_client import OrderOutcome, ReportFailure
 from persimmonhitch.direct.engine_controller import EngineController
 from persimmonhitch.direct.engine_state import EngineState
 from persimmonhitch.fleet.config import EngineSpec, ModelSpec
@@ -160,7 +160,7 @@
     """Engine that refuses every status request."""
 
     def get_report(self, _record):
-        return Err("refused")
+        return Err(ReportFailure("refused"))
 
 
 def controller_of(
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -6,12 +6,14 @@
 import pytest
 from direct_help import no_limits
 from fake_engine import SPEC, Clock, FakeEngine, controller_of
+from returns.result import Failure as Err
 
 from persimmonhitch.direct.engine_client import (
     ORDER_TIMEOUT_S,
     EngineClient,
     Order,
     OrderOutcome,
+    ReportFailure,
 )
 from persimmonhitch.direct.engine_controller import ADAPTER_SETTLE_S, ADAPTER_WINDOW_S
 from persimmonhitch.direct.order_history import OrderGuard
@@ -296,15 +298,24 @@
     conn.close(), listener.close()
 
 
-@pytest.mark.parametrize("late_orders", [0, 1])
-def test_orders_wait_after_a_late_order_of_the_previous_leader(late_orders):
+@pytest.mark.parametrize(
+    ("late_orders", "failures", "waits"), [(0, 0, False), (1, 0, True), (0, 1, True)]
+)
+def test_orders_wait_after_a_late_order_of_the_previous_leader(
+    late_orders, failures, waits
+):
     """Guards against orders of two leaders to one engine in quick succession."""
     clock = Clock()
     engine = FakeEngine(clock)
     engine.sequence = 4 + late_orders
     controller, _published = controller_of(engine, clock)
     controller._guard = OrderGuard(4, 3.0)
+    get_report = engine.get_report
+    for _ in range(failures):
+        engine.get_report = lambda _record: Err(ReportFailure("", True))
+        assert not controller.refresh()
+    engine.get_report = get_report
     assert controller.refresh()
-    assert controller.load_adapter(Model("big"), Adapter("a1")) is not bool(late_orders)
+    assert controller.load_adapter(Model("big"), Adapter("a1")) is not waits
     clock.now += 3.0
     assert controller.load_adapter(Model("big"), Adapter("a2"))
--- a/tests/test_direct_lease.py
+++ b/tests/test_direct_lease.py
@@ -266,27 +266,30 @@
 
 
 @pytest.mark.parametrize(
-    ("counts", "release_age_s", "order_count", "wait_s"),
+    ("counts", "release_age_s", "order_count", "unreachable", "wait_s"),
     [
-        ([4], None, 4, 0.0),
-        ([4], None, 5, GUARD_S),
-        ([4], 1.0, 5, GUARD_S),
-        ([], 1.0, 5, 0.0),
-        ([NOT_COUNTED], None, 5, 0.0),
-        ([9], None, 0, 0.0),
+        ([4], None, 4, False, 0.0),
+        ([4], None, 5, False, GUARD_S),
+        ([4], None, 4, True, GUARD_S),
+        ([4], 1.0, 5, False, GUARD_S),
+        ([], 1.0, 5, False, 0.0),
+        ([], 1.0, 5, True, GUARD_S),
+        ([NOT_COUNTED], None, 5, False, 0.0),
+        ([9], None, 0, False, 0.0),
     ],
-    ids=["none", "late", "late-after-release", "unknown", "not-counted", "restarted"],
 )
-def test_wait_after_an_order_that_was_not_reported(
-    counts, release_age_s, order_count, wait_s
+def test_wait_after_an_order_that_may_have_arrived_late(
+    counts, release_age_s, order_count, unreachable, wait_s
 ):
     """Guards against an order soon after one that had waited on a stalled path."""
     clock = Clock()
-    election = LeaderElection(B, keepers()[3], StubPeers([]), dict, GUARD_S, clock)
+    lease = SimpleNamespace(predecessor=predecessor(A))
+    election = LeaderElection(B, lease, StubPeers([]), dict, GUARD_S, clock)
     for count in counts:
         election._history.record_orders(A, E1, count)
     clock.now += 5.0
     if release_age_s is not None:
         election._history.record_release(A, {E1: release_age_s})
     guard = election.order_guard(E1)
-    assert guard.allowed_at(order_count, clock.now) - clock.now == wait_s
+    allowed_at = guard.allowed_at(order_count, unreachable, clock.now)
+    assert allowed_at - clock.now == wait_s
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -317,7 +317,9 @@
     upstream = EndlessUpstream("u1", *CLIENT_KINDS[kind], LLM, drips=drips)
     client = EngineClient(Vm("e1"), no_limits())
     if call == "report":
-        assert "AnswerBoundExceeded" in client.get_report(upstream.record).failure()
+        assert (
+            "AnswerBoundExceeded" in client.get_report(upstream.record).failure().detail
+        )
     else:
         order = Order(True, Model("m1"))
         outcome = client.send_order(upstream.record, order, 0, Epoch(1))
