Find restarts of upstreams that the list has passed over

An upstream that started again twice between two looks, with another version in between, was compared with its last record alone: streams of the instance in between kept the version of the first (by reading, not seen). Each record that a view passed over is now compared with all streams of older instances of its name. test_upstream_that_restarted_twice_between_two_looks fails without it.

Also: one call too many in the leader, and no request for a history before the first list.

--- a/src/persimmonhitch/direct/history_requests.py
+++ b/src/persimmonhitch/direct/history_requests.py
@@ -74,7 +74,7 @@
         with self._lock:
             if gaps != self._number:
                 self._number, self._sent, self._due_at = gaps, 0, now
-            is_due = self._sent < MAX_REQUESTS and now >= self._due_at
+            is_due = 0 < gaps and self._sent < MAX_REQUESTS and now >= self._due_at
             if not is_due or self._origins.has_full_history():
                 return
             self._due_at = now + FIRST_DELAY_S * 2**self._sent
--- a/src/persimmonhitch/direct/leader.py
+++ b/src/persimmonhitch/direct/leader.py
@@ -353,7 +353,6 @@
         with self._lock:
             records = dict(self._records)
             self._save_order_times()
-            self._save_order_times()
             for name in set(self._controllers) - set(records):
                 del self._controllers[name]
             for name, record in records.items():
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -161,13 +161,17 @@
         self._on_change()
 
     def _check_restart(self, new: UpstreamRecord) -> None:
-        """Forget the version of streams that two instances may have begun."""
+        """Forget the version of streams that this or an older instance has begun."""
         old = self._records.get(new.name)
         if old is None or old.version == new.version:
             return
         earliest_ms = new.started_at_ms - RESTART_MARGIN_S * 1000
         for request_id, begun in self._streams.items():
-            if begun.instance == instance_of(old) and begun.at_ms >= earliest_ms:
+            instance = begun.instance
+            if instance is None or instance.name != new.name:
+                continue
+            is_older = instance.started_at_ms <= new.started_at_ms
+            if is_older and begun.version != new.version and begun.at_ms >= earliest_ms:
                 self._streams[request_id] = replace(begun, version=None)
                 self._unsent[request_id] = self._streams[request_id]
 
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -37,8 +37,9 @@
 class Store(StoreState):
     """A store in which upstreams come and go."""
 
-    def put(self, name, version):
-        born = int(time.time() * 1000) if version == V2 else 1
+    def put(self, name, version, born=None):
+        if born is None:
+            born = int(time.time() * 1000) if version == V2 else 1
         spec = {
             "born": born,
             "service": LLM,
@@ -373,3 +374,16 @@
     assert found == [Knowledge.SINGLE] * 60
     fleet_calls_per_s = (entry.path.watches - calls - 1) / elapsed_s * entries
     assert fleet_calls_per_s <= 1000
+
+
+def test_upstream_that_restarted_twice_between_two_looks(store, entry):
+    """Guards against a restart that the list does not show."""
+    store.put("u2", V1)
+    entry.await_changes(store)
+    entry.path.open.clear()
+    store.put("u1", V2)
+    entry.begin("q1", "u1")
+    store.put("u1", V1, born=int(time.time() * 1000) + 1)
+    entry.path.open.set()
+    entry.await_changes(store)
+    assert entry.knowledge(request_id="q1") is Knowledge.MIXED
