--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from persimmonhitch.direct.leader import Leader
+from persimmonhitch.direct.order_history import NO_GUARD
 from persimmonhitch.direct.peer_messages import EntryUpdate
 from persimmonhitch.fleet.config import EngineSpec, FleetConfig, ModelSpec, ServiceSpec
 from persimmonhitch.fleet.upstream import EngineInventory, UpstreamRecord
@@ -36,6 +37,9 @@
     def orders_allowed_at(self, _upstream, _leading_since):
         return 0.0
 
+    def order_guard(self, _upstream):
+        return NO_GUARD
+
 
 def model_names(prefix, count):
     return [Model(f"{prefix}{n}") for n in range(count)]
