--- a/src/persimmonhitch/direct/history_requests.py
+++ b/src/persimmonhitch/direct/history_requests.py
@@ -20,6 +20,9 @@
 FIRST_DELAY_S: Final = 0.3
 """Seconds until the first request is repeated; doubled each time."""
 MAX_REQUESTS: Final = 6
+MIN_GAIN_MS: Final = 1000.0
+"""Milliseconds by which the history of a neighbour has to be longer for a reply. When
+all entries start at the same time, none of them knows more than the others."""
 
 
 @dataclass(frozen=True)
@@ -85,8 +88,8 @@
     def receive_request(self, vm: Vm, msg: HistoryRequest, as_of: float) -> None:
         """Reply to a neighbour, after a check, if this entry knows more than it."""
         now = self._clock()
-        its_ms = msg.since_ms + (now - as_of) * 1000
-        if not self._is_neighbour(vm) or self._origins.history_ms() <= its_ms:
+        gain_ms = self._origins.history_ms() - msg.since_ms - (now - as_of) * 1000
+        if not self._is_neighbour(vm) or gain_ms < MIN_GAIN_MS:
             return
         with self._lock:
             self._pending.append(_Pending(vm, msg.number, now))
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -307,9 +307,14 @@
     assert entry.knowledge(5.0) is Knowledge.SINGLE
 
 
-def test_entry_that_knows_less_does_not_reply(store, entry):
-    """Guards against a reply of each entry when all start at the same time."""
-    entry.histories.receive_request(Vm("e2"), HistoryRequest(1, 9000), time.monotonic())
+@pytest.mark.parametrize("since_ms", [-300, 300, 9000])
+def test_entry_that_knows_no_more_makes_no_call(store, entry, since_ms):
+    """Guards against a call to the store by each entry when all start together."""
+    entry.stop_watching()
+    watches, now_ms = entry.path.watches, entry.origins.history_ms()
+    request = HistoryRequest(1, max(0, now_ms + since_ms))
+    entry.histories.receive_request(Vm("e2"), request, time.monotonic())
+    assert entry.path.watches == watches
     entry.checks.run_once()
     assert entry.sent == []
 
