Streams need a stated proof, and a history travels as one message

As read again: the proof that the store has confirmed the list had a default that counts as always confirmed; it has none now. HistoryReply repeated the fields of VersionsSeen; the length of a history was taken from a whole message, at each request of a peer. ListChecks is made before what asks it. No behaviour changes.

Tests: two stubs that confirmed nothing any longer are gone (is_fresh was always true in test_stream_versions; the list is confirmed at the clock's time, as before); the guard of orders is a parameter of controller_of. soak.release says which links go silent: with more than two entries, all between them.

--- a/src/persimmonhitch/direct/history_requests.py
+++ b/src/persimmonhitch/direct/history_requests.py
@@ -107,11 +107,11 @@
             return
         seen = self._origins.history()
         for item in due:
-            self._send(item.vm, HistoryReply(item.number, seen.since_ms, seen.versions))
+            self._send(item.vm, HistoryReply(item.number, seen))
 
     def receive_reply(self, vm: Vm, msg: HistoryReply) -> None:
         """Apply the history of a neighbour."""
         if msg.number != self._origins.gaps:
             return
-        self._origins.extend_history(msg.since_ms, msg.versions)
-        log("history_extended", peer=vm, seconds=msg.since_ms / 1000)
+        self._origins.extend_history(msg.seen)
+        log("history_extended", peer=vm, seconds=msg.seen.since_ms / 1000)
--- a/src/persimmonhitch/direct/list_checks.py
+++ b/src/persimmonhitch/direct/list_checks.py
@@ -1,9 +1,9 @@
 """Calls that ask the store whether the list of upstreams is complete."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
-from typing import Final
 
 from returns.result import Result, Success
 
@@ -11,8 +11,6 @@
 from ..observe.logs import log
 from ..store.objects import StoreFailure
 
-NEVER: Final = -float("inf")
-
 
 class ListChecks:
     """Makes one call at a time; each serves all requests made before it began.
@@ -39,7 +37,7 @@
         self._on_result = on_result
         self._clock = clock
         self._wanted = threading.Event()
-        self._began_at = NEVER
+        self._began_at = -math.inf
 
     def start(self) -> None:
         """Start the thread that makes the calls."""
--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -204,19 +204,19 @@
             metrics=self.metrics,
         )
         self.leaving = LeavingUpstreams(self._on_upstreams, self.broadcast.publish)
+        self.list_checks = ListChecks(
+            lambda: self.watchers[Kind.UPSTREAM].check(),
+            lambda: check_interval(len(self.peers) + 1),
+            self._on_list_checked,
+        )
         self.origins = StreamOrigins(
             self._publish_origins,
-            lambda: self.list_checks.request(),
+            self.list_checks.request,
+            lambda: self.watchers[Kind.UPSTREAM].confirmed_from,
             cfg.known_streams,
             self._tick_due.set,
-            lambda: self.watchers[Kind.UPSTREAM].confirmed_from,
             self._list_age_s,
         )
-        self.list_checks = ListChecks(
-            lambda: self.watchers[Kind.UPSTREAM].check(),
-            lambda: check_interval(len(self.peers) + 1),
-            self._on_list_checked,
-        )
         self.histories = HistoryRequests(
             self.origins,
             self._publish_origins,
--- a/src/persimmonhitch/direct/peer_messages.py
+++ b/src/persimmonhitch/direct/peer_messages.py
@@ -363,9 +363,8 @@
 @message(83)
 @dataclass(frozen=True)
 class HistoryReply:
-    """Versions of the last ``since_ms`` milliseconds, complete up to the request."""
+    """The history of a neighbour, complete up to the request."""
 
     number: int
     """Number of the ``HistoryRequest``."""
-    since_ms: int
-    versions: tuple[SeenVersion, ...]
+    seen: VersionsSeen
--- a/src/persimmonhitch/direct/stream_origins.py
+++ b/src/persimmonhitch/direct/stream_origins.py
@@ -69,13 +69,13 @@
         Sends a message to all peers.
     request_check : callable
         Asks for a check of the list of upstreams; ``list_checked`` receives its result.
+    confirmed_from : callable
+        Returns the monotonic time up to which the store has confirmed the list of
+        upstreams.
     max_streams : int
         Number of streams to remember; the oldest are forgotten.
     on_change : callable
         Called when ``flush`` has something to send.
-    confirmed_from : callable
-        Returns the monotonic time up to which the store has confirmed the list of
-        upstreams.
     list_age_s : callable
         Returns the seconds since the store confirmed the list of upstreams.
     clock, wall_ms : callable
@@ -86,9 +86,9 @@
         self,
         publish: Callable[[object], None],
         request_check: Callable[[], None],
+        confirmed_from: Callable[[], float],
         max_streams: int,
         on_change: Callable[[], None] = lambda: None,
-        confirmed_from: Callable[[], float] = lambda: math.inf,
         list_age_s: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
         wall_ms: Callable[[], float] = lambda: time.time() * 1000,
@@ -339,24 +339,25 @@
 
     def history_ms(self) -> int:
         """Return for how many milliseconds the history is complete."""
-        return self.history().since_ms
+        with self._lock:
+            return self._since_ms(self._clock())
 
     def has_full_history(self) -> bool:
         """Return whether the history reaches as far as those of peers may."""
         return self.history_ms() >= MIX_S * 1000
 
-    def extend_history(self, since_ms: int, versions: Iterable[SeenVersion]) -> None:
+    def extend_history(self, seen: VersionsSeen) -> None:
         """Add the history of a peer that is complete up to now."""
         now = self._clock()
         with self._received:
-            self._record_versions(versions, now)
-            self._history.extend(now - since_ms / 1000)
+            self._record_versions(seen, now)
+            self._history.extend(now - seen.since_ms / 1000)
             self._received.notify_all()
 
-    def _record_versions(self, versions: Iterable[SeenVersion], as_of: float) -> None:
+    def _record_versions(self, seen: VersionsSeen, as_of: float) -> None:
         self._history.record(
             (item.service, item.version, as_of - item.age_ms / 1000)
-            for item in versions
+            for item in seen.versions
         )
         self._update_mixed(self._clock())
 
@@ -366,9 +367,11 @@
             for (service, version), at in self._history.entries(now).items()
             if now - at < MIX_S
         )
-        # Versions that were listed earlier are not in the message.
-        since_s = min(MIX_S, max(0.0, now - self._history.since))
-        return VersionsSeen(int(since_s * 1000), versions)
+        return VersionsSeen(self._since_ms(now), versions)
+
+    def _since_ms(self, now: float) -> int:
+        # Versions that were last listed earlier are not told to peers.
+        return int(1000 * min(MIX_S, max(0.0, now - self._history.since)))
 
     def receive_query(self, _vm: Vm, msg: StreamQuery, _as_of: float) -> None:
         """Report a stream to all peers if this entry has begun it."""
@@ -404,7 +407,7 @@
         They extend no history: the peer's list may have been out of date by then.
         """
         with self._lock:
-            self._record_versions(msg.versions, as_of)
+            self._record_versions(msg, as_of)
 
 
 def _decode(obj: StoredObject) -> UpstreamRecord | None:
--- a/src/persimmonhitch/store/watcher.py
+++ b/src/persimmonhitch/store/watcher.py
@@ -96,9 +96,6 @@
         max_contact_age_s: float | None = None,
         needs_history: bool = False,
     ) -> None:
-        self._needs_history = needs_history
-        """Whether views must also show objects that were written and deleted between
-        two list calls."""
         self._max_contact_age_s = max_contact_age_s or duration_s + CONTACT_MARGIN_S
         """Age of the pushing process's last contact with the store above which this
         process watches for itself."""
@@ -111,6 +108,9 @@
         self._listener = listener
         self._on_change = on_change
         """Receives each list and change, for the relay to followers."""
+        self._needs_history = needs_history
+        """Whether views must also show objects that were written and deleted between
+        two list calls."""
         self._lock = threading.RLock()
         self.version = Version(0)
         self.contact_at = 0.0
--- a/tests/direct_help.py
+++ b/tests/direct_help.py
@@ -294,9 +294,7 @@
         )
         self.dispatcher.configure(cfg)
         self.origins = StreamOrigins(
-            lambda _msg: None,
-            lambda: self.origins.list_checked(time.monotonic(), True),
-            100,
+            lambda _msg: None, lambda: None, time.monotonic, 100
         )
         self.leaving = LeavingUpstreams(self._apply_records)
         self.update_upstreams()
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -6,6 +6,7 @@
 from persimmonhitch.direct.engine_client import OrderOutcome, ReportFailure
 from persimmonhitch.direct.engine_controller import EngineController
 from persimmonhitch.direct.engine_state import EngineState
+from persimmonhitch.direct.order_history import NO_GUARD
 from persimmonhitch.fleet.config import EngineSpec, ModelSpec
 from persimmonhitch.fleet.upstream import EngineInventory, UpstreamRecord
 from persimmonhitch.ids import Adapter, Epoch, Model, Service, Upstream, Zone
@@ -169,6 +170,7 @@
     in_use=lambda *_: False,
     epoch=lambda: Epoch(1),
     running_requests=lambda _: {},
+    guard=NO_GUARD,
 ):
     """Return a controller for an engine, and the inventories that it publishes."""
     published = []
@@ -181,5 +183,6 @@
         clock,
         clock.sleep,
         running_requests,
+        guard,
     )
     return controller, published
--- a/tests/soak/release.py
+++ b/tests/soak/release.py
@@ -6,8 +6,9 @@
   release --help
 
 Options:
-  --cut=LINKS   Links of the last entry that go silent: all, store or peers; pause
-                suspends the process, none leaves all alone [default: all].
+  --cut=LINKS   Links that go silent: store, of the last entry to the store; peers, of
+                all entries to each other; all, both; pause suspends the last entry,
+                none leaves all alone [default: all].
   --back=S      Seconds from then until the callers come back [default: 1.5].
   --join=S      Seconds from then until the engines join [default: 0].
   --entries=N   Entry processes [default: 2].
@@ -28,7 +29,6 @@
 from pathlib import Path
 
 from docopt import docopt
-from relay import Direction
 
 from persimmonhitch.store.objects import Kind
 from soak.entries import Entry
@@ -111,17 +111,15 @@
         self.platform.stop()
 
     def silence(self, links):
-        """Make links of the last entry silent, without closing any."""
-        last = self.entries[-1]
+        """Make links silent without closing any, or suspend the last entry."""
         if links in ("all", "store"):
-            last.relays["store"].stall()
+            self.entries[-1].relays["store"].stall()
         if links in ("all", "peers"):
-            last.relays["link"].stall()
-            for entry in self.entries[:-1]:
-                # The link may have been opened from either end.
-                entry.relays["link"].stall(Direction.IN, Direction.OUT)
+            # A link may have been opened from either end.
+            for entry in self.entries:
+                entry.relays["link"].stall()
         if links == "pause":
-            last.signal(signal.SIGSTOP)
+            self.entries[-1].signal(signal.SIGSTOP)
 
     def heal(self):
         """End the silence."""
--- a/tests/test_direct_engine_controller.py
+++ b/tests/test_direct_engine_controller.py
@@ -308,8 +308,7 @@
     clock = Clock()
     engine = FakeEngine(clock)
     engine.sequence = 4 + late_orders
-    controller, _published = controller_of(engine, clock)
-    controller._guard = OrderGuard(4, 3.0)
+    controller, _published = controller_of(engine, clock, guard=OrderGuard(4, 3.0))
     get_report = engine.get_report
     for _ in range(failures):
         engine.get_report = lambda _record: Err(ReportFailure("", True))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -220,7 +220,7 @@
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 def test_odd_entry_that_has_left_hides_no_version(name):
     """Guards against a history that ends at an entry which can't be read."""
-    origins = StreamOrigins(lambda _msg: None, lambda: None, 10)
+    origins = StreamOrigins(lambda _msg: None, lambda: None, time.monotonic, 10)
     with RawStore(ODD_ENTRIES[name]) as store:
         events = store.client.watch(Kind.UPSTREAM, Version(5), 0.0).unwrap().events
     superseded = tuple(event.object for event in events)
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -99,9 +99,9 @@
         self.origins = StreamOrigins(
             self._report,
             lambda: self.checks.request(),
+            lambda: self.watcher.confirmed_from,
             100,
             lambda: self.origins.flush(),
-            confirmed_from=lambda: self.watcher.confirmed_from,
         )
         listeners = Listeners(None, self, None, None, None, self.origins.observe)
         self.watcher = Watcher(
@@ -268,7 +268,7 @@
 
 def test_neighbour_tells_what_was_listed_before_the_start(store, entry):
     """Guards against versions that left just before an entry started."""
-    entry.origins.extend_history(KNOWN_MS, ())
+    entry.origins.extend_history(VersionsSeen(KNOWN_MS, ()))
     store.list_briefly(V2)
     entry.await_changes(store)
     late = Entry(store, "e2")
@@ -282,7 +282,7 @@
 @pytest.mark.parametrize("is_silent", [False, True])
 def test_neighbour_replies_after_the_store_confirmed_its_list(store, entry, is_silent):
     """Guards against time that neither of two histories covers."""
-    entry.origins.extend_history(KNOWN_MS, ())
+    entry.origins.extend_history(VersionsSeen(KNOWN_MS, ()))
     late = Entry(store, "e2")
     late.peers, entry.peers = [entry], [late]
     entry.stop_watching()
@@ -300,10 +300,10 @@
 
 def test_reply_to_a_request_before_the_last_gap_is_ignored(store, entry):
     """Guards against a history that ends before the list was complete again."""
-    number = entry.origins.gaps
-    entry.histories.receive_reply(Vm("e2"), HistoryReply(number - 1, 60_000, ()))
+    number, told = entry.origins.gaps, VersionsSeen(60_000, ())
+    entry.histories.receive_reply(Vm("e2"), HistoryReply(number - 1, told))
     assert entry.knowledge(5.0) is Knowledge.SHORT_HISTORY
-    entry.histories.receive_reply(Vm("e2"), HistoryReply(number, 60_000, ()))
+    entry.histories.receive_reply(Vm("e2"), HistoryReply(number, told))
     assert entry.knowledge(5.0) is Knowledge.SINGLE
 
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,6 +18,7 @@
 from fake_engine import Clock
 
 from persimmonhitch.decide.stream_versions import Knowledge, VersionHistory
+from persimmonhitch.direct.peer_messages import VersionsSeen
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.fleet.upstream import UpstreamRecord
 from persimmonhitch.ids import RequestId, SoftwareVersion, Upstream, Vm, Zone
@@ -118,7 +119,7 @@
     """Guards against a guess at the version that began a stream."""
     engines = [engine(f"u{n}", v, CONTINUES) for n, v in enumerate(versions)]
     with GatewayServer(*engines) as gateway:
-        gateway.origins.extend_history(history_s * 1000, ())
+        gateway.origins.extend_history(VersionsSeen(history_s * 1000, ()))
         reply = gateway.call("/resume/x", **headers)
     assert reply.status == status
     if status == 503:
@@ -175,20 +176,17 @@
     """The memory of one entry; its messages go to ``peers``."""
 
     def __init__(self, clock, max_streams=100):
-        self.messages, self.peers, self.is_fresh = [], [], True
+        self.messages, self.peers = [], []
         self.origins = StreamOrigins(
             self._publish,
-            self._check,
+            lambda: None,
+            clock,
             max_streams,
             clock=clock,
             wall_ms=lambda: WALL_MS + clock() * 1000,
         )
         self._clock = clock
 
-    def _check(self):
-        if self.is_fresh:
-            self.origins.list_checked(self._clock(), True)
-
     def _publish(self, msg):
         self.messages.append(msg)
         for peer in self.peers:
