Soak: a relay that is cut on the callers' path excuses a part of an unframed answer

Trace (fault log, line of the entry): the relay that stands for the callers' path was cut at 13.86 s, in the middle of that call; it closes connections in order, as no cut of a network does, and entry-1 logged caller_left. The check excused the same for paths to upstreams. It now excuses a cut of that relay that begins during the call; a kill, a stop, a reset, a framed answer and wrong bytes are reported as before (eight cases in test_soak_checks).

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -47,6 +47,10 @@
 CALLERS_MUTED = "mute callers path"
 """Fault that silently drops all further bytes of open caller connections."""
 
+CALLERS_CUT = "cut callers path"
+"""Fault whose relay closes open caller connections in order; an entry does not see it
+before its next write."""
+
 
 class Evidence:
     """Records of a run, indexed for the checks.
@@ -209,15 +213,19 @@
 def _may_be_truncated(evidence, call):
     """Return whether a stream without framing ended between two events at a fault.
 
-    A crashed upstream, or a cut path to it, ends it like a complete one.
+    A crashed upstream, or a cut path to it, ends it like a complete one. So does the
+    relay on the callers' path that is cut during the call; no other fault of an entry
+    is an excuse, since the entry itself has to reset the connection.
     """
-    return (
-        not call.is_framed
-        and call.is_prefix
-        and any(
-            evidence.faulted(run.upstream, run.start, call.ended_at)
-            for run in evidence.runs[call.request_id]
-        )
+    if call.is_framed or not call.is_prefix:
+        return False
+    is_relay_cut = any(
+        span.fault == CALLERS_CUT and call.sent_at <= span.begin <= call.ended_at
+        for span in evidence.spans[call.entry]
+    )
+    return is_relay_cut or any(
+        evidence.faulted(run.upstream, run.start, call.ended_at)
+        for run in evidence.runs[call.request_id]
     )
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,11 +2,13 @@
 
 import pytest
 from soak.checks import (
+    CALLERS_CUT,
     CALLERS_MUTED,
     QUIET_S,
     SLACK_S,
     Evidence,
     _answered_in_time,
+    _answers_correct,
     _no_run_after_giving_up,
 )
 from soak.records import Call, Records, Run, Span
@@ -59,3 +61,30 @@
     records.spans.append(Span("stall path", faulted_path, False, 99.0, 103.0))
     evidence = Evidence(records, None, {}, frozenset())
     assert bool(list(_no_run_after_giving_up(evidence))) is reported
+
+
+@pytest.mark.parametrize(
+    ("fault", "begin", "is_framed", "is_prefix", "reported"),
+    [
+        (CALLERS_CUT, 100.1, False, True, False),
+        (CALLERS_CUT, 99.9, False, True, True),
+        (CALLERS_CUT, 100.3, False, True, True),
+        (CALLERS_CUT, 100.1, True, True, True),
+        (CALLERS_CUT, 100.1, False, False, True),
+        ("kill", 100.1, False, True, True),
+        ("term", 100.1, False, True, True),
+        ("reset callers path", 100.1, False, True, True),
+    ],
+)
+def test_only_the_relay_excuses_a_part_of_an_answer_at_an_entry(
+    fault, begin, is_framed, is_prefix, reported
+):
+    """Guards against an entry whose cut answers look whole."""
+    call = Call("q1", "chat", "/chat/x", "e1", "large", TIMEOUT, 100.0, 1, 100.0)
+    call.status, call.complete, call.ended_at = 200, True, 100.2
+    call.is_framed, call.is_prefix = is_framed, is_prefix
+    run = Run("q1", "u1", "s", "/chat/x", "large", 0, False, None, 100.05)
+    records = Records(calls=[call], runs=[run])
+    records.spans.append(Span(fault, "e1", False, begin, begin + 1.0))
+    evidence = Evidence(records, None, {}, frozenset())
+    assert bool(list(_answers_correct(evidence))) is reported
