Believe an answer only if each line of its head is a field

Cause: http.client reads heads with the parser of mails. It stops at the first line that is no field and keeps the rest of the head as a payload; it breaks lines at CR; int() takes signs, underscores and blanks, and a length that it can't read counts as none, so that the answer ends with its connection. "chunked" was searched in the text of the coding in two places.

Change: http_client/syntax.py has the grammar. Each line of a head is a field or the answer is malformed, lengths are digits and equal to each other, a transfer coding is "chunked" alone, and not beside a length. How an answer ends is decided in one place, for entries and sidecars. All readers (engines, orders, reports, the store, sidecars) read through it. MalformedAnswer is a kind of its own: the request may have run, the connection is closed, nothing else in the head is believed, and the engine has not crashed. No request becomes a suspect by it. An answer of an engine that is malformed still delays the first order of a new leader, as a lost one does.

Folded lines are malformed (RFC 9112, 5.2 lets a gateway answer 502), and so is a length beside a transfer coding (6.3: it ought to be handled as an error).

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -34,7 +34,7 @@
     Exchange,
     OutgoingRequest,
     Reply,
-    loss_reason,
+    failure_of,
     time_over,
 )
 from .in_flight import InFlightRequest
@@ -237,7 +237,7 @@
         request.attempts += may_have_run
         if request.abort.reason is not None:
             return failure
-        if may_have_run:
+        if may_have_run and failure.code is not ErrorCode.PROTOCOL:
             self._report_loss(request, record)
         request.excluded |= {record.name}
         self._dispatcher.record_failure(record, unreachable=not may_have_run)
@@ -324,16 +324,16 @@
         return failure
 
     def record_lost_answer(self, request: InFlightRequest, exc: Exception) -> Failure:
-        """Record a truncated answer; return the failure for its caller."""
+        """Record a truncated or malformed answer; return the failure for its caller."""
         if request.abort.reason is not None:
             return abort_failure(request, Failure(ErrorCode.DEADLINE, "", Verdict.RAN))
-        reason = f"the answer was cut short ({loss_reason(exc)})"
-        failure = Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN)
+        failure = failure_of(exc, "the answer was cut short")
         if isinstance(exc, AnswerBoundExceeded):
             self._metrics.answer_cut(exc.part)
         if request.permit is not None:
             record = request.permit.record
-            self._report_loss(request, record)
+            if failure.code is not ErrorCode.PROTOCOL:
+                self._report_loss(request, record)
             self._dispatcher.record_failure(record, False)
             request.excluded |= {record.name}
         log_attempt(request, "answer_cut", failure)
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -14,7 +14,12 @@
 from urllib3.connection import HTTPConnection
 
 from ..fleet.upstream import EngineInventory, UpstreamRecord
-from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
+from ..http_client import (
+    InvalidAnswer,
+    MalformedAnswer,
+    bounded_pool,
+    read_body,
+)
 from ..ids import Adapter, Epoch, Model, Vm
 from ..json_input import parse_readable
 from ..observe.logs import log
@@ -72,7 +77,7 @@
 
     detail: str
     unreachable: bool = False
-    """Whether the engine was asked and did not answer."""
+    """Whether the engine was asked, and its answer was lost or is malformed."""
 
 
 @dataclass(frozen=True)
@@ -121,8 +126,8 @@
                 preload_content=False,
             )
             read_body(answer, MAX_ORDER_ANSWER_BYTES, MAX_BODY_S)
-        except AnswerBoundExceeded as exc:
-            _log_bound_exceeded(record, exc)
+        except InvalidAnswer as exc:
+            _log_invalid(record, exc)
             return OrderOutcome.UNKNOWN
         except (urllib3.exceptions.HTTPError, OSError):
             return OrderOutcome.UNKNOWN
@@ -148,9 +153,10 @@
             if answer.status != 200:
                 return Err(ReportFailure(f"status {answer.status}"))
             return Success(decode_report(parse_readable(data)))
-        except AnswerBoundExceeded as exc:
-            _log_bound_exceeded(record, exc)
-            return Err(ReportFailure(repr(exc)))
+        except InvalidAnswer as exc:
+            _log_invalid(record, exc)
+            is_malformed = isinstance(exc, MalformedAnswer)
+            return Err(ReportFailure(repr(exc), unreachable=is_malformed))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             return Err(ReportFailure(repr(exc), unreachable=True))
         except ValueError as exc:
@@ -164,5 +170,5 @@
             self._on_leaving(record)
 
 
-def _log_bound_exceeded(record: UpstreamRecord, exc: AnswerBoundExceeded) -> None:
+def _log_invalid(record: UpstreamRecord, exc: InvalidAnswer) -> None:
     log("engine_answer_cut", upstream=record.name, reason=str(exc))
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from enum import Enum
 from http.client import HTTPException
 from typing import Final
 
@@ -21,6 +20,9 @@
     AnswerPart,
     BoundedConnection,
     BoundedResponse,
+    Framing,
+    InvalidAnswer,
+    MalformedAnswer,
 )
 from ..ids import RequestId
 from ..kernel.sockets import shut_down
@@ -50,7 +52,7 @@
 Upstreams close idle connections after several seconds; a request sent during the close
 is lost."""
 
-EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError, AnswerBoundExceeded)
+EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError, InvalidAnswer)
 """Errors raised for a lost upstream or a malformed answer."""
 
 
@@ -66,16 +68,6 @@
     repeatable: bool
 
 
-class Framing(Enum):
-    """How an answer marks its end."""
-
-    LENGTH = "length"
-    """By a length, or by a status or method without a body."""
-    CHUNKED = "chunked"
-    CLOSE = "close"
-    """By the end of the connection; a truncated answer ends in the same way."""
-
-
 @dataclass
 class Reply:
     """An answer whose head has been received but whose body is still unread."""
@@ -84,7 +76,7 @@
     headers: dict[str, str]
     parsed_headers: ReplyHeaders
     _response: BaseHTTPResponse
-    _answer: BoundedResponse | None
+    _answer: BoundedResponse
     _conn: BoundedConnection
     _sock: socket.socket
     _abort: Abort
@@ -122,8 +114,7 @@
 
     def discard(self) -> None:
         """Read the short body of a refusal; close the connection if it is not short."""
-        if self._answer is not None:
-            self._answer.limit_body(REFUSAL_READ_S)
+        self._answer.limit_body(REFUSAL_READ_S)
         # The head alone states that the request has not run.
         with contextlib.suppress(*EXCHANGE_ERRORS):
             for _chunk in self.chunks(MAX_REFUSAL_BYTES):
@@ -191,11 +182,21 @@
 
 def loss_reason(exc: Exception) -> str:
     """Return the reason of a lost answer for logs and callers."""
-    if isinstance(exc, AnswerBoundExceeded):
+    if isinstance(exc, InvalidAnswer):
         return f"{type(exc).__name__}: {exc}"
     return type(exc).__name__
 
 
+def failure_of(exc: Exception, loss: str) -> Failure:
+    """Return the failure for an answer that was lost or is malformed."""
+    reason = loss_reason(exc)
+    if isinstance(exc, MalformedAnswer):
+        text = f"the upstream's answer is malformed ({reason})"
+        return Failure(ErrorCode.PROTOCOL, text, Verdict.MAY_HAVE_RUN)
+    text = f"{loss} ({reason})"
+    return Failure(ErrorCode.UPSTREAM_LOST, text, Verdict.MAY_HAVE_RUN)
+
+
 class TruncatedAnswer(OSError):
     """Raised if the content of an answer shows that it is incomplete."""
 
@@ -204,12 +205,6 @@
     """Raised if an answer does not belong to the request sent last, which may run."""
 
 
-def _framing(headers: dict[str, str], length: int | None) -> Framing:
-    if "chunked" in headers.get("transfer-encoding", "").lower():
-        return Framing.CHUNKED
-    return Framing.CLOSE if length is None else Framing.LENGTH
-
-
 def _check_match(
     request_id: RequestId, status: int, parsed: ReplyHeaders, conn: BoundedConnection
 ) -> None:
@@ -299,8 +294,7 @@
             conn.close()
             if isinstance(exc, AnswerBoundExceeded):
                 self._on_cut(exc.part)
-            reason = f"the upstream was lost ({loss_reason(exc)})"
-            return Err(Failure(ErrorCode.UPSTREAM_LOST, reason, Verdict.MAY_HAVE_RUN))
+            return Err(failure_of(exc, "the upstream was lost"))
 
     def _exchange(
         self,
@@ -324,25 +318,23 @@
             decode_content=False,
         )
         response = conn.getresponse()
+        answer = conn.take_answer()
         headers = {k.lower(): v for k, v in response.headers.items()}
         parsed = self._parse_headers(response.status, headers)
         _check_match(req.request_id, response.status, parsed, conn)
-        # It is 0 if the method or the status allows no body.
-        length = response.length_remaining
-        return Success(
-            Reply(
-                response.status,
-                headers,
-                parsed,
-                response,
-                conn.take_answer(),
-                conn,
-                sock,
-                abort,
-                lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
-                length,
-                _framing(headers, length),
-                conn.request_count - 1,
-                self._memory.hold(lambda: shut_down(sock)),
-            )
+        reply = Reply(
+            response.status,
+            headers,
+            parsed,
+            response,
+            answer,
+            conn,
+            sock,
+            abort,
+            lambda: self._pool.release(address, conn, parsed.idle_timeout_s),
+            answer.length,
+            answer.framing,
+            conn.request_count - 1,
+            self._memory.hold(lambda: shut_down(sock)),
         )
+        return Success(reply)
--- a/src/persimmonhitch/direct/gateway.py
+++ b/src/persimmonhitch/direct/gateway.py
@@ -13,6 +13,7 @@
 from ..fleet.call import CallerHeaders
 from ..fleet.config import RouteKind
 from ..fleet.upstream import UpstreamRecord
+from ..http_client import Framing
 from ..ids import RequestId, new_request_id
 from ..limits.retry_budgets import RetryBudgets
 from ..observe.logs import log
@@ -32,7 +33,6 @@
     EXCHANGE_ERRORS,
     MAX_ANSWER_BYTES,
     Exchange,
-    Framing,
     Reply,
 )
 from .in_flight import InFlightRequest, RequestTracker
--- a/src/persimmonhitch/direct/in_flight.py
+++ b/src/persimmonhitch/direct/in_flight.py
@@ -7,7 +7,7 @@
 
 from ..decide.dispatch import DispatchRequest
 from ..decide.stop_admission import RunTimes
-from ..http_client import BoundedConnection
+from ..http_client import BoundedConnection, Framing
 from ..ids import (
     Account,
     ConfigVersion,
@@ -22,7 +22,7 @@
 from .abort import Abort, AbortReason, Watchdog
 from .admit import Admitted
 from .dispatcher import Permit
-from .exchange import Framing, Reply
+from .exchange import Reply
 from .quota import Quota
 
 MAX_LOGGED_PARTS: Final = 8
--- a/src/persimmonhitch/http_client/__init__.py
+++ b/src/persimmonhitch/http_client/__init__.py
@@ -1,15 +1,18 @@
-"""HTTP answers with a bound on each of their parts, in bytes and in time."""
+"""HTTP answers that are bounded in bytes and time, and checked against the grammar."""
 
 from .body import read_body
-from .bounds import AnswerBoundExceeded, AnswerPart
 from .connection import BoundedConnection, bounded_pool
-from .response import BoundedResponse
+from .errors import AnswerBoundExceeded, AnswerPart, InvalidAnswer, MalformedAnswer
+from .response import BoundedResponse, Framing
 
 __all__ = [
     "AnswerBoundExceeded",
     "AnswerPart",
     "BoundedConnection",
     "BoundedResponse",
+    "Framing",
+    "InvalidAnswer",
+    "MalformedAnswer",
     "bounded_pool",
     "read_body",
 ]
--- a/src/persimmonhitch/http_client/body.py
+++ b/src/persimmonhitch/http_client/body.py
@@ -5,7 +5,7 @@
 
 from urllib3 import BaseHTTPResponse
 
-from .bounds import AnswerBoundExceeded, AnswerPart
+from .errors import AnswerBoundExceeded, AnswerPart
 
 READ_SIZE_BYTES: Final = 65536
 
--- a/src/persimmonhitch/http_client/connection.py
+++ b/src/persimmonhitch/http_client/connection.py
@@ -26,9 +26,10 @@
         self._answer = BoundedResponse(sock, **options)
         return self._answer
 
-    def take_answer(self) -> BoundedResponse | None:
+    def take_answer(self) -> BoundedResponse:
         """Return the response below the last one of ``urllib3``; forget it."""
         answer, self._answer = self._answer, None
+        assert answer is not None
         return answer
 
 
--- a/src/persimmonhitch/http_client/response.py
+++ b/src/persimmonhitch/http_client/response.py
@@ -2,13 +2,22 @@
 
 ``http.client`` bounds single lines. It skips any number of interim heads and reads any
 number of trailers, and a peer that sends a line byte by byte holds the reader for as
-long as it likes.
+long as it likes. It reads heads with a parser of mails, which stops at the first line
+that is no field, and takes a length that it can't read for none.
 """
 
 import io
 import socket
 import time
-from http.client import HTTPException, HTTPResponse, IncompleteRead, LineTooLong
+from enum import Enum
+from http.client import (
+    CONTINUE,
+    HTTPException,
+    HTTPMessage,
+    HTTPResponse,
+    IncompleteRead,
+    UnknownProtocol,
+)
 from typing import Any, Final
 
 from .bounds import (
@@ -16,18 +25,36 @@
     MAX_BLOCK_S,
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
-    AnswerBoundExceeded,
-    AnswerPart,
+    MAX_HEAD_LINES,
+)
+from .errors import AnswerBoundExceeded, AnswerPart, MalformedAnswer
+from .syntax import (
+    parse_chunked,
+    parse_field,
+    parse_length,
 )
 
+HEAD: Final = AnswerPart.HEAD
 FRAMING: Final = AnswerPart.FRAMING
 MAX_CHUNK_LINE_BYTES: Final = FREE_CHUNK_LINE_BYTES + MAX_FRAMING_BYTES + 1
 THAW_READ_S: Final = 0.01
 """Timeout of one read after the end of a block's time: a process that was stopped in
 between reads what has arrived meanwhile."""
-LINE_ERRORS: Final = (HTTPException, LineTooLong)
-"""Errors of ``http.client`` for too many lines and for too long ones."""
-LINE_ENDS: Final = (b"\r\n", b"\n")
+CRLF: Final = b"\r\n"
+LINE_ENDS: Final = (CRLF, b"\n")
+STATUSES_WITHOUT_BODY: Final = (204, 304)
+CONTENT_LENGTH: Final = "content-length"
+TRANSFER_ENCODING: Final = "transfer-encoding"
+
+
+class Framing(Enum):
+    """How an answer marks its end."""
+
+    LENGTH = "length"
+    """By a length, or by a status or method without a body."""
+    CHUNKED = "chunked"
+    CLOSE = "close"
+    """By the end of the connection; a truncated answer ends in the same way."""
 
 
 class IncompleteHead(HTTPException):
@@ -121,10 +148,11 @@
 
 
 class BoundedResponse(HTTPResponse):
-    """Response that raises ``AnswerBoundExceeded`` for its head or framing."""
+    """Response that raises ``InvalidAnswer`` for its head or framing."""
 
     fp: Any
     chunk_left: int | None
+    _method: str | None
     _framing_left = MAX_FRAMING_BYTES
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
@@ -137,26 +165,80 @@
         self._reader.limit_body(seconds)
 
     def begin(self) -> None:
-        """Read the head."""
+        """Read the head, and the interim heads before it.
+
+        Raises
+        ------
+        InvalidAnswer
+            If a head is malformed or beyond a bound.
+        """
         if self.headers is not None:
             return
         try:
-            super().begin()
-        except HTTPException as exc:
-            if type(exc) not in LINE_ERRORS:
-                raise
-            raise AnswerBoundExceeded(AnswerPart.HEAD, "its lines") from exc
+            version, status, reason = self._read_status()
+            while status == CONTINUE:
+                self._read_fields()
+                version, status, reason = self._read_status()
+            fields = self._read_fields()
         finally:
             self._block.part = None
+        self.code = self.status = status
+        self.reason = reason.strip()
+        if not version.startswith("HTTP/1."):
+            raise UnknownProtocol(version)
+        self.version = 10 if version == "HTTP/1.0" else 11
+        self._set_framing(self.version - 10, fields)
+        self.headers = self.msg = fields
+        is_open_ended = self.framing is Framing.CLOSE
+        self.will_close = self._check_close() or is_open_ended
+
+    @property
+    def framing(self) -> Framing:
+        """Return how the answer marks its end."""
+        if self.chunked:
+            return Framing.CHUNKED
+        return Framing.CLOSE if self.length is None else Framing.LENGTH
 
     def _read_status(self) -> Any:
-        self._block.part, self._block.has_begun = AnswerPart.HEAD, False
+        self._block.part, self._block.has_begun = HEAD, False
         return super()._read_status()  # type: ignore[misc]
 
+    def _read_fields(self) -> HTTPMessage:
+        """Read the rest of a head after its status line."""
+        fields = HTTPMessage()
+        for _ in range(MAX_HEAD_LINES):
+            line = self.fp.readline(MAX_HEAD_BYTES + 1)
+            if line in LINE_ENDS:
+                return fields
+            name, value = parse_field(line, HEAD)
+            fields[name] = value
+        raise AnswerBoundExceeded(HEAD, f"{MAX_HEAD_LINES} lines")
+
+    def _set_framing(self, minor_version: int, fields: HTTPMessage) -> None:
+        lengths = fields.get_all(CONTENT_LENGTH, [])
+        codings = fields.get_all(TRANSFER_ENCODING, [])
+        is_chunked = parse_chunked(codings, minor_version)
+        length = parse_length(lengths)
+        if is_chunked and length is not None:
+            raise MalformedAnswer(HEAD, "length beside a transfer coding")
+        if lengths not in ([], [str(length)]):
+            # Later readers get a single plain number.
+            del fields[CONTENT_LENGTH]
+            fields[CONTENT_LENGTH] = str(length)
+        has_body = self.status not in STATUSES_WITHOUT_BODY and self._method != "HEAD"
+        self.chunked = is_chunked and has_body
+        self.chunk_left = None
+        self.length = length if has_body else 0
+
     def _get_chunk_left(self) -> int | None:
         """Return the unread bytes of the chunk, read the next size if there are none.
 
         Returns None after the last chunk.
+
+        Raises
+        ------
+        InvalidAnswer
+            If the framing is malformed or beyond a bound.
         """
         left = self.chunk_left
         if left:
--- /dev/null
+++ b/src/persimmonhitch/http_client/syntax.py
@@ -0,0 +1,74 @@
+"""Grammar of HTTP answers (RFC 9110 and RFC 9112).
+
+Where the RFCs leave the reader free, a line of a head or of the trailers may end
+without its carriage return, and folded lines are malformed.
+"""
+
+import re
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from .errors import AnswerPart, MalformedAnswer
+
+OWS: Final = " \t"
+"""Optional white space around values."""
+TOKEN: Final = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+TEXT: Final = rb"[\t\x20-\x7e\x80-\xff]*"
+FIELD_LINE: Final = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
+LENGTH: Final = re.compile(r"0*([0-9]{1,18})")
+"""Form of a length; larger numbers exceed 64 bits."""
+
+
+def parse_field(line: bytes, part: AnswerPart) -> tuple[str, str]:
+    """Return the name and the value of a field line, which includes its end.
+
+    Raises
+    ------
+    MalformedAnswer
+        If the line is no field; ``part`` is the part of the answer that has it.
+    """
+    found = FIELD_LINE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswer(part, "field line")
+    name, value = found.groups()
+    return name.decode("ascii"), value.decode("iso-8859-1").strip(OWS)
+
+
+def parse_length(values: Sequence[str]) -> int | None:
+    """Return the length in all ``Content-Length`` fields, None if there are none.
+
+    Raises
+    ------
+    MalformedAnswer
+        If a value is no length, or two lengths differ.
+    """
+    if not values:
+        return None
+    found = [LENGTH.fullmatch(text) for text in _elements(values)]
+    lengths = {None if each is None else int(each[1]) for each in found}
+    length = lengths.pop()
+    if length is None or lengths:
+        raise MalformedAnswer(AnswerPart.HEAD, "length")
+    return length
+
+
+def parse_chunked(values: Sequence[str], minor_version: int) -> bool:
+    """Return whether the ``Transfer-Encoding`` fields state a chunked body.
+
+    Raises
+    ------
+    MalformedAnswer
+        If there is any other coding, none of which was requested, or if the version
+        has no codings.
+    """
+    if not values:
+        return False
+    codings = [text.lower() for text in _elements(values) if text]
+    if minor_version == 0 or codings != ["chunked"]:
+        raise MalformedAnswer(AnswerPart.HEAD, "transfer coding")
+    return True
+
+
+def _elements(values: Iterable[str]) -> list[str]:
+    """Return the elements of the lists in all fields of a name."""
+    return [text.strip(OWS) for value in values for text in value.split(",")]
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -8,7 +8,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
+from ..http_client import InvalidAnswer, bounded_pool, read_body
 from ..json_input import parse_json
 from ..store.era import Era, EraState, era_of, revision_of
 from ..store.objects import (
@@ -41,7 +41,7 @@
 }
 STORE_ERRORS: Final = (
     urllib3.exceptions.HTTPError,
-    AnswerBoundExceeded,
+    InvalidAnswer,
     ValueError,
     OSError,
 )
--- a/src/persimmonhitch/sidecar/engine_api.py
+++ b/src/persimmonhitch/sidecar/engine_api.py
@@ -8,7 +8,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..http_client import AnswerBoundExceeded, bounded_pool, read_body
+from ..http_client import InvalidAnswer, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model
 from ..json_input import parse_readable
 from ..wire.placement import Copy
@@ -94,7 +94,7 @@
             return Err(ListingError.REFUSED)
         except (urllib3.exceptions.HTTPError, OSError):
             return Err(ListingError.NO_ANSWER)
-        except (AnswerBoundExceeded, ValueError, KeyError, TypeError):
+        except (InvalidAnswer, ValueError, KeyError, TypeError):
             return Err(ListingError.BROKEN)
 
     def _order(self, path: str, body: dict[str, Any]) -> Answer:
@@ -108,7 +108,7 @@
                 preload_content=False,
             )
             read_body(answer, MAX_ORDER_ANSWER_BYTES, MAX_BODY_S)
-        except (urllib3.exceptions.HTTPError, AnswerBoundExceeded, OSError):
+        except (urllib3.exceptions.HTTPError, InvalidAnswer, OSError):
             return Answer.UNKNOWN
         if answer.status == 200:
             return Answer.DONE
--- a/src/persimmonhitch/sidecar/upstream.py
+++ b/src/persimmonhitch/sidecar/upstream.py
@@ -7,10 +7,9 @@
 from urllib.parse import urlsplit
 
 from urllib3 import BaseHTTPResponse
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from ..http_client import AnswerBoundExceeded, BoundedConnection
+from ..http_client import BoundedConnection, Framing, InvalidAnswer
 from ..ids import Tokens
 from ..json_input import parse_readable
 from ..verdict import ErrorCode, Failure, Verdict
@@ -95,12 +94,12 @@
                 job.fail(Failure(ErrorCode.DUPLICATE, "given up", Verdict.NOT_RUN))
                 return
             self._exchange(conn, job, timing)
-        except (HTTPError, AnswerBoundExceeded, OSError, ValueError) as exc:
+        except (HTTPError, InvalidAnswer, OSError, ValueError) as exc:
             job.fail(self._lost(job, exc))
         finally:
             conn.close()
 
-    def _open(self, job: Job) -> HTTPConnection | None:
+    def _open(self, job: Job) -> BoundedConnection | None:
         conn = BoundedConnection(
             self._address.host, self._address.port, timeout=CONNECT_TIMEOUT_S
         )
@@ -110,7 +109,7 @@
             return None
         return conn
 
-    def _exchange(self, conn: HTTPConnection, job: Job, timing: Timing) -> None:
+    def _exchange(self, conn: BoundedConnection, job: Job, timing: Timing) -> None:
         sub = job.submit
         started_at = time.monotonic()
         left = max(0.05, job.deadline_at - started_at)
@@ -126,7 +125,8 @@
             decode_content=False,
         )
         answer = conn.getresponse()
-        job.head(answer.status, _answer_headers(answer))
+        framing = conn.take_answer().framing
+        job.head(answer.status, _answer_headers(answer, framing))
         meter = TokenMeter(started_at, timing, self._kind)
         # Only the stream of an engine has an event that marks its end.
         content = answer.headers.get("Content-Type", "")
@@ -168,22 +168,16 @@
     return {**sub.headers, **extra}
 
 
-def _answer_headers(answer: BaseHTTPResponse) -> dict[str, str]:
+def _answer_headers(answer: BaseHTTPResponse, framing: Framing) -> dict[str, str]:
     pairs = answer.headers.items()
     headers = {
         name.lower(): text for name, text in pairs if name.lower() in FORWARDED_HEADERS
     }
-    if not _is_framed(answer):
+    if framing is Framing.CLOSE:
         headers[CONNECTION] = CLOSE
     return headers
 
 
-def _is_framed(answer: BaseHTTPResponse) -> bool:
-    """Return whether the upstream marks the end of its answer."""
-    coding = answer.headers.get("Transfer-Encoding", "").lower()
-    return "chunked" in coding or answer.length_remaining is not None
-
-
 def _parts(answer: BaseHTTPResponse) -> Iterator[bytes]:
     # ``stream`` parses chunks itself, without a bound on the trailers.
     while part := answer.read1(READ_SIZE_BYTES, decode_content=False):
--- /dev/null
+++ b/tests/test_malformed_answers.py
@@ -0,0 +1,244 @@
+"""Answers whose status line, head or framing breaks the grammar of HTTP."""
+
+import itertools
+from types import SimpleNamespace
+
+import pytest
+from direct_help import (
+    LAST_CHUNK,
+    LLM,
+    SIGNATURE,
+    FakeUpstream,
+    GatewayServer,
+    answer,
+    chunk,
+    no_limits,
+    sends,
+)
+from test_endless_answers import FailingJob
+
+from persimmonhitch.decide.retries import RetryBound
+from persimmonhitch.direct.engine_client import EngineClient, Order, OrderOutcome
+from persimmonhitch.ids import Epoch, Model, Vm
+from persimmonhitch.limits.retry_budgets import RetryBudgets
+from persimmonhitch.platform import names
+from persimmonhitch.platform.store_client import StoreClient
+from persimmonhitch.sidecar.engine_api import HttpEngine, ListingError
+from persimmonhitch.sidecar.ledger import Answer
+from persimmonhitch.sidecar.upstream import Address, UpstreamCall
+from persimmonhitch.store.era import EraState
+from persimmonhitch.store.objects import Kind, StoreError
+from persimmonhitch.verdict import Verdict
+from persimmonhitch.wire.messages import UpstreamKind
+
+BODY = b"x" * 2400
+OK = b"HTTP/1.1 200 OK"
+LENGTH = b"Content-Length: 2400"
+CHUNKED = b"Transfer-Encoding: chunked"
+SIGNED = SIGNATURE.strip().encode()
+CHUNKS = chunk(BODY) + LAST_CHUNK
+LEAVING = names.SERVER_LEAVING[0].encode() + b": 1"
+
+
+def message(*fields, status=OK, body=BODY):
+    """Return an answer with a signature and the given fields."""
+    return b"\r\n".join([status, SIGNED, *fields, b"", body])
+
+
+def refused_lengths():
+    texts = b"abc;;-5;+2400;2400.0;0x960;2_400;24 00;2400\x00;2400,;100, 2400".split(
+        b";"
+    )
+    values = [*texts, b"9" * 5000, b"9" * 19, "２４００".encode()]
+    return [message(b"Content-Length: " + value) for value in values]
+
+
+MALFORMED_HEADS = [
+    *refused_lengths(),
+    message(b"Content-Length: 100", LENGTH),
+    *(
+        message(*fields)
+        for line in (
+            b"no field",
+            b"X A: b",
+            b"X-A : b",
+            b" X-A: b",
+            b"X\x01A: b",
+            b"X\x7fA: b",
+            b"X\xe9A: b",
+            b"X(A): b",
+            b": b",
+            b"X-A: b\rContent-Length: 5",
+            b"X-A: b\x00c",
+            b"X-A: b\x01c",
+            b"X-A: b\r\n folded",
+        )
+        for fields in ((line, LENGTH), (LENGTH, line))
+    ),
+    *(
+        message(b"Transfer-Encoding: " + coding, body=CHUNKS)
+        for coding in (
+            *(b"", b"gzip", b"gzip, chunked", b"chunked, gzip", b"chunked, chunked"),
+            *(b"xchunked", b"chunked;a=b", b"identity", b"chunk ed"),
+        )
+    ),
+    message(CHUNKED, LENGTH, body=CHUNKS),
+    message(b"no field", CHUNKED, body=CHUNKS),
+    message(CHUNKED, status=b"HTTP/1.0 200 OK", body=CHUNKS),
+]
+MALFORMED = MALFORMED_HEADS
+ONE_OF_EACH = [MALFORMED_HEADS[0], MALFORMED_HEADS[14], MALFORMED_HEADS[-2]]
+
+VALID = {
+    "bytes over 0x7f": message(b"X-A: \xe9\x85\xff", LENGTH),
+    "empty value": message(b"X-A:", LENGTH),
+    "blanks around values": message(b"X-A: \t b\t ", b"Content-Length:\t2400 \t"),
+    "all characters of names": message(b"!#$%&'*+-.^_`|~09azAZ: b", LENGTH),
+    "no blank": message(b"Content-Length:2400"),
+    "leading zeros": message(b"Content-Length: " + b"0" * 5000 + b"2400"),
+    "one length several times": message(LENGTH, b"Content-Length: 2400, 02400"),
+    "upper case": message(b"CONTENT-LENGTH: 2400"),
+    "upper case of a coding": message(b"transfer-encoding: CHUNKED", body=CHUNKS),
+    "empty elements": message(b"Transfer-Encoding: , chunked", body=CHUNKS),
+    "zeros of a chunk": message(CHUNKED, body=b"000" + CHUNKS),
+    "upper case of a chunk": message(
+        CHUNKED,
+        body=chunk(BODY[:0xAB]).replace(b"ab", b"AB") + chunk(BODY[0xAB:]) + LAST_CHUNK,
+    ),
+    "extensions": message(
+        CHUNKED, body=b'960;a;b=c ; d = "e;\\""\r\n' + BODY + b"\r\n0;a\r\n\r\n"
+    ),
+    "trailers": message(CHUNKED, body=chunk(BODY) + b"0\r\nX-A: b\r\nX-B:\r\n\r\n"),
+    "end of the connection": message(),
+    "no reason": message(LENGTH, status=b"HTTP/1.1 200 "),
+    "no reason and no space": message(LENGTH, status=b"HTTP/1.1 200"),
+    "reason over 0x7f": message(LENGTH, status=b"HTTP/1.1 200 \xe9t\xe9"),
+    "version 1.0": message(LENGTH, status=b"HTTP/1.0 200 OK"),
+    "lines without carriage return": message(LENGTH).replace(b"\r\n", b"\n"),
+    "sixty fields": message(*(b"X-A%d: b" % n for n in range(60)), LENGTH),
+    "interim 100": b"HTTP/1.1 100 Continue\r\n\r\n" + message(LENGTH),
+}
+
+
+NAMES = (f"u{number}" for number in itertools.count())
+
+
+@pytest.fixture(scope="module")
+def gateway():
+    """Return a gateway whose retries are not limited."""
+    with GatewayServer(retries=RetryBudgets.of_sole_entry(RetryBound(1.0))) as server:
+        yield server
+
+
+def serve_from(gateway, *scripts):
+    """Replace the upstreams of a gateway by new ones; return them."""
+    for upstream in gateway.upstreams:
+        upstream.close()
+    gateway.upstreams = [FakeUpstream(next(NAMES), script) for script in scripts]
+    gateway.update_upstreams()
+    return gateway.upstreams
+
+
+def call_until_asked(gateway, upstream, path):
+    """Return the replies up to the first for which the upstream was asked."""
+    replies, body = [], upstream.record.name.encode()
+    while not upstream.received:
+        replies.append(gateway.call(path, body=body))
+    return replies
+
+
+def suspected_crashes(gateway):
+    """Return the upstreams that may have crashed, as peers are told."""
+    updates = filter(None, (gateway.poison.next_update(), gateway.crash_update))
+    return {crash.upstream for update in updates for crash in update.crashes}
+
+
+def closes(data):
+    """Return a script that sends an answer and closes the connection in order."""
+    return sends(data, keep_alive=False)
+
+
+@pytest.mark.parametrize("data", MALFORMED, ids=range(len(MALFORMED)))
+def test_malformed_answer_does_not_reach_its_caller(gateway, data):
+    """Guards against a body or a status that the upstream did not send."""
+    (upstream,) = serve_from(gateway, closes(data))
+    (reply,) = call_until_asked(gateway, upstream, "/book/x")
+    assert reply.status == 502
+    assert b"may_have_run" in reply.body
+    assert len(upstream.received) == 1
+
+
+@pytest.mark.parametrize("data", MALFORMED, ids=range(len(MALFORMED)))
+def test_malformed_answer_is_no_crash_and_is_served_elsewhere(gateway, data):
+    """Guards against sound requests that are suspected of crashing upstreams."""
+    bad, _good = serve_from(gateway, sends(data), sends(answer()))
+    replies = call_until_asked(gateway, bad, "/read/x")
+    assert bad.disconnected.wait(1)
+    assert {(reply.status, reply.body) for reply in replies} == {(200, b"done")}
+    assert bad.record.name not in suspected_crashes(gateway)
+
+
+@pytest.mark.parametrize("kind", VALID)
+def test_unusual_answer_reaches_its_caller(gateway, kind):
+    """Guards against a check that is stricter than the grammar."""
+    (upstream,) = serve_from(gateway, closes(VALID[kind]))
+    (reply,) = call_until_asked(gateway, upstream, "/book/x")
+    assert (reply.status, reply.body, reply.complete) == (200, BODY, True)
+
+
+REFUSAL = b"HTTP/1.1 503 Busy"
+NOT_RUN = names.NOT_EXECUTED.encode() + b": 1"
+MALFORMED_REFUSALS = [
+    message(NOT_RUN, b"Retry-After: 60", LEAVING, *fields, status=status, body=body)
+    for fields, status, body in (
+        ([b"X A: b", b"Content-Length: 4"], REFUSAL, b"busy"),
+        ([b"Content-Length: 4_0"], REFUSAL, b"busy"),
+    )
+]
+
+
+@pytest.mark.parametrize("data", MALFORMED_REFUSALS, ids=range(2))
+def test_malformed_refusal_is_not_believed(gateway, data):
+    """Guards against a second run, and against a backoff, after a malformed refusal."""
+    bad, good = serve_from(gateway, closes(data), sends(answer()))
+    replies = call_until_asked(gateway, bad, "/book/x")
+    assert len(good.received) == len(replies) - 1
+    assert replies[-1].status == 502
+    assert b"may_have_run" in replies[-1].body
+    assert gateway.limits.wait_s([bad.record.name]) == 0
+    gateway.leaving.apply()
+    assert not gateway.draining
+
+
+@pytest.mark.parametrize("data", ONE_OF_EACH, ids=range(len(ONE_OF_EACH)))
+def test_malformed_answer_to_the_leader_and_to_a_sidecar(data):
+    """Guards against orders and reports that count as answered."""
+    data = data.replace(BODY, b'{"sequence": 1, "data": []}'.ljust(2400))
+    upstream = FakeUpstream("u1", closes(data.replace(OK, b"HTTP/1.1 202 X")), LLM)
+    client = EngineClient(Vm("e1"), no_limits())
+    order = Order(True, Model("m1"))
+    outcome = client.send_order(upstream.record, order, 0, Epoch(1))
+    assert outcome is OrderOutcome.UNKNOWN
+    upstream = FakeUpstream("u1", closes(data), LLM)
+    assert "Malformed" in client.get_report(upstream.record).failure().detail
+    engine = HttpEngine(f"http://127.0.0.1:{upstream.record.port}", 1.0)
+    assert engine.listing().failure() is ListingError.BROKEN
+    assert engine._order("/x", {}) is Answer.UNKNOWN
+    job = FailingJob()
+    UpstreamCall(Address("127.0.0.1", upstream.record.port), UpstreamKind.SERVICE).run(
+        job, lambda: True, SimpleNamespace()
+    )
+    assert job.failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("data", ONE_OF_EACH, ids=range(len(ONE_OF_EACH)))
+def test_malformed_reply_of_the_store_is_not_believed(data):
+    """Guards against a state, or an era, that the store did not send."""
+    era = names.STORE_ERA.encode() + b": 7\r\n"
+    data = data.replace(SIGNED, era + SIGNED).replace(BODY, b"{}".ljust(2400))
+    upstream, eras = FakeUpstream("s1", closes(data)), EraState()
+    url = f"http://127.0.0.1:{upstream.record.port}"
+    failure = StoreClient(url, 1.0, eras).get(Kind.FLEET, "main").failure()
+    assert failure.error is StoreError.UNAVAILABLE
+    assert "MalformedAnswer" in failure.detail
+    assert eras.current != 7
