Believe a status line only in the form that HTTP gives it

Callers got statuses that are none (600, 999, 2_0), answers of versions that are none, and 502 for an answer behind 103: interim answers other than 100 counted as the answer itself.

Cause: http.client splits the line at white space, reads the status by int(), takes any text after "HTTP/1." for a version, and skips 100 alone. It raises its errors for lost connections and for such lines alike.

Change: one form, HTTP/1 and three digits from 100 to 599. All interim answers are skipped (RFC 9110, 15.2) but 101, which nobody requested. Bytes that don't begin with "HTTP/" are malformed at once, without a wait for the end of a line that may not come. All of it is a MalformedAnswer, and so no crash.

That 000 and 099 reach no caller was so before; their test stays.

--- a/src/persimmonhitch/http_client/response.py
+++ b/src/persimmonhitch/http_client/response.py
@@ -11,12 +11,11 @@
 import time
 from enum import Enum
 from http.client import (
-    CONTINUE,
     HTTPException,
     HTTPMessage,
     HTTPResponse,
     IncompleteRead,
-    UnknownProtocol,
+    RemoteDisconnected,
 )
 from typing import Any, Final
 
@@ -29,9 +28,11 @@
 )
 from .errors import AnswerBoundExceeded, AnswerPart, MalformedAnswer
 from .syntax import (
+    StatusLine,
     parse_chunked,
     parse_field,
     parse_length,
+    parse_status_line,
 )
 
 HEAD: Final = AnswerPart.HEAD
@@ -40,8 +41,10 @@
 THAW_READ_S: Final = 0.01
 """Timeout of one read after the end of a block's time: a process that was stopped in
 between reads what has arrived meanwhile."""
+PROTOCOL: Final = b"HTTP/"
 CRLF: Final = b"\r\n"
 LINE_ENDS: Final = (CRLF, b"\n")
+FIRST_FINAL_STATUS: Final = 200
 STATUSES_WITHOUT_BODY: Final = (204, 304)
 CONTENT_LENGTH: Final = "content-length"
 TRANSFER_ENCODING: Final = "transfer-encoding"
@@ -175,19 +178,17 @@
         if self.headers is not None:
             return
         try:
-            version, status, reason = self._read_status()
-            while status == CONTINUE:
+            status = self._read_status_line()
+            while status.code < FIRST_FINAL_STATUS:
                 self._read_fields()
-                version, status, reason = self._read_status()
+                status = self._read_status_line()
             fields = self._read_fields()
         finally:
             self._block.part = None
-        self.code = self.status = status
-        self.reason = reason.strip()
-        if not version.startswith("HTTP/1."):
-            raise UnknownProtocol(version)
-        self.version = 10 if version == "HTTP/1.0" else 11
-        self._set_framing(self.version - 10, fields)
+        self.code = self.status = status.code
+        self.reason = status.reason
+        self.version = 10 if status.minor_version == 0 else 11
+        self._set_framing(status.minor_version, fields)
         self.headers = self.msg = fields
         is_open_ended = self.framing is Framing.CLOSE
         self.will_close = self._check_close() or is_open_ended
@@ -199,9 +200,15 @@
             return Framing.CHUNKED
         return Framing.CLOSE if self.length is None else Framing.LENGTH
 
-    def _read_status(self) -> Any:
+    def _read_status_line(self) -> StatusLine:
         self._block.part, self._block.has_begun = HEAD, False
-        return super()._read_status()  # type: ignore[misc]
+        # Other bytes may have no line end to wait for.
+        start = self.fp.read(len(PROTOCOL))
+        if not start:
+            raise RemoteDisconnected("the connection ended without an answer")
+        if start != PROTOCOL:
+            raise MalformedAnswer(HEAD, "status line")
+        return parse_status_line(start + self.fp.readline(MAX_HEAD_BYTES + 1))
 
     def _read_fields(self) -> HTTPMessage:
         """Read the rest of a head after its status line."""
--- a/src/persimmonhitch/http_client/syntax.py
+++ b/src/persimmonhitch/http_client/syntax.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from .errors import AnswerPart, MalformedAnswer
@@ -14,11 +15,40 @@
 """Optional white space around values."""
 TOKEN: Final = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 TEXT: Final = rb"[\t\x20-\x7e\x80-\xff]*"
+STATUS_LINE: Final = re.compile(
+    rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (%b))?\r?\n" % TEXT
+)
+"""Form of a status line; the space before a missing reason may be missing as well."""
+SWITCHING_PROTOCOLS: Final = 101
 FIELD_LINE: Final = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
 LENGTH: Final = re.compile(r"0*([0-9]{1,18})")
 """Form of a length; larger numbers exceed 64 bits."""
 
 
+@dataclass(frozen=True)
+class StatusLine:
+    """Status line of a head in HTTP/1."""
+
+    minor_version: int
+    code: int
+    reason: str
+
+
+def parse_status_line(line: bytes) -> StatusLine:
+    """Return the parsed status line, which includes its end.
+
+    Raises
+    ------
+    MalformedAnswer
+        If the line has another form, or announces a protocol that was not requested.
+    """
+    found = STATUS_LINE.fullmatch(line)
+    if found is None or int(found[2]) == SWITCHING_PROTOCOLS:
+        raise MalformedAnswer(AnswerPart.HEAD, "status line")
+    reason = (found[3] or b"").decode("iso-8859-1").strip(OWS)
+    return StatusLine(int(found[1]), int(found[2]), reason)
+
+
 def parse_field(line: bytes, part: AnswerPart) -> tuple[str, str]:
     """Return the name and the value of a field line, which includes its end.
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -86,8 +86,19 @@
     message(b"no field", CHUNKED, body=CHUNKS),
     message(CHUNKED, status=b"HTTP/1.0 200 OK", body=CHUNKS),
 ]
-MALFORMED = MALFORMED_HEADS
-ONE_OF_EACH = [MALFORMED_HEADS[0], MALFORMED_HEADS[14], MALFORMED_HEADS[-2]]
+MALFORMED_STATUS_LINES = [
+    message(LENGTH, status=status)
+    for status in (
+        *(b"HTTP/1.1 %s X" % code for code in b"000 099 101 150 600 999 2000".split()),
+        *(b"HTTP/1.1 2_0 X", b"HTTP/1.1 +20 X", b"HTTP/1.1 20 X", b"HTTP/1.1 abc X"),
+        *(b"HTTP/%s 200 X" % version for version in b"1.x 1 1.10 0.9 2.0 x".split()),
+        *(b"http/1.1 200 X", b"HTTP/1.1 200 X\x00", b"HTTP/1.1 200 X\rX-A: b"),
+    )
+]
+MALFORMED_STATUS_LINES.append(message(status=b"HTTP/1.1 150 X"))
+MALFORMED = [*MALFORMED_HEADS, *MALFORMED_STATUS_LINES]
+ONE_OF_EACH = [MALFORMED_HEADS[0], MALFORMED_HEADS[-2], MALFORMED_STATUS_LINES[0]]
+ONE_OF_EACH += [MALFORMED_HEADS[14], MALFORMED_STATUS_LINES[4]]
 
 VALID = {
     "bytes over 0x7f": message(b"X-A: \xe9\x85\xff", LENGTH),
@@ -117,6 +128,9 @@
     "lines without carriage return": message(LENGTH).replace(b"\r\n", b"\n"),
     "sixty fields": message(*(b"X-A%d: b" % n for n in range(60)), LENGTH),
     "interim 100": b"HTTP/1.1 100 Continue\r\n\r\n" + message(LENGTH),
+    "interim 103 and 199": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+    + b"HTTP/1.1 199 X\r\n\r\n"
+    + message(LENGTH),
 }
 
 
@@ -193,11 +207,12 @@
     for fields, status, body in (
         ([b"X A: b", b"Content-Length: 4"], REFUSAL, b"busy"),
         ([b"Content-Length: 4_0"], REFUSAL, b"busy"),
+        ([b"Content-Length: 4"], b"HTTP/1.1 0503 Busy", b"busy"),
     )
 ]
 
 
-@pytest.mark.parametrize("data", MALFORMED_REFUSALS, ids=range(2))
+@pytest.mark.parametrize("data", MALFORMED_REFUSALS, ids=range(3))
 def test_malformed_refusal_is_not_believed(gateway, data):
     """Guards against a second run, and against a backoff, after a malformed refusal."""
     bad, good = serve_from(gateway, closes(data), sends(answer()))
