Believe chunks only with sizes, ends and trailers as HTTP gives them

Sizes that could not be read at all cut the answer, but counted as a crash of the engine.

Cause: int(line, 16) reads the forms of Python, and two bytes after each chunk were dropped whatever they were. Trailers were counted and not looked at.

Change: the size line has one form, digits and extensions; CRLF ends the data; each trailer is a field. A size above 60 bits is malformed. A line that ends without a carriage return is none here (the leave of RFC 9112, 2.2 is for heads). An answer that ends within its chunks is still a lost one, and one that ends right after the last chunk is still complete.

A further test puts six control bytes at each place of two whole answers outside of their bodies.

--- a/src/persimmonhitch/http_client/response.py
+++ b/src/persimmonhitch/http_client/response.py
@@ -29,6 +29,7 @@
 from .errors import AnswerBoundExceeded, AnswerPart, MalformedAnswer
 from .syntax import (
     StatusLine,
+    parse_chunk_size,
     parse_chunked,
     parse_field,
     parse_length,
@@ -250,22 +251,22 @@
         left = self.chunk_left
         if left:
             return left
-        if left is not None and len(self.fp.read(2)) < 2:
-            raise IncompleteRead(b"")
-        line = self._read_chunk_line()
-        try:
-            size = int(line.partition(b";")[0] if b";" in line else line, 16)
-        except ValueError:
-            size = -1
-        if size < 0:
-            self._close_conn()  # type: ignore[attr-defined]
-            raise IncompleteRead(b"")
+        if left is not None:
+            self._read_chunk_end()
+        size = parse_chunk_size(self._read_chunk_line())
         if size == 0:
             self._read_and_discard_trailer()
             self._close_conn()  # type: ignore[attr-defined]
         left = self.chunk_left = size or None
         return left
 
+    def _read_chunk_end(self) -> None:
+        end = self.fp.read(len(CRLF))
+        if len(end) < len(CRLF):
+            raise IncompleteRead(b"")
+        if end != CRLF:
+            raise MalformedAnswer(FRAMING, "chunk end")
+
     def _read_chunk_line(self) -> bytes:
         block = self._block
         block.part = FRAMING
@@ -290,6 +291,7 @@
                 break
             if not line.endswith(b"\n"):
                 raise IncompleteRead(b"")
+            parse_field(line, FRAMING)
             is_first = False
         self._block.part = None
 
--- a/src/persimmonhitch/http_client/syntax.py
+++ b/src/persimmonhitch/http_client/syntax.py
@@ -21,6 +21,14 @@
 """Form of a status line; the space before a missing reason may be missing as well."""
 SWITCHING_PROTOCOLS: Final = 101
 FIELD_LINE: Final = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
+CHUNK_EXTENSION: Final = (
+    rb'[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]'
+    rb'|\\[\t\x20-\x7e\x80-\xff])*"))?' % (TOKEN, TOKEN)
+)
+CHUNK_SIZE_LINE: Final = re.compile(
+    rb"0*([0-9A-Fa-f]{1,15})(?:%b)*\r\n" % CHUNK_EXTENSION
+)
+"""Form of a chunk size line; larger sizes exceed 64 bits."""
 LENGTH: Final = re.compile(r"0*([0-9]{1,18})")
 """Form of a length; larger numbers exceed 64 bits."""
 
@@ -99,6 +107,20 @@
     return True
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size in a chunk size line, which includes its end.
+
+    Raises
+    ------
+    MalformedAnswer
+        If the line has another form.
+    """
+    found = CHUNK_SIZE_LINE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswer(AnswerPart.FRAMING, "chunk size")
+    return int(found[1], 16)
+
+
 def _elements(values: Iterable[str]) -> list[str]:
     """Return the elements of the lists in all fields of a name."""
     return [text.strip(OWS) for value in values for text in value.split(",")]
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -1,6 +1,8 @@
 """Answers whose status line, head or framing breaks the grammar of HTTP."""
 
+import contextlib
 import itertools
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -8,10 +10,12 @@
     LAST_CHUNK,
     LLM,
     SIGNATURE,
+    STREAM_HEAD,
     FakeUpstream,
     GatewayServer,
     answer,
     chunk,
+    event,
     no_limits,
     sends,
 )
@@ -19,6 +23,7 @@
 
 from persimmonhitch.decide.retries import RetryBound
 from persimmonhitch.direct.engine_client import EngineClient, Order, OrderOutcome
+from persimmonhitch.http_client import BoundedConnection, MalformedAnswer, read_body
 from persimmonhitch.ids import Epoch, Model, Vm
 from persimmonhitch.limits.retry_budgets import RetryBudgets
 from persimmonhitch.platform import names
@@ -96,9 +101,26 @@
     )
 ]
 MALFORMED_STATUS_LINES.append(message(status=b"HTTP/1.1 150 X"))
-MALFORMED = [*MALFORMED_HEADS, *MALFORMED_STATUS_LINES]
+MALFORMED_CHUNKS = [
+    message(CHUNKED, body=body)
+    for body in (
+        *(
+            size + b"\r\n" + BODY + b"\r\n" + LAST_CHUNK
+            for size in (
+                *(b"", b"0x960", b"+960", b"-960", b"9_60", b" 960", b"960 ", b"9 60"),
+                *(b"96g", b"960;", b"960;a b", b"960;a\rb", b"960 a", b"f" * 17),
+            )
+        ),
+        b"960\n" + BODY + b"\r\n" + LAST_CHUNK,
+        b"95f\r\n" + BODY + b"\r\n" + LAST_CHUNK,
+        b"960\r\n" + BODY + b"yz" + LAST_CHUNK,
+        chunk(BODY) + b"0\r\nno field\r\n\r\n",
+        chunk(BODY) + b"0\r\nX A: b\r\n\r\n",
+    )
+]
+MALFORMED = [*MALFORMED_HEADS, *MALFORMED_STATUS_LINES, *MALFORMED_CHUNKS]
 ONE_OF_EACH = [MALFORMED_HEADS[0], MALFORMED_HEADS[-2], MALFORMED_STATUS_LINES[0]]
-ONE_OF_EACH += [MALFORMED_HEADS[14], MALFORMED_STATUS_LINES[4]]
+ONE_OF_EACH += [MALFORMED_HEADS[14], MALFORMED_STATUS_LINES[4], MALFORMED_CHUNKS[1]]
 
 VALID = {
     "bytes over 0x7f": message(b"X-A: \xe9\x85\xff", LENGTH),
@@ -192,6 +214,41 @@
     assert bad.record.name not in suspected_crashes(gateway)
 
 
+LAST = b"\r\n0\r\nA: b\r\n\r\n"
+CONTROL_BYTES = (b"\x00", b"\x08", b"\x0b", b"\r", b"\x1f", b"\x7f")
+
+
+def read_answer(data):
+    """Return the body of an answer, as read by the product."""
+    ours, theirs = socket.socketpair()
+    conn = BoundedConnection("127.0.0.1")
+    conn.sock = ours
+    with contextlib.closing(conn), theirs:
+        theirs.sendall(data)
+        theirs.shutdown(socket.SHUT_WR)
+        conn.request("GET", "/", preload_content=False)
+        return read_body(conn.getresponse(), len(data), 1.0)
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (message(b"Content-Length: 4", body=b""), b""),
+        (b"HTTP/1.1 103 X\r\nA: b\r\n\r\n" + message(CHUNKED, body=b"4;a\r\n"), LAST),
+    ],
+    ids=["length", "chunked"],
+)
+def test_control_byte_anywhere_in_head_and_framing_is_malformed(before, after):
+    """Guards against a reader for which a line ends at another byte than its end."""
+    assert read_answer(before + b"body" + after) == b"body"
+    for byte, at in itertools.product(CONTROL_BYTES, range(len(before))):
+        with pytest.raises(MalformedAnswer):
+            read_answer(before[:at] + byte + before[at:] + b"body" + after)
+    for byte, at in itertools.product(CONTROL_BYTES, range(len(after))):
+        with pytest.raises(MalformedAnswer):
+            read_answer(before + b"body" + after[:at] + byte + after[at:])
+
+
 @pytest.mark.parametrize("kind", VALID)
 def test_unusual_answer_reaches_its_caller(gateway, kind):
     """Guards against a check that is stricter than the grammar."""
@@ -225,6 +282,19 @@
     assert not gateway.draining
 
 
+MALFORMED_CHUNK = b"0x" + event(2)
+
+
+def test_stream_with_a_malformed_chunk_is_not_complete():
+    """Guards against a stream that goes on with bytes that are no event."""
+    parts = STREAM_HEAD + event(1) + MALFORMED_CHUNK + LAST_CHUNK
+    with GatewayServer(FakeUpstream("u1", closes(parts), LLM)) as gateway:
+        reply = gateway.call("/chat/x")
+        assert gateway.crash_update is None
+    assert not reply.complete
+    assert b"t2" not in reply.body
+
+
 @pytest.mark.parametrize("data", ONE_OF_EACH, ids=range(len(ONE_OF_EACH)))
 def test_malformed_answer_to_the_leader_and_to_a_sidecar(data):
     """Guards against orders and reports that count as answered."""
