Believe a chunked refusal only once its chunks have been read

Cause: the body of a refusal was read after the refusal had been taken for granted, with all errors ignored.

Change: a refusal whose end is marked by chunks is read before anything in it is believed. A malformed one is treated as any malformed answer. A refusal that is cut, or too long, still stands by its head; one with a length or without framing is believed at once as before, so that a backoff begins without a wait for the body.

Evidence: test_malformed_refusal_is_not_believed[3] fails without the change (the second upstream gets the request), and passes with it.

--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -52,7 +52,8 @@
 Upstreams close idle connections after several seconds; a request sent during the close
 is lost."""
 
-EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError, InvalidAnswer)
+LOSS_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+EXCHANGE_ERRORS = (*LOSS_ERRORS, InvalidAnswer)
 """Errors raised for a lost upstream or a malformed answer."""
 
 
@@ -88,6 +89,7 @@
     held: HeldAnswer
     """What the process holds of this answer in memory."""
     _complete: bool = field(default=False)
+    _is_discarded: bool = field(default=False)
 
     def read_blocks(self) -> list[bytes]:
         """Return the whole body in blocks of about the size of a read.
@@ -113,13 +115,24 @@
         return blocks
 
     def discard(self) -> None:
-        """Read the short body of a refusal; close the connection if it is not short."""
+        """Read the short body of a refusal; close the connection if it is not short.
+
+        Raises
+        ------
+        MalformedAnswer
+            If the framing is malformed, so that the refusal is not believed.
+        """
+        if self._is_discarded:
+            return
+        self._is_discarded = True
         self._answer.limit_body(REFUSAL_READ_S)
-        # The head alone states that the request has not run.
-        with contextlib.suppress(*EXCHANGE_ERRORS):
-            for _chunk in self.chunks(MAX_REFUSAL_BYTES):
-                pass
-        self.close()
+        try:
+            # The head alone states that the request has not run.
+            with contextlib.suppress(*LOSS_ERRORS, AnswerBoundExceeded):
+                for _chunk in self.chunks(MAX_REFUSAL_BYTES):
+                    pass
+        finally:
+            self.close()
 
     def chunks(self, max_bytes: int | None) -> Iterator[bytes]:
         """Yield the body in chunks; raise one of ``EXCHANGE_ERRORS`` if truncated."""
@@ -337,4 +350,7 @@
             conn.request_count - 1,
             self._memory.hold(lambda: shut_down(sock)),
         )
+        if parsed.not_run and reply.framing is Framing.CHUNKED:
+            # Whether the chunks are valid is known only once they have been read.
+            reply.discard()
         return Success(reply)
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -265,11 +265,12 @@
         ([b"X A: b", b"Content-Length: 4"], REFUSAL, b"busy"),
         ([b"Content-Length: 4_0"], REFUSAL, b"busy"),
         ([b"Content-Length: 4"], b"HTTP/1.1 0503 Busy", b"busy"),
+        ([CHUNKED], REFUSAL, b"0x4\r\nbusy\r\n0\r\n\r\n"),
     )
 ]
 
 
-@pytest.mark.parametrize("data", MALFORMED_REFUSALS, ids=range(3))
+@pytest.mark.parametrize("data", MALFORMED_REFUSALS, ids=range(4))
 def test_malformed_refusal_is_not_believed(gateway, data):
     """Guards against a second run, and against a backoff, after a malformed refusal."""
     bad, good = serve_from(gateway, closes(data), sends(answer()))
