Show the state of an entry only from a valid answer

persimmonhitch-ctl status read the entries' answers by the plain client, so that a malformed answer could be shown as an entry's state, and one without an end could fill the memory of the tool.

Change: the bounded reader, with 64 KiB and a second for the body.

--- a/src/persimmonhitch/ctl/fleet_status.py
+++ b/src/persimmonhitch/ctl/fleet_status.py
@@ -7,11 +7,13 @@
 
 import urllib3
 
+from ..http_client import InvalidAnswer, bounded_pool, read_body
 from ..json_input import parse_readable
 from ..store.objects import StoredObject
 
 TIMEOUT_S: Final = 1.0
 MAX_CONCURRENT: Final = 32
+MAX_STATUS_BYTES: Final = 64 * 1024
 
 Ask = Callable[[str], dict[str, Any] | None]
 
@@ -19,9 +21,10 @@
 def ask(url: str) -> dict[str, Any] | None:
     """Return the JSON object at a URL, None if unavailable."""
     try:
-        answer = urllib3.request("GET", url, timeout=TIMEOUT_S, retries=False)
-        body = parse_readable(answer.data)
-    except (urllib3.exceptions.HTTPError, ValueError, OSError):
+        with bounded_pool(timeout=TIMEOUT_S) as pool:
+            answer = pool.request("GET", url, preload_content=False)
+            body = parse_readable(read_body(answer, MAX_STATUS_BYTES, TIMEOUT_S))
+    except (urllib3.exceptions.HTTPError, InvalidAnswer, ValueError, OSError):
         return None
     return body if isinstance(body, dict) else None
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -21,6 +21,7 @@
 )
 from test_endless_answers import FailingJob
 
+from persimmonhitch.ctl.fleet_status import ask
 from persimmonhitch.decide.retries import RetryBound
 from persimmonhitch.direct.engine_client import EngineClient, Order, OrderOutcome
 from persimmonhitch.http_client import BoundedConnection, MalformedAnswer, read_body
@@ -328,3 +329,11 @@
     assert failure.error is StoreError.UNAVAILABLE
     assert "MalformedAnswer" in failure.detail
     assert eras.current != 7
+
+
+@pytest.mark.parametrize("data", ONE_OF_EACH, ids=range(len(ONE_OF_EACH)))
+def test_malformed_status_of_an_entry_is_not_shown(data):
+    """Guards against a state of the fleet that no entry reported."""
+    data = data.replace(BODY, b'{"status": "ready"}'.ljust(2400))
+    upstream = FakeUpstream("e1", closes(data))
+    assert ask(f"http://127.0.0.1:{upstream.record.port}/readyz") is None
