Read lengths and chunk sizes in time linear in their digits

Seen in the diff: a pattern with many zeros and a bounded number of digits behind them is tried again at each zero if the line is malformed.

Change: the pattern looks at digits alone, zeros are stripped, and the bound is one on the value, 2^63 - 1, for lengths and chunk sizes alike. That a malformed answer is no crash is decided in one place. Tests: the kinds for stores, orders and sidecars are written out; 2_0 as a status is 2_00, which was believed as 200.

--- a/src/persimmonhitch/direct/attempts.py
+++ b/src/persimmonhitch/direct/attempts.py
@@ -237,8 +237,8 @@
         request.attempts += may_have_run
         if request.abort.reason is not None:
             return failure
-        if may_have_run and failure.code is not ErrorCode.PROTOCOL:
-            self._report_loss(request, record)
+        if may_have_run:
+            self._report_loss(request, record, failure)
         request.excluded |= {record.name}
         self._dispatcher.record_failure(record, unreachable=not may_have_run)
         log_attempt(request, "attempt_failed", failure)
@@ -332,19 +332,23 @@
             self._metrics.answer_cut(exc.part)
         if request.permit is not None:
             record = request.permit.record
-            if failure.code is not ErrorCode.PROTOCOL:
-                self._report_loss(request, record)
+            self._report_loss(request, record, failure)
             self._dispatcher.record_failure(record, False)
             request.excluded |= {record.name}
         log_attempt(request, "answer_cut", failure)
         return failure
 
-    def _report_loss(self, request: InFlightRequest, record: UpstreamRecord) -> None:
+    def _report_loss(
+        self, request: InFlightRequest, record: UpstreamRecord, failure: Failure
+    ) -> None:
         """Report that a request may have crashed its upstream.
 
+        An upstream that sends a malformed answer has not crashed.
         A request is no suspect once its stream has run for ``RECENT_START_S``. A stream
         without a head counts as recent: the head may be lost with the upstream.
         """
+        if failure.code is ErrorCode.PROTOCOL:
+            return
         is_stream = request.admitted.route.kind is RouteKind.STREAM
         elapsed = 0.0 if request.head_at is None else self._clock() - request.head_at
         recent = not is_stream or elapsed <= RECENT_START_S
--- a/src/persimmonhitch/direct/engine_client.py
+++ b/src/persimmonhitch/direct/engine_client.py
@@ -14,12 +14,7 @@
 from urllib3.connection import HTTPConnection
 
 from ..fleet.upstream import EngineInventory, UpstreamRecord
-from ..http_client import (
-    InvalidAnswer,
-    MalformedAnswer,
-    bounded_pool,
-    read_body,
-)
+from ..http_client import InvalidAnswer, MalformedAnswer, bounded_pool, read_body
 from ..ids import Adapter, Epoch, Model, Vm
 from ..json_input import parse_readable
 from ..observe.logs import log
--- a/src/persimmonhitch/direct/exchange.py
+++ b/src/persimmonhitch/direct/exchange.py
@@ -53,6 +53,7 @@
 is lost."""
 
 LOSS_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+"""Errors raised for a lost upstream, and for an answer to another request."""
 EXCHANGE_ERRORS = (*LOSS_ERRORS, InvalidAnswer)
 """Errors raised for a lost upstream or a malformed answer."""
 
--- a/src/persimmonhitch/http_client/syntax.py
+++ b/src/persimmonhitch/http_client/syntax.py
@@ -25,12 +25,12 @@
     rb'[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]'
     rb'|\\[\t\x20-\x7e\x80-\xff])*"))?' % (TOKEN, TOKEN)
 )
-CHUNK_SIZE_LINE: Final = re.compile(
-    rb"0*([0-9A-Fa-f]{1,15})(?:%b)*\r\n" % CHUNK_EXTENSION
-)
-"""Form of a chunk size line; larger sizes exceed 64 bits."""
-LENGTH: Final = re.compile(r"0*([0-9]{1,18})")
-"""Form of a length; larger numbers exceed 64 bits."""
+CHUNK_SIZE_LINE: Final = re.compile(rb"([0-9A-Fa-f]+)(?:%b)*\r\n" % CHUNK_EXTENSION)
+LENGTH: Final = re.compile(r"[0-9]+")
+MAX_SIZE: Final = 2**63 - 1
+"""Maximum length or chunk size in bytes."""
+MAX_SIZE_DIGITS: Final = 19
+"""Decimal digits of ``MAX_SIZE``; in hexadecimal it has fewer."""
 
 
 @dataclass(frozen=True)
@@ -82,8 +82,10 @@
     """
     if not values:
         return None
-    found = [LENGTH.fullmatch(text) for text in _elements(values)]
-    lengths = {None if each is None else int(each[1]) for each in found}
+    texts = _elements(values)
+    if not all(map(LENGTH.fullmatch, texts)):
+        raise MalformedAnswer(AnswerPart.HEAD, "length")
+    lengths = {_parse_size(text, 10) for text in texts}
     length = lengths.pop()
     if length is None or lengths:
         raise MalformedAnswer(AnswerPart.HEAD, "length")
@@ -116,11 +118,21 @@
         If the line has another form.
     """
     found = CHUNK_SIZE_LINE.fullmatch(line)
-    if found is None:
+    size = None if found is None else _parse_size(found[1].decode("ascii"), 16)
+    if size is None:
         raise MalformedAnswer(AnswerPart.FRAMING, "chunk size")
-    return int(found[1], 16)
+    return size
 
 
 def _elements(values: Iterable[str]) -> list[str]:
     """Return the elements of the lists in all fields of a name."""
     return [text.strip(OWS) for value in values for text in value.split(",")]
+
+
+def _parse_size(digits: str, base: int) -> int | None:
+    """Return a number of bytes, None if it exceeds ``MAX_SIZE``."""
+    significant = digits.lstrip("0") or "0"
+    if len(significant) > MAX_SIZE_DIGITS:
+        return None
+    size = int(significant, base)
+    return size if size <= MAX_SIZE else None
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -51,16 +51,15 @@
     return b"\r\n".join([status, SIGNED, *fields, b"", body])
 
 
-def refused_lengths():
-    texts = b"abc;;-5;+2400;2400.0;0x960;2_400;24 00;2400\x00;2400,;100, 2400".split(
-        b";"
-    )
-    values = [*texts, b"9" * 5000, b"9" * 19, "２４００".encode()]
-    return [message(b"Content-Length: " + value) for value in values]
-
-
 MALFORMED_HEADS = [
-    *refused_lengths(),
+    *(
+        message(b"Content-Length: " + value)
+        for value in (
+            *(b"abc", b"", b"-5", b"+2400", b"2400.0", b"0x960", b"2_400", b"24 00"),
+            *(b"2400\x00", b"2400,", b"100, 2400", b"9" * 5000, b"9" * 19),
+            "２４００".encode(),
+        )
+    ),
     message(b"Content-Length: 100", LENGTH),
     *(
         message(*fields)
@@ -96,7 +95,7 @@
     message(LENGTH, status=status)
     for status in (
         *(b"HTTP/1.1 %s X" % code for code in b"000 099 101 150 600 999 2000".split()),
-        *(b"HTTP/1.1 2_0 X", b"HTTP/1.1 +20 X", b"HTTP/1.1 20 X", b"HTTP/1.1 abc X"),
+        *(b"HTTP/1.1 2_00 X", b"HTTP/1.1 +20 X", b"HTTP/1.1 20 X", b"HTTP/1.1 abc X"),
         *(b"HTTP/%s 200 X" % version for version in b"1.x 1 1.10 0.9 2.0 x".split()),
         *(b"http/1.1 200 X", b"HTTP/1.1 200 X\x00", b"HTTP/1.1 200 X\rX-A: b"),
     )
@@ -120,8 +119,14 @@
     )
 ]
 MALFORMED = [*MALFORMED_HEADS, *MALFORMED_STATUS_LINES, *MALFORMED_CHUNKS]
-ONE_OF_EACH = [MALFORMED_HEADS[0], MALFORMED_HEADS[-2], MALFORMED_STATUS_LINES[0]]
-ONE_OF_EACH += [MALFORMED_HEADS[14], MALFORMED_STATUS_LINES[4], MALFORMED_CHUNKS[1]]
+ONE_OF_EACH = [
+    message(b"Content-Length: 2_400"),
+    message(b"no field", LENGTH),
+    message(b"X A: b", LENGTH),
+    message(b"Transfer-Encoding: xchunked", body=CHUNKS),
+    message(LENGTH, status=b"HTTP/1.1 2_00 OK"),
+    message(CHUNKED, body=b"0x" + CHUNKS),
+]
 
 VALID = {
     "bytes over 0x7f": message(b"X-A: \xe9\x85\xff", LENGTH),
@@ -156,7 +161,6 @@
     + message(LENGTH),
 }
 
-
 NAMES = (f"u{number}" for number in itertools.count())
 
 
@@ -284,12 +288,9 @@
     assert not gateway.draining
 
 
-MALFORMED_CHUNK = b"0x" + event(2)
-
-
 def test_stream_with_a_malformed_chunk_is_not_complete():
     """Guards against a stream that goes on with bytes that are no event."""
-    parts = STREAM_HEAD + event(1) + MALFORMED_CHUNK + LAST_CHUNK
+    parts = STREAM_HEAD + event(1) + b"0x" + event(2) + LAST_CHUNK
     with GatewayServer(FakeUpstream("u1", closes(parts), LLM)) as gateway:
         reply = gateway.call("/chat/x")
         assert gateway.crash_update is None
