Stand-in store: lists of several pages

The stand-in sent each list as one page, so that no test could see what a client does between two. It now sends 500 objects a page, by name, or as few as a test asks for. What the platform's store does with a name to continue after that no object has is not stated; the stand-in goes on in order, rejects the call or begins the list anew.

No logic of the entry changes; the names in paths are read as they were.

--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -11,7 +11,7 @@
     Event,
     EventType,
     Kind,
-    Listing,
+    Page,
     Spec,
     StoredObject,
     Version,
@@ -63,10 +63,10 @@
     return StoredObject(kind, str(meta["name"]), version, spec)
 
 
-def encode_listing(listing: Listing) -> Body:
-    """Return the body of a list reply with a single page."""
-    items = [encode_object(o.name, o.spec, o.version) for o in listing.items]
-    return {"items": items, "has_more": False, "at_revision": listing.version}
+def encode_page(page: Page) -> Body:
+    """Return the body of a list reply."""
+    items = [encode_object(o.name, o.spec, o.version) for o in page.items]
+    return {"items": items, "has_more": page.has_more, "at_revision": page.version}
 
 
 def decode_page(
--- a/src/persimmonhitch/standin/store_server.py
+++ b/src/persimmonhitch/standin/store_server.py
@@ -10,8 +10,8 @@
 from ..platform.objects_format import (
     decode_object,
     encode_changes,
-    encode_listing,
     encode_object,
+    encode_page,
     parse_path,
 )
 from ..store.objects import Kind, StoredObject, StoreError, StoreFailure, Version
@@ -72,12 +72,12 @@
         if req.method == "POST":
             new = decode_object(kind, json.loads(req.body))
             return _one(self.state.create(kind, new.name, new.spec), 201)
-        query = parse_qs(req.query)
+        query = parse_qs(req.query, keep_blank_values=True, errors="surrogateescape")
         if "watch" in query:
             return self._watch(kind, query)
-        result = self.state.list_all(kind)
+        result = self.state.list_page(kind, query.get("after", [None])[0])
         if isinstance(result, Success):
-            return json_answer(200, encode_listing(result.unwrap()))
+            return json_answer(200, encode_page(result.unwrap()))
         return _failure(result.failure())
 
     def _object(self, kind: Kind, name: str, req: Request) -> Answer:
--- a/src/persimmonhitch/standin/store_state.py
+++ b/src/persimmonhitch/standin/store_state.py
@@ -6,6 +6,7 @@
 from collections import deque
 from copy import deepcopy
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 from returns.result import Failure as Err
@@ -17,6 +18,7 @@
     EventType,
     Kind,
     Listing,
+    Page,
     Spec,
     StoredObject,
     StoreError,
@@ -28,6 +30,18 @@
 """Maximum size of an object, as on the platform."""
 MAX_EVENTS: Final = 4096
 """Events kept for watches; a watch from an older version fails with ``EXPIRED``."""
+MAX_PAGE_ITEMS: Final = 500
+"""Objects in a page of a list, as on the platform."""
+
+
+class UnknownAfter(Enum):
+    """What a list does if it is to continue after a name that no object has."""
+
+    CONTINUE = "continue"
+    """Continue with the next name in order."""
+    REJECT = "reject"
+    RESTART = "restart"
+    """Begin with the first name again."""
 
 
 @dataclass
@@ -62,6 +76,8 @@
         self._version = 0
         self.era = 0
         """Rises each time that it comes back from a copy."""
+        self.page_items = MAX_PAGE_ITEMS
+        self.unknown_after = UnknownAfter.CONTINUE
         self._changed = threading.Condition()
 
     def _fault(self, call: str) -> StoreFailure | None:
@@ -105,6 +121,25 @@
             items = [obj for (k, _), obj in self._objects.items() if k is kind]
             return Success(Listing(Version(self._version), tuple(deepcopy(items))))
 
+    def list_page(self, kind: Kind, after: str | None) -> Result[Page, StoreFailure]:
+        """Return the objects of a kind by name, beyond the name ``after``."""
+        result = self.list_all(kind)
+        if not isinstance(result, Success):
+            return Err(result.failure())
+        listing = result.unwrap()
+        items = sorted(listing.items, key=lambda obj: obj.name)
+        if after is not None and all(obj.name != after for obj in items):
+            if self.unknown_after is UnknownAfter.REJECT:
+                return Err(StoreFailure(StoreError.INVALID, f"no object {after!r}"))
+            if self.unknown_after is UnknownAfter.RESTART:
+                after = None
+        if after is not None:
+            items = [obj for obj in items if obj.name > after]
+        page = items[: self.page_items]
+        names = tuple(obj.name for obj in page)
+        has_more = len(items) > len(page)
+        return Success(Page(listing.version, tuple(page), names, has_more))
+
     def create(
         self, kind: Kind, name: str, spec: Spec
     ) -> Result[StoredObject, StoreFailure]:
--- a/src/persimmonhitch/store/objects.py
+++ b/src/persimmonhitch/store/objects.py
@@ -73,6 +73,19 @@
     items: tuple[StoredObject, ...]
 
 
+@dataclass(frozen=True)
+class Page:
+    """Part of the objects of a kind, by name."""
+
+    version: Version
+    items: tuple[StoredObject, ...]
+    """Objects of the page that can be read."""
+    names: tuple[str, ...]
+    """Names of all objects of the page, as far as they are texts."""
+    has_more: bool
+    """Whether objects follow whose names are beyond those of the page."""
+
+
 def readable_spec(value: Any) -> Spec:
     """Return the content of an object, empty if it can't be read.
 
