Quote the names of objects in calls to the store

Cause: the name to continue a list after went into the query as it was, and names went into paths as they were. The store read another name, so that the list was rejected, began anew for good or went on elsewhere; a process that has no list yet takes no requests.

Names are quoted where paths and queries are made, for lists, reads, writes and deletes alike; bytes that are no text are sent as they came.

--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from typing import Any, Final
+from urllib.parse import quote, unquote
 
 from ..json_input import is_readable
 from ..observe.logs import log
@@ -32,16 +33,33 @@
 _KINDS: Final = {PLATFORM_KIND_NAMES.get(kind, kind.value): kind for kind in Kind}
 
 
-def path_of(kind: Kind, name: str = "") -> str:
+def path_of(kind: Kind, name: str | None = None) -> str:
     """Return the path of a kind, or of one of its objects."""
     path = f"{OBJECTS_PATH}/{PLATFORM_KIND_NAMES.get(kind, kind.value)}"
-    return f"{path}/{name}" if name else path
+    return path if name is None else f"{path}/{_quote(name)}"
+
+
+def page_path(kind: Kind, after: str | None) -> str:
+    """Return the path of the objects of a kind whose names are beyond ``after``."""
+    path = path_of(kind)
+    return path if after is None else f"{path}?after={_quote(after)}"
+
+
+def _quote(name: str) -> str:
+    """Return a name as part of a path or a query, from which it is read unchanged."""
+    try:
+        raw = name.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        raw = name.encode("utf-8", "surrogatepass")
+    quoted = quote(raw, safe="")
+    # A client would drop these names as steps within the path.
+    return quoted.replace(".", "%2E") if name in (".", "..") else quoted
 
 
 def parse_path(path: str) -> tuple[Kind | None, str]:
     """Return the kind, if known, and the object name of a path."""
     kind, _, name = path.removeprefix(f"{OBJECTS_PATH}/").partition("/")
-    return _KINDS.get(kind), name
+    return _KINDS.get(kind), unquote(name, errors="surrogateescape")
 
 
 def encode_object(name: str, spec: Spec, version: Version | None) -> Body:
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -28,6 +28,7 @@
     decode_object,
     decode_page,
     encode_object,
+    page_path,
     path_of,
 )
 
@@ -133,10 +134,10 @@
     def list_all(self, kind: Kind) -> Result[Listing, StoreFailure]:
         """Return all objects of a kind; request them page by page."""
         items: list[StoredObject] = []
-        query = ""
+        after: str | None = None
         first_era: Era | None = None
         while True:
-            result = self._request("GET", path_of(kind) + query)
+            result = self._request("GET", page_path(kind, after))
             if not isinstance(result, Success):
                 return Err(result.failure())
             reply: _Reply = result.unwrap()
@@ -150,7 +151,7 @@
             items += page
             if not has_more or not page:
                 return Success(Listing(version, tuple(items)))
-            query = f"?after={page[-1].name}"
+            after = page[-1].name
 
     def create(
         self, kind: Kind, name: str, spec: Spec
