Lists of the store end, and only at their last page

What callers would see: no answers after a restart, or entries that end at their memory limit, while the store can't continue a list after some name.

Cause: a list went on as long as the store stated that more follows, with no look at whether a page brought anything new.

Now a page counts by all its names.

--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -87,13 +87,19 @@
     return {"items": items, "has_more": page.has_more, "at_revision": page.version}
 
 
-def decode_page(
-    kind: Kind, body: Body, era: Era = NO_ERA
-) -> tuple[list[StoredObject], Version, bool]:
-    """Return the objects of a page, its version and whether more pages follow."""
-    items = [obj for item in body["items"] if (obj := _object(kind, item, era))]
+def decode_page(kind: Kind, body: Body, era: Era = NO_ERA) -> Page:
+    """Return a page of a list; the names include those of unreadable objects."""
+    items = tuple(obj for item in body["items"] if (obj := _object(kind, item, era)))
+    names = tuple(name for item in body["items"] if (name := _name(item)) is not None)
     version = version_of(era, int(body["at_revision"]))
-    return items, version, bool(body.get("has_more"))
+    return Page(version, items, names, bool(body.get("has_more")))
+
+
+def _name(item: Any) -> str | None:
+    """Return the name of an object in a list, None if it has none."""
+    meta = item.get("metadata") if isinstance(item, dict) else None
+    name = meta.get("name") if isinstance(meta, dict) else None
+    return name if isinstance(name, str) else None
 
 
 def encode_changes(changes: Changes) -> Body:
--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -15,12 +15,14 @@
     Changes,
     Kind,
     Listing,
+    Page,
     Spec,
     StoredObject,
     StoreError,
     StoreFailure,
     Version,
 )
+from ..store.pages import read_list
 from .headers import parse_era
 from .objects_format import (
     Body,
@@ -133,25 +135,17 @@
 
     def list_all(self, kind: Kind) -> Result[Listing, StoreFailure]:
         """Return all objects of a kind; request them page by page."""
-        items: list[StoredObject] = []
-        after: str | None = None
-        first_era: Era | None = None
-        while True:
-            result = self._request("GET", page_path(kind, after))
-            if not isinstance(result, Success):
-                return Err(result.failure())
-            reply: _Reply = result.unwrap()
-            first_era = reply.era if first_era is None else first_era
-            if reply.era != first_era:
-                return _failure(StoreError.EXPIRED, "store restored between pages")
-            try:
-                page, version, has_more = decode_page(kind, reply.body, reply.era)
-            except DECODE_ERRORS as exc:
-                return _failure(StoreError.UNAVAILABLE, repr(exc))
-            items += page
-            if not has_more or not page:
-                return Success(Listing(version, tuple(items)))
-            after = page[-1].name
+        return read_list(kind, lambda after: self._get_page(kind, after))
+
+    def _get_page(self, kind: Kind, after: str | None) -> Result[Page, StoreFailure]:
+        result = self._request("GET", page_path(kind, after))
+        if not isinstance(result, Success):
+            return Err(result.failure())
+        reply: _Reply = result.unwrap()
+        try:
+            return Success(decode_page(kind, reply.body, reply.era))
+        except DECODE_ERRORS as exc:
+            return _failure(StoreError.UNAVAILABLE, repr(exc))
 
     def create(
         self, kind: Kind, name: str, spec: Spec
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -1,12 +1,21 @@
 """Lists of several pages, and names of objects that other writers chose."""
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
+from persimmonhitch.platform.objects_format import decode_page
 from persimmonhitch.platform.store_client import StoreClient
 from persimmonhitch.standin.store_server import StoreApp
 from persimmonhitch.standin.store_state import StoreState, UnknownAfter
-from persimmonhitch.store.objects import Kind
+from persimmonhitch.store.objects import (
+    Kind,
+    Page,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    Version,
+)
+from persimmonhitch.store.pages import MAX_LISTED, MAX_MARKERS, read_list
 from persimmonhitch.web import WebServer
 
 ODD_NAMES = (
@@ -86,3 +95,92 @@
         assert (updated.name, updated.spec) == (name, {"x": 2})
         assert isinstance(store.client.delete(updated), Success)
         assert store.listed() == sorted(SOUND_NAMES)
+
+
+class FakePages:
+    """Pages of a list of names; replies to odd names as ``on_odd`` says."""
+
+    def __init__(self, names, size=3, on_odd=UnknownAfter.REJECT, is_odd=None):
+        self.names = sorted(names)
+        self.size = size
+        self.on_odd = on_odd
+        self.is_odd = is_odd or (lambda name: "&" in name)
+        self.calls = 0
+
+    def __call__(self, after):
+        self.calls += 1
+        if after is not None and self.is_odd(after):
+            if self.on_odd is UnknownAfter.REJECT:
+                return Failure(StoreFailure(StoreError.INVALID, "status 400"))
+            after = None
+        rest = [name for name in self.names if after is None or name > after]
+        return Success(make_page(rest[: self.size], len(rest) > self.size))
+
+
+def make_page(names, has_more, version=9):
+    items = tuple(
+        StoredObject(Kind.UPSTREAM, name, Version(1), {})
+        for name in names
+        if name.isprintable()
+    )
+    return Page(Version(version), items, tuple(names), has_more)
+
+
+@pytest.mark.parametrize("on_odd", [UnknownAfter.REJECT, UnknownAfter.RESTART])
+@pytest.mark.parametrize("odd", [1, 2])
+def test_list_continues_before_names_that_the_store_does_not_find(odd, on_odd):
+    """Guards against a list that fails for good where the store spells a name anew."""
+    names = ["a", "m", "x", "y", "z", *(f"m&{n}" for n in range(odd))]
+    pages = FakePages(names, on_odd=on_odd)
+    listing = read_list(Kind.UPSTREAM, pages).unwrap()
+    assert sorted(obj.name for obj in listing.items) == sorted(names)
+
+
+@pytest.mark.parametrize("names", [["\ud83d", "\udcff", "\ud800"], ["", "a", "b"]])
+def test_unreadable_names_do_not_end_a_list(names):
+    """Guards against a page without readable objects that is taken for the last one."""
+    pages = FakePages([*names, "\ud83e", "sound"], size=2, is_odd=lambda name: not name)
+    listing = read_list(Kind.UPSTREAM, pages).unwrap()
+    assert "sound" in {obj.name for obj in listing.items}
+
+
+@pytest.mark.parametrize("on_odd", [UnknownAfter.REJECT, UnknownAfter.RESTART])
+def test_list_without_progress_fails(on_odd):
+    """Guards against a list that grows until the memory is used up."""
+    pages = FakePages("abcdefgh", on_odd=on_odd, is_odd=lambda name: True)
+    failure = read_list(Kind.UPSTREAM, pages).failure()
+    assert failure.error in (StoreError.UNAVAILABLE, StoreError.INVALID)
+    assert pages.calls <= MAX_MARKERS + 1
+
+
+def test_list_with_ever_new_names_fails():
+    """Guards against a store whose list has no end."""
+    sizes = iter(range(1, MAX_LISTED))
+
+    def fetch(_after):
+        number = next(sizes)
+        return Success(make_page([f"n{number}-{n}" for n in range(500)], True))
+
+    assert read_list(Kind.UPSTREAM, fetch).failure().error is StoreError.UNAVAILABLE
+    assert next(sizes) <= MAX_LISTED // 500 + 2
+
+
+def test_failure_between_pages_fails_the_list():
+    replies = iter(
+        [
+            Success(make_page(["a"], True)),
+            Failure(StoreFailure(StoreError.UNAVAILABLE, "status 503")),
+        ]
+    )
+    result = read_list(Kind.UPSTREAM, lambda _after: next(replies))
+    assert result.failure().error is StoreError.UNAVAILABLE
+
+
+@pytest.mark.parametrize("item", [None, 5, [], {}, {"metadata": 1}])
+def test_object_without_a_name_hides_no_other(item):
+    """Guards against a list that one object without a name makes unreadable."""
+    sound = {"metadata": {"name": "a", "revision": 1}, "specification": {}}
+    body = {"items": [item, sound], "has_more": True, "at_revision": 3}
+    page = decode_page(Kind.UPSTREAM, body)
+    assert [obj.name for obj in page.items] == ["a"]
+    assert page.names == ("a",)
