A list of several pages has the version of its first page

What callers would see: requests that go on to an upstream that has left or drains.

Cause: the list had the version of its last page, and the watch goes on from there. What changed on an earlier page while later ones were read was in neither: an upstream removed then stayed in the list until its record was written again, that is for good.

Evidence: the two new tests (an object is removed, and one is set to draining, between the first page and the next) failed before and pass now.

From the version of the first page the watch repeats some changes that the list has; the watcher already drops those by their versions.

--- a/src/persimmonhitch/store/pages.py
+++ b/src/persimmonhitch/store/pages.py
@@ -31,7 +31,10 @@
 
 
 def read_list(kind: Kind, fetch: FetchPage) -> Result[Listing, StoreFailure]:
-    """Return all objects of a kind; a list that makes no progress fails.
+    """Return all objects of a kind, at the version of the first page.
+
+    Changes during the reading are then part of a watch from that version. A list that
+    makes no progress fails.
 
     Parameters
     ----------
@@ -71,8 +74,9 @@
     def _add(self, page: Page) -> Result[Listing, StoreFailure] | None:
         """Add a page; return the list if it is complete or has failed."""
         self._pages += 1
-        before, self._version = self._version, page.version
-        if before is not None and era_of(page.version) != era_of(before):
+        if self._version is None:
+            self._version = page.version
+        if era_of(page.version) != era_of(self._version):
             return self._fail(StoreError.EXPIRED, "store restored between pages")
         self._items.update({obj.name: obj for obj in page.items})
         is_new = not self._names.issuperset(page.names)
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -16,6 +16,7 @@
     Version,
 )
 from persimmonhitch.store.pages import MAX_LISTED, MAX_MARKERS, read_list
+from persimmonhitch.store.watcher import Watcher
 from persimmonhitch.web import WebServer
 
 ODD_NAMES = (
@@ -184,3 +185,50 @@
     page = decode_page(Kind.UPSTREAM, body)
     assert [obj.name for obj in page.items] == ["a"]
     assert page.names == ("a",)
+
+
+class ChangingStore:
+    """Store in which an object changes between the pages of the first list."""
+
+    def __init__(self, server, change):
+        self._client = server.client
+        self.watch = server.client.watch
+        self._state = server.state
+        self._change = change
+
+    def list_all(self, kind):
+        def fetch(after):
+            result = self._client._get_page(kind, after)
+            if after is None:
+                self._change(self._state)
+            return result
+
+        return read_list(kind, fetch)
+
+
+def _delete_first(state):
+    state.delete(state.get(Kind.UPSTREAM, "a").unwrap()).unwrap()
+
+
+def _drain_first(state):
+    old = state.get(Kind.UPSTREAM, "a").unwrap()
+    state.update(old, {"state": "draining"}).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [(_delete_first, None), (_drain_first, {"state": "draining"})],
+)
+def test_change_between_two_pages_is_seen(change, expected):
+    """Guards against an upstream that has left and stays in the list for good."""
+    with StoreServer(UnknownAfter.CONTINUE) as server:
+        for name in SOUND_NAMES:
+            server.state.create(Kind.UPSTREAM, name, {}).unwrap()
+        watcher = Watcher(
+            ChangingStore(server, change), Kind.UPSTREAM, lambda _view: None
+        )
+        watcher._apply_listing(watcher._store.list_all(Kind.UPSTREAM).unwrap())
+        assert isinstance(watcher.check(), Success)
+        found = watcher.view.objects.get("a")
+    assert (found.spec if found else None) == expected
+    assert set(SOUND_NAMES) - {"a"} <= watcher.view.objects.keys()
