An object whose name is no text has no name

A list or number as name became a text of that look, an object that no call reaches. One case of the new test failed before: an upstream named "['a']" was listed. It now counts as unreadable, as an object without a name does.

--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -75,10 +75,13 @@
 ) -> StoredObject:
     """Return the object in a reply that the store sent in the given era."""
     meta = body["metadata"]
+    name = meta["name"]
+    if not isinstance(name, str):
+        raise TypeError(f"name {name!r} is no text")
     # A malformed object must not make the other objects of its kind unreadable.
     spec = readable_spec(body.get("specification"))
     version = version_of(era, int(meta.get("revision", 0)))
-    return StoredObject(kind, str(meta["name"]), version, spec)
+    return StoredObject(kind, name, version, spec)
 
 
 def encode_page(page: Page) -> Body:
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -177,7 +177,9 @@
     assert result.failure().error is StoreError.UNAVAILABLE
 
 
-@pytest.mark.parametrize("item", [None, 5, [], {}, {"metadata": 1}])
+@pytest.mark.parametrize(
+    "item", [None, 5, [], {}, {"metadata": 1}, {"metadata": {"name": ["a"]}}]
+)
 def test_object_without_a_name_hides_no_other(item):
     """Guards against a list that one object without a name makes unreadable."""
     sound = {"metadata": {"name": "a", "revision": 1}, "specification": {}}
