An odd record in the list of entries names no peer

What callers would see: refusals near their rate, and entries that are never ready, while an entry of another writer stands among the records of entries.

Cause: peers were all names of that list, whether or not their records could be read, so that such a name counted as an entry that never answers; and fields were taken in any type: a list as zone ended the listener of the list, which then can't be applied, a port of 2**40 and 'nan' cores were believed.

Records are checked field by field, and peers are those that have passed.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -33,7 +33,7 @@
 from ..decide.stop_admission import StopAdmission
 from ..decide.stream_versions import check_interval
 from ..decide.update_rate import update_interval
-from ..entry.peers import PeerInfo, PeerMesh
+from ..entry.peers import PeerMesh, listed_entries
 from ..fleet.config import EMPTY_CONFIG, FleetConfig
 from ..fleet.routes import RouteTable
 from ..fleet.upstream import UpstreamRecord
@@ -475,14 +475,10 @@
         return may_fall_back(upstream, self.vm, self.peers)
 
     def _on_entries(self, view: View) -> None:
-        self.peers = frozenset(Vm(name) for name in view.objects) - {self.vm}
-        self.mesh.update_entries(view)
-        infos = (PeerInfo.from_object(obj) for obj in view.objects.values())
-        self.overlay.update(
-            Member(info.vm, info.zone, info.cores)
-            for info in infos
-            if info is not None and info.vm != self.vm
-        )
+        others = [info for info in listed_entries(view) if info.vm != self.vm]
+        self.peers = frozenset(info.vm for info in others)
+        self.mesh.update_entries(others)
+        self.overlay.update(Member(info.vm, info.zone, info.cores) for info in others)
 
     def _wanted_links(self) -> frozenset[Vm]:
         links = self.broadcast.routes.links()
--- a/src/persimmonhitch/entry/main.py
+++ b/src/persimmonhitch/entry/main.py
@@ -41,7 +41,7 @@
 from .gateway import Gateway, Timeouts
 from .idempotency import IdempotencyRecords
 from .peer_sidecars import PeerSidecars
-from .peers import PeerMesh
+from .peers import PeerMesh, listed_entries
 from .pool import SidecarPool
 from .router import Router
 from .settings import EntrySettings
@@ -127,8 +127,9 @@
         return listed and self.sync.feed.ready.is_set() and self.shares.ready()
 
     def _on_entries(self, view: View) -> None:
-        self.mesh.update_entries(view)
-        names = frozenset(map(Vm, view.objects))
+        infos = listed_entries(view)
+        self.mesh.update_entries(infos)
+        names = frozenset(info.vm for info in infos)
         if Vm(self.cfg.vm) in names:
             self.retries.update_fleet(Vm(self.cfg.vm), names - {Vm(self.cfg.vm)})
 
--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
@@ -24,6 +24,9 @@
 UNUSED_LINK_TTL_S: Final = 5.0
 """Time after which a link to an entry that is no longer wanted is closed."""
 
+MAX_PORT: Final = 65535
+MAX_CORES: Final = 4096.0
+
 MessageHandler = Callable[[Vm, Any], None]
 Address = tuple[str, int]
 
@@ -47,11 +50,11 @@
         try:
             return cls(
                 Vm(obj.name),
-                Zone(spec["zone"]),
-                Region(spec["region"]),
-                str(spec["link_host"]),
-                int(spec["link_port"]),
-                float(spec.get("cores", 1.0)),
+                Zone(_text(spec["zone"])),
+                Region(_text(spec["region"])),
+                _text(spec["link_host"]),
+                int(_number(spec["link_port"], MAX_PORT)),
+                _number(spec.get("cores", 1.0), MAX_CORES),
             )
         except (KeyError, ValueError, TypeError) as exc:
             log("entry_object_broken", name=obj.name, error=repr(exc))
@@ -63,6 +66,26 @@
         return cls(msg.vm, msg.zone, Region(""), "", 0)
 
 
+def listed_entries(view: View) -> list[PeerInfo]:
+    """Return the entries that the store lists, without malformed objects."""
+    infos = map(PeerInfo.from_object, view.objects.values())
+    return [info for info in infos if info is not None]
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{type(value).__name__} instead of a text")
+    return value
+
+
+def _number(value: Any, maximum: float) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{type(value).__name__} instead of a number")
+    if not 0 < value <= maximum:
+        raise ValueError(f"{value} is out of range")
+    return value
+
+
 class PeerMesh:
     """Exchanges messages with the other entries.
 
@@ -135,10 +158,9 @@
         self._handler_pool.shutdown(wait=False, cancel_futures=True)
         self._openers.shutdown(wait=False, cancel_futures=True)
 
-    def update_entries(self, view: View) -> None:
+    def update_entries(self, infos: Iterable[PeerInfo]) -> None:
         """Apply the list of entries from the store."""
-        infos = [PeerInfo.from_object(obj) for obj in view.objects.values()]
-        infos_by_vm = {info.vm: info for info in infos if info and info.vm != self.vm}
+        infos_by_vm = {info.vm: info for info in infos if info.vm != self.vm}
         with self._lock:
             self._infos = infos_by_vm
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,16 +5,20 @@
 import math
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from direct_help import FakeUpstream
 from fleet import wait_for
 from returns.result import Failure
 
+from persimmonhitch.decide.overlay import Member, Overlay
 from persimmonhitch.direct.engine_client import EngineClient
+from persimmonhitch.direct.main import Entry
 from persimmonhitch.direct.stream_origins import StreamOrigins
 from persimmonhitch.direct.upstreams import UpstreamList
-from persimmonhitch.ids import Vm
+from persimmonhitch.entry.peers import PeerMesh
+from persimmonhitch.ids import Vm, Zone
 from persimmonhitch.json_input import MAX_DEPTH, is_readable, parse_json, parse_readable
 from persimmonhitch.kernel.threads import failure_counts
 from persimmonhitch.observe.logs import LogWriter
@@ -193,6 +197,42 @@
     assert result.failure()
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"zone": ["z1"]},
+        {"region": None},
+        {"link_host": 5},
+        {"link_port": 0},
+        {"link_port": -1},
+        {"link_port": 2**40},
+        {"link_port": True},
+        {"link_port": "7600"},
+        {"cores": "nan"},
+        {"cores": 0},
+        {"cores": -1.0},
+        {"cores": 2**62},
+        {"cores": None},
+    ],
+)
+def test_odd_record_of_an_entry_names_no_peer(fields):
+    """Guards against peers that never answer, and a list that can't be applied."""
+    sound = {"zone": "z1", "region": "r", "link_host": "h", "link_port": 1, "cores": 1}
+    specs = {"sound": sound, "odd&name": sound | fields, "empty": {}}
+    entry = SimpleNamespace(
+        vm=Vm("own"),
+        mesh=PeerMesh(Vm("own"), "127.0.0.1", 0, b"", lambda: None),
+        overlay=Overlay(Member(Vm("own"), Zone("z1"), 1.0)),
+    )
+    objects = {
+        name: StoredObject(Kind.ENTRY, name, Version(1), spec)
+        for name, spec in specs.items()
+    }
+    Entry._on_entries(entry, View(objects, 0.0))
+    assert entry.peers == {"sound"}
+    entry.mesh.stop()
+
+
 def test_failing_listener_does_not_end_the_watch():
     """Guards against a process that follows its store no more after one error."""
     views, done = [], threading.Event()
