Builds: make a complete new folder, check it, and switch to it by a link

What was seen: starts failed with ModuleNotFoundError or ImportError while their folder was built, after a build that was killed, and for good after builds that overlapped, or with libraries of another machine.

Cause: deploy/build changed the folder that programs are imported from (rm -rf, cp -r, compiled afterwards). Nothing kept two builds apart. Whether the libraries were there was told by a file's time, which knows neither machine, Python, nor the pins' content.

Ruled out: pip (with the pins unchanged it isn't called, and the starts fail); the order of compiling (without bytecode starts are slow, and succeed).

Now each build is a folder of its own in target/builds. It is started with this interpreter, without the interpreter's own libraries, and gets a manifest with keys of machine, ABI, pins and source and the hashes of its files. Then target/deps, a link, is replaced. flock on target/ keeps builds apart, also after a kill. A build without a change touches nothing; one with the same pins copies the libraries of an intact build and needs no network.

--- /dev/null
+++ b/deploy/builder.py
@@ -0,0 +1,326 @@
+"""Builds the folder from which the programs are imported.
+
+``target/deps`` is a link to one of the folders in ``target/builds``. Each of them holds
+the pinned libraries and the package, is checked by starting the programs from it, and
+does not change once its manifest is written. Replacing the link switches to a new build
+in one step; processes that have started keep the build that they started from.
+"""
+
+import compileall
+import contextlib
+import ctypes
+import fcntl
+import hashlib
+import json
+import os
+import platform
+import py_compile
+import shutil
+import subprocess
+import sys
+import sysconfig
+import tempfile
+import tomllib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+PACKAGE: Final = "persimmonhitch"
+MANIFEST: Final = "build.json"
+CACHE: Final = "__pycache__"
+KEPT_BUILDS: Final = 4
+"""Complete builds that are kept; processes may still import from the former ones."""
+CHECK_TIMEOUT_S: Final = 120.0
+KEY_LENGTH: Final = 16
+AT_FDCWD: Final = -100
+RENAME_EXCHANGE: Final = 2
+"""Flag of ``renameat2`` that swaps two paths."""
+
+
+class BuildError(Exception):
+    """A build that can't be made, or that doesn't start."""
+
+
+@dataclass(frozen=True)
+class Repository:
+    """Paths of a checkout."""
+
+    root: Path
+
+    @property
+    def pins(self) -> Path:
+        """Return the pinned list of libraries."""
+        return self.root / "deploy/requirements.txt"
+
+    @property
+    def package(self) -> Path:
+        """Return the source of the package."""
+        return self.root / "src" / PACKAGE
+
+    @property
+    def target(self) -> Path:
+        """Return the folder of all that is built."""
+        return self.root / "target"
+
+    @property
+    def link(self) -> Path:
+        """Return the link to the current build."""
+        return self.target / "deps"
+
+    @property
+    def builds(self) -> Path:
+        """Return the folder of the builds."""
+        return self.target / "builds"
+
+    def programs(self) -> list[str]:
+        """Return the modules that the deploy file runs."""
+        deploy = tomllib.loads((self.root / "deploy/system.toml").read_text())
+        commands = [role["run"].split() for role in deploy["roles"].values()]
+        return [words[words.index("-m") + 1] for words in commands]
+
+
+def hash_files(paths: Iterable[Path], folder: Path) -> dict[str, str]:
+    """Return the hashes of files by their paths in a folder."""
+    return {
+        str(path.relative_to(folder)): hashlib.sha256(path.read_bytes()).hexdigest()
+        for path in paths
+        if path.is_file()
+    }
+
+
+def make_key(*parts: object) -> str:
+    """Return a short hash of some values."""
+    text = json.dumps(parts, sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()[:KEY_LENGTH]
+
+
+def libraries_key(repo: Repository) -> str:
+    """Return a key of the libraries: the pins, and the platform that they run on."""
+    abi = sysconfig.get_config_var("SOABI")
+    tag = sys.implementation.cache_tag
+    return make_key(platform.machine(), tag, abi, repo.pins.read_text())
+
+
+def source_key(package: Path) -> str:
+    """Return a key of the package's source."""
+    paths = (path for path in package.rglob("*") if CACHE not in path.parts)
+    return make_key(hash_files(paths, package))
+
+
+def read_manifest(build: Path) -> dict[str, object]:
+    """Return the manifest of a build; empty if it is incomplete."""
+    try:
+        manifest = json.loads((build / MANIFEST).read_text())
+    except (OSError, ValueError):
+        return {}
+    return manifest if isinstance(manifest, dict) else {}
+
+
+def is_intact(build: Path) -> bool:
+    """Return whether a build holds all files that were checked, unchanged."""
+    files = read_manifest(build).get("files")
+    if not isinstance(files, dict):
+        return False
+    try:
+        # Interpreters of other versions may have added their own bytecode.
+        return hash_files((build / name for name in files), build) == files
+    except OSError:
+        return False
+
+
+def check_starts(repo: Repository, build: Path) -> None:
+    """Start each program from a build; raise an error if one does not."""
+    # Without ``site``, libraries of the interpreter can't stand in for missing ones.
+    env = {"PYTHONPATH": str(build), "PYTHONDONTWRITEBYTECODE": "1"}
+    for program in repo.programs():
+        try:
+            result = subprocess.run(
+                [sys.executable, "-S", "-m", program, "--help"],
+                env={**os.environ, **env},
+                cwd=build,
+                capture_output=True,
+                text=True,
+                timeout=CHECK_TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired as exc:
+            raise BuildError(f"{program} does not start: {exc}") from exc
+        if result.returncode != 0:
+            raise BuildError(f"{program} does not start:\n{result.stderr.strip()}")
+
+
+def starts(repo: Repository, build: Path) -> bool:
+    """Return whether all programs start from a build."""
+    try:
+        check_starts(repo, build)
+    except BuildError:
+        return False
+    return True
+
+
+def install_libraries(repo: Repository, build: Path) -> None:
+    """Install the pinned libraries into a folder."""
+    options = ["--quiet", "--no-compile", "--disable-pip-version-check"]
+    command = [sys.executable, "-m", "pip", "install", *options]
+    env = {k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
+    result = subprocess.run(
+        [*command, "--target", str(build), "-r", str(repo.pins)], env=env
+    )
+    if result.returncode != 0:
+        raise BuildError(f"pip exited with {result.returncode}")
+
+
+def make_build(repo: Repository, libraries: Path | None) -> Path:
+    """Make a complete build and return its folder.
+
+    Parameters
+    ----------
+    repo : Repository
+        The checkout.
+    libraries : Path or None
+        Intact build with the same libraries, which are copied; None to install them.
+    """
+    build = Path(tempfile.mkdtemp(prefix="build-", dir=repo.builds))
+    try:
+        fill(repo, build, libraries)
+    except BaseException:
+        remove(build)
+        raise
+    return build
+
+
+def fill(repo: Repository, build: Path, libraries: Path | None) -> None:
+    """Install or copy the libraries, copy the package, check, write the manifest."""
+    build.chmod(0o755)
+    if libraries is None:
+        install_libraries(repo, build)
+    else:
+        unwanted = shutil.ignore_patterns(PACKAGE, MANIFEST)
+        shutil.copytree(libraries, build, ignore=unwanted, dirs_exist_ok=True)
+    package = build / PACKAGE
+    shutil.copytree(repo.package, package, ignore=shutil.ignore_patterns(CACHE))
+    if source_key(package) != source_key(repo.package):
+        raise BuildError("the source has changed while it was copied")
+    # A build does not change, and a copy of it may have other file times.
+    mode = py_compile.PycInvalidationMode.UNCHECKED_HASH
+    compileall.compile_dir(build, quiet=2, invalidation_mode=mode)
+    check_starts(repo, build)
+    manifest = {
+        "libraries": libraries_key(repo),
+        "source": source_key(package),
+        "files": hash_files(build.rglob("*"), build),
+    }
+    partial = build / f"{MANIFEST}.partial"
+    partial.write_text(json.dumps(manifest))
+    partial.rename(build / MANIFEST)
+
+
+def complete_builds(repo: Repository) -> list[Path]:
+    """Return all complete builds, the current one first, then the newest."""
+    manifests = list(repo.builds.glob(f"*/{MANIFEST}"))
+    manifests.sort(key=lambda path: path.stat().st_mtime_ns, reverse=True)
+    builds = [path.parent for path in manifests]
+    current = Path(os.path.realpath(repo.link))
+    return sorted(builds, key=lambda build: build != current)
+
+
+def get_build(repo: Repository) -> Path:
+    """Return a build of the present source and pins; make one if there is none."""
+    wanted = {"libraries": libraries_key(repo), "source": source_key(repo.package)}
+    libraries = None
+    for build in complete_builds(repo):
+        manifest = read_manifest(build)
+        if manifest.get("libraries") != wanted["libraries"] or not is_intact(build):
+            continue
+        if manifest.get("source") == wanted["source"] and starts(repo, build):
+            return build
+        libraries = libraries or build
+    if libraries is not None:
+        # Libraries that no longer load here are installed anew.
+        with contextlib.suppress(BuildError, OSError):
+            return make_build(repo, libraries)
+    return make_build(repo, None)
+
+
+def exchange(first: Path, second: Path) -> None:
+    """Swap two paths in one step, if the file system can."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    paths = os.fsencode(first), os.fsencode(second)
+    renameat2 = getattr(libc, "renameat2", None)
+    if renameat2 is not None:
+        flags = RENAME_EXCHANGE
+        if renameat2(AT_FDCWD, paths[0], AT_FDCWD, paths[1], flags) == 0:
+            return
+    former = first.with_name(f"{first.name}-former")
+    second.rename(former)
+    first.rename(second)
+    former.rename(first)
+
+
+def remove(path: Path) -> None:
+    """Remove a file, a link or a folder as far as permissions allow."""
+    if path.is_dir() and not path.is_symlink():
+        shutil.rmtree(path, ignore_errors=True)
+    else:
+        with contextlib.suppress(OSError):
+            path.unlink()
+
+
+def switch_to(repo: Repository, build: Path) -> None:
+    """Make a build the current one."""
+    if repo.link.is_symlink() and os.path.realpath(repo.link) == str(build):
+        return
+    # Former builds are removed in the order in which they were last in use.
+    os.utime(build / MANIFEST)
+    new_link = repo.target / ".deps-new"
+    remove(new_link)
+    new_link.symlink_to(build.relative_to(repo.target))
+    if repo.link.is_symlink() or not repo.link.exists():
+        new_link.replace(repo.link)
+    else:
+        # A folder can't be replaced by a link.
+        exchange(new_link, repo.link)
+        remove(new_link)
+
+
+def remove_old_builds(repo: Repository) -> None:
+    """Remove incomplete builds and all but the newest complete ones."""
+    kept = complete_builds(repo)[:KEPT_BUILDS]
+    for path in repo.builds.iterdir():
+        if path not in kept:
+            remove(path)
+
+
+@contextlib.contextmanager
+def locked(folder: Path) -> Iterator[None]:
+    """Hold a lock on a folder; the system releases that of a killed process."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            print("waiting for another build of this checkout", file=sys.stderr)
+            fcntl.flock(descriptor, fcntl.LOCK_EX)
+        yield
+    finally:
+        os.close(descriptor)
+
+
+def main() -> int:
+    """Build the checkout that holds this file; return the exit code."""
+    repo = Repository(Path(__file__).resolve().parent.parent)
+    try:
+        repo.target.mkdir(exist_ok=True)
+        with locked(repo.target):
+            repo.builds.mkdir(exist_ok=True)
+            build = get_build(repo)
+            switch_to(repo, build)
+            remove_old_builds(repo)
+    except (BuildError, OSError) as exc:
+        print(f"build failed: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
