Starts: wait for ports and settings that come a moment later

What was seen: with one of its four ports taken for some seconds, a process ended at once with exit code 1 and a traceback; with settings that are missing or half written, with 2. A process that is told to stop holds three ports until its last request has ended, so a successor that starts meanwhile can't but fail.

Cause: a start gave up at the first obstacle, also at those that pass by themselves, and had bound some ports by then. Ruled out: connections that a former process has left in the kernel (5 of 5 starts right after its end succeed, with 18 such sockets, before).

Now run_service waits for valid settings for 2 s, and the entry for all four ports at once before it opens any, as long as a former process may take to stop and 2 s more, with a line when it begins to wait and when it goes on. SIGTERM ends the wait. Invalid settings still exit with 2; a port that stays taken, or can't be bound, with 1 and one line.

Of the new tests nine fail on (each of four ports, a port that stays taken, SIGTERM while waiting, settings missing, empty and cut) and pass now.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -39,6 +39,7 @@
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Incarnation, Model, Upstream, Vm, Zone, new_incarnation
 from ..kernel import Lifecycle
+from ..kernel.ports import wait_for_ports
 from ..kernel.service import run_service
 from ..kernel.threads import failure_counts
 from ..limits.retry_budgets import RetryBudgets
@@ -117,6 +118,8 @@
 """Timeout of a call to renew the lease, as a fraction of the lease's duration."""
 MAX_FAILING_S: Final = 2.0
 """Seconds for which a list may not be applied before the entry is not ready."""
+PORT_WAIT_MARGIN_S: Final = 2.0
+"""Seconds beyond the stop limit for which a start waits for its ports."""
 STOP_MARGIN_S: Final = 0.25
 """Seconds before the platform's stop limit at which remaining requests are aborted."""
 
@@ -714,6 +717,11 @@
     limit_memory()
 
     def build(cfg: DirectSettings, lifecycle: Lifecycle) -> Entry:
+        addresses = [cfg.callers[0], cfg.ready[0], cfg.metrics[0], cfg.link[0]]
+        # A former process on this VM has its ports until it has stopped.
+        wait_for_ports(
+            addresses, cfg.stop_limit + PORT_WAIT_MARGIN_S, lifecycle.stopping
+        )
         entry = Entry.from_config(cfg)
         lifecycle.on_reload(lambda: entry.reload(path))
         return entry
--- a/src/persimmonhitch/kernel/service.py
+++ b/src/persimmonhitch/kernel/service.py
@@ -1,16 +1,25 @@
 """Run a program: load settings, start, wait for a signal, stop, flush logs."""
 
+import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Protocol, TypeVar
+from typing import Any, Final, Protocol, TypeVar
 
-from ..observe.logs import flush_logs, start_logs
-from ..settings import load_or_exit
+from returns.result import Success
+
+from ..observe.logs import flush_logs, log, start_logs
+from ..settings import load, load_or_exit
 from .lifecycle import Lifecycle
+from .ports import StartCancelled
 from .threads import log_failed_threads
 
 S = TypeVar("S", bound="HasVm")
 
+EXIT_START_FAILED: Final = 1
+MAX_SETTINGS_WAIT_S: Final = 2.0
+SETTINGS_RETRY_INTERVAL_S: Final = 0.05
+
 
 class HasVm(Protocol):
     """Settings that contain the name of the VM."""
@@ -30,6 +39,23 @@
         """Shut down gracefully: let requests in progress complete."""
 
 
+def wait_for_settings(settings_type: type[S], path: Path) -> float:
+    """Wait until the settings are valid; return the seconds waited.
+
+    Whoever writes the file may not be done when the process starts.
+    """
+    began_at = time.monotonic()
+    waited_s = 0.0
+    while not isinstance(load(settings_type, path), Success):
+        if not waited_s:
+            print(f"{path}: no valid settings yet", file=sys.stderr, flush=True)
+        waited_s = time.monotonic() - began_at
+        if waited_s >= MAX_SETTINGS_WAIT_S:
+            break
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+    return waited_s
+
+
 def run_service(
     name: str,
     settings_type: type[S],
@@ -49,17 +75,31 @@
     build : callable
         Creates the service from its settings.
     """
-    cfg = load_or_exit(settings_type, Path(args["--settings"]))
+    path = Path(args["--settings"])
     if args["--check"]:
+        load_or_exit(settings_type, path)
         return 0
+    waited_s = wait_for_settings(settings_type, path)
+    cfg = load_or_exit(settings_type, path)
     lifecycle = Lifecycle()
     # Block signals before the log thread starts: a thread that does not block them
     # would receive them with their default action.
     lifecycle.install_signals()
     start_logs(name, cfg.vm)
     log_failed_threads()
-    service = build(cfg, lifecycle)
-    service.start()
+    if waited_s:
+        log("settings_late", waited=waited_s)
+    try:
+        service = build(cfg, lifecycle)
+        service.start()
+    except StartCancelled:
+        log("start_cancelled")
+        flush_logs()
+        return 0
+    except OSError as exc:
+        log("start_failed", error=str(exc))
+        flush_logs()
+        return EXIT_START_FAILED
     lifecycle.on_stop(name, lambda: service.stop(lifecycle))
     lifecycle.wait_for_stop()
     lifecycle.stop()
--- a/tests/test_direct_start.py
+++ b/tests/test_direct_start.py
@@ -2,6 +2,7 @@
 
 import math
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -11,11 +12,31 @@
 
 import pytest
 from fleet import wait_for
+from soak.ports import PortBlock
 
 from persimmonhitch.direct.main import Entry
 from persimmonhitch.store.objects import Kind
 
 INVALID_SETTINGS_EXIT_CODE = 2
+SETTINGS = """
+[vm]
+name = entry-1
+zone = z1
+region = r1
+[http]
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+metrics = 127.0.0.1:{metrics}
+[link]
+address = 127.0.0.1:{link}
+secret = fleet
+[store]
+url = http://127.0.0.1:1
+[stop]
+notice = 0
+limit = {limit}
+"""
+PORTS = ("callers", "ready", "metrics", "link")
 
 
 def blocks_sighup(pid):
@@ -56,3 +77,98 @@
         _is_synced=lambda: True,
     )
     assert Entry._is_ready(entry) is is_ready
+
+
+class Starter:
+    """Starts an entry on ports of its own."""
+
+    def __init__(self, folder):
+        self.settings = folder / "entry.ini"
+        self.log = folder / "entry.log"
+        self.block = PortBlock()
+        self.ports = {}
+        self.process = None
+
+    def write_settings(self, limit_s=8):
+        self.ports = {name: self.block.take() for name in PORTS}
+        self.settings.write_text(SETTINGS.format(**self.ports, limit=limit_s))
+
+    def start(self):
+        args = [sys.executable, "-m", "persimmonhitch.direct"]
+        with self.log.open("w") as log:
+            self.process = subprocess.Popen(
+                [*args, f"--settings={self.settings}"], stdout=log, stderr=log
+            )
+
+    def wait_for_line(self, text):
+        wait_for(
+            lambda: text in self.log.read_text() or self.process.poll() is not None,
+            f"{text} in the log",
+        )
+        assert text in self.log.read_text()
+
+    def is_open(self, name):
+        with socket.socket() as sock:
+            return sock.connect_ex(("127.0.0.1", self.ports[name])) == 0
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(20)
+
+
+@pytest.fixture
+def starter(tmp_path):
+    starter = Starter(tmp_path)
+    yield starter
+    if starter.process is not None:
+        starter.process.kill()
+        starter.process.wait()
+
+
+@pytest.mark.parametrize("name", PORTS)
+def test_entry_waits_for_a_port_of_the_process_before_it(starter, name):
+    """Guards against starts that fail since a former process has not ended yet."""
+    starter.write_settings()
+    with socket.create_server(("127.0.0.1", starter.ports[name])):
+        starter.start()
+        starter.wait_for_line("event=port_taken")
+        assert not any(starter.is_open(other) for other in PORTS if other != name)
+    starter.wait_for_line("event=started")
+    assert all(starter.is_open(other) for other in PORTS)
+    assert starter.stop() == 0
+
+
+def test_port_that_stays_taken_ends_the_start(starter):
+    """Guards against starts that wait for good, or fail without a clear line."""
+    starter.write_settings(limit_s=0)
+    with socket.create_server(("127.0.0.1", starter.ports["ready"])):
+        starter.start()
+        assert starter.process.wait(20) == 1
+    last_line = starter.log.read_text().splitlines()[-1]
+    assert "event=start_failed" in last_line
+    assert f"127.0.0.1:{starter.ports['ready']}" in last_line
+
+
+def test_sigterm_ends_the_wait_for_a_port(starter):
+    """Guards against a start that ignores SIGTERM while it waits."""
+    starter.write_settings()
+    with socket.create_server(("127.0.0.1", starter.ports["link"])):
+        starter.start()
+        starter.wait_for_line("event=port_taken")
+        assert starter.stop() == 0
+    assert "event=start_cancelled" in starter.log.read_text()
+
+
+@pytest.mark.parametrize("share", [None, 0, 0.5])
+def test_entry_waits_for_settings_that_are_being_written(starter, share):
+    """Guards against starts that fail since their settings come a moment later."""
+    starter.write_settings()
+    text = starter.settings.read_text()
+    starter.settings.unlink()
+    if share is not None:
+        starter.settings.write_text(text[: int(share * len(text))])
+    starter.start()
+    starter.wait_for_line("no valid settings yet")
+    starter.settings.write_text(text)
+    starter.wait_for_line("event=started")
+    assert starter.stop() == 0
