Builds: compile copied libraries once, and say why a build is not used

Libraries are installed anew only if a program doesn't start with the copied ones; before, also when the source changed while it was copied.

--- a/deploy/builder.py
+++ b/deploy/builder.py
@@ -39,7 +39,11 @@
 
 
 class BuildError(Exception):
-    """A build that can't be made, or that doesn't start."""
+    """A build that can't be made."""
+
+
+class StartError(BuildError):
+    """A build from which a program doesn't start."""
 
 
 @dataclass(frozen=True)
@@ -144,16 +148,17 @@
                 timeout=CHECK_TIMEOUT_S,
             )
         except subprocess.TimeoutExpired as exc:
-            raise BuildError(f"{program} does not start: {exc}") from exc
+            raise StartError(f"{program} does not start: {exc}") from exc
         if result.returncode != 0:
-            raise BuildError(f"{program} does not start:\n{result.stderr.strip()}")
+            raise StartError(f"{program} does not start:\n{result.stderr.strip()}")
 
 
 def starts(repo: Repository, build: Path) -> bool:
     """Return whether all programs start from a build."""
     try:
         check_starts(repo, build)
-    except BuildError:
+    except StartError as exc:
+        print(exc, file=sys.stderr)
         return False
     return True
 
@@ -191,19 +196,21 @@
 
 def fill(repo: Repository, build: Path, libraries: Path | None) -> None:
     """Install or copy the libraries, copy the package, check, write the manifest."""
-    build.chmod(0o755)
+    package = build / PACKAGE
     if libraries is None:
         install_libraries(repo, build)
+        uncompiled = build
     else:
         unwanted = shutil.ignore_patterns(PACKAGE, MANIFEST)
         shutil.copytree(libraries, build, ignore=unwanted, dirs_exist_ok=True)
-    package = build / PACKAGE
+        uncompiled = package
+    build.chmod(0o755)
     shutil.copytree(repo.package, package, ignore=shutil.ignore_patterns(CACHE))
     if source_key(package) != source_key(repo.package):
         raise BuildError("the source has changed while it was copied")
     # A build does not change, and a copy of it may have other file times.
     mode = py_compile.PycInvalidationMode.UNCHECKED_HASH
-    compileall.compile_dir(build, quiet=2, invalidation_mode=mode)
+    compileall.compile_dir(uncompiled, quiet=2, invalidation_mode=mode)
     check_starts(repo, build)
     manifest = {
         "libraries": libraries_key(repo),
@@ -236,9 +243,10 @@
             return build
         libraries = libraries or build
     if libraries is not None:
-        # Libraries that no longer load here are installed anew.
-        with contextlib.suppress(BuildError, OSError):
+        try:
             return make_build(repo, libraries)
+        except StartError as exc:
+            print(f"{exc}\ninstalling the libraries anew", file=sys.stderr)
     return make_build(repo, None)
 
 
