--- a/deploy/builder.py
+++ b/deploy/builder.py
@@ -65,7 +65,7 @@
     @property
     def target(self) -> Path:
         """Return the folder of all that is built."""
-        return self.root / "target"
+        return Path(os.path.realpath(self.root / "target"))
 
     @property
     def link(self) -> Path:
@@ -250,19 +250,18 @@
     return make_build(repo, None)
 
 
-def exchange(first: Path, second: Path) -> None:
-    """Swap two paths in one step, if the file system can."""
+def replace_folder(repo: Repository, new_link: Path) -> None:
+    """Put a link in the place of a folder, in one step if the file system can."""
     libc = ctypes.CDLL(None, use_errno=True)
-    paths = os.fsencode(first), os.fsencode(second)
+    old, new = os.fsencode(repo.link), os.fsencode(new_link)
     renameat2 = getattr(libc, "renameat2", None)
     if renameat2 is not None:
-        flags = RENAME_EXCHANGE
-        if renameat2(AT_FDCWD, paths[0], AT_FDCWD, paths[1], flags) == 0:
+        if renameat2(AT_FDCWD, old, AT_FDCWD, new, RENAME_EXCHANGE) == 0:
+            remove(new_link)
             return
-    former = first.with_name(f"{first.name}-former")
-    second.rename(former)
-    first.rename(second)
-    former.rename(first)
+    # Among the builds, a folder without a manifest is removed.
+    repo.link.rename(Path(tempfile.mkdtemp(dir=repo.builds)) / repo.link.name)
+    new_link.rename(repo.link)
 
 
 def remove(path: Path) -> None:
@@ -286,9 +285,7 @@
     if repo.link.is_symlink() or not repo.link.exists():
         new_link.replace(repo.link)
     else:
-        # A folder can't be replaced by a link.
-        exchange(new_link, repo.link)
-        remove(new_link)
+        replace_folder(repo, new_link)
 
 
 def remove_old_builds(repo: Repository) -> None:
