--- a/deploy/builder.py
+++ b/deploy/builder.py
@@ -267,6 +267,10 @@
 def remove(path: Path) -> None:
     """Remove a file, a link or a folder as far as permissions allow."""
     if path.is_dir() and not path.is_symlink():
+        for folder, _, _ in os.walk(path):
+            # Files of a folder that is not writable can't be removed.
+            with contextlib.suppress(OSError):
+                os.chmod(folder, 0o755)
         shutil.rmtree(path, ignore_errors=True)
     else:
         with contextlib.suppress(OSError):
