--- a/tests/test_direct_start.py
+++ b/tests/test_direct_start.py
@@ -1,6 +1,8 @@
 """Startup of an entry's process."""
 
+import contextlib
 import math
+import os
 import signal
 import socket
 import subprocess
@@ -11,7 +13,7 @@
 from types import SimpleNamespace
 
 import pytest
-from fleet import wait_for
+from fleet import ROOT, wait_for
 from soak.ports import PortBlock
 
 from persimmonhitch.direct.main import Entry
@@ -93,11 +95,14 @@
         self.ports = {name: self.block.take() for name in PORTS}
         self.settings.write_text(SETTINGS.format(**self.ports, limit=limit_s))
 
-    def start(self):
+    def start(self, stdout=None):
         args = [sys.executable, "-m", "persimmonhitch.direct"]
         with self.log.open("w") as log:
             self.process = subprocess.Popen(
-                [*args, f"--settings={self.settings}"], stdout=log, stderr=log
+                [*args, f"--settings={self.settings}"],
+                stdout=log if stdout is None else stdout,
+                stderr=log,
+                env={"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT / "src")},
             )
 
     def wait_for_line(self, text):
@@ -172,3 +177,28 @@
     starter.settings.write_text(text)
     starter.wait_for_line("event=started")
     assert starter.stop() == 0
+
+
+def fill(pipe):
+    """Write to a pipe until it takes no more."""
+    os.set_blocking(pipe, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(pipe, bytes(4096))
+    os.set_blocking(pipe, True)
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_output_that_nobody_reads_does_not_change_the_exit(starter, is_closed):
+    """Guards against a stop that hangs, or fails, when the last lines are written."""
+    starter.write_settings()
+    reader, writer = os.pipe()
+    fill(writer)
+    starter.start(stdout=writer)
+    os.close(writer)
+    wait_for(lambda: all(map(starter.is_open, PORTS)), "the ports of the entry")
+    if is_closed:
+        os.close(reader)
+    assert starter.stop() == 0
+    if not is_closed:
+        os.close(reader)
