The status of an error of the store holds whatever its body is

What callers would see: lists that fail, and records written again for good, with a store or a proxy that sends its errors as plain text.

Cause: the body of an error was parsed before its status was read, so that 400, 404, 409 and 410 with a body that is no JSON counted as an outage; a list then did not go on after an earlier name. Found by a review.

The tests of this file share one server; each close of a server takes a second.

--- a/src/persimmonhitch/platform/store_client.py
+++ b/src/persimmonhitch/platform/store_client.py
@@ -118,13 +118,14 @@
                 preload_content=False,
             )
             body_text = read_body(reply, MAX_REPLY_BYTES, MAX_REPLY_S)
-            parsed = parse_json(body_text or b"{}")
+            # The status of an error holds whatever its body is.
+            parsed = parse_json(body_text or b"{}") if reply.status < 300 else None
         except STORE_ERRORS as exc:
             return _failure(StoreError.UNAVAILABLE, repr(exc))
         era = parse_era({k.lower(): v for k, v in reply.headers.items()})
         if not self._eras.observe(era):
             return _failure(StoreError.UNAVAILABLE, "reply of an older store era")
-        if reply.status < 300 and isinstance(parsed, dict):
+        if isinstance(parsed, dict):
             return Success(_Reply(parsed, self._eras.current if era is None else era))
         error = STATUS_ERRORS.get(reply.status, StoreError.UNAVAILABLE)
         return _failure(error, f"status {reply.status}")
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -17,7 +17,7 @@
 )
 from persimmonhitch.store.pages import MAX_LISTED, MAX_MARKERS, read_list
 from persimmonhitch.store.watcher import Watcher
-from persimmonhitch.web import WebServer
+from persimmonhitch.web import Answer, WebServer
 
 ODD_NAMES = (
     "b&c",
@@ -50,23 +50,39 @@
 SOUND_NAMES = ("a", "z1", "z2")
 
 
-class StoreServer:
-    """Stand-in store over HTTP with short pages."""
+class Web:
+    """Server whose application each test replaces."""
 
-    def __init__(self, unknown_after, page_items=1):
-        self.state = StoreState()
-        self.state.page_items = page_items
-        self.state.unknown_after = unknown_after
-        self._server = WebServer(StoreApp(self.state), "127.0.0.1", 0, 4)
+    def __init__(self):
+        self.app = None
+        self._server = WebServer(self, "127.0.0.1", 0, 4)
         self._server.start()
-        self.client = StoreClient(f"http://127.0.0.1:{self._server.port}", 5.0)
+        self.url = f"http://127.0.0.1:{self._server.port}"
 
-    def __enter__(self):
-        return self
+    def __call__(self, environ, start_response):
+        return self.app(environ, start_response)
 
-    def __exit__(self, *_exc):
+    def close(self):
         self._server.close()
 
+
+@pytest.fixture(scope="module")
+def web():
+    shared = Web()
+    yield shared
+    shared.close()
+
+
+class Store:
+    """Stand-in store over HTTP with short pages."""
+
+    def __init__(self, web, unknown_after, page_items=1):
+        self.state = StoreState()
+        self.state.page_items = page_items
+        self.state.unknown_after = unknown_after
+        web.app = StoreApp(self.state)
+        self.client = StoreClient(web.url, 5.0)
+
     def listed(self):
         """Return the names of a list."""
         listing = self.client.list_all(Kind.UPSTREAM).unwrap()
@@ -75,27 +91,46 @@
 
 @pytest.mark.parametrize("unknown_after", UnknownAfter)
 @pytest.mark.parametrize("name", ODD_NAMES)
-def test_name_at_the_end_of_a_page_hides_no_object(name, unknown_after):
+def test_name_at_the_end_of_a_page_hides_no_object(web, name, unknown_after):
     """Guards against lists that end, fail or begin anew at a name with a delimiter."""
-    with StoreServer(unknown_after) as store:
-        for each in (*SOUND_NAMES, name):
-            store.state.create(Kind.UPSTREAM, each, {}).unwrap()
-        assert store.listed() == sorted((*SOUND_NAMES, name))
-        assert store.state.calls["list"] == len(SOUND_NAMES) + 1
+    store = Store(web, unknown_after)
+    for each in (*SOUND_NAMES, name):
+        store.state.create(Kind.UPSTREAM, each, {}).unwrap()
+    assert store.listed() == sorted((*SOUND_NAMES, name))
+    assert store.state.calls["list"] == len(SOUND_NAMES) + 1
 
 
 @pytest.mark.parametrize("name", ODD_NAMES)
-def test_calls_reach_the_object_with_a_name(name):
+def test_calls_reach_the_object_with_a_name(web, name):
     """Guards against calls that reach another object, or no object."""
-    with StoreServer(UnknownAfter.REJECT) as store:
-        for each in SOUND_NAMES:
-            store.state.create(Kind.UPSTREAM, each, {}).unwrap()
-        created = store.client.create(Kind.UPSTREAM, name, {"x": 1}).unwrap()
-        assert store.client.get(Kind.UPSTREAM, name).unwrap() == created
-        updated = store.client.update(created, {"x": 2}).unwrap()
-        assert (updated.name, updated.spec) == (name, {"x": 2})
-        assert isinstance(store.client.delete(updated), Success)
-        assert store.listed() == sorted(SOUND_NAMES)
+    store = Store(web, UnknownAfter.REJECT)
+    for each in SOUND_NAMES:
+        store.state.create(Kind.UPSTREAM, each, {}).unwrap()
+    created = store.client.create(Kind.UPSTREAM, name, {"x": 1}).unwrap()
+    assert store.client.get(Kind.UPSTREAM, name).unwrap() == created
+    updated = store.client.update(created, {"x": 2}).unwrap()
+    assert (updated.name, updated.spec) == (name, {"x": 2})
+    assert isinstance(store.client.delete(updated), Success)
+    assert store.listed() == sorted(SOUND_NAMES)
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (400, StoreError.INVALID),
+        (404, StoreError.NOT_FOUND),
+        (409, StoreError.CONFLICT),
+        (410, StoreError.EXPIRED),
+        (503, StoreError.UNAVAILABLE),
+    ],
+)
+@pytest.mark.parametrize("body", [b"", b"{}", b"Bad Request", b"<html>", b"\xff"])
+def test_error_of_the_store_holds_whatever_its_body(web, status, error, body):
+    """Guards against lists and watches that take a rejection for an outage."""
+    head = {"content-length": str(len(body))}
+    web.app = lambda _environ, start: Answer(status, head, [body]).send(start)
+    client = StoreClient(web.url, 5.0)
+    assert client.list_all(Kind.UPSTREAM).failure().error is error
 
 
 class FakePages:
@@ -221,16 +256,14 @@
     ("change", "expected"),
     [(_delete_first, None), (_drain_first, {"state": "draining"})],
 )
-def test_change_between_two_pages_is_seen(change, expected):
+def test_change_between_two_pages_is_seen(web, change, expected):
     """Guards against an upstream that has left and stays in the list for good."""
-    with StoreServer(UnknownAfter.CONTINUE) as server:
-        for name in SOUND_NAMES:
-            server.state.create(Kind.UPSTREAM, name, {}).unwrap()
-        watcher = Watcher(
-            ChangingStore(server, change), Kind.UPSTREAM, lambda _view: None
-        )
-        watcher._apply_listing(watcher._store.list_all(Kind.UPSTREAM).unwrap())
-        assert isinstance(watcher.check(), Success)
-        found = watcher.view.objects.get("a")
+    store = Store(web, UnknownAfter.CONTINUE)
+    for name in SOUND_NAMES:
+        store.state.create(Kind.UPSTREAM, name, {}).unwrap()
+    watcher = Watcher(ChangingStore(store, change), Kind.UPSTREAM, lambda _view: None)
+    watcher._apply_listing(watcher._store.list_all(Kind.UPSTREAM).unwrap())
+    assert isinstance(watcher.check(), Success)
+    found = watcher.view.objects.get("a")
     assert (found.spec if found else None) == expected
     assert set(SOUND_NAMES) - {"a"} <= watcher.view.objects.keys()
