A control character in one entry hides no other entry of the store

What callers would see: no answers after a restart, while an entry of another writer holds a control character that is not escaped.

Cause: documents were parsed strictly, so that one such character made the whole list or watch unreadable, as bytes that are no text once did.

--- a/src/persimmonhitch/json_input.py
+++ b/src/persimmonhitch/json_input.py
@@ -26,6 +26,8 @@
 def parse_json(data: bytes | str) -> Any:
     """Return the value of a document; parts of it may not be readable.
 
+    Control characters in texts are taken as they are.
+
     Raises
     ------
     ValueError
@@ -33,10 +35,10 @@
     """
     text = data if isinstance(data, str) else data.decode("utf-8", "surrogateescape")
     try:
-        return json.loads(text)
+        return json.loads(text, strict=False)
     except (RecursionError, ValueError):
         # The calls for each number take several times as long.
-        return json.loads(_prune(text), parse_int=_parse_int)
+        return json.loads(_prune(text), parse_int=_parse_int, strict=False)
 
 
 def parse_readable(data: bytes | str) -> Any:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -92,6 +92,7 @@
 
 
 ODD_ENTRIES = {
+    "control-characters": entry_text(state='"\x01\t\x1f"', x='"\n"'),
     **{name: entry_text(**dict([pair])) for name, pair in ODD_VALUES.items()},
     "not-an-object": "[1]",
     "born-list": entry_text(born="[]"),
@@ -305,6 +306,7 @@
 @pytest.mark.parametrize(
     ("text", "value"),
     [
+        ('["\x00\t\n"]', True),
         ("[" * MAX_DEPTH + "]" * MAX_DEPTH, True),
         ("[" * (MAX_DEPTH + 1) + "]" * (MAX_DEPTH + 1), False),
         ('"\\ud83d\\ude00"', True),
