The host in a record of an entry is checked before it is dialled

A host of another writer was put into the address of a link as it was: 127.0.0.1:1/x? and u:p@127.0.0.1 were dialled, with a proof of the fleet's secret in the head, and hosts that are none failed in a thread without a line, again each 0.3 s.

The form is that of upstreams' hosts, now in one place.

--- a/src/persimmonhitch/entry/peers.py
+++ b/src/persimmonhitch/entry/peers.py
@@ -9,6 +9,7 @@
 
 from returns.result import Success
 
+from ..addresses import HOST, MAX_PORT
 from ..ids import Incarnation, Region, Vm, Zone
 from ..observe.logs import log
 from ..store.objects import StoredObject
@@ -24,7 +25,6 @@
 UNUSED_LINK_TTL_S: Final = 5.0
 """Time after which a link to an entry that is no longer wanted is closed."""
 
-MAX_PORT: Final = 65535
 MAX_CORES: Final = 4096.0
 
 MessageHandler = Callable[[Vm, Any], None]
@@ -52,7 +52,7 @@
                 Vm(obj.name),
                 Zone(_text(spec["zone"])),
                 Region(_text(spec["region"])),
-                _text(spec["link_host"]),
+                _host(spec["link_host"]),
                 int(_number(spec["link_port"], MAX_PORT)),
                 _number(spec.get("cores", 1.0), MAX_CORES),
             )
@@ -78,6 +78,12 @@
     return value
 
 
+def _host(value: Any) -> str:
+    if not HOST.fullmatch(_text(value)):
+        raise ValueError("the host is malformed")
+    return str(value)
+
+
 def _number(value: Any, maximum: float) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{type(value).__name__} instead of a number")
--- a/src/persimmonhitch/platform/upstream_format.py
+++ b/src/persimmonhitch/platform/upstream_format.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
+from ..addresses import HOST, MAX_PORT
 from ..fleet.upstream import NOT_COUNTED, EngineInventory, UpstreamRecord
 from ..ids import Adapter, Epoch, Model, Service, SoftwareVersion, Upstream, Vm, Zone
 
@@ -12,10 +13,7 @@
 
 NAME: Final = re.compile(r"[\x21-\x7e]{1,253}")
 """Form of a name that requests can carry in a header."""
-HOST: Final = re.compile(r"[A-Za-z0-9.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]")
-"""Form of a host name or an address."""
 PORT: Final = re.compile(r"[0-9]{1,5}")
-MAX_PORT: Final = 65535
 MAX_SLOTS: Final = 1_000_000
 MAX_WHOLE: Final = 2**53
 """Largest count or time in milliseconds; JSON keeps larger numbers inexactly."""
