--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -92,6 +92,7 @@
 
 
 ODD_ENTRIES = {
+    "control-characters": entry_text(state='"\x01\t\x1f"', x='"\n"'),
     **{name: entry_text(**dict([pair])) for name, pair in ODD_VALUES.items()},
     "not-an-object": "[1]",
     "born-list": entry_text(born="[]"),
@@ -203,6 +204,11 @@
         {"zone": ["z1"]},
         {"region": None},
         {"link_host": 5},
+        {"link_host": "127.0.0.1:1/x?"},
+        {"link_host": "u:p@127.0.0.1"},
+        {"link_host": "a\0b"},
+        {"link_host": "[::1"},
+        {"link_host": "h" * 300},
         {"link_port": 0},
         {"link_port": -1},
         {"link_port": 2**40},
@@ -305,6 +311,7 @@
 @pytest.mark.parametrize(
     ("text", "value"),
     [
+        ('["\x00\t\n"]', True),
         ("[" * MAX_DEPTH + "]" * MAX_DEPTH, True),
         ("[" * (MAX_DEPTH + 1) + "]" * (MAX_DEPTH + 1), False),
         ('"\\ud83d\\ude00"', True),
