Starts: print nothing while the settings are awaited

Callers saw an entry that never started: the wait for settings printed a line to the error output before any log exists. With that output full and never read, the start hung for good; with its reader gone, it ended. Nothing is printed now; `settings_late` tells of the wait once logs exist, and mistakes are printed at the end, as before.

test_entry_waits_for_settings_that_are_being_written waits no longer for that line, but for the read of the incomplete settings itself (they are a pipe for the first read), with no listener open at that moment, then for `settings_late` and `started`. Missing settings have no read to wait for; test_settings_that_are_being_written_are_awaited covers all three in process.

--- a/src/persimmonhitch/kernel/service.py
+++ b/src/persimmonhitch/kernel/service.py
@@ -1,6 +1,5 @@
 """Run a program: load settings, start, wait for a signal, stop, flush logs."""
 
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -42,13 +41,12 @@
 def wait_for_settings(settings_type: type[S], path: Path) -> float:
     """Wait until the settings are valid; return the seconds waited.
 
-    Whoever writes the file may not be done when the process starts.
+    Whoever writes the file may not be done when the process starts. Nothing is written
+    meanwhile: an output that nobody reads would block the start or end it.
     """
     began_at = time.monotonic()
     waited_s = 0.0
     while not isinstance(load(settings_type, path), Success):
-        if not waited_s:
-            print(f"{path}: no valid settings yet", file=sys.stderr, flush=True)
         waited_s = time.monotonic() - began_at
         if waited_s >= MAX_SETTINGS_WAIT_S:
             break
--- a/tests/test_direct_start.py
+++ b/tests/test_direct_start.py
@@ -17,6 +17,8 @@
 from soak.ports import PortBlock
 
 from persimmonhitch.direct.main import Entry
+from persimmonhitch.direct.settings import DirectSettings
+from persimmonhitch.kernel import service
 from persimmonhitch.store.objects import Kind
 
 INVALID_SETTINGS_EXIT_CODE = 2
@@ -95,16 +97,34 @@
         self.ports = {name: self.block.take() for name in PORTS}
         self.settings.write_text(SETTINGS.format(**self.ports, limit=limit_s))
 
-    def start(self, stdout=None):
+    def start(self, stdout=None, stderr=None):
         args = [sys.executable, "-m", "persimmonhitch.direct"]
         with self.log.open("w") as log:
             self.process = subprocess.Popen(
                 [*args, f"--settings={self.settings}"],
                 stdout=log if stdout is None else stdout,
-                stderr=log,
+                stderr=log if stderr is None else stderr,
                 env={"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT / "src")},
             )
 
+    def start_with(self, text, *, later, stderr=None):
+        """Start an entry that finds other settings when it reads them again."""
+        whole = self.settings.with_suffix(".later")
+        whole.write_text(later)
+        self.settings.unlink()
+        os.mkfifo(self.settings)
+        self.start(stderr=stderr)
+        pipe = wait_for(self.open_read_settings, "a read of the settings")
+        assert not any(map(self.is_open, PORTS))
+        whole.rename(self.settings)
+        os.write(pipe, text.encode())
+        os.close(pipe)
+
+    def open_read_settings(self):
+        """Open the settings, a pipe, for writing as soon as the entry reads them."""
+        with contextlib.suppress(OSError):
+            return os.open(self.settings, os.O_WRONLY | os.O_NONBLOCK)
+
     def wait_for_line(self, text):
         wait_for(
             lambda: text in self.log.read_text() or self.process.poll() is not None,
@@ -164,28 +184,56 @@
     assert "event=start_cancelled" in starter.log.read_text()
 
 
+def fill(pipe):
+    """Write to a pipe until it takes no more."""
+    os.set_blocking(pipe, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(pipe, bytes(4096))
+    os.set_blocking(pipe, True)
+
+
 @pytest.mark.parametrize("share", [None, 0, 0.5])
-def test_entry_waits_for_settings_that_are_being_written(starter, share):
+def test_settings_that_are_being_written_are_awaited(starter, share, monkeypatch):
     """Guards against starts that fail since their settings come a moment later."""
     starter.write_settings()
     text = starter.settings.read_text()
     starter.settings.unlink()
     if share is not None:
         starter.settings.write_text(text[: int(share * len(text))])
-    starter.start()
-    starter.wait_for_line("no valid settings yet")
-    starter.settings.write_text(text)
-    starter.wait_for_line("event=started")
-    assert starter.stop() == 0
+    waits = []
 
+    def complete(seconds):
+        waits.append(seconds)
+        starter.settings.write_text(text)
 
-def fill(pipe):
-    """Write to a pipe until it takes no more."""
-    os.set_blocking(pipe, False)
-    with contextlib.suppress(BlockingIOError):
-        while True:
-            os.write(pipe, bytes(4096))
-    os.set_blocking(pipe, True)
+    clock = SimpleNamespace(monotonic=time.monotonic, sleep=complete)
+    monkeypatch.setattr(service, "time", clock)
+    assert service.wait_for_settings(DirectSettings, starter.settings) > 0
+    assert len(waits) == 1
+
+
+@pytest.mark.parametrize("errors", ["read", "full", "closed"])
+@pytest.mark.parametrize("share", [0, 0.5])
+def test_entry_waits_for_settings_that_are_being_written(starter, share, errors):
+    """Guards against starts that end, or hang, since their settings are incomplete."""
+    starter.write_settings()
+    text = starter.settings.read_text()
+    reader, writer = os.pipe()
+    fill(writer)
+    if errors == "closed":
+        os.close(reader)
+    starter.start_with(
+        text[: int(share * len(text))],
+        later=text,
+        stderr=None if errors == "read" else writer,
+    )
+    os.close(writer)
+    starter.wait_for_line("event=settings_late")
+    starter.wait_for_line("event=started")
+    assert starter.stop() == 0
+    if errors != "closed":
+        os.close(reader)
 
 
 @pytest.mark.parametrize("is_closed", [False, True])
