Starts: use the settings that the wait has read

The settings were read once to see whether they are valid, and once more to be used: a rewrite between the two ended the start with exit code 2, although valid settings had been read. Those are used now. The new test, in which the file is empty at a second read, fails before (the process ends) and passes now; tests/test_direct_start.py: 22 pass.

--- a/src/persimmonhitch/kernel/service.py
+++ b/src/persimmonhitch/kernel/service.py
@@ -38,20 +38,21 @@
         """Shut down gracefully: let requests in progress complete."""
 
 
-def wait_for_settings(settings_type: type[S], path: Path) -> float:
-    """Wait until the settings are valid; return the seconds waited.
+def wait_for_settings(settings_type: type[S], path: Path) -> tuple[S, float]:
+    """Wait until the settings are valid; return them and the seconds waited.
 
     Whoever writes the file may not be done when the process starts. Nothing is written
     meanwhile: an output that nobody reads would block the start or end it.
     """
     began_at = time.monotonic()
     waited_s = 0.0
-    while not isinstance(load(settings_type, path), Success):
-        waited_s = time.monotonic() - began_at
-        if waited_s >= MAX_SETTINGS_WAIT_S:
-            break
+    while waited_s < MAX_SETTINGS_WAIT_S:
+        result = load(settings_type, path)
+        if isinstance(result, Success):
+            return result.unwrap(), waited_s
         time.sleep(SETTINGS_RETRY_INTERVAL_S)
-    return waited_s
+        waited_s = time.monotonic() - began_at
+    return load_or_exit(settings_type, path), waited_s
 
 
 def run_service(
@@ -77,8 +78,7 @@
     if args["--check"]:
         load_or_exit(settings_type, path)
         return 0
-    waited_s = wait_for_settings(settings_type, path)
-    cfg = load_or_exit(settings_type, path)
+    cfg, waited_s = wait_for_settings(settings_type, path)
     lifecycle = Lifecycle()
     # Block signals before the log thread starts: a thread that does not block them
     # would receive them with their default action.
--- a/tests/test_direct_start.py
+++ b/tests/test_direct_start.py
@@ -209,10 +209,19 @@
 
     clock = SimpleNamespace(monotonic=time.monotonic, sleep=complete)
     monkeypatch.setattr(service, "time", clock)
-    assert service.wait_for_settings(DirectSettings, starter.settings) > 0
+    _, waited_s = service.wait_for_settings(DirectSettings, starter.settings)
+    assert waited_s > 0
     assert len(waits) == 1
 
 
+def test_settings_that_change_after_they_were_read_do_not_end_the_start(starter):
+    """Guards against starts that read their settings twice."""
+    starter.write_settings()
+    starter.start_with(starter.settings.read_text(), later="")
+    starter.wait_for_line("event=started")
+    assert starter.stop() == 0
+
+
 @pytest.mark.parametrize("errors", ["read", "full", "closed"])
 @pytest.mark.parametrize("share", [0, 0.5])
 def test_entry_waits_for_settings_that_are_being_written(starter, share, errors):
