Builds: make room before and during a build

On a nearly full disk builds failed for good: folders that killed builds had left were removed only after a build had succeeded, and former builds were kept though their room was needed. Incomplete builds are now removed first, under the lock, except the current one, which programs may start from and which may be the only source of the libraries. A build that fails for want of space removes the former complete builds and is tried once more; pip and shutil tell of it in their texts alone, so the text is looked at.

Four of the new tests fail before (folder left beside a failed build; ENOSPC of the file system, of a copied folder, of pip); with EIO nothing is removed. The full disk is simulated by an error in place of the build; none was filled.

--- a/deploy/builder.py
+++ b/deploy/builder.py
@@ -10,6 +10,7 @@
 import compileall
 import contextlib
 import ctypes
+import errno
 import fcntl
 import hashlib
 import json
@@ -230,10 +231,16 @@
     command = [sys.executable, "-m", "pip", "install", *options]
     env = {k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
     result = subprocess.run(
-        [*command, "--target", str(build), "-r", str(repo.pins)], env=env
+        [*command, "--target", str(build), "-r", str(repo.pins)],
+        env=env,
+        stderr=subprocess.PIPE,
+        text=True,
     )
+    errors = result.stderr.strip()
     if result.returncode != 0:
-        raise InstallError(f"pip exited with {result.returncode}")
+        raise InstallError(f"pip exited with {result.returncode}:\n{errors}")
+    if errors:
+        print(errors, file=sys.stderr)
 
 
 def make_build(repo: Repository, libraries: Path | None) -> Path:
@@ -367,14 +374,30 @@
         replace_folder(repo, new_link)
 
 
-def remove_old_builds(repo: Repository) -> None:
-    """Remove incomplete builds and all but the newest complete ones."""
-    kept = complete_builds(repo)[:KEPT_BUILDS]
+def keep_builds(repo: Repository, complete: int) -> None:
+    """Remove incomplete builds and all but the newest complete ones.
+
+    The current build stays also if it is incomplete: processes may start from it.
+    """
+    kept = {Path(os.path.realpath(repo.link)), *complete_builds(repo)[:complete]}
     for path in repo.builds.iterdir():
         if path not in kept:
             remove(path)
 
 
+def get_build_in_space(repo: Repository) -> Path:
+    """Return a build as `get_build` does; on a full disk, former ones make room."""
+    try:
+        return get_build(repo)
+    except (BuildError, OSError) as exc:
+        # Errors of pip and of copied folders are known by their texts alone.
+        if os.strerror(errno.ENOSPC) not in str(exc):
+            raise
+        print(f"{exc}\nremoving former builds", file=sys.stderr)
+    keep_builds(repo, 1)
+    return get_build(repo)
+
+
 @contextlib.contextmanager
 def locked(folder: Path) -> Iterator[None]:
     """Hold a lock on a folder; the system releases that of a killed process."""
@@ -397,9 +420,11 @@
         repo.target.mkdir(exist_ok=True)
         with locked(repo.target):
             repo.builds.mkdir(exist_ok=True)
-            build = get_build(repo)
+            # Folders that killed builds have left may have filled the disk.
+            keep_builds(repo, KEPT_BUILDS)
+            build = get_build_in_space(repo)
             switch_to(repo, build)
-            remove_old_builds(repo)
+            keep_builds(repo, KEPT_BUILDS)
     except (BuildError, OSError) as exc:
         print(f"build failed: {exc}", file=sys.stderr)
         return 1
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -2,8 +2,10 @@
 
 import base64
 import contextlib
+import errno
 import fcntl
 import hashlib
+import importlib.util
 import itertools
 import json
 import os
@@ -400,3 +402,57 @@
         checkout.set_source(version)
         assert checkout.finish_build() == 0
     assert not former.exists()
+
+
+def test_incomplete_builds_are_removed_before_the_next(checkout):
+    """Guards against builds that fail for good since killed ones fill the disk."""
+    killed = checkout.target / "builds/killed"
+    killed.mkdir()
+    (checkout.root / "src/persimmonhitch/first.py").write_text("raise ImportError\n")
+    assert checkout.finish_build() == 1
+    assert not killed.exists()
+
+
+def test_current_build_stays_without_its_manifest(checkout):
+    """Guards against a failed build after which nothing starts any more."""
+    missing_manifest(checkout)
+    (checkout.root / "src/persimmonhitch/first.py").write_text("raise ImportError\n")
+    assert checkout.finish_build() == 1
+    assert checkout.versions() == ["1", "1", "1"]
+
+
+def load_builder(checkout):
+    path = checkout.root / "deploy/builder.py"
+    spec = importlib.util.spec_from_file_location("builder", path)
+    builder = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(builder)
+    return builder
+
+
+@pytest.mark.parametrize("kind", ["OSError", "shutil.Error", "pip"])
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_former_builds_make_room_on_a_full_disk(checkout, monkeypatch, kind, code):
+    """Guards against builds that fail for good beside former ones on a full disk."""
+    former = checkout.deps.resolve()
+    checkout.set_source(2)
+    assert checkout.finish_build() == 0
+    checkout.set_source(3)
+    builder = load_builder(checkout)
+    cause = OSError(code, os.strerror(code))
+    error = {
+        "OSError": cause,
+        "shutil.Error": shutil.Error([("a", "b", str(cause))]),
+        "pip": builder.InstallError(f"pip exited with 1:\n{cause}"),
+    }[kind]
+    fill = builder.fill
+
+    def fill_if_there_is_room(*args):
+        if former.exists():
+            raise error
+        fill(*args)
+
+    monkeypatch.setattr(builder, "fill", fill_if_there_is_room)
+    is_full = code == errno.ENOSPC
+    assert builder.main() == (0 if is_full else 1)
+    assert former.exists() is not is_full
+    assert checkout.versions() == ["1", *["3" if is_full else "2"] * 2]
