Starts: reload the settings after a start that SIGHUP interrupted

An entry that waited for a port of the process before it answered SIGHUP with `event=reloaded changed=False`, and went on with the settings read before, the notice and limit of its stop among them. A SIGHUP without a function to run was only logged. It is now remembered, and the function runs when it is set; under a lock, so that a signal in that moment is not lost either. The same holds for a SIGHUP between the read of the settings and the wait.

--- a/src/persimmonhitch/kernel/lifecycle.py
+++ b/src/persimmonhitch/kernel/lifecycle.py
@@ -21,6 +21,8 @@
         self.stopping = threading.Event()
         self.forced = threading.Event()
         self._reload: Callable[[], None] | None = None
+        self._reload_missed = False
+        self._reload_lock = threading.Lock()
         self._stop_steps: list[tuple[str, Callable[[], None]]] = []
 
     def on_stop(self, name: str, step: Callable[[], None]) -> None:
@@ -28,8 +30,15 @@
         self._stop_steps.append((name, step))
 
     def on_reload(self, callback: Callable[[], None]) -> None:
-        """Set the function that SIGHUP runs; without one, SIGHUP is only logged."""
-        self._reload = callback
+        """Set the function that SIGHUP runs; without one, SIGHUP is only logged.
+
+        The function runs at once if SIGHUP has arrived before.
+        """
+        with self._reload_lock:
+            self._reload = callback
+            missed, self._reload_missed = self._reload_missed, False
+        if missed:
+            self._reload_settings()
 
     def install_signals(self) -> None:
         """Handle SIGTERM, SIGINT and SIGHUP; call this before any thread starts.
@@ -55,10 +64,13 @@
             self.stopping.set()
 
     def _reload_settings(self) -> None:
+        with self._reload_lock:
+            callback = self._reload
+            self._reload_missed = callback is None
         try:
-            if self._reload is not None:
-                self._reload()
-            log("reloaded", changed=self._reload is not None)
+            if callback is not None:
+                callback()
+            log("reloaded", changed=callback is not None)
         except Exception as exc:
             log("reload_failed", error=repr(exc))
 
--- a/tests/test_direct_start.py
+++ b/tests/test_direct_start.py
@@ -193,6 +193,21 @@
     os.set_blocking(pipe, True)
 
 
+def test_sighup_during_the_wait_for_a_port_reloads_the_settings(starter):
+    """Guards against settings that change during a start and are never read."""
+    starter.write_settings()
+    text = starter.settings.read_text()
+    with socket.create_server(("127.0.0.1", starter.ports["link"])):
+        starter.start()
+        starter.wait_for_line("event=port_taken")
+        starter.settings.write_text(text.replace("limit = 8", "limit = 9"))
+        starter.process.send_signal(signal.SIGHUP)
+        starter.wait_for_line("event=reloaded changed=False")
+    starter.wait_for_line("event=settings_read changed=stop_limit")
+    starter.wait_for_line("event=started")
+    assert starter.stop() == 0
+
+
 @pytest.mark.parametrize("share", [None, 0, 0.5])
 def test_settings_that_are_being_written_are_awaited(starter, share, monkeypatch):
     """Guards against starts that fail since their settings come a moment later."""
