Plays: find a free port without listening on it

A play that starts entries in one thread and upstreams in another could fail with "Address already in use" for a port that no other play had. Seen once, when three plays of real entries ran in one process.

Cause: the probe for a free port listened on it for a moment. A process that is forked meanwhile holds a copy of the socket until it executes its program, so that the port is still in use when the caller of take() listens on it. A probe that is bound and does not listen finds ports in use as before, and its copy keeps nobody from listening.

A port on which something listens is still found in use.

--- a/tests/soak/ports.py
+++ b/tests/soak/ports.py
@@ -18,15 +18,26 @@
     def take(self):
         """Return an unused port; ports are used again as late as possible."""
         for port in itertools.islice(self._ports, BLOCK_SIZE):
-            try:
-                with socket.create_server(("127.0.0.1", port)):
-                    return port
-            except OSError:
-                # The port is in use.
-                continue
+            if _is_free(port):
+                return port
         raise RuntimeError("every port of the block is in use")
 
 
+def _is_free(port):
+    """Return whether nothing listens on a port.
+
+    The probe does not listen: a process that is forked meanwhile holds a copy of its
+    socket until it executes its program, and would keep the port in use.
+    """
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def _reserve_block():
     """Listen on the first port of a free block; return the socket and the next port.
 
