Soak: short pages, and objects of another writer with odd names

No soak run could see an entry that does not get past such a name, as all lists were one page of records of upstreams alone.

The store of a run now sends one or two objects a page; one to four objects of another writer stand among the records, half of them for the whole run, and are written again where a restored store lacks them. Their draws have a generator of their own, so that those of the existing seeds stay as they are. One check more: every entry is ready within 12 s of the last fault.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -226,6 +226,8 @@
         self.upstreams = {}
         self.on_poison = None
         """Callback with each upstream that runs a poison request."""
+        self.foreign_names = set()
+        """Names of objects that another writer keeps among the records."""
         self.drained_at = {}
         """Time at which the store acknowledged the drain of each upstream."""
         self._rng = rng
@@ -271,9 +273,9 @@
         """Restore the store from a copy; records of stopped upstreams in it expire."""
         now = time.monotonic()
         self.state.restore(copy)
-        for kind, name in copy.objects:
-            if kind is Kind.UPSTREAM and name not in self.upstreams:
-                self._written_at[name] = now
+        records = {name for kind, name in copy.objects if kind is Kind.UPSTREAM}
+        for name in records - self.upstreams.keys() - self.foreign_names:
+            self._written_at[name] = now
 
     def drain(self, upstream):
         """Drain an upstream and stop it."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from soak.entries import Entry
 from soak.evacuations import Evacuator
 from soak.limits import LimitFaults
+from soak.other_writers import OtherWriter
 from soak.plan import RESTART_DELAY_S, FaultPlan
 from soak.platform import ZONES, Platform
 from soak.poison import CrashHandler, PartPoisonCaller, PoisonCaller
@@ -106,6 +107,7 @@
             for n in range(size.entries)
         ]
         self.peak_memory_mb = 0.0
+        self._other_writer = OtherWriter(self.platform, seed, self.log)
 
     def log(self, text):
         """Log an injected fault."""
@@ -116,6 +118,7 @@
 
     def run(self):
         """Run all participants and faults; return the outcome."""
+        self._other_writer.start()
         for entry in self.entries:
             entry.start()
         supervisor = threading.Thread(target=self._supervise, daemon=True)
@@ -171,12 +174,14 @@
         restores.stop()
         restores.join()
         recovered_in = self._await_recovery()
+        self._await_ready()
         self.stopped.set()
         for caller in callers:
             caller.join()
         balancer.stop()
         self.supervision_ended.set()
         supervisor.join()
+        self._other_writer.stop()
         self._stop_entries()
         self.platform.stop()
         return self._outcome(recovered_in)
@@ -217,6 +222,16 @@
         self.records.report_failure("recovery: requests are not served again")
         return None
 
+    def _await_ready(self):
+        """Report the entries that are not ready within the bound for recovery."""
+        waiting, end = self.entries, time.monotonic() + RECOVERY_BOUND_S
+        while (waiting := [e for e in waiting if not e.is_ready()]) and (
+            time.monotonic() < end
+        ):
+            time.sleep(0.25)
+        for entry in waiting:
+            self.records.report_failure(f"recovery: {entry.name} is not ready")
+
     def _stop_entries(self):
         threads = [threading.Thread(target=entry.stop) for entry in self.entries]
         for thread in threads:
