--- a/tests/soak/returns.py
+++ b/tests/soak/returns.py
@@ -1,15 +1,17 @@
 """A play in which machines are lost at the same moment and come back.
 
 Usage:
-  returns [--lost=LIST] [--times=N] [--gap=S] [--down=S] [--store=S] [--entries=N]
-          [--engines=N] [--ledgers=N] [--rate=N] [--parts=TEXT] [--own] [--seed=N]
-          [--keep=DIR]
+  returns [--lost=LIST] [--count=N] [--times=N] [--gap=S] [--spread=S] [--down=S]
+          [--store=S] [--entries=N] [--engines=N] [--ledgers=N] [--rate=N]
+          [--parts=TEXT] [--own] [--seed=N] [--keep=DIR]
   returns --help
 
 Options:
   --lost=LIST    What is lost: upstreams, entries, store [default: upstreams].
+  --count=N      Upstreams of each service that a loss takes; 0 for all [default: 0].
   --times=N      Losses in series [default: 1].
   --gap=S        Seconds from a return to the next loss [default: 2].
+  --spread=S     Seconds over which the machines of a loss go [default: 0].
   --down=S       Seconds for which the machines are gone [default: 1].
   --store=S      Seconds for which the store is away longer [default: 3].
   --entries=N    Entry processes [default: 4].
@@ -68,8 +70,12 @@
     """Participants, load and losses of a play; times in seconds."""
 
     lost: frozenset[Lost] = frozenset([Lost.UPSTREAMS])
+    count: int = 0
+    """Upstreams of each service that a loss takes; 0 for all."""
     times: int = 1
     gap_s: float = 2.0
+    spread_s: float = 0.0
+    """Time over which the machines of a loss go, in random order."""
     down_s: float = 1.0
     store_s: float = 3.0
     entries: int = 4
@@ -129,8 +135,10 @@
     def __init__(self, size, seed, folder):
         self.size = size
         self._rng = random.Random(seed)
+        self._loss_rng = random.Random(f"losses {seed}")
         self._lock = threading.Lock()
         self._served_at = []
+        self._lost = []
         self._records = Records()
         self._platform = Platform(
             self._records,
@@ -199,32 +207,44 @@
             self._bring_back()
 
     def _lose(self):
-        """Lose the machines at the same moment."""
+        """Lose the machines at the same moment, or over some time."""
         lost = self.size.lost
         actions = []
         if Lost.STORE in lost:
             self._platform.state.faults.down = True
         if Lost.UPSTREAMS in lost:
-            upstreams = list(self._platform.upstreams.values())
-            actions += [lambda u=u: self._platform.crash(u) for u in upstreams]
+            self._lost = self._choose_upstreams()
+            actions += [lambda u=u: self._platform.crash(u) for u in self._lost]
         if Lost.ENTRIES in lost:
             actions += [entry.kill for entry in self._entries]
-        threads = [threading.Thread(target=action) for action in actions]
+        threads = [
+            threading.Timer(self._loss_rng.uniform(0.0, self.size.spread_s), action)
+            for action in actions
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
 
+    def _choose_upstreams(self):
+        """Return the upstreams that the next loss takes."""
+        chosen = []
+        for service in (LLM, LEDGER):
+            upstreams = [
+                upstream
+                for upstream in self._platform.upstreams.values()
+                if upstream.spec.service == service
+            ]
+            count = self.size.count or len(upstreams)
+            chosen += self._loss_rng.sample(upstreams, count)
+        return chosen
+
     def _bring_back(self):
         """Start the machines again, upstreams as new instances; the store is last."""
         lost = self.size.lost
         if Lost.UPSTREAMS in lost:
-            for service, count in (
-                (LLM, self.size.engines),
-                (LEDGER, self.size.ledgers),
-            ):
-                for number in range(count):
-                    self._platform.add(service, number)
+            for number, upstream in enumerate(self._lost):
+                self._platform.add(upstream.spec.service, number)
         if Lost.ENTRIES in lost:
             for entry in self._entries:
                 entry.start()
@@ -300,8 +320,10 @@
     args = docopt(__doc__, argv)
     size = ReturnSize(
         frozenset(Lost(name) for name in args["--lost"].split(",")),
+        int(args["--count"]),
         int(args["--times"]),
         float(args["--gap"]),
+        float(args["--spread"]),
         float(args["--down"]),
         float(args["--store"]),
         int(args["--entries"]),
