Poison: crashes of many upstreams at one moment count as one

What callers saw: all upstreams of a service were lost at the same moment while the entries lived. From then on popular requests (method, path, account and body alike) got 503 "upstreams crashed each time that this request ran" at all entries, for an hour, though the upstreams were back within seconds.

Cause: each lost upstream counted as a crash of its own. What callers send often runs on most upstreams, so that one loss of power made three and more crashes "by" it, and nothing that is blocked can run to clear itself.

Change: crashes at most 0.2 s apart, within 0.5 s, are one event. If a suspect ran on three or more of its upstreams, the event counts as one crash for all its suspects; a pair still counts as two, as two copies of a request may crash two upstreams. The event counts for nothing against a suspect that five upstreams, and twice as many as ran it, were lost without, or where two ran no suspect at all. Suspicion (isolation) still counts upstreams, so that a request that did crash many at once runs alone from then on, one upstream a trial.

Price: a request whose copies crash n >= 3 upstreams at one moment is blocked after two more crashes in isolation, not at once.

--- /dev/null
+++ b/src/persimmonhitch/decide/crash_events.py
@@ -0,0 +1,69 @@
+"""Group crashes of upstreams by the moment at which they happened.
+
+Load pattern: a host, a rack, a zone or the power fails and takes many upstreams at the
+same moment. A request that callers send often runs on most of them, and so do the parts
+that many prompts share. Such a loss says as little about them as a single crash, while
+a request that crashes what runs it does so again when it runs alone.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final, TypeVar
+
+from .crashes import Crash
+
+K = TypeVar("K")
+
+EVENT_GAP_S: Final = 0.2
+"""Seconds between two crashes of one event. Isolated runs are announced for longer, so
+that each of them crashes an upstream in an event of its own."""
+EVENT_S: Final = 0.5
+"""Seconds from the first to the last crash of an event. A busy entry notices the losses
+of one moment one after the other."""
+COMMON_LOSS: Final = 3
+"""Upstreams lost with one suspect from which the event counts as a single crash. Fewer
+may well have run copies of a request that crashes them."""
+MIN_IDLE: Final = 2
+"""Upstreams lost while they ran no suspect from which an event says nothing at all."""
+MIN_UNRELATED: Final = 5
+"""Upstreams lost with other requests from which an event says nothing about a suspect.
+Several different requests may each crash an upstream at about the same time."""
+
+
+def crash_events(crashes: Iterable[Crash]) -> list[list[Crash]]:
+    """Return the confirmed crashes grouped into events, oldest first.
+
+    The groups depend on the times of the crashes only, not on the order of reports.
+    """
+    events: list[list[Crash]] = []
+    confirmed = (crash for crash in crashes if crash.confirmed)
+    for crash in sorted(confirmed, key=lambda crash: crash.at):
+        if events and _continues(events[-1], crash):
+            events[-1].append(crash)
+        else:
+            events.append([crash])
+    return events
+
+
+def _continues(event: Sequence[Crash], crash: Crash) -> bool:
+    is_near = crash.at - event[-1].at < EVENT_GAP_S
+    return is_near and crash.at - event[0].at < EVENT_S
+
+
+def evidence(lost: int, idle: int, lost_with: Mapping[K, int]) -> dict[K, int]:
+    """Return the crashes for which an event counts against each suspect.
+
+    Parameters
+    ----------
+    lost : int
+        Unexplained crashes of the event.
+    idle : int
+        Those of them that no request may have caused.
+    lost_with : mapping
+        Those of them that each suspect may have caused.
+    """
+    is_common = max(lost_with.values(), default=0) >= COMMON_LOSS
+    return {
+        suspect: 1 if is_common else count
+        for suspect, count in lost_with.items()
+        if idle < MIN_IDLE and lost - count < max(MIN_UNRELATED, 2 * count)
+    }
--- /dev/null
+++ b/tests/test_lost_machines.py
@@ -0,0 +1,100 @@
+"""Service after many upstreams were lost to one cause outside them."""
+
+import random
+
+import pytest
+from poison_fleet import RESTART_S, Fleet
+
+from persimmonhitch.decide.crash_events import EVENT_GAP_S
+from persimmonhitch.decide.crashes import UpstreamInstance
+from persimmonhitch.decide.poison import CrashHistory
+from persimmonhitch.ids import Fingerprint, Upstream
+
+RECOVERY_S = 12.0
+"""Seconds from the return of lost machines within which service is back."""
+FIRST_LOSS_S, MEASURED_S = 6.0, 4.0
+MIN_SERVED_FRACTION = 0.9
+POPULAR = [Fingerprint("popular-0"), Fingerprint("popular-1")]
+"""Requests of two routes; all requests of a route are alike."""
+
+
+def simulate_losses(entries, seed, gaps_s, share=1.0):
+    """Lose upstreams in series; return the served share after the recovery time.
+
+    ``gaps_s`` are the seconds from the return of the upstreams to the next loss.
+    """
+    fleet = Fleet(entries, seed)
+    losses, at = [], FIRST_LOSS_S
+    for gap_s in (0.0, *gaps_s):
+        at += gap_s
+        losses.append(at)
+        at += RESTART_S
+    measured_from = at + RECOVERY_S
+    sent = 0
+    while fleet.now < measured_from + MEASURED_S:
+        fleet.step()
+        if losses and fleet.now >= losses[0]:
+            fleet.lose_power(share=share)
+            del losses[0]
+        for fingerprint in POPULAR:
+            fleet.submit(fingerprint)
+            sent += fleet.now >= measured_from
+    done = sum(at >= measured_from for at, _ in fleet.completions)
+    return fleet, done / sent
+
+
+@pytest.mark.parametrize("entries", [1, 4])
+@pytest.mark.parametrize("share", [0.5, 1.0])
+@pytest.mark.parametrize("gaps_s", [(), (0.5,), (2.0, 3.0, 0.6), (8.0, 8.0, 8.0)])
+def test_requests_lost_with_many_upstreams_are_served_again(entries, share, gaps_s):
+    """Guards against blocks of popular requests that power losses took down."""
+    for seed in range(3):
+        fleet, served = simulate_losses(entries, seed, gaps_s, share)
+        assert not fleet.refused
+        assert served >= MIN_SERVED_FRACTION
+
+
+GOOD, BAD, OTHER = Fingerprint("good"), Fingerprint("bad"), Fingerprint("other")
+BOTH = {GOOD: True, BAD: True}
+
+
+def report_order(events, rng):
+    """Return a history of events one second apart whose crashes arrive in any order."""
+    reports = [
+        (number, UpstreamInstance(Upstream(f"u{number}-{count}"), 1), lost)
+        for number, event in enumerate(events, 1)
+        for count, lost in enumerate(event)
+    ]
+    rng.shuffle(reports)
+    history = CrashHistory()
+    for number, instance, lost in reports:
+        at = number + rng.random() * EVENT_GAP_S
+        history.record_lost(instance, lost, at, float(len(events) + 1))
+        history.confirm(instance)
+    return history
+
+
+@pytest.mark.parametrize(
+    ("events", "blocked"),
+    [
+        # Copies of one request crash many upstreams at once, then two one by one.
+        ([[{BAD: True}] * 8], []),
+        ([[{BAD: True}] * 8, [{BAD: True}]], []),
+        ([[{BAD: True}] * 8, [{BAD: True}], [{BAD: True}]], [BAD]),
+        ([[{BAD: True}] * 8] * 3, [BAD]),
+        # Two upstreams may crash at the same moment by separate requests.
+        ([[{BAD: True}] * 2, [{BAD: True}]], [BAD]),
+        ([[{BAD: True}, {OTHER: True}]] * 3, [BAD, OTHER]),
+        # The machines are lost again while the suspects run apart.
+        ([[BOTH] * 8] + [[{GOOD: True}, {BAD: True}, {}, {}, {}]] * 5, []),
+        ([[{GOOD: True}] * 8] + [[{GOOD: True}, {}, {}]] * 5, []),
+        # A power loss among the crashes by one request.
+        ([[{BAD: True}], [BOTH] * 8, [{BAD: True}]], [BAD]),
+        ([[BOTH] * 8, [{BAD: True}], [{BAD: True}], [{GOOD: True}]], [BAD]),
+    ],
+)
+@pytest.mark.parametrize("seed", range(4))
+def test_upstreams_lost_together_count_once(events, blocked, seed):
+    """Guards against blocks by losses whose cause lies outside the upstreams."""
+    history = report_order(events, random.Random(seed))
+    assert set(history.block_attributed(len(events) + 2.0)) == set(blocked)
