Poison: no verdict on a suspect while one of its copies runs

Cause: the verdict looked at losses only. A request that crashes what runs it does so as soon as it begins; one that runs on is about to show that it is sound, but its completion came after the block.

Change: a suspect that runs at some upstream, here or by the trials that peers report, is judged once that run has ended.

--- a/src/persimmonhitch/decide/part_crashes.py
+++ b/src/persimmonhitch/decide/part_crashes.py
@@ -19,7 +19,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -192,10 +192,12 @@
     combos: BlockedParts,
     now: float,
     served_since: float,
+    is_running: Callable[[Cause], bool],
 ) -> frozenset[PartId]:
     """Return the next combination of parts to block, empty if there is none.
 
-    ``served_since`` is the start of a time in which some requests completed.
+    ``served_since`` is the start of a time in which some requests completed, and
+    ``is_running`` as in ``CrashHistory.block_attributed``.
     """
     settled = sorted(
         (c for c in crashes if c.confirmed and now - c.latest_at >= SETTLE_S),
@@ -209,7 +211,7 @@
     part = min(blamed, key=lambda key: (-blamed[key].weight, key))
     count = blamed[part]
     is_served = count.first_at <= served_since or now - count.first_at >= MAX_UNSERVED_S
-    if not is_served:
+    if not is_served or is_running(part):
         return frozenset()
     combination = _combination(part, settled, counts)
     if count.counted < TIED_LIMIT and _is_tied(part, combination, settled, counts):
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -23,7 +23,7 @@
 
 import math
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
@@ -233,19 +233,34 @@
 
     # -- attribution -------------------------------------------------------------
 
-    def block_attributed(self, now: float, is_informed: bool = True) -> list[Cause]:
+    def block_attributed(
+        self,
+        now: float,
+        is_informed: bool = True,
+        is_running: Callable[[Cause], bool] = lambda _cause: False,
+    ) -> list[Cause]:
         """Block the requests and parts to which crashes are attributed; return them.
 
-        ``is_informed`` is whether the reports of all entries have arrived; without them
-        no part is blocked.
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        is_informed : bool
+            Whether the reports of all entries have arrived; without them no part is
+            blocked.
+        is_running : callable
+            Returns whether a cause runs at some upstream. Its outcome is awaited: it
+            shows whether the cause crashes what runs it.
         """
         blocked = []
-        while (cause := self._next_cause(now, is_informed)) is not None:
+        while (cause := self._next_cause(now, is_informed, is_running)) is not None:
             self.block(cause, now + BLOCK_TTL_S)
             blocked.append(cause)
         return blocked
 
-    def _next_cause(self, now: float, is_informed: bool) -> Cause | None:
+    def _next_cause(
+        self, now: float, is_informed: bool, is_running: Callable[[Cause], bool]
+    ) -> Cause | None:
         # A part explains more crashes than any single request that has it.
         if is_informed and any(c.is_blamed for c in self._part_counts().values()):
             parts = next_attributed(
@@ -254,12 +269,15 @@
                 self._blocked_parts,
                 now,
                 self._served[0] if len(self._served) == MIN_SERVED else -math.inf,
+                is_running,
             )
             if parts:
                 return join_parts(parts)
-        return self._next_attributed(now)
+        return self._next_attributed(now, is_running)
 
-    def _next_attributed(self, now: float) -> Fingerprint | None:
+    def _next_attributed(
+        self, now: float, is_running: Callable[[Cause], bool]
+    ) -> Fingerprint | None:
         candidates = [
             (-counts.weight, fingerprint, counts)
             for fingerprint, counts in self._counts().items()
@@ -269,6 +287,8 @@
         for _, fingerprint, counts in sorted(candidates, key=lambda c: c[:2]):
             if now - counts.latest_at < SETTLE_S:
                 return None
+            if is_running(fingerprint):
+                continue
             if counts.unexplained >= TIED_LIMIT or not self._tied(fingerprint, counts):
                 return fingerprint
         return None
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -422,7 +422,10 @@
     def _block_attributed(self) -> None:
         now = self._clock()
         is_informed = now - self._isolated_at >= LEARN_S
-        for cause in self._history.block_attributed(now, is_informed):
+        running = {trial.cause for trial in self._all_trials(now) if trial.upstream}
+        for cause in self._history.block_attributed(
+            now, is_informed, running.__contains__
+        ):
             remaining_s = self._history.blocked_for(cause, now)
             log(
                 "call_blocked",
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -166,3 +166,15 @@
     first.guard.exclude_upstreams(request, views)
     assert views[0].traffic_share
     assert first.guard.next_parts_update() is None
+
+
+def test_a_suspect_is_not_blocked_while_a_copy_runs():
+    """Guards against blocks of sound requests that were lost with several others."""
+    entry = Entry()
+    entry.guard.started(BAD, record(9).name)
+    for number in range(BLOCK_CRASHES):
+        entry.lose_connection(number)
+        entry.guard.unreachable(record(number))
+    assert not entry.is_blocked()
+    entry.guard.ended(BAD, record(9).name)
+    assert entry.is_blocked()
