Poison: notice upstreams that were lost while they ran nothing

What callers saw: power lost three times, two seconds and less apart. Popular requests, suspects since the first loss, ran alone at one upstream each time and had not completed before the next loss; after the third they got 503 for an hour.

Cause: the loss of an upstream is noticed by the requests lost with it. While suspects run apart the other upstreams may have none, so that the entries saw one crash under one request, and not that all upstreams were gone.

Change: when a suspect loses its upstream, the entry attempts a connection to four other upstreams of the service, after the same 0.1 s as to the lost one. A request that crashes what runs it leaves the others running, so it costs these connections and nothing else.

--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -11,7 +11,7 @@
 
 from ..decide.crashes import UpstreamInstance, is_part
 from ..decide.dispatch import DispatchRequest, UpstreamView, has_capacity
-from ..decide.poison import PROOF_LEAD_S, CrashHistory
+from ..decide.poison import PROOF_LEAD_S, UNCONFIRMED_TTL_S, CrashHistory
 from ..decide.wait_limits import RETRY_JITTER, RETRY_S
 from ..fleet.upstream import UpstreamRecord
 from ..ids import Cause, Fingerprint, PartId, Upstream, Vm
@@ -29,6 +29,9 @@
 
 CHECK_DELAY_S: Final = 0.1
 """Delay between a lost connection and an attempt to open another to the upstream."""
+MAX_IDLE_CHECKS: Final = 4
+"""Upstreams of a service whose connections are checked when a suspect is lost with
+another: machines lost together also end upstreams that run nothing."""
 RESEND_INTERVAL_S: Final = 2.0
 """Interval of full updates, for entries that missed an incremental update."""
 LEARN_S: Final = 3.0
@@ -73,6 +76,16 @@
         }
 
 
+@dataclass
+class _IdleCheck:
+    """A connection check of an upstream that has lost no request."""
+
+    record: UpstreamRecord
+    lost_at: float
+    """Time at which a suspect lost another upstream of the service."""
+    check_at: float
+
+
 @dataclass(frozen=True)
 class _PeerTrials:
     at: float
@@ -134,6 +147,8 @@
         self._announced: dict[Cause, _Announcement] = {}
         self._peers: dict[Vm, _PeerTrials] = {}
         self._crashes: dict[UpstreamInstance, _LocalCrash] = {}
+        self._listed: tuple[UpstreamRecord, ...] = ()
+        self._idle_checks: dict[UpstreamInstance, _IdleCheck] = {}
         self._alive: dict[UpstreamInstance, float] = {}
         self._completed: dict[Cause, float] = {}
         self._own_blocked: dict[Cause, float] = {}
@@ -291,7 +306,10 @@
         """
         now = self._clock()
         instance = instance_of(record)
+        parts = tuple(parts)
         with self._lock:
+            if self._suspects_of(fingerprint, parts):
+                self._plan_idle_checks(record, now)
             crash = self._crashes.setdefault(
                 instance, _LocalCrash(record, now, now + CHECK_DELAY_S)
             )
@@ -305,6 +323,22 @@
                 self._unsent_parts.add(instance)
             self._mark_changed(instance)
 
+    def _plan_idle_checks(self, lost: UpstreamRecord, now: float) -> None:
+        """Plan connection checks of upstreams that run no suspect."""
+        idle = [
+            record
+            for record in self._listed
+            if record.service == lost.service
+            and record.name != lost.name
+            and not record.draining
+            and not self._history.has_crashed(instance_of(record))
+            and instance_of(record) not in self._idle_checks
+        ]
+        room = max(0, MAX_IDLE_CHECKS - len(self._idle_checks))
+        for record in random.sample(idle, min(room, len(idle))):
+            check = _IdleCheck(record, now, now + CHECK_DELAY_S)
+            self._idle_checks[instance_of(record)] = check
+
     def _unproven(self, parts: Iterable[PartId], now: float) -> tuple[PartId, ...]:
         """Return parts that have not completed lately, known suspects first."""
         unproven = (p for p in parts if not self._proofs.covers(p, now - PROOF_LEAD_S))
@@ -363,6 +397,11 @@
         """Record that an upstream accepts no connection."""
         instance = instance_of(record)
         with self._lock:
+            check = self._idle_checks.pop(instance, None)
+            if check is not None and not self._history.has_crashed(instance):
+                at = check.lost_at
+                self._crashes[instance] = _LocalCrash(record, at, math.inf)
+                self._history.record_lost(instance, {}, at, self._clock())
             if self._history.has_crashed(instance):
                 self._confirm(instance)
 
@@ -372,6 +411,7 @@
         It runs or was restarted; its answers or its registration tell these apart.
         """
         with self._lock:
+            self._idle_checks.pop(instance_of(record), None)
             self._history.record_reachable(instance_of(record))
 
     # -- confirmation of crashes ---------------------------------------------------
@@ -381,16 +421,20 @@
         now = self._clock()
         with self._lock:
             due = [crash for crash in self._crashes.values() if crash.check_at <= now]
+            idle = [c for c in self._idle_checks.values() if c.check_at <= now]
             for crash in due:
                 crash.check_at = math.inf
-        return [crash.record for crash in due if not crash.confirmed]
+            for check in idle:
+                check.check_at = math.inf
+        records = [crash.record for crash in due if not crash.confirmed]
+        return records + [check.record for check in idle]
 
     def update_upstreams(self, records: Iterable[UpstreamRecord]) -> None:
         """Apply the list of upstreams; a new instance confirms the end of the old."""
         with self._lock:
+            self._listed = listed = tuple(records)
             if not self._crashes:
                 return
-            listed = list(records)
             by_name = {record.name: record for record in listed}
             by_address = {(record.host, record.port): record for record in listed}
             for instance, crash in list(self._crashes.items()):
@@ -619,6 +663,11 @@
             for instance, crash in self._crashes.items()
             if now - crash.at <= RESEND_TTL_S and self._history.has_crashed(instance)
         }
+        self._idle_checks = {
+            instance: check
+            for instance, check in self._idle_checks.items()
+            if now - check.lost_at <= UNCONFIRMED_TTL_S
+        }
         self._alive = {i: a for i, a in self._alive.items() if now - a <= RESEND_TTL_S}
         self._completed = {
             key: at for key, at in self._completed.items() if now - at <= RESEND_TTL_S
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -62,7 +62,7 @@
         self.guards = {vm: self._guard(vm) for vm in names}
         self.cut_until = {}
         self.in_contact_since = dict.fromkeys(self.guards, -CONTACT_S)
-        self.engines = [Engine(self._record(n)) for n in range(UPSTREAMS)]
+        self.engines = [Engine(self._record(n, n)) for n in range(UPSTREAMS)]
         self.sent = []
         self.crashes = []
         self.arrivals = []
@@ -88,9 +88,9 @@
     def _parts(self, fingerprint):
         return self.parts.get(fingerprint, ())
 
-    def _record(self, number):
+    def _record(self, number, port):
         return UpstreamRecord(
-            Upstream(f"u{number}"), LLM, "h", 1, ZONE, SLOTS, False, number, None
+            Upstream(f"u{number}"), LLM, "h", port, ZONE, SLOTS, False, number, None
         )
 
     # -- entries -----------------------------------------------------------------
@@ -243,20 +243,28 @@
                 retry = (self.now + 0.1, run.fingerprint, run.poison, run.tries - 1)
                 self._retries.append(retry)
         engine.running = []
-        engine.record = self._record(self._next_number)
+        engine.record = self._record(self._next_number, engine.record.port)
         self._next_number += 1
         engine.available_at = self.now + seconds
 
+    def _list_engines(self):
+        listed = [e.record for e in self.engines if e.available_at <= self.now]
+        for guard in self.guards.values():
+            guard.update_upstreams(listed)
+
     def _run_checks(self):
         alive = {e.record.name for e in self.engines if e.available_at <= self.now}
         for guard in self.guards.values():
             for record in guard.due_checks():
-                if record.name not in alive:
+                if record.name in alive:
+                    guard.reachable(record)
+                else:
                     guard.unreachable(record)
 
     def step(self):
         """Advance the simulation by one step."""
         self.now += STEP_S
+        self._list_engines()
         self._run_engines()
         self._run_checks()
         self._exchange_updates()
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -45,7 +45,9 @@
 
 @pytest.mark.parametrize("entries", [1, 4])
 @pytest.mark.parametrize("share", [0.5, 1.0])
-@pytest.mark.parametrize("gaps_s", [(), (0.5,), (2.0, 3.0, 0.6), (8.0, 8.0, 8.0)])
+@pytest.mark.parametrize(
+    "gaps_s", [(), (0.5,), (1.0, 1.0), (2.0, 3.0, 0.6), (8.0, 8.0, 8.0)]
+)
 def test_requests_lost_with_many_upstreams_are_served_again(entries, share, gaps_s):
     """Guards against blocks of popular requests that power losses took down."""
     for seed in range(3):
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -6,7 +6,12 @@
 
 from persimmonhitch.decide.dispatch import DispatchRequest, UpstreamView
 from persimmonhitch.decide.poison import BLOCK_CRASHES, SETTLE_S
-from persimmonhitch.direct.poison import ANNOUNCE_DURATION_S, PoisonGuard
+from persimmonhitch.direct.poison import (
+    ANNOUNCE_DURATION_S,
+    CHECK_DELAY_S,
+    MAX_IDLE_CHECKS,
+    PoisonGuard,
+)
 from persimmonhitch.fleet.upstream import UpstreamRecord
 from persimmonhitch.ids import Fingerprint, PartId, Service, Upstream, Vm, Zone
 
@@ -168,6 +173,27 @@
     assert first.guard.next_parts_update() is None
 
 
+@pytest.mark.parametrize("lost_together", [True, False])
+def test_a_suspect_lost_with_idle_upstreams_is_not_blocked(lost_together):
+    """Guards against blocks of requests that ran alone as many machines were lost."""
+    entry = Entry()
+    for number in range(2):
+        entry.lose_connection(number)
+        entry.guard.unreachable(record(number))
+    entry.guard.update_upstreams(record(number) for number in range(2, 12))
+    entry.lose_connection(2)
+    entry.now += CHECK_DELAY_S
+    checked = entry.guard.due_checks()
+    assert len(checked) == 1 + MAX_IDLE_CHECKS
+    for upstream in checked:
+        if lost_together or upstream.name == "u2":
+            entry.guard.unreachable(upstream)
+        else:
+            entry.guard.reachable(upstream)
+    assert entry.is_blocked() is not lost_together
+    assert entry.guard.due_checks() == []
+
+
 def test_a_suspect_is_not_blocked_while_a_copy_runs():
     """Guards against blocks of sound requests that were lost with several others."""
     entry = Entry()
