Poison: the loss of a whole small service counts as one crash

What callers saw: a service of two upstreams, both lost at once four times, 0.6 s apart: popular requests of a route refused for an hour.

Cause: two upstreams lost at one moment count as two crashes, since two copies of a request that crashes them may do so. Where a service has no more, a loss of all its machines looks the same, and two of them suffice for a block.

Change: entries know how many upstreams of a service are listed and not known to have crashed. An event that takes all of them, two or more, counts as one crash for its suspects, and as none if one of them ran no suspect.

Evidence: test_loss_of_a_whole_small_service_counts_once.

--- a/src/persimmonhitch/decide/crash_events.py
+++ b/src/persimmonhitch/decide/crash_events.py
@@ -6,6 +6,7 @@
 a request that crashes what runs it does so again when it runs alone.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final, TypeVar
 
@@ -49,7 +50,15 @@
     return is_near and crash.at - event[0].at < EVENT_S
 
 
-def evidence(lost: int, idle: int, lost_with: Mapping[K, int]) -> dict[K, int]:
+def has_whole_service(event: Sequence[Crash]) -> bool:
+    """Return whether an event took all upstreams, two or more, of some service."""
+    lost = Counter(crash.size for crash in event if crash.size is not None)
+    return any(count >= size.upstreams >= 2 for size, count in lost.items())
+
+
+def evidence(
+    lost: int, idle: int, lost_with: Mapping[K, int], is_whole: bool = False
+) -> dict[K, int]:
     """Return the crashes for which an event counts against each suspect.
 
     Parameters
@@ -60,10 +69,13 @@
         Those of them that no request may have caused.
     lost_with : mapping
         Those of them that each suspect may have caused.
+    is_whole : bool
+        Whether the event took all upstreams of a service.
     """
-    is_common = max(lost_with.values(), default=0) >= COMMON_LOSS
+    is_common = is_whole or max(lost_with.values(), default=0) >= COMMON_LOSS
+    min_idle = 1 if is_whole else MIN_IDLE
     return {
         suspect: 1 if is_common else count
         for suspect, count in lost_with.items()
-        if idle < MIN_IDLE and lost - count < max(MIN_UNRELATED, 2 * count)
+        if idle < min_idle and lost - count < max(MIN_UNRELATED, 2 * count)
     }
--- a/src/persimmonhitch/decide/crashes.py
+++ b/src/persimmonhitch/decide/crashes.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..ids import PART_PREFIX, Cause, Fingerprint, PartId, Upstream
+from ..ids import PART_PREFIX, Cause, Fingerprint, PartId, Service, Upstream
 
 SUSPECT_CRASHES: Final = 2
 """Crashes after which a request or part runs in isolation. Most requests lost in a
@@ -47,6 +47,14 @@
     started_at_ms: int
 
 
+@dataclass(frozen=True)
+class ServiceSize:
+    """The service of an upstream, and how many upstreams it has."""
+
+    service: Service
+    upstreams: int
+
+
 @dataclass
 class Crash:
     """Requests lost with an upstream that may have crashed; times are monotonic."""
@@ -62,6 +70,8 @@
     """Lost requests, and whether each had just begun or had no answer yet."""
     carriers: dict[PartId, set[Fingerprint]] = field(default_factory=dict)
     """Lost requests by prompt part."""
+    size: ServiceSize | None = None
+    """The service of the upstream as listed before the crash, if it was listed."""
 
     @property
     def latest_at(self) -> float:
--- a/src/persimmonhitch/decide/part_crashes.py
+++ b/src/persimmonhitch/decide/part_crashes.py
@@ -19,12 +19,12 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from ..ids import Cause, Fingerprint, PartId
-from .crash_events import crash_events, evidence
+from .crash_events import crash_events, evidence, has_whole_service
 from .crashes import (
     BLOCK_CRASHES,
     SETTLE_S,
@@ -169,7 +169,7 @@
 
 
 def _count_event(
-    event: Iterable[Crash],
+    event: Sequence[Crash],
     blocked: Mapping[Cause, float],
     combos: BlockedParts,
     counts: Mapping[PartId, PartCounts],
@@ -182,7 +182,9 @@
         lost_with.update(_unexplained_parts(crash.suspect_parts(), explaining))
         unexplained += not explaining
         idle += not crash.suspects()
-    for part, count in evidence(unexplained, idle, lost_with).items():
+    for part, count in evidence(
+        unexplained, idle, lost_with, has_whole_service(event)
+    ).items():
         counts[part].counted += count
 
 
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -23,18 +23,19 @@
 
 import math
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
 from ..ids import Cause, Fingerprint, PartId, Upstream
-from .crash_events import crash_events, evidence
+from .crash_events import crash_events, evidence, has_whole_service
 from .crashes import (
     BLOCK_CRASHES,
     SETTLE_S,
     SUSPECT_CRASHES,
     TIED_LIMIT,
     Crash,
+    ServiceSize,
     UpstreamInstance,
     is_part,
     join_parts,
@@ -104,6 +105,7 @@
         self._alive: OrderedDict[UpstreamInstance, float] = OrderedDict()
         self._served: deque[float] = deque(maxlen=MIN_SERVED)
         """Times of the latest completed requests of this entry."""
+        self._sizes: Mapping[UpstreamInstance, ServiceSize] = {}
         self._blocked: dict[Cause, float] = {}
         self._blocked_parts = BlockedParts()
         self._cached_counts: dict[Fingerprint, CrashCounts] | None = {}
@@ -123,7 +125,9 @@
             return
         crash = self._crashes.get(instance)
         if crash is None:
-            crash = self._crashes[instance] = Crash(at, now)
+            crash = self._crashes[instance] = Crash(
+                at, now, size=self._sizes.get(instance)
+            )
         changed = at > crash.at + AT_TOLERANCE_S or not crash.lost
         crash.at = max(crash.at, at)
         for fingerprint, is_new in lost.items():
@@ -138,6 +142,10 @@
         if changed:
             self._discard_counts()
 
+    def update_sizes(self, sizes: Mapping[UpstreamInstance, ServiceSize]) -> None:
+        """Apply the list of upstreams; a crash keeps the size listed before it."""
+        self._sizes = sizes
+
     def record_lost_parts(
         self,
         instance: UpstreamInstance,
@@ -339,7 +347,7 @@
         return self._cached_counts
 
     def _count_event(
-        self, event: Iterable[Crash], counts: Mapping[Fingerprint, CrashCounts]
+        self, event: Sequence[Crash], counts: Mapping[Fingerprint, CrashCounts]
     ) -> None:
         weights: dict[Fingerprint, list[float]] = defaultdict(list)
         unexplained = [crash for crash in event if not self._is_explained(crash)]
@@ -349,7 +357,8 @@
                 weights[fingerprint].append(1 / len(suspects))
         idle = sum(not crash.suspects() for crash in unexplained)
         lost_with = {key: len(found) for key, found in weights.items()}
-        for key, count in evidence(len(unexplained), idle, lost_with).items():
+        found = evidence(len(unexplained), idle, lost_with, has_whole_service(event))
+        for key, count in found.items():
             counts[key].unexplained += count
             counts[key].weight += count * sum(weights[key]) / lost_with[key]
 
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..decide.crashes import UpstreamInstance, is_part
+from ..decide.crashes import ServiceSize, UpstreamInstance, is_part
 from ..decide.dispatch import DispatchRequest, UpstreamView, has_capacity
 from ..decide.poison import PROOF_LEAD_S, UNCONFIRMED_TTL_S, CrashHistory
 from ..decide.wait_limits import RETRY_JITTER, RETRY_S
@@ -433,6 +433,7 @@
         """Apply the list of upstreams; a new instance confirms the end of the old."""
         with self._lock:
             self._listed = listed = tuple(records)
+            self._history.update_sizes(self._service_sizes())
             if not self._crashes:
                 return
             by_name = {record.name: record for record in listed}
@@ -443,6 +444,19 @@
                 if current is not None and instance_of(current) != instance:
                     self._confirm(instance)
 
+    def _service_sizes(self) -> dict[UpstreamInstance, ServiceSize]:
+        """Return the service of each listed upstream, and how many of it may run."""
+        running = [
+            record
+            for record in self._listed
+            if not (record.draining or self._history.has_crashed(instance_of(record)))
+        ]
+        counts = Counter(record.service for record in running)
+        return {
+            instance_of(record): ServiceSize(record.service, counts[record.service])
+            for record in running
+        }
+
     def _confirm(self, instance: UpstreamInstance) -> None:
         if instance in self._crashes:
             self._crashes[instance].confirmed = True
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -6,9 +6,9 @@
 from poison_fleet import RESTART_S, Fleet
 
 from persimmonhitch.decide.crash_events import EVENT_GAP_S
-from persimmonhitch.decide.crashes import UpstreamInstance
+from persimmonhitch.decide.crashes import ServiceSize, UpstreamInstance
 from persimmonhitch.decide.poison import CrashHistory
-from persimmonhitch.ids import Fingerprint, Upstream
+from persimmonhitch.ids import Fingerprint, Service, Upstream
 
 RECOVERY_S = 12.0
 """Seconds from the return of lost machines within which service is back."""
@@ -60,8 +60,11 @@
 BOTH = {GOOD: True, BAD: True}
 
 
-def report_order(events, rng):
-    """Return a history of events one second apart whose crashes arrive in any order."""
+def report_order(events, rng, upstreams=None):
+    """Return a history of events one second apart whose crashes arrive in any order.
+
+    ``upstreams`` is the number of upstreams of the service, if it is known.
+    """
     reports = [
         (number, UpstreamInstance(Upstream(f"u{number}-{count}"), 1), lost)
         for number, event in enumerate(events, 1)
@@ -69,6 +72,9 @@
     ]
     rng.shuffle(reports)
     history = CrashHistory()
+    if upstreams is not None:
+        size = ServiceSize(Service("s"), upstreams)
+        history.update_sizes({instance: size for _, instance, _ in reports})
     for number, instance, lost in reports:
         at = number + rng.random() * EVENT_GAP_S
         history.record_lost(instance, lost, at, float(len(events) + 1))
@@ -100,3 +106,22 @@
     """Guards against blocks by losses whose cause lies outside the upstreams."""
     history = report_order(events, random.Random(seed))
     assert set(history.block_attributed(len(events) + 2.0)) == set(blocked)
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "events", "blocked"),
+    [
+        (2, [[{GOOD: True}] * 2] * 2, []),
+        (2, [[{GOOD: True}] * 2] * 3, [GOOD]),
+        (2, [[{GOOD: True}] * 2] + [[{GOOD: True}, {}]] * 4, []),
+        # Some upstreams of the service ran on.
+        (2, [[{BAD: True}]] * 3, [BAD]),
+        (3, [[{BAD: True}] * 2, [{BAD: True}]], [BAD]),
+        (1, [[{BAD: True}]] * 3, [BAD]),
+    ],
+)
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_a_whole_small_service_counts_once(upstreams, events, blocked, seed):
+    """Guards against blocks where a service has too few upstreams for a pattern."""
+    history = report_order(events, random.Random(seed), upstreams)
+    assert history.block_attributed(len(events) + 2.0) == blocked
