--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -13,7 +13,9 @@
 suspected only if no others are left. A crash is explained if a blocked cause was among
 its suspects. A request suspected of ``SUSPECT_CRASHES`` runs in isolation and in one
 copy, so that the next crash has one possible cause. After ``BLOCK_CRASHES`` unexplained
-crashes, the request is blocked for ``BLOCK_TTL_S``.
+crashes, the request is blocked for ``BLOCK_TTL_S``. Crashes of many upstreams at one
+moment count as a single crash, since their cause may lie outside the upstreams
+(``crash_events``).
 
 Requests that are all different may crash upstreams by a part that their prompts share;
 ``part_crashes`` attributes crashes to parts.
@@ -21,17 +23,19 @@
 
 import math
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
 from ..ids import Cause, Fingerprint, PartId, Upstream
+from .crash_events import crash_events, evidence, has_whole_service
 from .crashes import (
     BLOCK_CRASHES,
     SETTLE_S,
     SUSPECT_CRASHES,
     TIED_LIMIT,
     Crash,
+    ServiceSize,
     UpstreamInstance,
     is_part,
     join_parts,
@@ -79,9 +83,10 @@
     pending: int = 0
     """Crashes that may be confirmed at any moment."""
     unexplained: int = 0
-    """Confirmed crashes that no blocked request explains."""
+    """Confirmed crashes that no blocked request explains; those of one event may count
+    as one."""
     weight: float = 0.0
-    """Sum over the unexplained crashes of one divided by the number of suspects."""
+    """Sum over these crashes of one divided by the number of suspects."""
     latest_at: float = -math.inf
     """When the latest crash happened or was first reported, whichever is later."""
 
@@ -100,6 +105,7 @@
         self._alive: OrderedDict[UpstreamInstance, float] = OrderedDict()
         self._served: deque[float] = deque(maxlen=MIN_SERVED)
         """Times of the latest completed requests of this entry."""
+        self._sizes: Mapping[UpstreamInstance, ServiceSize] = {}
         self._blocked: dict[Cause, float] = {}
         self._blocked_parts = BlockedParts()
         self._cached_counts: dict[Fingerprint, CrashCounts] | None = {}
@@ -119,7 +125,9 @@
             return
         crash = self._crashes.get(instance)
         if crash is None:
-            crash = self._crashes[instance] = Crash(at, now)
+            crash = self._crashes[instance] = Crash(
+                at, now, size=self._sizes.get(instance)
+            )
         changed = at > crash.at + AT_TOLERANCE_S or not crash.lost
         crash.at = max(crash.at, at)
         for fingerprint, is_new in lost.items():
@@ -134,6 +142,10 @@
         if changed:
             self._discard_counts()
 
+    def update_sizes(self, sizes: Mapping[UpstreamInstance, ServiceSize]) -> None:
+        """Apply the list of upstreams; a crash keeps the size listed before it."""
+        self._sizes = sizes
+
     def record_lost_parts(
         self,
         instance: UpstreamInstance,
@@ -229,19 +241,34 @@
 
     # -- attribution -------------------------------------------------------------
 
-    def block_attributed(self, now: float, is_informed: bool = True) -> list[Cause]:
+    def block_attributed(
+        self,
+        now: float,
+        is_informed: bool = True,
+        is_running: Callable[[Cause], bool] = lambda _cause: False,
+    ) -> list[Cause]:
         """Block the requests and parts to which crashes are attributed; return them.
 
-        ``is_informed`` is whether the reports of all entries have arrived; without them
-        no part is blocked.
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        is_informed : bool
+            Whether the reports of all entries have arrived; without them no part is
+            blocked.
+        is_running : callable
+            Returns whether a cause runs at some upstream. Its outcome is awaited: it
+            shows whether the cause crashes what runs it.
         """
         blocked = []
-        while (cause := self._next_cause(now, is_informed)) is not None:
+        while (cause := self._next_cause(now, is_informed, is_running)) is not None:
             self.block(cause, now + BLOCK_TTL_S)
             blocked.append(cause)
         return blocked
 
-    def _next_cause(self, now: float, is_informed: bool) -> Cause | None:
+    def _next_cause(
+        self, now: float, is_informed: bool, is_running: Callable[[Cause], bool]
+    ) -> Cause | None:
         # A part explains more crashes than any single request that has it.
         if is_informed and any(c.is_blamed for c in self._part_counts().values()):
             parts = next_attributed(
@@ -250,12 +277,15 @@
                 self._blocked_parts,
                 now,
                 self._served[0] if len(self._served) == MIN_SERVED else -math.inf,
+                is_running,
             )
             if parts:
                 return join_parts(parts)
-        return self._next_attributed(now)
+        return self._next_attributed(now, is_running)
 
-    def _next_attributed(self, now: float) -> Fingerprint | None:
+    def _next_attributed(
+        self, now: float, is_running: Callable[[Cause], bool]
+    ) -> Fingerprint | None:
         candidates = [
             (-counts.weight, fingerprint, counts)
             for fingerprint, counts in self._counts().items()
@@ -265,6 +295,8 @@
         for _, fingerprint, counts in sorted(candidates, key=lambda c: c[:2]):
             if now - counts.latest_at < SETTLE_S:
                 return None
+            if is_running(fingerprint):
+                continue
             if counts.unexplained >= TIED_LIMIT or not self._tied(fingerprint, counts):
                 return fingerprint
         return None
@@ -291,7 +323,7 @@
         return any(
             totals[other].unexplained >= counts.unexplained for other in others
         ) or any(
-            part.is_blamed and part.confirmed >= counts.unexplained for part in parts
+            part.is_blamed and part.counted >= counts.unexplained for part in parts
         )
 
     def _newest_first(self) -> list[Crash]:
@@ -301,22 +333,35 @@
         if self._cached_counts is None:
             counts: dict[Fingerprint, CrashCounts] = defaultdict(CrashCounts)
             for crash in self._crashes.values():
-                is_unexplained = crash.confirmed and not self._is_explained(crash)
-                suspects = crash.suspects()
-                weight = is_unexplained / max(1, len(suspects))
                 is_pending, latest_at = crash.is_pending, crash.latest_at
-                for fingerprint in suspects:
+                for fingerprint in crash.suspects():
                     count = counts[fingerprint]
                     count.reported += 1
                     count.confirmed += crash.confirmed
                     count.pending += is_pending
-                    count.unexplained += is_unexplained
-                    count.weight += weight
                     if latest_at > count.latest_at:
                         count.latest_at = latest_at
+            for event in crash_events(self._crashes.values()):
+                self._count_event(event, counts)
             self._cached_counts = dict(counts)
         return self._cached_counts
 
+    def _count_event(
+        self, event: Sequence[Crash], counts: Mapping[Fingerprint, CrashCounts]
+    ) -> None:
+        weights: dict[Fingerprint, list[float]] = defaultdict(list)
+        unexplained = [crash for crash in event if not self._is_explained(crash)]
+        for crash in unexplained:
+            suspects = crash.suspects()
+            for fingerprint in suspects:
+                weights[fingerprint].append(1 / len(suspects))
+        idle = sum(not crash.suspects() for crash in unexplained)
+        lost_with = {key: len(found) for key, found in weights.items()}
+        found = evidence(len(unexplained), idle, lost_with, has_whole_service(event))
+        for key, count in found.items():
+            counts[key].unexplained += count
+            counts[key].weight += count * sum(weights[key]) / lost_with[key]
+
     def _part_counts(self) -> dict[PartId, PartCounts]:
         if self._cached_parts is None:
             self._cached_parts = count_part_crashes(
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -62,11 +62,13 @@
         self.guards = {vm: self._guard(vm) for vm in names}
         self.cut_until = {}
         self.in_contact_since = dict.fromkeys(self.guards, -CONTACT_S)
-        self.engines = [Engine(self._record(n)) for n in range(UPSTREAMS)]
+        self.engines = [Engine(self._record(n, n)) for n in range(UPSTREAMS)]
         self.sent = []
         self.crashes = []
         self.arrivals = []
         self.done, self.refused, self.dropped = set(), set(), set()
+        self.completions = []
+        """When each request completed, with its fingerprint."""
         self.parts = {}
         """Shared parts of the prompt of each request that has any."""
         self._in_transit = deque()
@@ -86,9 +88,9 @@
     def _parts(self, fingerprint):
         return self.parts.get(fingerprint, ())
 
-    def _record(self, number):
+    def _record(self, number, port):
         return UpstreamRecord(
-            Upstream(f"u{number}"), LLM, "h", 1, ZONE, SLOTS, False, number, None
+            Upstream(f"u{number}"), LLM, "h", port, ZONE, SLOTS, False, number, None
         )
 
     # -- entries -----------------------------------------------------------------
@@ -213,12 +215,21 @@
                 guard.completed(run.fingerprint, self._parts(run.fingerprint))
                 guard.ended(run.fingerprint, engine.record.name)
                 self.done.add(run.fingerprint)
+                self.completions.append((self.now, run.fingerprint))
 
     def _age(self, run):
         return self.now - run.sent_at
 
     def _crash(self, engine, fatal):
         self.crashes.append((self.now, fatal.fingerprint))
+        self._lose(engine, RESTART_S)
+
+    def lose_power(self, seconds=RESTART_S, share=1.0):
+        """Lose a share of the engines at the same moment, whatever they run."""
+        for engine in self.engines[: round(share * len(self.engines))]:
+            self._lose(engine, seconds)
+
+    def _lose(self, engine, seconds):
         for run in engine.running:
             guard = self.guards[run.vm]
             guard.connection_lost(
@@ -232,20 +243,28 @@
                 retry = (self.now + 0.1, run.fingerprint, run.poison, run.tries - 1)
                 self._retries.append(retry)
         engine.running = []
-        engine.record = self._record(self._next_number)
+        engine.record = self._record(self._next_number, engine.record.port)
         self._next_number += 1
-        engine.available_at = self.now + RESTART_S
+        engine.available_at = self.now + seconds
+
+    def _list_engines(self):
+        listed = [e.record for e in self.engines if e.available_at <= self.now]
+        for guard in self.guards.values():
+            guard.update_upstreams(listed)
 
     def _run_checks(self):
         alive = {e.record.name for e in self.engines if e.available_at <= self.now}
         for guard in self.guards.values():
             for record in guard.due_checks():
-                if record.name not in alive:
+                if record.name in alive:
+                    guard.reachable(record)
+                else:
                     guard.unreachable(record)
 
     def step(self):
         """Advance the simulation by one step."""
         self.now += STEP_S
+        self._list_engines()
         self._run_engines()
         self._run_checks()
         self._exchange_updates()
