Poison: crashes are grouped by the earliest report of each

What callers would see: a popular request refused for an hour after a single loss of many upstreams, if an entry was paused meanwhile. Found by a review.

Cause: a crash has the latest reported time, which is right for what completed after it; the groups used it too, so that what a paused entry noticed 2 and 4 s later became events of their own.

The groups use the earliest reported time, which is the same in any order of reports. test_loss_that_some_entries_notice_late_counts_once failed before in both orders.

--- a/src/persimmonhitch/decide/crash_events.py
+++ b/src/persimmonhitch/decide/crash_events.py
@@ -36,11 +36,12 @@
 def crash_events(crashes: Iterable[Crash]) -> list[list[Crash]]:
     """Return the confirmed crashes grouped into events, oldest first.
 
-    The groups depend on the times of the crashes only, not on the order of reports.
+    The groups depend on the earliest reported times of the crashes only, not on the
+    order of reports.
     """
     events: list[list[Crash]] = []
     confirmed = (crash for crash in crashes if crash.confirmed)
-    for crash in sorted(confirmed, key=lambda crash: crash.at):
+    for crash in sorted(confirmed, key=lambda crash: crash.first_at):
         if events and _continues(events[-1], crash):
             events[-1].append(crash)
         else:
@@ -49,8 +50,8 @@
 
 
 def _continues(event: Sequence[Crash], crash: Crash) -> bool:
-    is_near = crash.at - event[-1].at < EVENT_GAP_S
-    return is_near and crash.at - event[0].at < EVENT_S
+    is_near = crash.first_at - event[-1].first_at < EVENT_GAP_S
+    return is_near and crash.first_at - event[0].first_at < EVENT_S
 
 
 def has_whole_service(event: Sequence[Crash]) -> bool:
--- a/src/persimmonhitch/decide/crashes.py
+++ b/src/persimmonhitch/decide/crashes.py
@@ -1,5 +1,6 @@
 """Crashes of upstreams, and what was lost with them."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -63,6 +64,9 @@
     """Latest reported time at which the upstream lost a request."""
     received_at: float
     """When this entry received the first report of the crash."""
+    first_at: float = math.inf
+    """Earliest reported time at which it lost a request. An entry that was paused
+    notices its losses, and reports them, later than others."""
     confirmed: bool = False
     reachable: bool = False
     """Whether the upstream accepted a connection after it."""
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -129,7 +129,8 @@
                 at, now, size=self._sizes.get(instance)
             )
         changed = at > crash.at + AT_TOLERANCE_S or not crash.lost
-        crash.at = max(crash.at, at)
+        changed |= at < crash.first_at - AT_TOLERANCE_S
+        crash.at, crash.first_at = max(crash.at, at), min(crash.first_at, at)
         for fingerprint, is_new in lost.items():
             known = crash.lost.get(fingerprint)
             if known or known is is_new or (known is None and not crash.has_room):
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -128,6 +128,21 @@
     assert history.block_attributed(len(events) + 2.0) == blocked
 
 
+@pytest.mark.parametrize("late_first", [False, True])
+def test_loss_that_some_entries_notice_late_counts_once(late_first):
+    """Guards against a block by one loss of which a paused entry reports later."""
+    reports = [(number, 1.0) for number in range(8)]
+    reports[8 if not late_first else 0 :] = [(6, 3.0), (7, 3.0), (4, 5.0), (5, 5.0)]
+    if late_first:
+        reports += [(number, 1.0) for number in range(8)]
+    history = CrashHistory()
+    for number, at in reports:
+        instance = UpstreamInstance(Upstream(f"u{number}"), 1)
+        history.record_lost(instance, {GOOD: True}, at, at)
+        history.confirm(instance)
+    assert history.block_attributed(9.0) == []
+
+
 MAX_CRASHES_IN_STEP = 4
 """Crashes by each of many requests that crash upstreams at the same moments."""
 
