A lease whose epoch can't be counted up is unreadable

With an epoch of 2**63 - 1 in the record of another writer, the holder's next epoch could not be read back, and the step failed. The case that the test of damaged leases gets failed before. Found by a review.

--- a/src/persimmonhitch/planner/lease.py
+++ b/src/persimmonhitch/planner/lease.py
@@ -33,6 +33,8 @@
 NO_HOLDER: Final = ""
 EPOCH_BITS: Final = 16
 """Low bits of an epoch that count acquisitions within one era of the store."""
+MAX_EPOCH: Final = 2**62
+"""Largest epoch of a readable record, so that the next epochs can be read as well."""
 MAX_DURATION_S: Final = 60.0
 """Longest duration of a valid lease record."""
 
@@ -73,7 +75,8 @@
             )
         except (KeyError, TypeError, ValueError, OverflowError) as exc:
             raise LeaseUnreadable(repr(exc)) from exc
-        if lease.epoch < 0 or not 0 <= lease.duration <= MAX_DURATION_S:
+        is_epoch = 0 <= lease.epoch <= MAX_EPOCH
+        if not is_epoch or not 0 <= lease.duration <= MAX_DURATION_S:
             raise LeaseUnreadable(f"epoch {lease.epoch}, duration {lease.duration}")
         return lease
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -359,7 +359,13 @@
 
 @pytest.mark.parametrize(
     "damage",
-    [{"epoch": "x"}, {"duration": float("nan")}, {"renewals": None}, {"epoch": -1}],
+    [
+        {"epoch": "x"},
+        {"duration": float("nan")},
+        {"renewals": None},
+        {"epoch": -1},
+        {"epoch": 2**63 - 1},
+    ],
 )
 def test_unreadable_lease_counts_as_held_for_its_duration(store, damage):
     """Guards against a second leader, or none, beside a damaged lease record."""
