Large entries of another writer are not kept in memory

What callers would see: entries that end at their memory limit while some large objects of another writer stand among the upstreams (FAULT), again after each start.

The content of a record, an evacuation or a block with over 65,536 parts and characters counts as unreadable when its page is decoded. Configurations and the objects of the former product keep their size. 8 of the 12 cases of the new test can only hold with the limit.

--- a/src/persimmonhitch/entry/peer_sidecars.py
+++ b/src/persimmonhitch/entry/peer_sidecars.py
@@ -95,5 +95,5 @@
 
 
 def _stored_object(name: str, text: str) -> StoredObject:
-    spec = readable_spec(parse_json(text))
+    spec = readable_spec(Kind.SIDECAR, parse_json(text))
     return StoredObject(Kind.SIDECAR, name, Version(0), spec)
--- a/src/persimmonhitch/json_input.py
+++ b/src/persimmonhitch/json_input.py
@@ -86,6 +86,25 @@
     return False
 
 
+def fits(value: Any, limit: int) -> bool:
+    """Return whether a value has at most ``limit`` parts and characters of texts."""
+    size = 0
+    level: list[Any] = [value]
+    while level:
+        item = level.pop()
+        size += 1
+        if isinstance(item, str):
+            size += len(item)
+        elif isinstance(item, dict):
+            size += sum(map(len, item))
+            level += item.values()
+        elif isinstance(item, list):
+            level += item
+        if size + len(level) > limit:
+            return False
+    return True
+
+
 def _is_nested(item: Any) -> bool:
     return isinstance(item, dict | list)
 
--- a/src/persimmonhitch/platform/objects_format.py
+++ b/src/persimmonhitch/platform/objects_format.py
@@ -79,7 +79,7 @@
     if not isinstance(name, str):
         raise TypeError(f"name {name!r} is no text")
     # A malformed object must not make the other objects of its kind unreadable.
-    spec = readable_spec(body.get("specification"))
+    spec = readable_spec(kind, body.get("specification"))
     version = version_of(era, int(meta.get("revision", 0)))
     return StoredObject(kind, name, version, spec)
 
--- a/src/persimmonhitch/store/objects.py
+++ b/src/persimmonhitch/store/objects.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, NewType, Protocol
+from typing import Any, Final, NewType, Protocol
 
 from returns.result import Result
 
-from ..json_input import is_readable
+from ..json_input import fits, is_readable
 
 Spec = dict[str, Any]
 Version = NewType("Version", int)
@@ -86,12 +86,24 @@
     """Whether objects follow whose names are beyond those of the page."""
 
 
-def readable_spec(value: Any) -> Spec:
-    """Return the content of an object, empty if it can't be read.
+RECORD_KINDS: Final = frozenset(
+    {Kind.UPSTREAM, Kind.ENTRY, Kind.EVACUATION, Kind.BLOCKED}
+)
+"""Kinds with many small objects, of which a process keeps all in memory."""
+MAX_RECORD_SIZE: Final = 65_536
+"""Maximum parts and characters of such an object."""
+
+
+def readable_spec(kind: Kind, value: Any) -> Spec:
+    """Return the content of an object, empty if it can't be read or is too large.
 
     The content may come from any writer of the store.
     """
-    return value if isinstance(value, dict) and is_readable(value) else {}
+    if not isinstance(value, dict) or not is_readable(value):
+        return {}
+    if kind in RECORD_KINDS and not fits(value, MAX_RECORD_SIZE):
+        return {}
+    return value
 
 
 class EventType(Enum):
--- a/src/persimmonhitch/store/pushes.py
+++ b/src/persimmonhitch/store/pushes.py
@@ -193,6 +193,6 @@
 
 
 def _to_event(kind: Kind, obj: PushedObject) -> Event:
-    spec = readable_spec(parse_json(obj.spec)) if obj.spec else {}
+    spec = readable_spec(kind, parse_json(obj.spec)) if obj.spec else {}
     stored = StoredObject(kind, obj.name, Version(obj.version), spec)
     return Event(EventType.DELETED if obj.deleted else EventType.MODIFIED, stored)
--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -160,7 +160,7 @@
     @EXAMPLES
     @given(damaged(document))
     def check(spec):
-        repr(decode(readable_spec(read_back(spec)))).encode()
+        repr(decode(readable_spec(Kind.UPSTREAM, read_back(spec)))).encode()
 
     check()
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
 from persimmonhitch.json_input import MAX_DEPTH, is_readable, parse_json, parse_readable
 from persimmonhitch.kernel.threads import failure_counts
 from persimmonhitch.observe.logs import LogWriter
+from persimmonhitch.platform.objects_format import decode_object
 from persimmonhitch.platform.store_client import StoreClient
 from persimmonhitch.store.objects import (
     Kind,
@@ -239,6 +240,25 @@
     entry.mesh.stop()
 
 
+LARGE = [
+    {"x": "y" * 70_000},
+    {"x": [[] for _ in range(70_000)]},
+    {"x": [{} for _ in range(35_000)], "y": "z" * 35_000},
+    {str(number): 0 for number in range(20_000)},
+]
+
+
+@pytest.mark.parametrize("spec", LARGE)
+@pytest.mark.parametrize(
+    ("kind", "is_kept"),
+    [(Kind.UPSTREAM, False), (Kind.ENTRY, False), (Kind.FLEET, True)],
+)
+def test_large_object_of_another_writer_is_not_kept(spec, kind, is_kept):
+    """Guards against some large entries that use up the memory of a process."""
+    obj = decode_object(kind, json.loads(object_text("odd", 1, json.dumps(spec))))
+    assert obj.spec == (spec if is_kept else {})
+
+
 def test_failing_listener_does_not_end_the_watch():
     """Guards against a process that follows its store no more after one error."""
     views, done = [], threading.Event()
