Poison: suspects of a crash are found once per change

The guard counts under its lock, for each lost request of an entry.

Cause: crashes are counted by event after each report, and every count found the suspects of every crash anew; and the trials of all entries were collected for each look at the counts, though they matter only once a cause is about to be blocked.

Crashes keep their suspects until they change, and trials are collected when needed.

--- a/src/persimmonhitch/decide/crashes.py
+++ b/src/persimmonhitch/decide/crashes.py
@@ -76,6 +76,11 @@
     """Lost requests by prompt part."""
     size: ServiceSize | None = None
     """The service of the upstream as listed before the crash, if it was listed."""
+    _suspects: set[Fingerprint] | None = field(default=None, init=False)
+    _suspect_parts: dict[PartId, set[Fingerprint]] | None = field(
+        default=None, init=False
+    )
+    """Results of ``suspects`` and ``suspect_parts`` until the next change."""
 
     @property
     def latest_at(self) -> float:
@@ -92,6 +97,28 @@
         """Return whether further lost requests are recorded."""
         return len(self.lost) < MAX_LOST
 
+    def add_request(self, fingerprint: Fingerprint, is_new: bool) -> None:
+        """Record a lost request, and whether it had just begun."""
+        self.lost[fingerprint] = is_new
+        self._discard_suspects()
+
+    def clear_request(self, fingerprint: Fingerprint) -> bool:
+        """Remove a request that has completed; return whether it was lost."""
+        if self.lost.pop(fingerprint, None) is None:
+            return False
+        self._discard_suspects()
+        return True
+
+    def clear_part(self, part: PartId) -> bool:
+        """Remove a part that has completed; return whether a lost request had it."""
+        if self.carriers.pop(part, None) is None:
+            return False
+        self._discard_suspects()
+        return True
+
+    def _discard_suspects(self) -> None:
+        self._suspects = self._suspect_parts = None
+
     def add_parts(self, lost: Mapping[Fingerprint, Iterable[PartId]]) -> bool:
         """Record the prompt parts of lost requests; return whether any is new."""
         changed = False
@@ -101,15 +128,21 @@
                     requests = self.carriers.setdefault(part, set())
                     changed |= fingerprint not in requests
                     requests.add(fingerprint)
+        if changed:
+            self._discard_suspects()
         return changed
 
     def suspects(self) -> set[Fingerprint]:
         """Return the requests that may have caused the crash."""
-        recent = {fingerprint for fingerprint, is_new in self.lost.items() if is_new}
-        return recent or set(self.lost)
+        if self._suspects is None:
+            recent = {request for request, is_new in self.lost.items() if is_new}
+            self._suspects = recent or set(self.lost)
+        return self._suspects
 
     def suspect_parts(self) -> dict[PartId, set[Fingerprint]]:
         """Return the parts of suspects, with the suspects that have each part."""
-        suspects = self.suspects()
-        found = {part: lost & suspects for part, lost in self.carriers.items()}
-        return {part: carriers for part, carriers in found.items() if carriers}
+        if self._suspect_parts is None:
+            suspects = self.suspects()
+            found = {part: lost & suspects for part, lost in self.carriers.items()}
+            self._suspect_parts = {part: lost for part, lost in found.items() if lost}
+        return self._suspect_parts
--- a/src/persimmonhitch/decide/poison.py
+++ b/src/persimmonhitch/decide/poison.py
@@ -136,7 +136,7 @@
             if known or known is is_new or (known is None and not crash.has_room):
                 continue
             if self._completed.get(fingerprint, -math.inf) < at:
-                crash.lost[fingerprint] = is_new
+                crash.add_request(fingerprint, is_new)
                 changed = True
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
@@ -206,10 +206,10 @@
             if is_part(cause):
                 if crash.at <= at + PROOF_LEAD_S:
                     part = PartId(cause)
-                    cleared |= crash.carriers.pop(part, None) is not None
+                    cleared |= crash.clear_part(part)
             elif crash.at <= at:
                 fingerprint = Fingerprint(cause)
-                cleared |= crash.lost.pop(fingerprint, None) is not None
+                cleared |= crash.clear_request(fingerprint)
         if cleared:
             self._discard_counts()
         return cleared
--- a/src/persimmonhitch/direct/poison.py
+++ b/src/persimmonhitch/direct/poison.py
@@ -477,12 +477,17 @@
         self._alive[instance] = alive_at
         self._mark_changed(instance)
 
+    def _runs_anywhere(self, cause: Cause, now: float) -> bool:
+        """Return whether an entry has sent a suspect and awaits its outcome."""
+        return any(
+            trial.cause == cause and trial.upstream for trial in self._all_trials(now)
+        )
+
     def _block_attributed(self) -> None:
         now = self._clock()
         is_informed = now - self._isolated_at >= LEARN_S
-        running = {trial.cause for trial in self._all_trials(now) if trial.upstream}
         for cause in self._history.block_attributed(
-            now, is_informed, running.__contains__
+            now, is_informed, lambda cause: self._runs_anywhere(cause, now)
         ):
             remaining_s = self._history.blocked_for(cause, now)
             log(
