--- a/src/persimmonhitch/decide/part_crashes.py
+++ b/src/persimmonhitch/decide/part_crashes.py
@@ -130,10 +130,11 @@
 ) -> dict[PartId, PartCounts]:
     """Return the crashes that each part is suspected of."""
     counts: dict[PartId, PartCounts] = defaultdict(PartCounts)
+    judged = {id(crash): _judge(crash, blocked, combos) for crash in crashes}
     for crash in crashes:
-        explaining = _explaining(crash, blocked, combos)
+        is_explained, unexplained_parts = judged[id(crash)]
         parts = crash.suspect_parts()
-        for part in _unexplained_parts(parts, explaining):
+        for part in unexplained_parts:
             count = counts[part]
             count.reported += 1
             count.pending += crash.is_pending
@@ -141,38 +142,35 @@
             if crash.confirmed:
                 count.carriers.append(parts[part])
                 count.first_at = min(count.first_at, crash.at)
-                if not explaining:
+                if not is_explained:
                     count.unexplained.append(parts)
     counter: EventCounter[PartId] = EventCounter()
     for event in crash_events(crashes):
-        _count_event(event, blocked, combos, counter, counts)
+        _count_event(event, judged, counter, counts)
     return counts
 
 
-def _explaining(
+def _judge(
     crash: Crash, blocked: Mapping[Cause, float], combos: BlockedParts
-) -> list[set[Fingerprint]]:
-    """Return the requests that each blocked cause of a crash accounts for."""
-    requests = [{lost} for lost in crash.suspects() if lost in blocked]
-    return requests + combos.explaining(crash.suspect_parts())
-
-
-def _unexplained_parts(
-    parts: Mapping[PartId, set[Fingerprint]], explaining: Iterable[set[Fingerprint]]
-) -> list[PartId]:
-    """Return the parts that only requests with every blocked cause have."""
-    common = list(explaining)
-    return [
+) -> tuple[bool, list[PartId]]:
+    """Return whether a blocked cause explains a crash, and the parts that remain.
+
+    These are the parts that only requests with every such cause have.
+    """
+    parts = crash.suspect_parts()
+    explaining = [{lost} for lost in crash.suspects() if lost in blocked]
+    explaining += combos.explaining(parts)
+    remaining = [
         part
         for part, carriers in parts.items()
-        if all(carriers <= requests for requests in common)
+        if all(carriers <= requests for requests in explaining)
     ]
+    return bool(explaining), remaining
 
 
 def _count_event(
     event: Sequence[Crash],
-    blocked: Mapping[Cause, float],
-    combos: BlockedParts,
+    judged: Mapping[int, tuple[bool, list[PartId]]],
     counter: EventCounter[PartId],
     counts: Mapping[PartId, PartCounts],
 ) -> None:
@@ -180,9 +178,9 @@
     lost_with: Counter[PartId] = Counter()
     unexplained = idle = 0
     for crash in event:
-        explaining = _explaining(crash, blocked, combos)
-        lost_with.update(_unexplained_parts(crash.suspect_parts(), explaining))
-        unexplained += not explaining
+        is_explained, parts = judged[id(crash)]
+        lost_with.update(parts)
+        unexplained += not is_explained
         idle += not crash.suspects()
     is_whole = has_whole_service(event)
     for part, count in counter.count(unexplained, idle, lost_with, is_whole).items():
