Readiness answers beside connections that send nothing

Cause: the status servers have three threads, and took as many connections; one that waits holds no thread, but counted.

--- a/src/persimmonhitch/direct/main.py
+++ b/src/persimmonhitch/direct/main.py
@@ -113,6 +113,8 @@
 
 TICK_INTERVAL_S: Final = 0.05
 STATUS_THREADS: Final = 3
+MAX_IDLE_STATUS_CONNS: Final = 64
+"""Connections to each status address that send no request, or only a part of one."""
 LEASE_NAME: Final = "orders"
 LEASE_CALL_FRACTION: Final = 0.3
 """Timeout of a call to renew the lease, as a fraction of the lease's duration."""
@@ -358,7 +360,7 @@
         )
         self.caller_load = CallerLoad(self.server.meter, self.metrics)
         self.status_servers = [
-            WebServer(status, *address, STATUS_THREADS)
+            WebServer(status, *address, STATUS_THREADS, max_idle=MAX_IDLE_STATUS_CONNS)
             for address in (cfg.ready[0], cfg.metrics[0])
         ]
 
--- a/src/persimmonhitch/web/server.py
+++ b/src/persimmonhitch/web/server.py
@@ -347,7 +347,8 @@
     With ``admission`` the server stops listening for moments without room.
 
     With ``keep_streams`` a connection stays open after a chunked answer, and up to
-    ``MAX_IDLE_CONNS`` idle connections are permitted in addition to ``threads``.
+    ``MAX_IDLE_CONNS`` idle connections are permitted in addition to ``threads``;
+    without it, ``max_idle``.
     """
 
     def __init__(
@@ -362,6 +363,7 @@
         admission: ConnAdmission | None = None,
         link_mbps: float = 0.0,
         max_bodies: int | None = None,
+        max_idle: int = 0,
     ) -> None:
         max_buffered = MAX_UNSENT_BYTES
         if max_unread is not None:
@@ -374,7 +376,7 @@
         )
         # Idle connections occupy no thread. If callers keep many of them open, these
         # must not use up the limit for new connections.
-        conns = MAX_IDLE_CONNS + threads if keep_streams else threads
+        conns = threads + (MAX_IDLE_CONNS if keep_streams else max_idle)
         self.meter = LoadMeter(threads, link_mbps)
         self._server: Any = Listener(
             _marking_unframed(app),
