--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -257,6 +257,8 @@
     is_whole: bool = False
     first_id: str = ""
     """Attempt that brought the first event."""
+    began_at: float = 0.0
+    """Time of the first attempt."""
 
 
 _ids = itertools.count()
